Lay out the workspace, the shared types and the messages

Cause: nothing existed; every later part needs one set of identifiers, units, numbered result codes and messages. Ruled out: one crate for all, which would let decisions reach for I/O.

--- /dev/null
+++ b/crates/core/src/unit.rs
@@ -0,0 +1,243 @@
+//! Quantities with their units.
+
+use std::fmt;
+use std::iter::Sum;
+use std::ops::{Add, AddAssign, Sub};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// Why a text is not a quantity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnitError {
+    expected: &'static str,
+}
+
+impl fmt::Display for UnitError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.expected)
+    }
+}
+
+impl std::error::Error for UnitError {}
+
+macro_rules! quantity {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The quantity of nothing.
+            pub const ZERO: Self = Self(0);
+
+            /// Subtracts without going below zero.
+            pub fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+        }
+
+        impl Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                Self(self.0 + other.0)
+            }
+        }
+
+        impl AddAssign for $name {
+            fn add_assign(&mut self, other: Self) {
+                self.0 += other.0;
+            }
+        }
+
+        impl Sub for $name {
+            type Output = Self;
+
+            fn sub(self, other: Self) -> Self {
+                Self(self.0 - other.0)
+            }
+        }
+
+        impl Sum for $name {
+            fn sum<I>(quantities: I) -> Self
+            where
+                I: Iterator<Item = Self>,
+            {
+                quantities.fold(Self::ZERO, Self::add)
+            }
+        }
+    };
+}
+
+macro_rules! plain_text {
+    ($name:ident, $suffix:literal, $expected:literal) => {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}{}", self.0, $suffix)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = UnitError;
+
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                let digits = text.strip_suffix($suffix).unwrap_or(text);
+                let number = digits.parse();
+                number.map(Self).map_err(|_| UnitError {
+                    expected: $expected,
+                })
+            }
+        }
+    };
+}
+
+quantity! {
+    /// A number of tokens.
+    TokenCount
+}
+quantity! {
+    /// A number of bytes.
+    ByteSize
+}
+quantity! {
+    /// Tokens per second.
+    TokenRate
+}
+quantity! {
+    /// Calls per second.
+    CallRate
+}
+quantity! {
+    /// A length of time in microseconds.
+    TimeSpan
+}
+
+plain_text!(
+    TokenCount,
+    "tok",
+    "a whole number of tokens, such as 512 or 512tok"
+);
+plain_text!(
+    ByteSize,
+    "B",
+    "a whole number of bytes, such as 1048576 or 1048576B"
+);
+plain_text!(
+    TokenRate,
+    "tok/s",
+    "a whole number of tokens per second, such as 800 or 800tok/s"
+);
+plain_text!(
+    CallRate,
+    "/s",
+    "a whole number of calls per second, such as 50 or 50/s"
+);
+
+const MICROS_PER_MILLI: u64 = 1_000;
+const MICROS_PER_SEC: u64 = 1_000_000;
+
+impl TimeSpan {
+    /// A span of whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * MICROS_PER_MILLI)
+    }
+
+    /// A span of whole seconds.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs * MICROS_PER_SEC)
+    }
+
+    /// Returns whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / MICROS_PER_MILLI
+    }
+
+    /// Returns seconds with their fraction.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / MICROS_PER_SEC as f64
+    }
+
+    /// Converts seconds with a fraction; negative or unbounded ones are clamped.
+    pub fn from_secs_f64(secs: f64) -> Self {
+        Self((secs.max(0.0) * MICROS_PER_SEC as f64) as u64)
+    }
+
+    /// Returns whole seconds, rounded up, as `Retry-After` wants them.
+    pub const fn as_secs_ceil(self) -> u64 {
+        self.0.div_ceil(MICROS_PER_SEC)
+    }
+}
+
+impl fmt::Display for TimeSpan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            micros if micros % MICROS_PER_SEC == 0 => write!(f, "{}s", micros / MICROS_PER_SEC),
+            micros if micros % MICROS_PER_MILLI == 0 => {
+                write!(f, "{}ms", micros / MICROS_PER_MILLI)
+            }
+            micros => write!(f, "{micros}us"),
+        }
+    }
+}
+
+impl FromStr for TimeSpan {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let expected = "a time such as 250ms, 5s or 100us";
+        let error = UnitError { expected };
+        let (digits, factor) = match text {
+            _ if text.ends_with("ms") => (text.strip_suffix("ms"), MICROS_PER_MILLI),
+            _ if text.ends_with("us") => (text.strip_suffix("us"), 1),
+            _ => (text.strip_suffix('s'), MICROS_PER_SEC),
+        };
+        let number: u64 = digits.ok_or(error)?.parse().map_err(|_| error)?;
+        number.checked_mul(factor).map(Self).ok_or(error)
+    }
+}
+
+/// A point on the clock that the caller passes in, in microseconds.
+///
+/// It never comes from the machine's clock inside this library; each process
+/// passes its monotonic clock, and each test passes a virtual one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct TimePoint(pub u64);
+
+impl TimePoint {
+    /// The start of the clock.
+    pub const START: Self = Self(0);
+
+    /// Returns the time since `earlier`, or zero where that lies ahead.
+    pub fn since(self, earlier: Self) -> TimeSpan {
+        TimeSpan(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl fmt::Display for TimePoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "@{}us", self.0)
+    }
+}
+
+impl Add<TimeSpan> for TimePoint {
+    type Output = Self;
+
+    fn add(self, span: TimeSpan) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<TimeSpan> for TimePoint {
+    type Output = Self;
+
+    fn sub(self, span: TimeSpan) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/applefold.capnp
@@ -0,0 +1,203 @@
+@0xd1f2a6b80c4e9a37;
+# Messages between the processes of the system. Every port serves `Gate`; a
+# peer that proves the cluster secret is given a `Session`.
+
+struct Pair {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Refusal {
+  code @0 :UInt16;
+  # 0 where a repeat never helps.
+  retryAfterMicros @1 :UInt64;
+}
+
+struct Confirmation {
+  # What the sender knows of the configuration and of the platform.
+  revision @0 :UInt64;
+  # Time since the platform last confirmed that revision to anybody.
+  ageMicros @1 :UInt64;
+  # Whether the sender, or who told it, reaches enough of the fleet to serve on.
+  reachHolds @2 :Bool;
+}
+
+struct TeamUse {
+  team @0 :Text;
+  tokens @1 :UInt64;
+}
+
+struct Load {
+  running @0 :UInt32;
+  waiting @1 :UInt32;
+  waitingTokens @2 :UInt64;
+  freeTokens @3 :UInt64;
+  prefillRate @4 :UInt64;
+  decodeRate @5 :UInt64;
+  draining @6 :Bool;
+  healthy @7 :Bool;
+}
+
+struct Heartbeat {
+  instance @0 :Text;
+  domain @1 :Text;
+  confirmation @2 :Confirmation;
+  load @3 :Load;
+  teams @4 :List(TeamUse);
+  # Fingerprints that have crashed backend servers, with the number of crashes.
+  suspects @5 :List(Suspect);
+  stopping @6 :Bool;
+}
+
+struct Suspect {
+  fingerprint @0 :UInt64;
+  backend @1 :Text;
+  ageMicros @2 :UInt64;
+}
+
+struct Dispatch {
+  request @0 :Text;
+  attempt @1 :UInt64;
+  team @2 :Text;
+  # The public name of the caller key; the key itself stays at the entry.
+  key @3 :Text;
+  service @4 :Text;
+  confirmation @5 :Confirmation;
+  # Time left until the caller's deadline for the first byte.
+  deadlineMicros @6 :UInt64;
+  traceparent @7 :Text;
+  method @8 :Text;
+  path @9 :Text;
+  headers @10 :List(Pair);
+  body @11 :Data;
+  stream @12 :Bool;
+  repeatable @13 :Bool;
+  promptTokens @14 :UInt64;
+  answerTokens @15 :UInt64;
+  priority @16 :UInt8;
+  # How many tokens of the answer the caller already has.
+  resumeTokens @17 :UInt64;
+  model @18 :Text;
+}
+
+struct AnswerHead {
+  request @0 :Text;
+  attempt @1 :UInt64;
+  status @2 :UInt16;
+  headers @3 :List(Pair);
+}
+
+struct AnswerPart {
+  request @0 :Text;
+  attempt @1 :UInt64;
+  # Position of the first byte of `data` in the answer's body.
+  offset @2 :UInt64;
+  data @3 :Data;
+}
+
+interface AnswerSink {
+  head @0 (head :AnswerHead) -> ();
+  part @1 (part :AnswerPart) -> ();
+}
+
+struct AnswerEnd {
+  request @0 :Text;
+  attempt @1 :UInt64;
+  load @6 :Load;
+  confirmation @7 :Confirmation;
+  union {
+    # The answer is whole and this long.
+    whole @2 :UInt64;
+    # The backend server has not begun the request.
+    notRun @3 :Refusal;
+    # The backend server ended the answer at this offset, too early.
+    broken @4 :UInt64;
+    # The backend server may have run the request; no answer came.
+    unknown @5 :Refusal;
+  }
+}
+
+struct Order {
+  id @0 :Text;
+  scope @1 :Text;
+  holder @2 :Text;
+  fencing @3 :UInt64;
+  # Time within which the order must be carried out or refused.
+  deadlineMicros @4 :UInt64;
+  # The order itself, as the core library writes it in JSON.
+  body @5 :Text;
+}
+
+struct OrderReply {
+  union {
+    done @0 :Void;
+    refused @1 :Refusal;
+  }
+}
+
+struct ClaimRequest {
+  shard @0 :UInt64;
+  key @1 :Text;
+  team @2 :Text;
+  fingerprint @3 :UInt64;
+  request @4 :Text;
+}
+
+struct ClaimReply {
+  union {
+    granted @0 :Void;
+    refused @1 :Refusal;
+    kept @2 :KeptAnswer;
+  }
+}
+
+struct KeptAnswer {
+  status @0 :UInt16;
+  body @1 :Data;
+}
+
+struct ClaimOutcome {
+  shard @0 :UInt64;
+  key @1 :Text;
+  team @2 :Text;
+  request @3 :Text;
+  answer @4 :KeptAnswer;
+  known @5 :Bool;
+}
+
+struct UsageFigure {
+  window @0 :UInt64;
+  team @1 :Text;
+  service @2 :Text;
+  promptTokens @3 :UInt64;
+  answerTokens @4 :UInt64;
+  requests @5 :UInt64;
+}
+
+struct UsageBatch {
+  # The meter that counted; figures are its running totals, so a repeat is harmless.
+  meter @0 :Text;
+  figures @1 :List(UsageFigure);
+}
+
+struct ConfigUpdate {
+  # The whole configuration at `revision`, as the core library writes it in JSON.
+  revision @0 :UInt64;
+  body @1 :Text;
+}
+
+interface Gate {
+  challenge @0 () -> (nonce :Data);
+  open @1 (instance :Text, nonce :Data, proof :Data) -> (proof :Data, session :Session);
+}
+
+interface Session {
+  heartbeat @0 (beat :Heartbeat) -> (beat :Heartbeat);
+  dispatch @1 (dispatch :Dispatch, sink :AnswerSink) -> (end :AnswerEnd);
+  configure @2 (update :ConfigUpdate) -> (revision :UInt64);
+  order @3 (order :Order) -> (reply :OrderReply);
+  claim @4 (claim :ClaimRequest) -> (reply :ClaimReply);
+  settle @5 (outcome :ClaimOutcome) -> ();
+  meter @6 (batch :UsageBatch) -> ();
+  fetchConfig @7 (known :UInt64) -> (update :ConfigUpdate);
+}
