Give the messages their types

Cause: handlers should meet parsed identifiers, not text. Ruled out: using the generated readers throughout, which spreads the checks. Change: one module per message family in crates/wire, each with write and read.

--- /dev/null
+++ b/crates/wire/src/beat.rs
@@ -0,0 +1,188 @@
+//! Heartbeats and what they carry: confirmation, load, use and suspects.
+
+use applefold_core::id::{BackendId, DomainId, InstanceId, Revision, TeamId};
+use applefold_core::unit::{TimeSpan, TokenCount, TokenRate};
+
+use crate::applefold_capnp::{confirmation, heartbeat, load, suspect, team_use};
+use crate::error::{parse, MessageError};
+
+/// What a process knows of the configuration and of the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfirmationNote {
+    /// The newest revision that the process has applied.
+    pub revision: Revision,
+    /// The time since the platform last confirmed that revision to anybody.
+    pub age: TimeSpan,
+    /// Whether enough of the fleet is reached to serve on without confirmation.
+    pub reach_holds: bool,
+}
+
+impl ConfirmationNote {
+    pub(crate) fn write(&self, mut builder: confirmation::Builder<'_>) {
+        builder.set_revision(self.revision.0);
+        builder.set_age_micros(self.age.0);
+        builder.set_reach_holds(self.reach_holds);
+    }
+
+    pub(crate) fn read(reader: confirmation::Reader<'_>) -> Self {
+        Self {
+            revision: Revision(reader.get_revision()),
+            age: TimeSpan(reader.get_age_micros()),
+            reach_holds: reader.get_reach_holds(),
+        }
+    }
+}
+
+/// The load of a backend server as its sidecar sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadNote {
+    /// Requests that the backend server is running.
+    pub running: u32,
+    /// Requests that wait in the sidecar.
+    pub waiting: u32,
+    /// Prompt and answer tokens of the waiting requests.
+    pub waiting_tokens: TokenCount,
+    /// Tokens for which the backend server has free memory.
+    pub free_tokens: TokenCount,
+    /// Prompt tokens that the backend server reads in a second.
+    pub prefill_rate: TokenRate,
+    /// Answer tokens that the backend server writes in a second.
+    pub decode_rate: TokenRate,
+    /// Whether the sidecar takes no new work.
+    pub draining: bool,
+    /// Whether the backend server answers.
+    pub healthy: bool,
+}
+
+impl LoadNote {
+    pub(crate) fn write(&self, mut builder: load::Builder<'_>) {
+        builder.set_running(self.running);
+        builder.set_waiting(self.waiting);
+        builder.set_waiting_tokens(self.waiting_tokens.0);
+        builder.set_free_tokens(self.free_tokens.0);
+        builder.set_prefill_rate(self.prefill_rate.0);
+        builder.set_decode_rate(self.decode_rate.0);
+        builder.set_draining(self.draining);
+        builder.set_healthy(self.healthy);
+    }
+
+    pub(crate) fn read(reader: load::Reader<'_>) -> Self {
+        Self {
+            running: reader.get_running(),
+            waiting: reader.get_waiting(),
+            waiting_tokens: TokenCount(reader.get_waiting_tokens()),
+            free_tokens: TokenCount(reader.get_free_tokens()),
+            prefill_rate: TokenRate(reader.get_prefill_rate()),
+            decode_rate: TokenRate(reader.get_decode_rate()),
+            draining: reader.get_draining(),
+            healthy: reader.get_healthy(),
+        }
+    }
+}
+
+/// Tokens that a team has used since the previous heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TeamNote {
+    /// The team.
+    pub team: TeamId,
+    /// Prompt and answer tokens together.
+    pub tokens: TokenCount,
+}
+
+impl TeamNote {
+    fn write(&self, mut builder: team_use::Builder<'_>) {
+        builder.set_team(self.team.as_str());
+        builder.set_tokens(self.tokens.0);
+    }
+
+    fn read(reader: team_use::Reader<'_>) -> Result<Self, MessageError> {
+        let team = parse(reader.get_team()?)?;
+        let tokens = TokenCount(reader.get_tokens());
+        Ok(Self { team, tokens })
+    }
+}
+
+/// A crash of a backend server while it ran a request with this fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectNote {
+    /// The fingerprint of the request.
+    pub fingerprint: u64,
+    /// The backend server that crashed.
+    pub backend: BackendId,
+    /// The time since the crash.
+    pub age: TimeSpan,
+}
+
+impl SuspectNote {
+    fn write(&self, mut builder: suspect::Builder<'_>) {
+        builder.set_fingerprint(self.fingerprint);
+        builder.set_backend(self.backend.as_str());
+        builder.set_age_micros(self.age.0);
+    }
+
+    fn read(reader: suspect::Reader<'_>) -> Result<Self, MessageError> {
+        Ok(Self {
+            fingerprint: reader.get_fingerprint(),
+            backend: parse(reader.get_backend()?)?,
+            age: TimeSpan(reader.get_age_micros()),
+        })
+    }
+}
+
+/// A heartbeat; its answer is a heartbeat of the other side.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BeatMessage {
+    /// The sender.
+    pub instance: InstanceId,
+    /// The sender's failure domain.
+    pub domain: DomainId,
+    /// What the sender knows of the configuration.
+    pub confirmation: ConfirmationNote,
+    /// The load of the sender's backend server; all zero from an entry.
+    pub load: LoadNote,
+    /// What teams have used at the sender.
+    pub teams: Vec<TeamNote>,
+    /// Requests that have crashed backend servers.
+    pub suspects: Vec<SuspectNote>,
+    /// Whether the sender is stopping.
+    pub stopping: bool,
+}
+
+impl BeatMessage {
+    /// Writes the heartbeat.
+    pub fn write(&self, mut builder: heartbeat::Builder<'_>) {
+        builder.set_instance(self.instance.as_str());
+        builder.set_domain(self.domain.as_str());
+        self.confirmation
+            .write(builder.reborrow().init_confirmation());
+        self.load.write(builder.reborrow().init_load());
+        builder.set_stopping(self.stopping);
+        let mut teams = builder.reborrow().init_teams(self.teams.len() as u32);
+        for (index, team) in self.teams.iter().enumerate() {
+            team.write(teams.reborrow().get(index as u32));
+        }
+        let mut suspects = builder.init_suspects(self.suspects.len() as u32);
+        for (index, suspect) in self.suspects.iter().enumerate() {
+            suspect.write(suspects.reborrow().get(index as u32));
+        }
+    }
+
+    /// Reads a heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MessageError`] where a field does not hold what its type promises.
+    pub fn read(reader: heartbeat::Reader<'_>) -> Result<Self, MessageError> {
+        let teams = reader.get_teams()?.iter().map(TeamNote::read);
+        let suspects = reader.get_suspects()?.iter().map(SuspectNote::read);
+        Ok(Self {
+            instance: parse(reader.get_instance()?)?,
+            domain: parse(reader.get_domain()?)?,
+            confirmation: ConfirmationNote::read(reader.get_confirmation()?),
+            load: LoadNote::read(reader.get_load()?),
+            teams: teams.collect::<Result<_, _>>()?,
+            suspects: suspects.collect::<Result<_, _>>()?,
+            stopping: reader.get_stopping(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,85 @@
+//! The error of a message that does not hold what its type promises.
+
+use std::fmt;
+use std::str::FromStr;
+
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::unit::TimeSpan;
+use smol_str::SmolStr;
+
+use crate::applefold_capnp::refusal;
+
+/// A message that cannot be read; the connection that brought it is closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MessageError {
+    reason: SmolStr,
+}
+
+impl MessageError {
+    /// An error with the reason why the message cannot be read.
+    pub fn new<R>(reason: R) -> Self
+    where
+        R: fmt::Display,
+    {
+        let reason = smol_str::format_smolstr!("{reason}");
+        Self { reason }
+    }
+}
+
+impl fmt::Display for MessageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the message cannot be read: {}", self.reason)
+    }
+}
+
+impl std::error::Error for MessageError {}
+
+impl From<capnp::Error> for MessageError {
+    fn from(error: capnp::Error) -> Self {
+        Self::new(error)
+    }
+}
+
+impl From<capnp::NotInSchema> for MessageError {
+    fn from(error: capnp::NotInSchema) -> Self {
+        Self::new(error)
+    }
+}
+
+impl From<std::str::Utf8Error> for MessageError {
+    fn from(error: std::str::Utf8Error) -> Self {
+        Self::new(error)
+    }
+}
+
+impl From<MessageError> for capnp::Error {
+    fn from(error: MessageError) -> Self {
+        capnp::Error::failed(error.to_string())
+    }
+}
+
+/// Parses a text field into its typed form.
+pub(crate) fn parse<T>(text: capnp::text::Reader<'_>) -> Result<T, MessageError>
+where
+    T: FromStr,
+    T::Err: fmt::Display,
+{
+    let text = text.to_str()?;
+    text.parse().map_err(MessageError::new)
+}
+
+/// Writes a refusal.
+pub(crate) fn write_refusal(refusal: CallRefusal, mut builder: refusal::Builder<'_>) {
+    builder.set_code(refusal.code.number());
+    let span = refusal.retry_after.unwrap_or(TimeSpan::ZERO);
+    builder.set_retry_after_micros(span.0);
+}
+
+/// Reads a refusal.
+pub(crate) fn read_refusal(reader: refusal::Reader<'_>) -> Result<CallRefusal, MessageError> {
+    let code = ResultCode::try_from(reader.get_code()).map_err(MessageError::new)?;
+    Ok(match reader.get_retry_after_micros() {
+        0 => CallRefusal::lasting(code),
+        micros => CallRefusal::passing(code, TimeSpan(micros)),
+    })
+}
