First tickets: the configuration, and tickets that change it whole or not at all

Cause: the daemon needs the types of the configuration, its lookups and the check of tickets before anything else of them.

Ruled out: stopping at the first fault (authors mend one at a time); serde's own errors (one fault, no path of the second); checking references before applying (objects of one ticket may name each other).

Seen: without the comparison of numbers, lower_number and lower_number_after_removal fail; without the check of links the four cases of references fail.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,5 +6,7 @@
 //! in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
 pub mod code;
+pub mod config;
 pub mod id;
+pub mod ticket;
 pub mod unit;
--- /dev/null
+++ b/crates/core/src/ticket/mod.rs
@@ -0,0 +1,167 @@
+//! Change tickets: how operators change the configuration.
+//!
+//! A ticket carries the whole new state of each object that it touches, so that
+//! it can be repeated and so that the order of two tickets is decided per
+//! object by their numbers. The rules and the ways weighed are in
+//! [docs/design/tickets.md](../../../../docs/design/tickets.md).
+
+mod apply;
+mod field;
+mod integrity;
+mod parse;
+mod refusal;
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{de, Deserialize, Deserializer, Serialize, Serializer};
+use sha2::{Digest, Sha256};
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::config::{EngineConfig, KeyConfig, ObjectId, PoolConfig, ServiceConfig, TeamConfig};
+use crate::id::{IdError, TicketNumber};
+pub use crate::ticket::apply::{Applied, TicketVerdict};
+pub use crate::ticket::refusal::{TicketFault, TicketRefusal};
+use crate::unit::ByteSize;
+
+/// The largest ticket; with its envelope it fits into one value of the store.
+pub const MAX_TICKET_SIZE: ByteSize = ByteSize(900 * 1_024);
+
+/// The largest configuration in JSON; it fits into one value of the store.
+pub const MAX_CONFIG_SIZE: ByteSize = ByteSize(900 * 1_024);
+
+/// A change ticket that can be read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ChangeTicket {
+    /// The number that its author gave it.
+    #[serde(rename = "ticket")]
+    pub number: TicketNumber,
+    /// Who files it.
+    pub author: SmolStr,
+    /// Why it is filed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub note: Option<SmolStr>,
+    /// Teams to create or replace.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<TeamConfig>,
+    /// Caller keys to create or replace.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub keys: Vec<KeyConfig>,
+    /// Services to create or replace.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub services: Vec<ServiceConfig>,
+    /// Pools to create or replace.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub pools: Vec<PoolConfig>,
+    /// Backend servers to name or rename.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub engines: Vec<EngineConfig>,
+    /// Objects to remove.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub remove: Vec<ObjectId>,
+}
+
+/// An object of a ticket with its place there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct TouchedObject {
+    pub(crate) id: ObjectId,
+    pub(crate) path: SmolStr,
+}
+
+impl ChangeTicket {
+    /// Writes the ticket in the one form that its digest is taken of.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("a ticket holds nothing that JSON lacks")
+    }
+
+    /// Returns the digest of the ticket's content.
+    pub fn digest(&self) -> TicketDigest {
+        TicketDigest::of(&self.to_json())
+    }
+
+    /// Returns the objects that the ticket creates, replaces or removes.
+    pub fn touches(&self) -> Vec<ObjectId> {
+        let objects = self.touched_objects().into_iter();
+        objects.map(|object| object.id).collect()
+    }
+
+    pub(crate) fn touched_objects(&self) -> Vec<TouchedObject> {
+        let teams = self.teams.iter().map(|row| ObjectId::Team(row.id.clone()));
+        let keys = self.keys.iter().map(|row| ObjectId::Key(row.id.clone()));
+        let services = self
+            .services
+            .iter()
+            .map(|row| ObjectId::Service(row.id.clone()));
+        let pools = self.pools.iter().map(|row| ObjectId::Pool(row.id.clone()));
+        let engines = self
+            .engines
+            .iter()
+            .map(|row| ObjectId::Engine(row.id.clone()));
+        let remove = self.remove.iter().cloned();
+        let mut objects = Vec::new();
+        place("teams", teams, &mut objects);
+        place("keys", keys, &mut objects);
+        place("services", services, &mut objects);
+        place("pools", pools, &mut objects);
+        place("engines", engines, &mut objects);
+        place("remove", remove, &mut objects);
+        objects
+    }
+}
+
+fn place<I>(list: &str, ids: I, objects: &mut Vec<TouchedObject>)
+where
+    I: Iterator<Item = ObjectId>,
+{
+    let rows = ids.enumerate().map(|(at, id)| TouchedObject {
+        id,
+        path: format!("{list}[{at}]").to_smolstr(),
+    });
+    objects.extend(rows);
+}
+
+/// Tells the contents of two tickets apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TicketDigest(u128);
+
+impl TicketDigest {
+    fn of(text: &str) -> Self {
+        let bytes: [u8; 32] = Sha256::digest(text.as_bytes()).into();
+        let half = bytes.iter().take(16);
+        Self(half.fold(0, |sum, byte| sum << 8 | u128::from(*byte)))
+    }
+}
+
+impl fmt::Display for TicketDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for TicketDigest {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let number = u128::from_str_radix(text, 16);
+        number.map(Self).map_err(|_| IdError::NotNumber)
+    }
+}
+
+impl Serialize for TicketDigest {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for TicketDigest {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let text = SmolStr::deserialize(deserializer)?;
+        text.parse().map_err(de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/core/src/ticket/parse.rs
@@ -0,0 +1,383 @@
+//! Reads a ticket from JSON.
+
+use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
+
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::code::ResultCode;
+use crate::config::{
+    EngineConfig, EngineRole, KeyConfig, ObjectId, ObjectState, PoolConfig, PoolKind, RolePolicy,
+    ServiceConfig, ServicePriority, ServiceRoute, TeamAccess, TeamConfig, TeamLimits, TeamWeight,
+    EVERY_TEAM,
+};
+use crate::id::TicketNumber;
+use crate::ticket::field::{FieldReader, KnownWord};
+use crate::ticket::refusal::{TicketFault, TicketRefusal};
+use crate::ticket::{ChangeTicket, MAX_TICKET_SIZE};
+use crate::unit::{ByteSize, CallRate, TimeSpan, TokenCount, TokenRate};
+
+/// JSON readers of other languages keep whole numbers exact up to here.
+const MAX_EXACT_NUMBER: u64 = (1 << 53) - 1;
+const POSITIVE: RangeInclusive<u64> = 1..=MAX_EXACT_NUMBER;
+const WEIGHTS: RangeInclusive<u64> = TeamWeight::MIN.0 as u64..=TeamWeight::MAX.0 as u64;
+const DEADLINE_MILLIS: RangeInclusive<u64> = 1..=3_600_000;
+const BODY_BYTES: RangeInclusive<u64> = 1..=64 * 1_024 * 1_024;
+const POOL_SIZES: RangeInclusive<u64> = 0..=100_000;
+const MAX_NOTE_BYTES: usize = 4_096;
+const RESERVED_PREFIXES: [&str; 2] = ["/v1/", "/operator/"];
+const AN_ID: &str = "an identifier";
+
+const STATES: [KnownWord<ObjectState>; 2] = [
+    KnownWord {
+        word: "active",
+        value: ObjectState::Active,
+    },
+    KnownWord {
+        word: "withdrawn",
+        value: ObjectState::Withdrawn,
+    },
+];
+
+const KINDS: [KnownWord<PoolKind>; 2] = [
+    KnownWord {
+        word: "model",
+        value: PoolKind::Model,
+    },
+    KnownWord {
+        word: "plain",
+        value: PoolKind::Plain,
+    },
+];
+
+const PRIORITIES: [KnownWord<ServicePriority>; 2] = [
+    KnownWord {
+        word: "interactive",
+        value: ServicePriority::Interactive,
+    },
+    KnownWord {
+        word: "batch",
+        value: ServicePriority::Batch,
+    },
+];
+
+const ROLES: [KnownWord<EngineRole>; 3] = [
+    KnownWord {
+        word: "both",
+        value: EngineRole::Both,
+    },
+    KnownWord {
+        word: "prefill",
+        value: EngineRole::Prefill,
+    },
+    KnownWord {
+        word: "decode",
+        value: EngineRole::Decode,
+    },
+];
+
+#[derive(Clone, Copy)]
+enum RemoveKind {
+    Team,
+    Key,
+    Service,
+    Pool,
+    Engine,
+}
+
+const REMOVE_KINDS: [KnownWord<RemoveKind>; 5] = [
+    KnownWord {
+        word: "team",
+        value: RemoveKind::Team,
+    },
+    KnownWord {
+        word: "key",
+        value: RemoveKind::Key,
+    },
+    KnownWord {
+        word: "service",
+        value: RemoveKind::Service,
+    },
+    KnownWord {
+        word: "pool",
+        value: RemoveKind::Pool,
+    },
+    KnownWord {
+        word: "engine",
+        value: RemoveKind::Engine,
+    },
+];
+
+impl ChangeTicket {
+    /// Reads a ticket, or tells everything that is wrong with the text.
+    pub fn parse(text: &str) -> Result<Self, TicketRefusal> {
+        if text.len() as u64 > MAX_TICKET_SIZE.0 {
+            let expected = format!("at most {MAX_TICKET_SIZE}");
+            let fault = TicketFault::new("", expected, ResultCode::TicketTooLarge);
+            return Err(TicketRefusal::one(fault));
+        }
+        let value: Value = serde_json::from_str(text).map_err(|error| {
+            let expected = format!("a JSON object: {error}");
+            TicketRefusal::one(TicketFault::new("", expected, ResultCode::TicketMalformed))
+        })?;
+        let mut faults = Vec::new();
+        let ticket = read_ticket(&value, &mut faults);
+        if let Some(ticket) = &ticket {
+            check_doubles(ticket, &mut faults);
+        }
+        TicketRefusal::check(faults)?;
+        Ok(ticket.expect("a ticket without faults is read"))
+    }
+}
+
+fn read_ticket(value: &Value, faults: &mut Vec<TicketFault>) -> Option<ChangeTicket> {
+    let mut fields = FieldReader::open(value, "", faults)?;
+    let number = fields.whole("ticket", POSITIVE);
+    let author = fields.text("author", "the name of the author");
+    check_length(&mut fields, "author", author.as_ref());
+    let note = fields.optional_text("note");
+    check_length(&mut fields, "note", note.as_ref());
+    let teams = fields.objects("teams", read_team);
+    let keys = fields.objects("keys", read_key);
+    let services = fields.objects("services", read_service);
+    let pools = fields.objects("pools", read_pool);
+    let engines = fields.objects("engines", read_engine);
+    let remove = fields.objects("remove", read_removal);
+    fields.close();
+    Some(ChangeTicket {
+        number: TicketNumber(number?),
+        author: author?,
+        note,
+        teams,
+        keys,
+        services,
+        pools,
+        engines,
+        remove,
+    })
+}
+
+fn check_length(fields: &mut FieldReader<'_>, name: &str, text: Option<&SmolStr>) {
+    let Some(text) = text else {
+        return;
+    };
+    if text.is_empty() || text.len() > MAX_NOTE_BYTES {
+        let expected = format!("a text of 1 to {MAX_NOTE_BYTES} bytes");
+        fields.fault(name, expected, ResultCode::FieldOutOfRange);
+    }
+}
+
+/// An object that stands twice in a ticket has no one new state.
+fn check_doubles(ticket: &ChangeTicket, faults: &mut Vec<TicketFault>) {
+    let mut seen = BTreeSet::new();
+    for object in ticket.touched_objects() {
+        if seen.contains(&object.id) {
+            let expected = format!("{} once in the ticket", object.id);
+            faults.push(TicketFault::new(
+                &object.path,
+                expected,
+                ResultCode::FieldOutOfRange,
+            ));
+        }
+        seen.insert(object.id);
+    }
+}
+
+fn read_team(value: &Value, path: &str, faults: &mut Vec<TicketFault>) -> Option<TeamConfig> {
+    let mut fields = FieldReader::open(value, path, faults)?;
+    let id = fields.text("id", AN_ID);
+    let weight = fields.whole("weight", WEIGHTS);
+    let limits = fields.object("limits", read_limits);
+    fields.close();
+    Some(TeamConfig {
+        id: id?,
+        weight: TeamWeight(u32::try_from(weight?).ok()?),
+        limits: limits.unwrap_or_default(),
+    })
+}
+
+fn read_limits(value: &Value, path: &str, faults: &mut Vec<TicketFault>) -> Option<TeamLimits> {
+    let mut fields = FieldReader::open(value, path, faults)?;
+    let limits = TeamLimits {
+        requests_per_s: fields
+            .optional_whole("requests_per_s", POSITIVE)
+            .map(CallRate),
+        tokens_per_s: fields
+            .optional_whole("tokens_per_s", POSITIVE)
+            .map(TokenRate),
+        running: fields.optional_whole("running", POSITIVE),
+    };
+    fields.close();
+    Some(limits)
+}
+
+fn read_key(value: &Value, path: &str, faults: &mut Vec<TicketFault>) -> Option<KeyConfig> {
+    let mut fields = FieldReader::open(value, path, faults)?;
+    let id = fields.text("id", AN_ID);
+    let team = fields.text("team", "the identifier of a team");
+    let sha256 = fields.text("sha256", "64 hexadecimal digits");
+    let state = fields.word("state", &STATES);
+    fields.close();
+    Some(KeyConfig {
+        id: id?,
+        team: team?,
+        sha256: sha256?,
+        state: state?,
+    })
+}
+
+fn read_service(value: &Value, path: &str, faults: &mut Vec<TicketFault>) -> Option<ServiceConfig> {
+    let mut fields = FieldReader::open(value, path, faults)?;
+    let id = fields.text("id", AN_ID);
+    let route = read_route(&mut fields);
+    let pool = fields.text("pool", "the identifier of a pool");
+    let open = fields.flag("open");
+    let teams = read_access(&mut fields);
+    let repeatable = fields.flag("repeatable");
+    let unrepeatable_paths = read_paths(&mut fields);
+    let deadline = fields.whole("deadline_ms", DEADLINE_MILLIS);
+    let max_body = fields.whole("max_body_bytes", BODY_BYTES);
+    let priority = fields.word("priority", &PRIORITIES);
+    fields.close();
+    Some(ServiceConfig {
+        id: id?,
+        route: route?,
+        pool: pool?,
+        open: open?,
+        teams: teams?,
+        repeatable: repeatable?,
+        unrepeatable_paths,
+        deadline: TimeSpan::from_millis(deadline?),
+        max_body_bytes: ByteSize(max_body?),
+        priority: priority?,
+    })
+}
+
+fn read_route(fields: &mut FieldReader<'_>) -> Option<ServiceRoute> {
+    match fields.word("kind", &KINDS)? {
+        PoolKind::Model => {
+            let models = fields.texts("models", "a list of models")?;
+            if models.is_empty() {
+                fields.fault("models", "at least one model", ResultCode::FieldOutOfRange);
+            }
+            Some(ServiceRoute::Model { models })
+        }
+        PoolKind::Plain => {
+            let path_prefix: SmolStr = fields.text("path_prefix", "a path")?;
+            check_prefix(fields, &path_prefix);
+            Some(ServiceRoute::Plain { path_prefix })
+        }
+    }
+}
+
+fn check_prefix(fields: &mut FieldReader<'_>, prefix: &SmolStr) {
+    let closed = prefix.len() > 1 && prefix.starts_with('/') && prefix.ends_with('/');
+    let reserved = RESERVED_PREFIXES
+        .iter()
+        .any(|taken| prefix.starts_with(taken));
+    if !closed || reserved {
+        let expected = "a path such as /till/ that does not start with /v1/ or /operator/";
+        fields.fault("path_prefix", expected, ResultCode::FieldOutOfRange);
+    }
+}
+
+fn read_access(fields: &mut FieldReader<'_>) -> Option<TeamAccess> {
+    let names: BTreeSet<SmolStr> = fields.texts("teams", "a list of teams, or [\"*\"]")?;
+    if names.iter().any(|name| name == EVERY_TEAM) && names.len() > 1 {
+        fields.fault("teams", "\"*\" alone", ResultCode::FieldOutOfRange);
+    }
+    match TeamAccess::try_from(names.into_iter().collect::<Vec<_>>()) {
+        Ok(access) => Some(access),
+        Err(error) => {
+            fields.fault("teams", error, ResultCode::FieldOutOfRange);
+            None
+        }
+    }
+}
+
+fn read_paths(fields: &mut FieldReader<'_>) -> BTreeSet<SmolStr> {
+    let name = "unrepeatable_paths";
+    let Some(value) = fields.optional(name) else {
+        return BTreeSet::new();
+    };
+    let paths: BTreeSet<SmolStr> = fields
+        .texts_of(name, value, "a list of paths")
+        .unwrap_or_default();
+    if paths.iter().any(|path| !path.starts_with('/')) {
+        fields.fault(name, "paths that start with /", ResultCode::FieldOutOfRange);
+    }
+    paths
+}
+
+fn read_pool(value: &Value, path: &str, faults: &mut Vec<TicketFault>) -> Option<PoolConfig> {
+    let mut fields = FieldReader::open(value, path, faults)?;
+    let id = fields.text("id", AN_ID);
+    let kind = fields.word("kind", &KINDS);
+    let min = fields.whole("min", POOL_SIZES);
+    let max = fields.whole("max", POOL_SIZES);
+    if min.zip(max).is_some_and(|(min, max)| min > max) {
+        fields.fault("max", "a number not below min", ResultCode::FieldOutOfRange);
+    }
+    let domains: Option<BTreeSet<_>> = fields.texts("failure_domains", "a list of failure domains");
+    if domains.as_ref().is_some_and(BTreeSet::is_empty) {
+        let expected = "at least one failure domain";
+        fields.fault("failure_domains", expected, ResultCode::FieldOutOfRange);
+    }
+    let roles = fields.object("roles", read_roles);
+    let prefill_rate = fields.optional_whole("prefill_rate", POSITIVE);
+    let decode_rate = fields.optional_whole("decode_rate", POSITIVE);
+    let memory_tokens = fields.optional_whole("memory_tokens", POSITIVE);
+    fields.close();
+    Some(PoolConfig {
+        id: id?,
+        kind: kind?,
+        min: min?,
+        max: max?,
+        failure_domains: domains?,
+        roles: roles.unwrap_or_default(),
+        prefill_rate: prefill_rate.map(TokenRate),
+        decode_rate: decode_rate.map(TokenRate),
+        memory_tokens: memory_tokens.map(TokenCount),
+    })
+}
+
+fn read_roles(value: &Value, path: &str, faults: &mut Vec<TicketFault>) -> Option<RolePolicy> {
+    let mut fields = FieldReader::open(value, path, faults)?;
+    let fixed = fields.flag("fixed");
+    fields.close();
+    Some(RolePolicy { fixed: fixed? })
+}
+
+fn read_engine(value: &Value, path: &str, faults: &mut Vec<TicketFault>) -> Option<EngineConfig> {
+    let mut fields = FieldReader::open(value, path, faults)?;
+    let id = fields.text("id", AN_ID);
+    let pool = fields.text("pool", "the identifier of a pool");
+    let state = fields.word("state", &STATES);
+    let role = fields.word("role", &ROLES);
+    fields.close();
+    Some(EngineConfig {
+        id: id?,
+        pool: pool?,
+        state: state?,
+        role: role?,
+    })
+}
+
+fn read_removal(value: &Value, path: &str, faults: &mut Vec<TicketFault>) -> Option<ObjectId> {
+    let mut fields = FieldReader::open(value, path, faults)?;
+    let kind = fields.word("kind", &REMOVE_KINDS);
+    let id: Option<SmolStr> = fields.text("id", AN_ID);
+    let object = kind.zip(id.as_ref()).map(|(kind, id)| match kind {
+        RemoveKind::Team => id.parse().map(ObjectId::Team),
+        RemoveKind::Key => id.parse().map(ObjectId::Key),
+        RemoveKind::Service => id.parse().map(ObjectId::Service),
+        RemoveKind::Pool => id.parse().map(ObjectId::Pool),
+        RemoveKind::Engine => id.parse().map(ObjectId::Engine),
+    });
+    if let Some(Err(error)) = &object {
+        fields.fault("id", error, ResultCode::FieldOutOfRange);
+    }
+    fields.close();
+    object?.ok()
+}
