First stand-ins: platform, model engine and plain service

Cause: the daemon needs something to talk to before any of its parts can be tested.

Change: one library and one program that serve the platform (keys with compare-and-swap, watches, leases, instances, orders, usage, weights, stats), a model engine (chat completions whole and streamed over a small model of continuous batching, prefix cache, load, orders, KV cache) and a plain service. Each runs on one thread; faults are switched on over HTTP.

Ruled out: an HTTP server with its own worker threads, since state in `Rc` on one thread needs no locks and a fault can cut or silence any connection.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! Stand-ins for what applefold talks to: the platform, model engines and plain services.
+//!
+//! They are test tools and are never shipped. Each speaks the HTTP of the real
+//! thing on a loopback port and has faults that a test switches on over HTTP, so
+//! that failures are caused and not waited for. The choices are told in
+//! [docs/design/standins.md](../../../docs/design/standins.md).
+
+mod connection;
+mod engine;
+mod handle;
+mod http;
+mod plain;
+mod platform;
+mod server;
+
+pub use engine::answer::{answer_text, token_text, PromptHash};
+pub use engine::cache::{CacheChange, CacheEvent, PromptExport, PIECE_TOKENS};
+pub use engine::chat::{prompt_tokens, ChatMessage, ChatRequest, StreamOptions};
+pub use engine::faults::EngineFaults;
+pub use engine::history::{RequestRecord, RequestState};
+pub use engine::load::LoadReport;
+pub use engine::options::{EngineOptions, EngineRole, RoleError};
+pub use engine::orders::{EngineOrder, EngineOrderRecord, OrderKind, OrderState};
+pub use handle::StandinHandle;
+pub use plain::{ExecutionRecord, PlainAction, PlainFaults, PlainOptions};
+pub use platform::faults::PlatformFaults;
+pub use platform::fleet::{
+    FleetAction, FleetOrder, InstanceKind, InstanceRecord, InstanceState, OrderRecord,
+};
+pub use platform::options::PlatformOptions;
+pub use platform::stats::StatsView;
+pub use platform::usage::{UsageReport, UsageView, UsageViolation};
+pub use server::{serve, CrashMode, StandinOptions};
--- /dev/null
+++ b/crates/standins/src/platform/mod.rs
@@ -0,0 +1,268 @@
+//! The platform: keys, leases, instances, orders and usage.
+
+pub(crate) mod faults;
+pub(crate) mod fleet;
+pub(crate) mod lease;
+pub(crate) mod options;
+pub(crate) mod stats;
+pub(crate) mod store;
+pub(crate) mod usage;
+mod watch;
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode};
+use serde::Serialize;
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::time::{sleep, sleep_until, Instant};
+
+use crate::http::{refuse, refuse_unknown, reply, reply_ok, CallAnswer, HttpCall};
+use faults::PlatformFaults;
+use fleet::{InstanceList, OrderLog};
+use lease::LeaseTable;
+use options::PlatformOptions;
+use stats::CallStats;
+use store::{KeyStore, MAX_VALUE_BYTES};
+use usage::{UsageLedger, UsageOutcome};
+
+/// How many keys a list holds where the caller names no limit.
+const LIST_LIMIT: usize = 1_000;
+
+/// The state of the platform.
+pub(crate) struct PlatformService {
+    options: PlatformOptions,
+    store: RefCell<KeyStore>,
+    changed: Notify,
+    leases: RefCell<LeaseTable>,
+    instances: RefCell<InstanceList>,
+    orders: RefCell<OrderLog>,
+    usage: RefCell<UsageLedger>,
+    stats: RefCell<CallStats>,
+    faults: RefCell<PlatformFaults>,
+    thawed: Notify,
+    weights_free: Cell<Instant>,
+}
+
+impl PlatformService {
+    pub(crate) fn new(options: PlatformOptions) -> Self {
+        let stats = CallStats::new(options.reads_per_sec, options.writes_per_sec);
+        Self {
+            options,
+            store: RefCell::default(),
+            changed: Notify::new(),
+            leases: RefCell::default(),
+            instances: RefCell::default(),
+            orders: RefCell::default(),
+            usage: RefCell::default(),
+            stats: RefCell::new(stats),
+            faults: RefCell::default(),
+            thawed: Notify::new(),
+            weights_free: Cell::new(Instant::now()),
+        }
+    }
+
+    pub(crate) async fn handle(&self, call: HttpCall) -> CallAnswer {
+        match call.route() {
+            ("faults", "") => return self.handle_faults(&call),
+            ("stats", "") => return reply_ok(&self.stats.borrow().view()),
+            _ => {}
+        }
+        if let Err(answer) = self.pass_faults(&call).await {
+            return answer;
+        }
+        let answer = self.dispatch(&call).await.unwrap_or_else(|answer| answer);
+        if !call.is_read() && answer.is_success() && self.loses_answer() {
+            return CallAnswer::Cut;
+        }
+        answer
+    }
+
+    async fn pass_faults(&self, call: &HttpCall) -> Result<(), CallAnswer> {
+        let admitted = self.count(call);
+        while self.faults.borrow().freeze {
+            self.thawed.notified().await;
+        }
+        let slow = Duration::from_millis(self.faults.borrow().slow_ms);
+        if !slow.is_zero() {
+            sleep(slow).await;
+        }
+        if self.faults.borrow().down {
+            return Err(refuse(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the platform is down",
+            ));
+        }
+        if !admitted {
+            return Err(refuse(
+                StatusCode::TOO_MANY_REQUESTS,
+                "too many calls a second",
+            ));
+        }
+        Ok(())
+    }
+
+    fn count(&self, call: &HttpCall) -> bool {
+        let kind = format!("{} {}", call.method, call.route().0);
+        let client = call.header("x-client");
+        let mut stats = self.stats.borrow_mut();
+        stats.admit(client, &kind, call.is_read(), Instant::now())
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = self.faults.borrow_mut();
+        let loses = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        loses
+    }
+
+    fn handle_faults(&self, call: &HttpCall) -> CallAnswer {
+        if !call.is_read() {
+            match call.json() {
+                Ok(faults) => *self.faults.borrow_mut() = faults,
+                Err(answer) => return answer,
+            }
+            self.thawed.notify_waiters();
+        }
+        reply_ok(&*self.faults.borrow())
+    }
+
+    async fn dispatch(&self, call: &HttpCall) -> Result<CallAnswer, CallAnswer> {
+        let (kind, rest) = call.route();
+        match kind {
+            "kv" if !rest.is_empty() => self.handle_key(call, rest),
+            "list" => Ok(self.handle_list(call)),
+            "watch" => Ok(self.handle_watch(call).await),
+            "leases" if !rest.is_empty() => self.handle_lease(call, rest),
+            "instances" => self.handle_instances(call, rest),
+            "orders" => self.handle_orders(call),
+            "usage" => self.handle_usage(call),
+            "weights" => Ok(self.handle_weights(call).await),
+            _ => Err(refuse_unknown()),
+        }
+    }
+
+    fn handle_key(&self, call: &HttpCall, key: &str) -> Result<CallAnswer, CallAnswer> {
+        let mut store = self.store.borrow_mut();
+        let result = match call.method {
+            Method::GET => {
+                return store
+                    .get(key)
+                    .map(|entry| reply_ok(&entry))
+                    .ok_or_else(refuse_unknown);
+            }
+            Method::PUT => {
+                let write: store::KeyWrite = call.json()?;
+                if write.value.len() > MAX_VALUE_BYTES {
+                    let text = "a value holds at most a mebibyte";
+                    return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, text));
+                }
+                store.put(key, write)
+            }
+            Method::DELETE => store.delete(key, call.param_number("expect")),
+            _ => return Err(refuse_unknown()),
+        };
+        self.changed.notify_waiters();
+        let version = result.map_err(|conflict| reply(StatusCode::CONFLICT, &conflict))?;
+        Ok(reply_ok(&json!({ "version": version })))
+    }
+
+    fn handle_list(&self, call: &HttpCall) -> CallAnswer {
+        let store = self.store.borrow();
+        let limit = call.param_number("limit").unwrap_or(LIST_LIMIT);
+        let entries = store.list(call.param("prefix"), call.param("after"), limit);
+        reply_ok(&json!({ "entries": entries }))
+    }
+
+    fn handle_lease(&self, call: &HttpCall, name: &str) -> Result<CallAnswer, CallAnswer> {
+        let mut leases = self.leases.borrow_mut();
+        let now = Instant::now();
+        let result = match call.method {
+            Method::GET => {
+                let view = leases.view(name, now).ok_or_else(refuse_unknown)?;
+                let status = match view.holder {
+                    Some(_) => StatusCode::OK,
+                    None => StatusCode::NOT_FOUND,
+                };
+                return Ok(reply(status, &view));
+            }
+            Method::POST => leases.take(name, call.json()?, now),
+            Method::PUT => leases.renew(name, call.json()?, now),
+            Method::DELETE => {
+                let fencing = call.param_number("fencing").unwrap_or_default();
+                leases.release(name, call.param("holder"), fencing, now)
+            }
+            _ => return Err(refuse_unknown()),
+        };
+        settle(result)
+    }
+
+    fn handle_instances(&self, call: &HttpCall, id: &str) -> Result<CallAnswer, CallAnswer> {
+        let mut list = self.instances.borrow_mut();
+        let now = Instant::now();
+        match call.method {
+            Method::GET => {
+                let lag = self.faults.borrow().list_lag_ms.map(Duration::from_millis);
+                let instances = list.list(lag.unwrap_or(self.options.list_lag), now);
+                return Ok(reply_ok(&json!({ "instances": instances })));
+            }
+            Method::POST => list.announce(call.json()?, now),
+            Method::DELETE => list.remove(id, now),
+            _ => return Err(refuse_unknown()),
+        }
+        Ok(reply_ok(&json!({})))
+    }
+
+    fn handle_orders(&self, call: &HttpCall) -> Result<CallAnswer, CallAnswer> {
+        let mut orders = self.orders.borrow_mut();
+        if call.is_read() {
+            return Ok(reply_ok(&json!({ "orders": orders.records() })));
+        }
+        let check = self.faults.borrow().check_fencing;
+        match orders.record(call.json()?, check) {
+            Ok(serial) => Ok(reply_ok(&json!({ "accepted": true, "serial": serial }))),
+            Err(highest) => {
+                let body = json!({ "accepted": false, "fencing": highest });
+                Err(reply(StatusCode::CONFLICT, &body))
+            }
+        }
+    }
+
+    fn handle_usage(&self, call: &HttpCall) -> Result<CallAnswer, CallAnswer> {
+        let mut usage = self.usage.borrow_mut();
+        if call.is_read() {
+            return Ok(reply_ok(usage.view()));
+        }
+        match usage.report(call.json()?) {
+            UsageOutcome::Billed => Ok(reply_ok(&json!({ "billed": true }))),
+            UsageOutcome::Repeated => Ok(reply_ok(&json!({ "billed": false }))),
+            UsageOutcome::Violated => Err(refuse(
+                StatusCode::CONFLICT,
+                "the window was billed with other figures",
+            )),
+        }
+    }
+
+    /// Gives weights at a limited rate, which all who ask share.
+    async fn handle_weights(&self, call: &HttpCall) -> CallAnswer {
+        let bytes: u64 = call.param_number("bytes").unwrap_or_default();
+        let secs = bytes as f64 / self.options.weight_bytes_per_sec.max(1) as f64;
+        let start = self.weights_free.get().max(Instant::now());
+        let end = start + Duration::from_secs_f64(secs);
+        self.weights_free.set(end);
+        sleep_until(end).await;
+        reply_ok(&json!({ "bytes": bytes }))
+    }
+}
+
+fn settle<T, E>(result: Result<T, E>) -> Result<CallAnswer, CallAnswer>
+where
+    T: Serialize,
+    E: Serialize,
+{
+    match result {
+        Ok(body) => Ok(reply_ok(&body)),
+        Err(body) => Err(reply(StatusCode::CONFLICT, &body)),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,187 @@
+//! The listener, which hands each call to the service that a stand-in plays.
+
+use std::convert::Infallible;
+use std::future::{pending, Future};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, Request, Response};
+use actix_service::{fn_service, Service, ServiceFactory};
+use tokio::net::TcpListener;
+
+use crate::connection::ConnectionTable;
+use crate::engine::options::EngineOptions;
+use crate::engine::EngineService;
+use crate::http::{CallAnswer, HttpCall};
+use crate::plain::{PlainOptions, PlainService};
+use crate::platform::options::PlatformOptions;
+use crate::platform::PlatformService;
+
+/// How long an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// How long the head of a call may take to come.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// The exit code of a process that was killed.
+const KILLED_EXIT_CODE: i32 = 137;
+
+/// What a crash does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashMode {
+    /// The process ends at once with exit code 137.
+    Exit,
+    /// All connections are cut and state is forgotten; the service is down for a time.
+    Forget,
+}
+
+/// What a stand-in plays.
+#[derive(Clone, Debug)]
+pub enum StandinOptions {
+    /// The platform.
+    Platform(PlatformOptions),
+    /// A model engine.
+    Engine(EngineOptions),
+    /// A plain service.
+    Plain(PlainOptions),
+}
+
+/// What crash faults need: the connections, and what a crash does.
+pub(crate) struct CrashSwitch {
+    pub(crate) table: Rc<ConnectionTable>,
+    pub(crate) mode: CrashMode,
+}
+
+impl CrashSwitch {
+    /// Ends the process, or cuts every connection.
+    pub(crate) fn crash(&self) {
+        match self.mode {
+            CrashMode::Exit => std::process::exit(KILLED_EXIT_CODE),
+            CrashMode::Forget => self.table.cut_all(),
+        }
+    }
+}
+
+enum StandinService {
+    Platform(Rc<PlatformService>),
+    Engine(Rc<EngineService>),
+    Plain(Rc<PlainService>),
+}
+
+impl StandinService {
+    fn new(options: StandinOptions, switch: CrashSwitch) -> Self {
+        match options {
+            StandinOptions::Platform(options) => {
+                Self::Platform(Rc::new(PlatformService::new(options)))
+            }
+            StandinOptions::Engine(options) => Self::Engine(EngineService::start(options, switch)),
+            StandinOptions::Plain(options) => {
+                Self::Plain(Rc::new(PlainService::new(options, switch)))
+            }
+        }
+    }
+
+    async fn handle(&self, call: HttpCall) -> CallAnswer {
+        match self {
+            Self::Platform(service) => service.handle(call).await,
+            Self::Engine(service) => service.handle(call).await,
+            Self::Plain(service) => service.handle(call).await,
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        match self {
+            Self::Platform(_) => false,
+            Self::Engine(service) => service.is_down(),
+            Self::Plain(service) => service.is_down(),
+        }
+    }
+}
+
+/// Serves on `listener` until `stop` is ready.
+///
+/// It must run inside an actix-rt system; all state stays on that thread.
+pub async fn serve<F>(listener: TcpListener, options: StandinOptions, mode: CrashMode, stop: F)
+where
+    F: Future<Output = ()>,
+{
+    let table = Rc::new(ConnectionTable::default());
+    let switch = CrashSwitch {
+        table: table.clone(),
+        mode,
+    };
+    let service = Rc::new(StandinService::new(options, switch));
+    let accepting = accept(listener, service, table.clone());
+    tokio::select! {
+        _ = accepting => {}
+        () = stop => {}
+    }
+    table.cut_all();
+}
+
+async fn accept(
+    listener: TcpListener,
+    service: Rc<StandinService>,
+    table: Rc<ConnectionTable>,
+) -> io::Result<()> {
+    let answering = service.clone();
+    let cutting = table.clone();
+    let factory = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(HEAD_TIMEOUT)
+        .h1(fn_service(move |request: Request| {
+            answer(answering.clone(), cutting.clone(), request)
+        }));
+    let handler = Rc::new(
+        factory
+            .new_service(())
+            .await
+            .map_err(|()| io::ErrorKind::Other)?,
+    );
+    loop {
+        let (socket, peer) = listener.accept().await?;
+        if service.is_down() {
+            continue;
+        }
+        socket.set_nodelay(true)?;
+        let guard = table.open(peer);
+        let handler = handler.clone();
+        actix_rt::spawn(async move {
+            tokio::select! {
+                result = handler.call((guard.wrap(socket), Some(peer))) => {
+                    result.unwrap_or_else(|error| log::debug!("connection ended: {error}"));
+                }
+                () = guard.cut() => {}
+            }
+        });
+    }
+}
+
+async fn answer(
+    service: Rc<StandinService>,
+    table: Rc<ConnectionTable>,
+    request: Request,
+) -> Result<Response<BoxBody>, Infallible> {
+    let Some(peer) = request.peer_addr() else {
+        return pending().await;
+    };
+    let answer = match HttpCall::read(request, peer).await {
+        Ok(call) => service.handle(call).await,
+        Err(answer) => answer,
+    };
+    match answer {
+        CallAnswer::Reply(response) => Ok(response),
+        CallAnswer::Cut => {
+            table.cut(peer);
+            pending().await
+        }
+    }
+}
+
+/// Binds a listener on a loopback address.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
