--- /dev/null
+++ b/crates/core/src/claim/shard.rs
@@ -0,0 +1,514 @@
+//! The machine that owns one shard of claims.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::load::{LoadState, LoadStep};
+use super::record::{
+    answer_kind, bucket_key, shard_prefix, BatchToken, BucketText, EntryKind, EntryRecord,
+};
+use super::table::{ClaimRow, ClaimTable, EntryNumber, RowState};
+use super::writer::{BatchFate, BatchWriter, ClosedBucket, QueuedEntry};
+use super::{
+    ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimOutcome, ClaimReport, ClaimVerdict,
+};
+use crate::claim::store::{CallNumber, StoreAnswer, StoreCall, StoreReply, StoreVersion};
+use crate::code::{CallRefusal, ResultCode};
+use crate::id::{FencingNumber, ShardId};
+use crate::lease::HolderName;
+use crate::unit::{TimePoint, TimeSpan};
+
+const RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
+
+#[derive(Debug)]
+enum ShardPhase {
+    Idle,
+    Loading(LoadState),
+    Ready(BatchWriter),
+}
+
+#[derive(Debug)]
+struct BucketDeletion {
+    call: CallNumber,
+    bucket: u64,
+    sent: TimePoint,
+}
+
+/// Time that the shard has had an owner, continued from one owner to the next.
+#[derive(Clone, Copy, Debug, Default)]
+struct ShardClock {
+    base: TimeSpan,
+    since: TimePoint,
+}
+
+impl ShardClock {
+    fn read(self, now: TimePoint) -> TimeSpan {
+        self.base + now.since(self.since)
+    }
+}
+
+/// Grants, keeps and answers the claims of one shard.
+#[derive(Debug)]
+pub struct ClaimShard {
+    shard: ShardId,
+    options: ClaimOptions,
+    token: BatchToken,
+    phase: ShardPhase,
+    table: ClaimTable,
+    queue: VecDeque<QueuedEntry>,
+    closed: BTreeMap<u64, ClosedBucket>,
+    deletion: Option<BucketDeletion>,
+    clock: ShardClock,
+    entries: EntryNumber,
+    calls: CallNumber,
+}
+
+impl ClaimShard {
+    /// A shard that this process does not own yet.
+    pub fn new(shard: ShardId, holder: HolderName, options: ClaimOptions) -> Self {
+        let token = BatchToken {
+            writer: holder,
+            fencing: FencingNumber::default(),
+            batch: 0,
+        };
+        Self {
+            shard,
+            options,
+            token,
+            phase: ShardPhase::Idle,
+            table: ClaimTable::default(),
+            queue: VecDeque::new(),
+            closed: BTreeMap::new(),
+            deletion: None,
+            clock: ShardClock::default(),
+            entries: EntryNumber::default(),
+            calls: CallNumber::default(),
+        }
+    }
+
+    /// Returns whether claims are granted here.
+    pub fn is_ready(&self) -> bool {
+        matches!(self.phase, ShardPhase::Ready(_))
+    }
+
+    /// Returns how many claims are in memory.
+    pub fn row_count(&self) -> usize {
+        self.table.rows.len()
+    }
+
+    /// Takes the shard over under a lease; nothing is granted until it is loaded.
+    pub fn begin(&mut self, now: TimePoint, fencing: FencingNumber) -> Vec<ClaimAction> {
+        let mut actions = self.end(now);
+        self.token.fencing = fencing;
+        self.phase = ShardPhase::Loading(LoadState::start(now));
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Gives the shard up; what waits is refused, which is true as nothing was granted.
+    pub fn end(&mut self, _now: TimePoint) -> Vec<ClaimAction> {
+        self.phase = ShardPhase::Idle;
+        self.queue.clear();
+        self.closed.clear();
+        self.deletion = None;
+        let table = std::mem::take(&mut self.table);
+        let waiters = table.rows.into_values().flat_map(waiters_of);
+        waiters.map(refuse_unavailable).collect()
+    }
+
+    /// Decides an event.
+    pub fn handle(&mut self, now: TimePoint, event: ClaimEvent) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        match event {
+            ClaimEvent::Ask { call, ask } => actions.extend(self.ask(now, call, ask)),
+            ClaimEvent::Settle { call, report } => actions.push(self.settle(now, call, report)),
+            ClaimEvent::Stored(answer) => self.stored(now, answer, &mut actions),
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Does what is timed; call it at least as often as batches are written.
+    pub fn tick(&mut self, now: TimePoint) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        self.withdraw_overdue(now, &mut actions);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    fn ask(&mut self, now: TimePoint, call: CallNumber, ask: ClaimAsk) -> Option<ClaimAction> {
+        if !self.is_ready() {
+            return Some(refuse_unavailable(call));
+        }
+        let clock = self.clock.read(now);
+        if let Some(row) = self.table.rows.get_mut(&ask.claim) {
+            if let RowState::Planned { waiters, .. } = &mut row.state {
+                if row.request == ask.request && row.fingerprint == ask.fingerprint {
+                    waiters.push(call);
+                    return None;
+                }
+            }
+            let verdict = judge_repeat(row, &ask, clock, self.options.run_limit);
+            return Some(ClaimAction::Reply { call, verdict });
+        }
+        if self.table.rows.len() >= self.options.row_limit {
+            return Some(refuse_unavailable(call));
+        }
+        let ClaimAsk {
+            claim,
+            fingerprint,
+            request,
+        } = ask;
+        let kind = EntryKind::Claim { fingerprint };
+        let entry = self.enqueue(EntryRecord {
+            at: clock,
+            claim: claim.clone(),
+            request: request.clone(),
+            kind,
+        });
+        let row = ClaimRow {
+            fingerprint,
+            request,
+            at: clock,
+            entry,
+            bucket: 0,
+            state: RowState::Planned {
+                waiters: vec![call],
+                asked: now,
+            },
+        };
+        self.table.rows.insert(claim, row);
+        None
+    }
+
+    fn settle(&mut self, now: TimePoint, call: CallNumber, report: ClaimReport) -> ClaimAction {
+        let taken = self.is_ready();
+        let row = self.table.rows.get(&report.claim);
+        let open = row.is_some_and(|row| {
+            row.request == report.request
+                && matches!(row.state, RowState::Running | RowState::Unknown)
+        });
+        if taken && open {
+            let kind = match &report.outcome {
+                ClaimOutcome::Answered(answer) => answer_kind(answer, self.options.kept_limit),
+                ClaimOutcome::NotRun => EntryKind::NotRun,
+                ClaimOutcome::Unknown => EntryKind::Unknown,
+            };
+            let (claim, request) = (report.claim, report.request);
+            self.table
+                .settle(&claim, &request, kind.clone(), &self.options);
+            let at = self.clock.read(now);
+            self.enqueue(EntryRecord {
+                at,
+                claim,
+                request,
+                kind,
+            });
+        }
+        ClaimAction::Settled { call, taken }
+    }
+
+    fn enqueue(&mut self, record: EntryRecord) -> EntryNumber {
+        self.entries.0 += 1;
+        let number = self.entries;
+        self.queue.push_back(QueuedEntry { number, record });
+        number
+    }
+
+    /// Refuses claims that did not become durable in time.
+    fn withdraw_overdue(&mut self, now: TimePoint, actions: &mut Vec<ClaimAction>) {
+        let ShardPhase::Ready(writer) = &self.phase else {
+            return;
+        };
+        let sent = writer.flight.iter().flat_map(|flight| &flight.entries);
+        let sent: Vec<QueuedEntry> = sent.cloned().collect();
+        for entry in sent {
+            if self.withdraw(now, &entry, actions) {
+                // It may become durable all the same, so that the log has to say
+                // that it was not run.
+                let at = self.clock.read(now);
+                self.enqueue(EntryRecord {
+                    at,
+                    kind: EntryKind::NotRun,
+                    ..entry.record
+                });
+            }
+        }
+        for entry in std::mem::take(&mut self.queue) {
+            if !self.withdraw(now, &entry, actions) {
+                self.queue.push_back(entry);
+            }
+        }
+    }
+
+    fn withdraw(
+        &mut self,
+        now: TimePoint,
+        entry: &QueuedEntry,
+        actions: &mut Vec<ClaimAction>,
+    ) -> bool {
+        let claim = &entry.record.claim;
+        let row = self.table.rows.get(claim);
+        let Some(row) = row.filter(|row| row.entry == entry.number) else {
+            return false;
+        };
+        match &row.state {
+            RowState::Planned { waiters, asked } if now >= *asked + self.options.wait => {
+                actions.extend(waiters.iter().copied().map(refuse_unavailable));
+            }
+            _ => return false,
+        }
+        self.table.remove(claim);
+        true
+    }
+
+    fn stored(&mut self, now: TimePoint, answer: StoreAnswer, actions: &mut Vec<ClaimAction>) {
+        if let Some(deletion) = self.deletion.take() {
+            if deletion.call == answer.call {
+                if answer.reply != StoreReply::Failed {
+                    self.closed.remove(&deletion.bucket);
+                    self.table.remove_bucket(deletion.bucket);
+                }
+                return;
+            }
+            self.deletion = Some(deletion);
+        }
+        let fate = match &mut self.phase {
+            ShardPhase::Idle => return,
+            ShardPhase::Loading(state) if state.call != Some(answer.call) => return,
+            ShardPhase::Loading(_) => return self.load(now, answer.reply),
+            ShardPhase::Ready(writer) => writer.take(now, &answer, &self.options),
+        };
+        match fate {
+            BatchFate::Open => {}
+            BatchFate::Durable { entries, closed } => {
+                self.closed.extend(closed);
+                for entry in entries {
+                    self.confirm(&entry, actions);
+                }
+            }
+            BatchFate::Outranked => actions.extend(self.begin(now, self.token.fencing)),
+        }
+    }
+
+    fn confirm(&mut self, entry: &QueuedEntry, actions: &mut Vec<ClaimAction>) {
+        let row = self.table.rows.get_mut(&entry.record.claim);
+        let Some(row) = row.filter(|row| row.entry == entry.number) else {
+            return;
+        };
+        if let RowState::Planned { waiters, .. } = &mut row.state {
+            let verdict = ClaimVerdict::Granted;
+            let waiters = std::mem::take(waiters);
+            row.state = RowState::Running;
+            actions.extend(waiters.into_iter().map(|call| ClaimAction::Reply {
+                call,
+                verdict: verdict.clone(),
+            }));
+        }
+    }
+
+    fn load(&mut self, now: TimePoint, reply: StoreReply) {
+        let ShardPhase::Loading(state) = &mut self.phase else {
+            return;
+        };
+        state.call = None;
+        let going = match (state.step, reply) {
+            (LoadStep::List, StoreReply::Listed(entries)) => {
+                let whole = entries.len() < self.options.page_limit;
+                let good = state.take_page(&entries);
+                if good && whole {
+                    let open = state.buckets.last().is_some_and(|b| !b.record.closed);
+                    state.step = if open {
+                        LoadStep::Close
+                    } else {
+                        LoadStep::Create
+                    };
+                }
+                good
+            }
+            (LoadStep::Close, StoreReply::Written(version)) => {
+                state.step = LoadStep::Create;
+                if let Some(bucket) = state.buckets.last_mut() {
+                    bucket.version = version;
+                    bucket.record.closed = true;
+                }
+                true
+            }
+            (LoadStep::Create, StoreReply::Written(version)) => {
+                return self.become_ready(now, version);
+            }
+            _ => false,
+        };
+        if !going {
+            let retry_at = now + self.options.batch_every;
+            self.phase = ShardPhase::Loading(LoadState::start(retry_at));
+        }
+    }
+
+    fn become_ready(&mut self, now: TimePoint, version: StoreVersion) {
+        let phase = std::mem::replace(&mut self.phase, ShardPhase::Idle);
+        let ShardPhase::Loading(state) = phase else {
+            return;
+        };
+        let bucket = state.next_number();
+        let base = state.buckets.iter().map(|bucket| bucket.record.clock);
+        let base = base.max().unwrap_or_default();
+        self.clock = ShardClock { base, since: now };
+        for bucket in state.buckets {
+            let clock = bucket.record.clock;
+            let version = bucket.version;
+            let closed = ClosedBucket { version, clock };
+            self.closed.insert(bucket.number, closed);
+            for entry in bucket.record.entries {
+                self.entries.0 += 1;
+                let number = self.entries;
+                self.table.load(entry, bucket.number, number, &self.options);
+            }
+        }
+        let mut token = self.token.clone();
+        token.batch = self.calls.0;
+        let writer = BatchWriter::new(self.shard, bucket, version, token, base);
+        self.phase = ShardPhase::Ready(writer);
+    }
+
+    /// Returns the calls that are due.
+    fn advance(&mut self, now: TimePoint, actions: &mut Vec<ClaimAction>) {
+        self.start_batch(now);
+        let call = match &mut self.phase {
+            ShardPhase::Idle => None,
+            ShardPhase::Loading(_) => self.load_call(now),
+            ShardPhase::Ready(writer) => writer.next_call(now, &mut self.calls, &self.options),
+        };
+        actions.extend(call.map(ClaimAction::Store));
+        let deletion = self.delete_call(now);
+        actions.extend(deletion.map(ClaimAction::Store));
+    }
+
+    fn start_batch(&mut self, now: TimePoint) {
+        let ShardPhase::Ready(writer) = &mut self.phase else {
+            return;
+        };
+        if self.queue.is_empty() || !writer.is_free(now, &self.options) {
+            return;
+        }
+        let mut entries = Vec::new();
+        let mut text = BucketText::default();
+        while let Some(entry) = self.queue.pop_front() {
+            text.append(&entry.record);
+            if let Some(row) = self.table.rows.get_mut(&entry.record.claim) {
+                if row.entry == entry.number {
+                    row.bucket = writer.bucket;
+                }
+            }
+            entries.push(entry);
+            if text.size() >= self.options.batch_limit {
+                break;
+            }
+        }
+        let clock = self.clock.read(now);
+        writer.start(now, clock, entries, &self.options);
+    }
+
+    fn load_call(&mut self, now: TimePoint) -> Option<StoreCall> {
+        let ShardPhase::Loading(state) = &mut self.phase else {
+            return None;
+        };
+        if state.call.is_some() && now.since(state.sent) >= self.options.call_timeout {
+            *state = LoadState::start(now);
+        }
+        if state.call.is_some() || now < state.sent {
+            return None;
+        }
+        let call = self.calls.advance();
+        state.call = Some(call);
+        state.sent = now;
+        let shard = self.shard;
+        Some(match state.step {
+            LoadStep::List => StoreCall::List {
+                call,
+                prefix: shard_prefix(shard),
+                after: state.after.clone(),
+                limit: self.options.page_limit,
+            },
+            LoadStep::Close => {
+                let bucket = state.buckets.last()?;
+                let mut text = BucketText::default();
+                for entry in &bucket.record.entries {
+                    text.append(entry);
+                }
+                StoreCall::Put {
+                    call,
+                    key: bucket_key(shard, bucket.number),
+                    value: text.value(&self.token, bucket.record.clock, true),
+                    expect: bucket.version,
+                }
+            }
+            LoadStep::Create => StoreCall::Put {
+                call,
+                key: bucket_key(shard, state.next_number()),
+                value: BucketText::default().value(&self.token, TimeSpan::ZERO, false),
+                expect: StoreVersion::ABSENT,
+            },
+        })
+    }
+
+    fn delete_call(&mut self, now: TimePoint) -> Option<StoreCall> {
+        if !self.is_ready() {
+            return None;
+        }
+        if let Some(deletion) = &self.deletion {
+            if now.since(deletion.sent) < self.options.call_timeout {
+                return None;
+            }
+        }
+        let (bucket, closed) = self.closed.first_key_value()?;
+        let (bucket, closed) = (*bucket, *closed);
+        if self.clock.read(now) <= closed.clock + self.options.retention {
+            return None;
+        }
+        let call = self.calls.advance();
+        let sent = now;
+        self.deletion = Some(BucketDeletion { call, bucket, sent });
+        Some(StoreCall::Delete {
+            call,
+            key: bucket_key(self.shard, bucket),
+            expect: closed.version,
+        })
+    }
+}
+
+fn waiters_of(row: ClaimRow) -> Vec<CallNumber> {
+    match row.state {
+        RowState::Planned { waiters, .. } => waiters,
+        _ => Vec::new(),
+    }
+}
+
+fn refuse_unavailable(call: CallNumber) -> ClaimAction {
+    let refusal = CallRefusal::passing(ResultCode::ClaimUnavailable, RETRY_AFTER);
+    let verdict = ClaimVerdict::Refused(refusal);
+    ClaimAction::Reply { call, verdict }
+}
+
+fn judge_repeat(
+    row: &ClaimRow,
+    ask: &ClaimAsk,
+    clock: TimeSpan,
+    run_limit: TimeSpan,
+) -> ClaimVerdict {
+    let lasting = |code| ClaimVerdict::Refused(CallRefusal::lasting(code));
+    if row.fingerprint != ask.fingerprint {
+        return lasting(ResultCode::ClaimConflict);
+    }
+    let overdue = clock.saturating_sub(row.at) >= run_limit;
+    match &row.state {
+        RowState::Kept(answer) => ClaimVerdict::Kept(answer.clone()),
+        RowState::Ran => lasting(ResultCode::AlreadyRan),
+        RowState::Unknown => lasting(ResultCode::OutcomeUnknown),
+        RowState::Running if overdue => lasting(ResultCode::OutcomeUnknown),
+        RowState::Running if row.request == ask.request => ClaimVerdict::Granted,
+        RowState::Running | RowState::Planned { .. } => {
+            let refusal = CallRefusal::passing(ResultCode::StillRunning, RETRY_AFTER);
+            ClaimVerdict::Refused(refusal)
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fence/types.rs
@@ -0,0 +1,150 @@
+//! What the fence is told and what it wants done.
+
+use smol_str::SmolStr;
+
+use crate::claim::store::CallNumber;
+use crate::code::CallRefusal;
+use crate::id::{FencingNumber, OrderId, ScopeId};
+use crate::lease::HolderName;
+use crate::unit::{TimePoint, TimeSpan};
+
+/// The times and sizes of a fence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FenceOptions {
+    /// The oldest that the reading of a lease may be when an order is sent.
+    pub check_timeout: TimeSpan,
+    /// How long after its deadline a backend server may still be at an order.
+    pub settle_span: TimeSpan,
+    /// How many carried out orders are remembered.
+    pub done_limit: usize,
+}
+
+impl Default for FenceOptions {
+    fn default() -> Self {
+        Self {
+            check_timeout: TimeSpan::from_secs(1),
+            settle_span: TimeSpan::from_secs(30),
+            done_limit: 64,
+        }
+    }
+}
+
+/// An order to a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// Makes a repeat recognizable.
+    pub id: OrderId,
+    /// The scope whose holder sends it.
+    pub scope: ScopeId,
+    /// Who sends it.
+    pub holder: HolderName,
+    /// The number that the sender holds the scope's lease under.
+    pub fencing: FencingNumber,
+    /// How long the backend server may take.
+    pub span: TimeSpan,
+    /// What is to be done, in JSON.
+    pub body: SmolStr,
+}
+
+/// What a lease says when it is read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseReading {
+    /// It is held.
+    Held {
+        /// Who holds it.
+        holder: HolderName,
+        /// The number under which it is held.
+        fencing: FencingNumber,
+    },
+    /// Nobody holds it.
+    Free,
+    /// It could not be read.
+    Failed,
+}
+
+/// What a backend server makes of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineReply {
+    /// It has carried the order out.
+    Done,
+    /// It has refused the order for its fencing number.
+    Outdated,
+    /// It has refused the order for another reason.
+    Refused,
+    /// The connection was lost before an answer came.
+    Lost,
+}
+
+/// What is known of a backend server's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineState {
+    /// It is as the last order left it.
+    Settled,
+    /// It is carrying an order out.
+    Changing,
+    /// Whether the last order took effect is not known; a new one settles it.
+    Unsettled,
+}
+
+/// What the fence is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FenceEvent {
+    /// An order has come.
+    Order {
+        /// Finds the reply's place.
+        call: CallNumber,
+        /// The order.
+        order: EngineOrder,
+    },
+    /// A lease has been read.
+    LeaseRead {
+        /// The call that it answers.
+        call: CallNumber,
+        /// What it says.
+        reading: LeaseReading,
+    },
+    /// The backend server has answered an order.
+    EngineReplied {
+        /// The order.
+        order: OrderId,
+        /// The answer.
+        reply: EngineReply,
+    },
+    /// The backend server's process has ended; a later one starts afresh.
+    EngineCrashed,
+}
+
+/// The answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderVerdict {
+    /// It has been carried out.
+    Done,
+    /// It has not been carried out, or that is not known.
+    Refused(CallRefusal),
+}
+
+/// What the fence wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FenceAction {
+    /// Read the lease of a scope in the platform's service.
+    ReadLease {
+        /// Finds the answer's place.
+        call: CallNumber,
+        /// The scope.
+        scope: ScopeId,
+    },
+    /// Send an order to the backend server, in this step.
+    Send {
+        /// The order.
+        order: EngineOrder,
+        /// When the connection is to be given up.
+        deadline: TimePoint,
+    },
+    /// Answer the sender of an order.
+    Reply {
+        /// The call to answer.
+        call: CallNumber,
+        /// The answer.
+        verdict: OrderVerdict,
+    },
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,12 @@
 //! can drive it with as many nodes as it likes in one thread. The reasons are
 //! in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
+pub mod answer;
+pub mod claim;
 pub mod code;
+pub mod fence;
 pub mod id;
+pub mod lease;
+pub mod order;
 pub mod unit;
+pub mod usage;
--- /dev/null
+++ b/crates/core/src/usage.rs
@@ -0,0 +1,19 @@
+//! Usage: metered beside the backend servers, kept twice, sealed and reported once.
+//!
+//! Only the sealed figure of a window is ever reported, so that a repeat is
+//! identical whoever sends it. See
+//! [docs/design/usage.md](../../../docs/design/usage.md).
+
+mod keeper;
+mod meter;
+mod record;
+mod sealer;
+mod types;
+
+pub use keeper::UsageKeeper;
+pub use meter::{MeterMark, UsageMeter};
+pub use sealer::UsageSealer;
+pub use types::{
+    MeterName, ReportId, SealerAction, SealerEvent, SealerOptions, UsageBatch, UsageFigure,
+    UsageKey, UsageReport, UsageTotals,
+};
