--- /dev/null
+++ b/crates/daemon/src/confirm.rs
@@ -0,0 +1,59 @@
+//! What this process knows of the configuration, and how fresh that is.
+
+use std::cell::{Cell, RefCell};
+
+use applefold_core::config::ServingConfig;
+use applefold_core::id::Revision;
+use applefold_core::unit::TimePoint;
+use applefold_wire::beat::ConfirmationNote;
+
+/// The configuration in force here, with the time at which it was last confirmed.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigCell {
+    config: RefCell<ServingConfig>,
+    confirmed_at: Cell<TimePoint>,
+    reach_holds: Cell<bool>,
+}
+
+impl ConfigCell {
+    /// Looks something up in the configuration.
+    pub(crate) fn with<T, F>(&self, look: F) -> T
+    where
+        F: FnOnce(&ServingConfig) -> T,
+    {
+        look(&self.config.borrow())
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.config.borrow().revision
+    }
+
+    /// Puts a configuration in force unless it is older than the one that is.
+    pub(crate) fn apply(&self, config: ServingConfig) -> bool {
+        let newer = config.revision > self.revision();
+        if newer {
+            self.config.replace(config);
+        }
+        newer
+    }
+
+    /// Takes in what a peer knows, if it speaks of at least this revision.
+    pub(crate) fn merge(&self, note: &ConfirmationNote, now: TimePoint) {
+        if note.revision < self.revision() {
+            return;
+        }
+        let confirmed_at = now - note.age;
+        if confirmed_at >= self.confirmed_at.get() {
+            self.confirmed_at.set(confirmed_at);
+            self.reach_holds.set(note.reach_holds);
+        }
+    }
+
+    pub(crate) fn note(&self, now: TimePoint) -> ConfirmationNote {
+        ConfirmationNote {
+            revision: self.revision(),
+            age: now.since(self.confirmed_at.get()),
+            reach_holds: self.reach_holds.get(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/api.rs
@@ -0,0 +1,291 @@
+//! The way of a call from its first byte to the request that is run for it.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{HeaderMap, AUTHORIZATION};
+use actix_http::{HttpMessage, Request, Response};
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::config::{key_digest, ServiceConfig, ServiceRoute, ServingConfig};
+use applefold_core::id::{ModelId, RequestId};
+use applefold_core::unit::{ByteSize, TimeSpan, TokenCount};
+use applefold_wire::dispatch::HeaderPair;
+use eyre::Result;
+use futures_util::StreamExt;
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use super::chat::{estimate_prompt, ChatProbe};
+use super::driver;
+use super::operator;
+use super::plan::{priority_of, CallerId, RequestPlan};
+use super::reply::{refusal_response, respond, ReplyNote, ReplyStart, ReplyWriter};
+use super::state::EntryState;
+use crate::http::{self, HttpServer};
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const MODELS_PATH: &str = "/v1/models";
+const HEALTH_PATH: &str = "/healthz";
+const OPERATOR_PREFIX: &str = "/operator/";
+const BEARER: &str = "Bearer ";
+/// The largest body that is read before its service is known.
+const MAX_BODY: ByteSize = ByteSize(8 * 1024 * 1024);
+/// How long a caller may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// When a caller may try again after a refusal that another instance can turn.
+const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+/// Headers that backend servers may see; the caller key is in none of them.
+const PASSED_HEADERS: [&str; 4] = ["content-type", "accept", "accept-language", "user-agent"];
+
+/// Starts serving callers and operators.
+pub(crate) async fn serve(state: Rc<EntryState>) -> Result<HttpServer> {
+    let address = state.settings.listen;
+    http::serve(address, move |request| handle(state.clone(), request)).await
+}
+
+async fn handle(state: Rc<EntryState>, request: Request) -> Result<Response<BoxBody>, Infallible> {
+    let path = request.path().to_owned();
+    if path == HEALTH_PATH {
+        return Ok(health(&state));
+    }
+    if path.starts_with(OPERATOR_PREFIX) {
+        return Ok(operator::handle(&state, request).await);
+    }
+    let request_id = state.fresh_request();
+    let closing = state.gate.is_closed();
+    let guard = state.gate.enter_anyway();
+    let start = match admit(&state, request, &request_id).await {
+        Ok(Admitted::Direct(response)) => return Ok(response),
+        Ok(Admitted::Planned(plan)) => run(&state, *plan).await,
+        Err(refusal) => ReplyStart::Refused(refusal),
+    };
+    let note = ReplyNote {
+        request: SmolStr::new(&request_id),
+        closing,
+    };
+    Ok(respond(start, note, guard))
+}
+
+/// What becomes of a call that is not refused.
+enum Admitted {
+    /// The entry answers itself.
+    Direct(Response<BoxBody>),
+    /// A backend server is to run it.
+    Planned(Box<PlannedCall>),
+}
+
+struct PlannedCall {
+    plan: RequestPlan,
+    traceparent: Option<SmolStr>,
+}
+
+/// Tells the balancer to send no more callers once the instance is stopping.
+fn health(state: &EntryState) -> Response<BoxBody> {
+    if state.gate.is_closed() {
+        return refusal_response(CallRefusal::passing(
+            ResultCode::InstanceDraining,
+            RETRY_SOON,
+        ));
+    }
+    Response::ok().set_body(BoxBody::new("ok\n"))
+}
+
+async fn run(state: &Rc<EntryState>, call: PlannedCall) -> ReplyStart {
+    let parent = call.traceparent.and_then(|text| text.parse().ok());
+    let mut span = state.spans.begin("entry.request", parent.as_ref());
+    span.note("request", call.plan.request.to_string());
+    span.note("service", call.plan.service.to_string());
+    let (sender, receiver) = oneshot::channel();
+    let writer = ReplyWriter::new(sender, call.plan.stream, state.settings.max_answer);
+    actix_rt::spawn(driver::drive(state.clone(), call.plan, writer, span));
+    let lost = CallRefusal::lasting(ResultCode::OutcomeUnknown);
+    receiver.await.unwrap_or(ReplyStart::Refused(lost))
+}
+
+async fn admit(
+    state: &Rc<EntryState>,
+    mut request: Request,
+    request_id: &str,
+) -> Result<Admitted, CallRefusal> {
+    let arrived = state.now();
+    check_confirmed(state)?;
+    let bearer = bearer_of(request.headers());
+    if request.path() == MODELS_PATH {
+        return models(state, bearer.as_deref()).map(Admitted::Direct);
+    }
+    let traceparent = text_of(request.headers(), "traceparent");
+    let body = read_body(&mut request).await?;
+    let probe = match request.path() {
+        CHAT_PATH => Some(parse_chat(&body)?),
+        _ => None,
+    };
+    let plan = state.config.with(|config| {
+        let service = find_service(config, request.path(), probe.as_ref())?;
+        if body.len() as u64 > service.max_body_bytes.0 {
+            return Err(CallRefusal::lasting(ResultCode::RequestTooLarge));
+        }
+        let caller = find_caller(config, service, bearer.as_deref())?;
+        let internal = CallRefusal::lasting(ResultCode::RequestMalformed);
+        let id: RequestId = request_id.parse().map_err(|_| internal)?;
+        Ok(RequestPlan {
+            request: id,
+            caller,
+            service: service.id.clone(),
+            pool: service.pool.clone(),
+            model: probe.as_ref().map(|probe| probe.model.clone()),
+            method: SmolStr::new(request.method().as_str()),
+            path: backend_path(service, &request),
+            headers: passed_headers(request.headers()),
+            stream: probe.as_ref().is_some_and(|probe| probe.stream),
+            repeatable: is_repeatable(service, &request),
+            deadline: arrived + service.deadline,
+            prompt_tokens: estimate_prompt(&body),
+            answer_tokens: probe
+                .as_ref()
+                .map_or(TokenCount::ZERO, |probe| probe.answer_tokens),
+            priority: priority_of(service),
+            body,
+        })
+    })?;
+    Ok(Admitted::Planned(Box::new(PlannedCall {
+        plan,
+        traceparent,
+    })))
+}
+
+/// Refuses every call while the configuration may have changed unseen.
+fn check_confirmed(state: &EntryState) -> Result<(), CallRefusal> {
+    let note = state.config.note(state.now());
+    if note.age <= state.settings.confirm_bound || note.reach_holds {
+        return Ok(());
+    }
+    Err(CallRefusal::passing(
+        ResultCode::ConfigUnconfirmed,
+        RETRY_SOON,
+    ))
+}
+
+fn find_service<'a>(
+    config: &'a ServingConfig,
+    path: &str,
+    probe: Option<&ChatProbe>,
+) -> Result<&'a ServiceConfig, CallRefusal> {
+    match probe {
+        Some(probe) => {
+            let unknown = CallRefusal::lasting(ResultCode::ModelUnknown);
+            config.service_for_model(&probe.model).ok_or(unknown)
+        }
+        None => {
+            let unknown = CallRefusal::lasting(ResultCode::RouteUnknown);
+            config.service_for_path(path).ok_or(unknown)
+        }
+    }
+}
+
+fn find_caller(
+    config: &ServingConfig,
+    service: &ServiceConfig,
+    bearer: Option<&str>,
+) -> Result<Option<CallerId>, CallRefusal> {
+    if service.open {
+        return Ok(None);
+    }
+    let caller = known_caller(config, bearer)?;
+    if !service.allows(&caller.team) {
+        return Err(CallRefusal::lasting(ResultCode::TeamForbidden));
+    }
+    Ok(Some(caller))
+}
+
+fn known_caller(config: &ServingConfig, bearer: Option<&str>) -> Result<CallerId, CallRefusal> {
+    let bearer = bearer.ok_or(CallRefusal::lasting(ResultCode::KeyMissing))?;
+    let key = config.find_key(&key_digest(bearer)).active();
+    let key = key.ok_or(CallRefusal::lasting(ResultCode::KeyRefused))?;
+    Ok(CallerId::from(key))
+}
+
+fn models(state: &EntryState, bearer: Option<&str>) -> Result<Response<BoxBody>, CallRefusal> {
+    let models = state.config.with(|config| {
+        let caller = known_caller(config, bearer)?;
+        let models = config.models_for(&caller.team).into_iter().cloned();
+        Ok(models.collect::<Vec<ModelId>>())
+    })?;
+    let rows = models.iter();
+    let rows = rows.map(|id| json!({"id": id, "object": "model", "owned_by": "applefold"}));
+    let body = json!({"object": "list", "data": rows.collect::<Vec<_>>()});
+    let mut response = Response::ok().set_body(BoxBody::new(body.to_string()));
+    let kind = actix_http::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(actix_http::header::CONTENT_TYPE, kind);
+    Ok(response)
+}
+
+fn parse_chat(body: &[u8]) -> Result<ChatProbe, CallRefusal> {
+    let malformed = CallRefusal::lasting(ResultCode::RequestMalformed);
+    serde_json::from_slice(body).map_err(|_| malformed)
+}
+
+/// The route's prefix belongs to the system; the backend server sees what follows it.
+fn backend_path(service: &ServiceConfig, request: &Request) -> String {
+    let uri = request.uri();
+    let whole = uri
+        .path_and_query()
+        .map_or(uri.path(), |path| path.as_str());
+    match &service.route {
+        ServiceRoute::Model { .. } => whole.to_owned(),
+        ServiceRoute::Plain { path_prefix } => {
+            let rest = whole.strip_prefix(path_prefix.as_str());
+            format!("/{}", rest.unwrap_or(whole))
+        }
+    }
+}
+
+fn is_repeatable(service: &ServiceConfig, request: &Request) -> bool {
+    service.is_repeatable(request.path())
+}
+
+fn passed_headers(headers: &HeaderMap) -> Vec<HeaderPair> {
+    let passed = PASSED_HEADERS.iter().filter_map(|name| {
+        let value = text_of(headers, name)?;
+        let name = SmolStr::new_static(name);
+        Some(HeaderPair { name, value })
+    });
+    passed.collect()
+}
+
+fn text_of(headers: &HeaderMap, name: &str) -> Option<SmolStr> {
+    let value = headers.get(name)?;
+    value.to_str().ok().map(SmolStr::new)
+}
+
+/// Returns what a caller or an operator proves itself with.
+pub(crate) fn bearer_of(headers: &HeaderMap) -> Option<SmolStr> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    value
+        .strip_prefix(BEARER)
+        .map(|text| SmolStr::new(text.trim()))
+}
+
+/// Reads a body of bounded size in bounded time.
+pub(crate) async fn read_body(request: &mut Request) -> Result<Vec<u8>, CallRefusal> {
+    let mut payload = request.take_payload();
+    let gather = async {
+        let mut body = Vec::new();
+        while let Some(piece) = payload.next().await {
+            let malformed = CallRefusal::lasting(ResultCode::RequestMalformed);
+            let piece = piece.map_err(|_| malformed)?;
+            body.extend_from_slice(&piece);
+            if body.len() as u64 > MAX_BODY.0 {
+                return Err(CallRefusal::lasting(ResultCode::RequestTooLarge));
+            }
+        }
+        Ok(body)
+    };
+    let slow = CallRefusal::lasting(ResultCode::RequestMalformed);
+    let gathered = actix_rt::time::timeout(BODY_TIMEOUT, gather).await;
+    gathered.unwrap_or(Err(slow))
+}
--- /dev/null
+++ b/crates/daemon/src/entry/chat.rs
@@ -0,0 +1,76 @@
+//! What an entry needs to know of a chat request; the body itself passes unchanged.
+
+use std::fmt;
+
+use applefold_core::id::ModelId;
+use applefold_core::unit::TokenCount;
+use serde::de::{Error, IgnoredAny, MapAccess, Visitor};
+use serde::{Deserialize, Deserializer};
+
+/// Bytes of text that make about one token.
+const BYTES_PER_TOKEN: u64 = 4;
+const DEFAULT_ANSWER: TokenCount = TokenCount(16);
+
+/// The fields of a chat request that decide its way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ChatProbe {
+    pub(crate) model: ModelId,
+    pub(crate) stream: bool,
+    pub(crate) answer_tokens: TokenCount,
+}
+
+struct ProbeVisitor;
+
+impl<'de> Visitor<'de> for ProbeVisitor {
+    type Value = ChatProbe;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a chat request with a model and messages")
+    }
+
+    fn visit_map<A>(self, mut map: A) -> Result<ChatProbe, A::Error>
+    where
+        A: MapAccess<'de>,
+    {
+        let mut model: Option<ModelId> = None;
+        let mut stream: Option<bool> = None;
+        let mut answer: Option<u64> = None;
+        let mut messages = false;
+        while let Some(field) = map.next_key::<std::borrow::Cow<'de, str>>()? {
+            match &*field {
+                "model" => model = Some(map.next_value()?),
+                "stream" => stream = map.next_value()?,
+                "max_tokens" | "max_completion_tokens" => answer = map.next_value()?,
+                "messages" => {
+                    let _: Vec<IgnoredAny> = map.next_value()?;
+                    messages = true;
+                }
+                _ => {
+                    let _: IgnoredAny = map.next_value()?;
+                }
+            }
+        }
+        if !messages {
+            return Err(A::Error::missing_field("messages"));
+        }
+        Ok(ChatProbe {
+            model: model.ok_or_else(|| A::Error::missing_field("model"))?,
+            stream: stream.unwrap_or(false),
+            answer_tokens: answer.map_or(DEFAULT_ANSWER, TokenCount),
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for ChatProbe {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_map(ProbeVisitor)
+    }
+}
+
+/// Estimates the length of a prompt from the size of the request that holds it.
+pub(crate) fn estimate_prompt(body: &[u8]) -> TokenCount {
+    TokenCount((body.len() as u64).div_ceil(BYTES_PER_TOKEN))
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,106 @@
+//! The process that callers and operators speak to.
+
+mod answer;
+mod api;
+mod attempt;
+mod chat;
+mod control;
+mod driver;
+mod links;
+mod operator;
+mod plan;
+mod reply;
+mod state;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use applefold_core::id::{DomainId, InstanceId, RegionId};
+use applefold_core::unit::{ByteSize, TimeSpan};
+use eyre::Result;
+use smol_str::SmolStr;
+
+use crate::link::secret::SecretRing;
+use crate::signal;
+
+use state::EntryState;
+
+/// The checked settings of an entry.
+#[derive(Clone, Debug)]
+pub(crate) struct EntrySettings {
+    pub(crate) listen: SocketAddr,
+    pub(crate) peer_listen: SocketAddr,
+    pub(crate) metrics_listen: Option<SocketAddr>,
+    pub(crate) platform: SocketAddr,
+    pub(crate) instance: InstanceId,
+    pub(crate) domain: DomainId,
+    pub(crate) region: RegionId,
+    pub(crate) secrets: SecretRing,
+    pub(crate) operator_credential: OperatorCredential,
+    pub(crate) max_answer: ByteSize,
+    pub(crate) progress_timeout: TimeSpan,
+    pub(crate) drain_delay: TimeSpan,
+    pub(crate) drain_timeout: TimeSpan,
+    pub(crate) confirm_bound: TimeSpan,
+    pub(crate) trace_share: f64,
+}
+
+/// What an operator proves to be one.
+#[derive(Clone, PartialEq, Eq)]
+pub(crate) struct OperatorCredential(SmolStr);
+
+impl std::fmt::Debug for OperatorCredential {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("OperatorCredential(..)")
+    }
+}
+
+impl std::str::FromStr for OperatorCredential {
+    type Err = crate::link::secret::SecretError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let _: crate::link::secret::ClusterSecret = text.parse()?;
+        Ok(Self(SmolStr::new(text)))
+    }
+}
+
+impl OperatorCredential {
+    /// Compares digests, so that the time taken tells nothing of the credential.
+    pub(crate) fn matches(&self, presented: &str) -> bool {
+        let digest = applefold_core::config::key_digest;
+        digest(&self.0) == digest(presented)
+    }
+}
+
+/// Runs until the process is told to stop and nothing is in flight.
+pub(crate) async fn run(settings: EntrySettings) -> Result<()> {
+    let state = Rc::new(EntryState::new(settings));
+    if let Some(address) = state.settings.metrics_listen {
+        crate::http::serve_metrics(address, state.metrics.clone()).await?;
+    }
+    actix_rt::spawn(control::follow_config(state.clone()));
+    actix_rt::spawn(control::follow_instances(state.clone()));
+    let server = api::serve(state.clone()).await?;
+    log::info!(instance = state.settings.instance.as_str(),
+        callers = state.settings.listen.to_string(); "entry is serving");
+    signal::wait_stop().await?;
+    stop(&state).await;
+    drop(server);
+    Ok(())
+}
+
+/// Tells peers and the balancer first, then lets what runs come to its end.
+async fn stop(state: &EntryState) {
+    log::info!(in_flight = state.gate.in_flight(); "entry is draining");
+    state.gate.close();
+    actix_rt::time::sleep(std::time::Duration::from_micros(
+        state.settings.drain_delay.0,
+    ))
+    .await;
+    let drained = signal::within(state.settings.drain_timeout, state.gate.wait_idle()).await;
+    if !drained {
+        log::warn!(in_flight = state.gate.in_flight(); "drain timeout passed, work is cut");
+    }
+    signal::linger().await;
+    log::info!("entry has stopped");
+}
--- /dev/null
+++ b/crates/daemon/src/entry/plan.rs
@@ -0,0 +1,94 @@
+//! A request that has been let in, with all that its attempts need.
+
+use applefold_core::config::{KeyConfig, ServiceConfig, ServicePriority};
+use applefold_core::id::{AttemptNumber, KeyId, ModelId, PoolId, RequestId, ServiceId, TeamId};
+use applefold_core::unit::{TimePoint, TokenCount};
+use applefold_wire::beat::ConfirmationNote;
+use applefold_wire::dispatch::{AttemptId, DispatchMessage, HeaderPair};
+use smol_str::SmolStr;
+
+const INTERACTIVE_PRIORITY: u8 = 0;
+const BATCH_PRIORITY: u8 = 9;
+
+/// Who calls, as the caller key says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct CallerId {
+    pub(crate) team: TeamId,
+    pub(crate) key: KeyId,
+}
+
+impl From<&KeyConfig> for CallerId {
+    fn from(key: &KeyConfig) -> Self {
+        Self {
+            team: key.team.clone(),
+            key: key.id.clone(),
+        }
+    }
+}
+
+/// A request that has been let in.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestPlan {
+    pub(crate) request: RequestId,
+    pub(crate) caller: Option<CallerId>,
+    pub(crate) service: ServiceId,
+    pub(crate) pool: PoolId,
+    pub(crate) model: Option<ModelId>,
+    pub(crate) method: SmolStr,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<HeaderPair>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) stream: bool,
+    pub(crate) repeatable: bool,
+    pub(crate) deadline: TimePoint,
+    pub(crate) prompt_tokens: TokenCount,
+    pub(crate) answer_tokens: TokenCount,
+    pub(crate) priority: u8,
+}
+
+/// Returns the priority that engines understand.
+pub(crate) fn priority_of(service: &ServiceConfig) -> u8 {
+    match service.priority {
+        ServicePriority::Interactive => INTERACTIVE_PRIORITY,
+        ServicePriority::Batch => BATCH_PRIORITY,
+    }
+}
+
+/// What differs from one attempt to the next.
+#[derive(Clone, Debug)]
+pub(crate) struct AttemptInput {
+    pub(crate) attempt: AttemptNumber,
+    pub(crate) now: TimePoint,
+    pub(crate) confirmation: ConfirmationNote,
+    pub(crate) traceparent: SmolStr,
+    pub(crate) resume_tokens: TokenCount,
+}
+
+impl RequestPlan {
+    /// Makes the message of one attempt.
+    pub(crate) fn dispatch(&self, input: AttemptInput) -> DispatchMessage {
+        DispatchMessage {
+            id: AttemptId {
+                request: self.request.clone(),
+                attempt: input.attempt,
+            },
+            team: self.caller.as_ref().map(|caller| caller.team.clone()),
+            key: self.caller.as_ref().map(|caller| caller.key.clone()),
+            service: self.service.clone(),
+            model: self.model.clone(),
+            confirmation: input.confirmation,
+            deadline: self.deadline.since(input.now),
+            traceparent: input.traceparent,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            stream: self.stream,
+            repeatable: self.repeatable,
+            prompt_tokens: self.prompt_tokens,
+            answer_tokens: self.answer_tokens,
+            priority: self.priority,
+            resume_tokens: input.resume_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/state.rs
@@ -0,0 +1,88 @@
+//! What an entry knows.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use applefold_core::unit::TimePoint;
+use applefold_wire::beat::{BeatMessage, LoadNote};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::links::LinkTable;
+use super::EntrySettings;
+use crate::clock::MonotonicClock;
+use crate::confirm::ConfigCell;
+use crate::drain::DrainGate;
+use crate::link::gate::GateOptions;
+use crate::metrics::MetricSet;
+use crate::platform::http::HttpPlatform;
+use crate::platform::PlatformApi;
+use crate::trace::SpanSource;
+
+/// The state of an entry, shared by its tasks.
+pub(crate) struct EntryState {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) config: ConfigCell,
+    pub(crate) gate: DrainGate,
+    pub(crate) links: RefCell<LinkTable>,
+    pub(crate) platform: Rc<dyn PlatformApi>,
+    pub(crate) metrics: MetricSet,
+    pub(crate) spans: SpanSource,
+    pub(crate) rng: RefCell<StdRng>,
+    request_count: Cell<u64>,
+    /// Tells this run of the process from earlier ones in request ids.
+    incarnation: u64,
+}
+
+impl EntryState {
+    pub(crate) fn new(settings: EntrySettings) -> Self {
+        let metrics = MetricSet::start();
+        let instance = settings.instance.clone();
+        let platform = HttpPlatform::new(settings.platform, instance, metrics.clone());
+        let mut rng = StdRng::from_entropy();
+        Self {
+            clock: MonotonicClock::start(),
+            config: ConfigCell::default(),
+            gate: DrainGate::default(),
+            links: RefCell::new(LinkTable::default()),
+            platform: Rc::new(platform),
+            metrics,
+            spans: SpanSource::start(settings.trace_share),
+            incarnation: rng.gen(),
+            rng: RefCell::new(rng),
+            request_count: Cell::new(0),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Returns a text that no other request of any entry has.
+    pub(crate) fn fresh_request(&self) -> String {
+        let count = self.request_count.get() + 1;
+        self.request_count.set(count);
+        format!("r-{:016x}-{count:x}", self.incarnation)
+    }
+
+    pub(crate) fn gate_options(&self) -> GateOptions {
+        GateOptions {
+            instance: self.settings.instance.to_string(),
+            secrets: self.settings.secrets.clone(),
+        }
+    }
+
+    pub(crate) fn beat(&self) -> BeatMessage {
+        BeatMessage {
+            instance: self.settings.instance.clone(),
+            domain: self.settings.domain.clone(),
+            confirmation: self.config.note(self.now()),
+            load: LoadNote::default(),
+            teams: Vec::new(),
+            suspects: Vec::new(),
+            stopping: self.gate.is_closed(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/link/dial.rs
@@ -0,0 +1,129 @@
+//! The client side of a connection.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::code::ResultCode;
+use applefold_wire::applefold_capnp::{gate, session};
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::RpcSystem;
+use eyre::{bail, WrapErr};
+use futures_util::io::BufReader;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::gate::GateOptions;
+use super::reader_options;
+use super::secret::{LinkNonce, ProofInput, ProofSide};
+
+/// How long connecting and proving may take.
+const DIAL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A connection to a peer; it is closed when the last copy is dropped.
+#[derive(Clone)]
+pub(crate) struct PeerLink {
+    pub(crate) session: session::Client,
+    inner: Rc<LinkTask>,
+}
+
+struct LinkTask {
+    closed: watch::Receiver<bool>,
+    close: watch::Sender<bool>,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Drop for LinkTask {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl PeerLink {
+    /// Closes the connection; calls that wait on it end at once.
+    pub(crate) fn close(&self) {
+        self.inner.close.send_replace(true);
+        self.inner.task.abort();
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        *self.inner.closed.borrow()
+    }
+
+    /// Returns when the connection has been closed by either side.
+    pub(crate) async fn wait_closed(&self) {
+        let mut closed = self.inner.closed.clone();
+        let _ = closed.wait_for(|closed| *closed).await;
+    }
+}
+
+/// Connects to the peer at `address` and proves the secret to each other.
+pub(crate) async fn dial(address: SocketAddr, options: &GateOptions) -> eyre::Result<PeerLink> {
+    let dialed = actix_rt::time::timeout(DIAL_TIMEOUT, connect(address, options)).await;
+    let dialed = dialed.wrap_err_with(|| format!("peer {address} did not answer in time"))?;
+    dialed.wrap_err_with(|| format!("could not connect to peer {address}"))
+}
+
+async fn connect(address: SocketAddr, options: &GateOptions) -> eyre::Result<PeerLink> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.into_split();
+    let network = VatNetwork::new(
+        BufReader::new(reader.compat()),
+        writer.compat_write(),
+        Side::Client,
+        reader_options(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let gate: gate::Client = system.bootstrap(Side::Server);
+    let (close, closed) = watch::channel(false);
+    let ended = close.clone();
+    let task = actix_rt::spawn(async move {
+        let _ = system.await;
+        ended.send_replace(true);
+    });
+    let inner = Rc::new(LinkTask {
+        closed,
+        close,
+        task,
+    });
+    let session = prove(&gate, options).await?;
+    Ok(PeerLink { session, inner })
+}
+
+async fn prove(gate: &gate::Client, options: &GateOptions) -> eyre::Result<session::Client> {
+    let challenge = gate.challenge_request().send().promise.await?;
+    let server = LinkNonce::from_bytes(challenge.get()?.get_nonce()?);
+    let Some(server) = server else {
+        bail!("the peer's nonce has a wrong size");
+    };
+    let client = LinkNonce::fresh();
+    let input = ProofInput {
+        side: ProofSide::Client,
+        instance: &options.instance,
+        server: &server,
+        client: &client,
+    };
+    let mut request = gate.open_request();
+    request.get().set_instance(&*options.instance);
+    request.get().set_nonce(client.as_bytes());
+    request
+        .get()
+        .set_proof(&options.secrets.current.prove(input));
+    let opened = request.send().promise.await?;
+    let opened = opened.get()?;
+    let answer = ProofInput {
+        side: ProofSide::Server,
+        ..input
+    };
+    let matched = options.secrets.match_proof(answer, opened.get_proof()?);
+    if matched.is_none() {
+        bail!(
+            "{} the peer did not prove the cluster secret",
+            ResultCode::PeerRefused
+        );
+    }
+    Ok(opened.get_session()?)
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,156 @@
+//! Metrics, gathered by opentelemetry and written in the Prometheus text form.
+
+use std::fmt::Write;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::metrics::data::{
+    AggregatedMetrics, HistogramDataPoint, Metric, MetricData, ResourceMetrics,
+};
+use opentelemetry_sdk::metrics::exporter::PushMetricExporter;
+use opentelemetry_sdk::metrics::{PeriodicReader, SdkMeterProvider, Temporality};
+
+/// Metrics are gathered when they are asked for; the reader wants a period all the same.
+const IDLE_PERIOD: Duration = Duration::from_secs(3_600);
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.43, 1.0, 2.5, 10.0,
+];
+
+/// Keeps the text of the last gathering.
+#[derive(Clone, Debug, Default)]
+struct TextExporter {
+    text: Arc<Mutex<String>>,
+}
+
+impl PushMetricExporter for TextExporter {
+    async fn export(&self, metrics: &ResourceMetrics) -> OTelSdkResult {
+        let mut text = String::new();
+        for scope in metrics.scope_metrics() {
+            for metric in scope.metrics() {
+                render_metric(metric, &mut text);
+            }
+        }
+        if let Ok(mut kept) = self.text.lock() {
+            *kept = text;
+        }
+        Ok(())
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn shutdown_with_timeout(&self, _: Duration) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn temporality(&self) -> Temporality {
+        Temporality::Cumulative
+    }
+}
+
+/// The instruments of a process.
+#[derive(Clone, Debug)]
+pub(crate) struct MetricSet {
+    exporter: TextExporter,
+    provider: SdkMeterProvider,
+    /// Requests by how they ended.
+    pub(crate) requests: Counter<u64>,
+    /// Attempts by how they ended.
+    pub(crate) attempts: Counter<u64>,
+    /// Seconds until the first byte of an answer.
+    pub(crate) first_byte: Histogram<f64>,
+    /// Requests in flight.
+    pub(crate) in_flight: Gauge<u64>,
+    /// Calls to the platform by kind.
+    pub(crate) platform_calls: Counter<u64>,
+    /// Bytes of control messages sent.
+    pub(crate) control_bytes: Counter<u64>,
+    /// The configuration revision in force.
+    pub(crate) revision: Gauge<u64>,
+}
+
+impl MetricSet {
+    pub(crate) fn start() -> Self {
+        let exporter = TextExporter::default();
+        let reader = PeriodicReader::builder(exporter.clone());
+        let reader = reader.with_interval(IDLE_PERIOD).build();
+        let provider = SdkMeterProvider::builder().with_reader(reader).build();
+        let meter = provider.meter("applefold");
+        Self {
+            requests: meter.u64_counter("applefold_requests").build(),
+            attempts: meter.u64_counter("applefold_attempts").build(),
+            first_byte: meter
+                .f64_histogram("applefold_first_byte_seconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            in_flight: meter.u64_gauge("applefold_in_flight").build(),
+            platform_calls: meter.u64_counter("applefold_platform_calls").build(),
+            control_bytes: meter.u64_counter("applefold_control_bytes").build(),
+            revision: meter.u64_gauge("applefold_revision").build(),
+            exporter,
+            provider,
+        }
+    }
+
+    /// Writes every metric in the Prometheus text form.
+    pub(crate) fn render(&self) -> String {
+        if self.provider.force_flush().is_err() {
+            return String::new();
+        }
+        let text = self.exporter.text.lock();
+        text.map_or_else(|_| String::new(), |text| text.clone())
+    }
+}
+
+fn render_metric(metric: &Metric, text: &mut String) {
+    match metric.data() {
+        AggregatedMetrics::U64(MetricData::Sum(sum)) => {
+            for point in sum.data_points() {
+                let labels = render_labels(point.attributes());
+                let _ = writeln!(text, "{}_total{labels} {}", metric.name(), point.value());
+            }
+        }
+        AggregatedMetrics::U64(MetricData::Gauge(gauge)) => {
+            for point in gauge.data_points() {
+                let labels = render_labels(point.attributes());
+                let _ = writeln!(text, "{}{labels} {}", metric.name(), point.value());
+            }
+        }
+        AggregatedMetrics::F64(MetricData::Histogram(histogram)) => {
+            for point in histogram.data_points() {
+                render_histogram(metric.name(), point, text);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn render_histogram(name: &str, point: &HistogramDataPoint<f64>, text: &mut String) {
+    let mut below = 0;
+    let bounds = point.bounds().map(|bound| bound.to_string());
+    let bounds = bounds.chain(std::iter::once("+Inf".to_owned()));
+    for (bound, count) in bounds.zip(point.bucket_counts()) {
+        below += count;
+        let _ = writeln!(text, "{name}_bucket{{le=\"{bound}\"}} {below}");
+    }
+    let _ = writeln!(text, "{name}_sum {}", point.sum());
+    let _ = writeln!(text, "{name}_count {}", point.count());
+}
+
+fn render_labels<'a, I>(attributes: I) -> String
+where
+    I: Iterator<Item = &'a KeyValue>,
+{
+    let pairs: Vec<String> = attributes
+        .map(|pair| format!("{}=\"{}\"", pair.key, pair.value))
+        .collect();
+    if pairs.is_empty() {
+        return String::new();
+    }
+    format!("{{{}}}", pairs.join(","))
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -0,0 +1,75 @@
+//! The process beside a backend server, the only one that talks to it.
+
+mod backend;
+mod fingerprint;
+mod runner;
+mod session;
+mod state;
+mod tally;
+mod watch;
+mod whole;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use applefold_core::id::{DomainId, InstanceId, PoolId};
+use applefold_core::unit::TimeSpan;
+use applefold_wire::applefold_capnp::session as session_capnp;
+use eyre::Result;
+
+use crate::link::gate::{self, GateOptions};
+use crate::link::secret::SecretRing;
+use crate::signal;
+
+use session::SidecarSession;
+use state::SidecarState;
+
+/// The checked settings of a sidecar.
+#[derive(Clone, Debug)]
+pub(crate) struct SidecarSettings {
+    pub(crate) peer_listen: SocketAddr,
+    pub(crate) metrics_listen: Option<SocketAddr>,
+    pub(crate) platform: SocketAddr,
+    pub(crate) backend: SocketAddr,
+    pub(crate) instance: InstanceId,
+    pub(crate) domain: DomainId,
+    pub(crate) pool: PoolId,
+    pub(crate) secrets: SecretRing,
+    pub(crate) slots: usize,
+    pub(crate) progress_timeout: TimeSpan,
+    pub(crate) drain_timeout: TimeSpan,
+    pub(crate) confirm_bound: TimeSpan,
+    pub(crate) trace_share: f64,
+}
+
+/// Runs until the process is told to stop and nothing is in flight.
+pub(crate) async fn run(settings: SidecarSettings) -> Result<()> {
+    let listener = gate::bind(settings.peer_listen).await?;
+    let options = GateOptions {
+        instance: settings.instance.to_string(),
+        secrets: settings.secrets.clone(),
+    };
+    let state = Rc::new(SidecarState::new(settings));
+    if let Some(address) = state.settings.metrics_listen {
+        crate::http::serve_metrics(address, state.metrics.clone()).await?;
+    }
+    let session: session_capnp::Client = capnp_rpc::new_client(SidecarSession::new(state.clone()));
+    actix_rt::spawn(gate::serve(listener, options, session));
+    actix_rt::spawn(watch::follow_load(state.clone()));
+    log::info!(instance = state.settings.instance.as_str(),
+        peers = state.settings.peer_listen.to_string(); "sidecar is serving");
+    signal::wait_stop().await?;
+    stop(&state).await;
+    Ok(())
+}
+
+async fn stop(state: &SidecarState) {
+    log::info!(in_flight = state.gate.in_flight(); "sidecar is draining");
+    state.gate.close();
+    let drained = signal::within(state.settings.drain_timeout, state.gate.wait_idle()).await;
+    if !drained {
+        log::warn!(in_flight = state.gate.in_flight(); "drain timeout passed, work is cut");
+    }
+    signal::linger().await;
+    log::info!("sidecar has stopped");
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/runner.rs
@@ -0,0 +1,164 @@
+//! Runs one attempt against the backend server and sends the answer back.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::unit::TimeSpan;
+use applefold_wire::applefold_capnp::answer_sink;
+use applefold_wire::dispatch::{AttemptEnd, DispatchMessage, HeadMessage, PartMessage};
+use opentelemetry::KeyValue;
+use tokio::sync::OwnedSemaphorePermit;
+
+use super::backend::{BackendAnswer, BackendFault};
+use super::state::SidecarState;
+use super::tally::TokenTally;
+use crate::trace::HopSpan;
+
+/// When a caller may try again after a refusal that passes.
+const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+/// How long the head of an answer may take at least, whatever the deadline.
+const MIN_HEAD_WAIT: TimeSpan = TimeSpan::from_secs(1);
+
+/// Counts a request among the waiting ones until it is dropped.
+struct WaitGuard<'a>(&'a Cell<u32>);
+
+impl<'a> WaitGuard<'a> {
+    fn enter(waiting: &'a Cell<u32>) -> Self {
+        waiting.set(waiting.get() + 1);
+        Self(waiting)
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Runs an attempt and says how it ended.
+pub(crate) async fn run(
+    state: &Rc<SidecarState>,
+    dispatch: DispatchMessage,
+    sink: answer_sink::Client,
+) -> AttemptEnd {
+    let parent = dispatch.traceparent.parse().ok();
+    let mut span = state.spans.begin("sidecar.attempt", parent.as_ref());
+    span.note("request", dispatch.id.request.to_string());
+    span.note("attempt", dispatch.id.attempt.0 as i64);
+    let end = run_checked(state, &dispatch, &sink, &span).await;
+    let label = end_label(&end);
+    span.note("end", label);
+    state
+        .metrics
+        .attempts
+        .add(1, &[KeyValue::new("end", label)]);
+    end
+}
+
+fn end_label(end: &AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Whole(_) => "whole",
+        AttemptEnd::NotRun(_) => "not_run",
+        AttemptEnd::Broken(_) => "broken",
+        AttemptEnd::Unknown(_) => "unknown",
+    }
+}
+
+async fn run_checked(
+    state: &Rc<SidecarState>,
+    dispatch: &DispatchMessage,
+    sink: &answer_sink::Client,
+    span: &HopSpan,
+) -> AttemptEnd {
+    if let Err(refusal) = state.check(dispatch) {
+        return AttemptEnd::NotRun(refusal);
+    }
+    let Some(_flight) = state.gate.enter() else {
+        let refusal = CallRefusal::passing(ResultCode::ServiceShutting, RETRY_SOON);
+        return AttemptEnd::NotRun(refusal);
+    };
+    let _slot = match wait_slot(state, dispatch).await {
+        Ok(slot) => slot,
+        Err(refusal) => return AttemptEnd::NotRun(refusal),
+    };
+    // A key may have been withdrawn while the request waited.
+    if let Err(refusal) = state.check(dispatch) {
+        return AttemptEnd::NotRun(refusal);
+    }
+    let wait = Duration::from_micros(dispatch.deadline.max(MIN_HEAD_WAIT).0);
+    let traceparent = span.traceparent();
+    let sent = state.backend.send(dispatch, &traceparent);
+    let unknown = CallRefusal::lasting(ResultCode::OutcomeUnknown);
+    match actix_rt::time::timeout(wait, sent).await {
+        Ok(Ok(answer)) => relay(state, dispatch, sink, answer).await,
+        Ok(Err(BackendFault::NotSent)) => {
+            AttemptEnd::NotRun(CallRefusal::passing(ResultCode::BackendMissing, RETRY_SOON))
+        }
+        Ok(Err(BackendFault::NoAnswer)) | Err(_) => AttemptEnd::Unknown(unknown),
+    }
+}
+
+async fn wait_slot(
+    state: &Rc<SidecarState>,
+    dispatch: &DispatchMessage,
+) -> Result<OwnedSemaphorePermit, CallRefusal> {
+    let _waiting = WaitGuard::enter(&state.waiting);
+    let limit = Duration::from_micros(dispatch.deadline.0);
+    let slots = state.slots.clone();
+    let slot = actix_rt::time::timeout(limit, slots.acquire_owned()).await;
+    let hopeless = CallRefusal::passing(ResultCode::DeadlineHopeless, RETRY_SOON);
+    slot.map_err(|_| hopeless)?.map_err(|_| hopeless)
+}
+
+async fn relay(
+    state: &Rc<SidecarState>,
+    dispatch: &DispatchMessage,
+    sink: &answer_sink::Client,
+    mut answer: BackendAnswer,
+) -> AttemptEnd {
+    let head = HeadMessage {
+        id: dispatch.id.clone(),
+        status: answer.status,
+        headers: std::mem::take(&mut answer.headers),
+    };
+    if send_head(sink, &head).await.is_err() {
+        return AttemptEnd::Broken(answer.check.seen());
+    }
+    let mut tally = TokenTally::default();
+    let limit = Duration::from_micros(state.settings.progress_timeout.0);
+    while let Ok(Some(piece)) = actix_rt::time::timeout(limit, answer.next()).await {
+        let offset = answer.check.seen();
+        answer.check.feed(&piece);
+        tally.feed(&piece);
+        let part = PartMessage {
+            id: dispatch.id.clone(),
+            offset,
+            data: piece.to_vec(),
+        };
+        if send_part(sink, &part).await.is_err() {
+            break;
+        }
+    }
+    let used = tally.finish();
+    log::debug!(request = dispatch.id.request.as_str(), tokens = used.answer.0; "answer ended");
+    match answer.check.is_whole() {
+        true => AttemptEnd::Whole(answer.check.seen()),
+        false => AttemptEnd::Broken(answer.check.seen()),
+    }
+}
+
+async fn send_head(sink: &answer_sink::Client, head: &HeadMessage) -> Result<(), capnp::Error> {
+    let mut request = sink.head_request();
+    head.write(request.get().init_head());
+    request.send().promise.await?;
+    Ok(())
+}
+
+async fn send_part(sink: &answer_sink::Client, part: &PartMessage) -> Result<(), capnp::Error> {
+    let mut request = sink.part_request();
+    part.write(request.get().init_part());
+    request.send().promise.await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/session.rs
@@ -0,0 +1,77 @@
+//! What a sidecar offers to entries that have proved the secret.
+
+use std::rc::Rc;
+
+use applefold_core::config::ServingConfig;
+use applefold_wire::applefold_capnp::session;
+use applefold_wire::beat::BeatMessage;
+use applefold_wire::dispatch::{DispatchMessage, EndMessage};
+
+use super::runner;
+use super::state::SidecarState;
+
+/// The session of every peer; it holds nothing of one peer alone.
+pub(crate) struct SidecarSession {
+    state: Rc<SidecarState>,
+}
+
+impl SidecarSession {
+    pub(crate) fn new(state: Rc<SidecarState>) -> Self {
+        Self { state }
+    }
+}
+
+impl session::Server for SidecarSession {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: session::HeartbeatParams,
+        mut results: session::HeartbeatResults,
+    ) -> Result<(), capnp::Error> {
+        let beat = BeatMessage::read(params.get()?.get_beat()?)?;
+        let now = self.state.now();
+        self.state.config.merge(&beat.confirmation, now);
+        self.state.beat().write(results.get().init_beat());
+        Ok(())
+    }
+
+    async fn dispatch(
+        self: Rc<Self>,
+        params: session::DispatchParams,
+        mut results: session::DispatchResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let dispatch = DispatchMessage::read(params.get_dispatch()?)?;
+        let sink = params.get_sink()?;
+        let id = dispatch.id.clone();
+        self.state
+            .config
+            .merge(&dispatch.confirmation, self.state.now());
+        let end = runner::run(&self.state, dispatch, sink).await;
+        let end = EndMessage {
+            id,
+            end,
+            load: self.state.load_note(),
+            confirmation: self.state.config.note(self.state.now()),
+        };
+        end.write(results.get().init_end());
+        Ok(())
+    }
+
+    async fn configure(
+        self: Rc<Self>,
+        params: session::ConfigureParams,
+        mut results: session::ConfigureResults,
+    ) -> Result<(), capnp::Error> {
+        let update = params.get()?.get_update()?;
+        let text = update.get_body()?.to_str()?;
+        let config = ServingConfig::from_json(text);
+        let config = config.map_err(|error| capnp::Error::failed(error.to_string()))?;
+        if self.state.config.apply(config) {
+            let revision = self.state.config.revision();
+            self.state.metrics.revision.record(revision.0, &[]);
+            log::info!(revision = revision.0; "configuration is in force");
+        }
+        results.get().set_revision(self.state.config.revision().0);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/state.rs
@@ -0,0 +1,125 @@
+//! What a sidecar knows.
+
+use std::cell::Cell;
+use std::sync::Arc;
+
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::config::KeyLookup;
+use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_wire::beat::{BeatMessage, LoadNote};
+use applefold_wire::dispatch::DispatchMessage;
+use tokio::sync::Semaphore;
+
+use super::backend::BackendClient;
+use super::SidecarSettings;
+use crate::clock::MonotonicClock;
+use crate::confirm::ConfigCell;
+use crate::drain::DrainGate;
+use crate::metrics::MetricSet;
+use crate::trace::SpanSource;
+
+/// When a caller may try again after a refusal that another instance can turn.
+const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+
+/// The state of a sidecar, shared by its tasks.
+pub(crate) struct SidecarState {
+    pub(crate) settings: SidecarSettings,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) config: ConfigCell,
+    pub(crate) gate: DrainGate,
+    pub(crate) slots: Arc<Semaphore>,
+    pub(crate) waiting: Cell<u32>,
+    pub(crate) backend: BackendClient,
+    pub(crate) load: Cell<LoadNote>,
+    pub(crate) metrics: MetricSet,
+    pub(crate) spans: SpanSource,
+}
+
+impl SidecarState {
+    pub(crate) fn new(settings: SidecarSettings) -> Self {
+        Self {
+            clock: MonotonicClock::start(),
+            config: ConfigCell::default(),
+            gate: DrainGate::default(),
+            slots: Arc::new(Semaphore::new(settings.slots)),
+            waiting: Cell::new(0),
+            backend: BackendClient::new(settings.backend),
+            load: Cell::new(LoadNote::default()),
+            metrics: MetricSet::start(),
+            spans: SpanSource::start(settings.trace_share),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Returns the load as entries should see it.
+    pub(crate) fn load_note(&self) -> LoadNote {
+        let busy = self.settings.slots - self.slots.available_permits();
+        LoadNote {
+            running: busy as u32,
+            waiting: self.waiting.get(),
+            draining: self.gate.is_closed(),
+            ..self.load.get()
+        }
+    }
+
+    pub(crate) fn beat(&self) -> BeatMessage {
+        let now = self.now();
+        BeatMessage {
+            instance: self.settings.instance.clone(),
+            domain: self.settings.domain.clone(),
+            confirmation: self.config.note(now),
+            load: self.load_note(),
+            teams: Vec::new(),
+            suspects: Vec::new(),
+            stopping: self.gate.is_closed(),
+        }
+    }
+
+    /// Checks a request against this process's own configuration, so that an
+    /// entry that is behind cannot let a withdrawn key through.
+    pub(crate) fn check(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
+        self.check_confirmed(dispatch)?;
+        self.config.with(|config| {
+            let service = config.services().get(&dispatch.service);
+            let unknown = CallRefusal::passing(ResultCode::BackendMismatch, RETRY_SOON);
+            let service = service.ok_or(unknown)?;
+            if service.pool != self.settings.pool {
+                return Err(unknown);
+            }
+            if service.open {
+                return Ok(());
+            }
+            let refused = CallRefusal::lasting(ResultCode::KeyRefused);
+            let key = dispatch.key.as_ref().ok_or(refused)?;
+            let key = match config.key_named(key) {
+                KeyLookup::Active(key) => key,
+                KeyLookup::Unknown | KeyLookup::Withdrawn(_) => return Err(refused),
+            };
+            let team = dispatch.team.as_ref().ok_or(refused)?;
+            if key.team != *team {
+                return Err(refused);
+            }
+            if !service.allows(team) {
+                return Err(CallRefusal::lasting(ResultCode::TeamForbidden));
+            }
+            Ok(())
+        })
+    }
+
+    fn check_confirmed(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
+        let note = self.config.note(self.now());
+        let behind = note.revision < dispatch.confirmation.revision;
+        let stale = note.age > self.settings.confirm_bound && !note.reach_holds;
+        if behind || stale {
+            return Err(CallRefusal::passing(
+                ResultCode::ConfigUnconfirmed,
+                RETRY_SOON,
+            ));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/watch.rs
@@ -0,0 +1,27 @@
+//! Follows the load that the backend server reports.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_wire::beat::LoadNote;
+
+use super::state::SidecarState;
+
+const LOAD_PERIOD: Duration = Duration::from_millis(500);
+
+/// Asks for the load again and again.
+pub(crate) async fn follow_load(state: Rc<SidecarState>) {
+    loop {
+        let note = state.backend.load().await;
+        let missing = LoadNote {
+            healthy: false,
+            ..state.load.get()
+        };
+        let healthy = |note| LoadNote {
+            healthy: true,
+            ..note
+        };
+        state.load.set(note.map_or(missing, healthy));
+        actix_rt::time::sleep(LOAD_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/signal.rs
@@ -0,0 +1,37 @@
+//! Stopping on request.
+
+use std::future::Future;
+use std::time::Duration;
+
+use applefold_core::unit::TimeSpan;
+use eyre::{Result, WrapErr};
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Lets the last answers leave the socket before the process ends.
+const LINGER: Duration = Duration::from_millis(100);
+
+/// Returns when the process is told to stop.
+pub(crate) async fn wait_stop() -> Result<()> {
+    let context = || "could not listen for signals";
+    let mut terminate = signal(SignalKind::terminate()).wrap_err_with(context)?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err_with(context)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Waits for `future`, at most for `span`; returns whether it ended.
+pub(crate) async fn within<F>(span: TimeSpan, future: F) -> bool
+where
+    F: Future<Output = ()>,
+{
+    let limit = Duration::from_micros(span.0);
+    actix_rt::time::timeout(limit, future).await.is_ok()
+}
+
+/// Waits until the kernel has the last answers.
+pub(crate) async fn linger() {
+    actix_rt::time::sleep(LINGER).await;
+}
--- /dev/null
+++ b/crates/daemon/src/trace.rs
@@ -0,0 +1,139 @@
+//! Trace contexts and spans, one span for each hop of a request.
+
+use std::str::FromStr;
+
+use opentelemetry::trace::{
+    Span, SpanContext, SpanId, SpanKind, TraceContextExt, TraceFlags, TraceId, TraceState, Tracer,
+    TracerProvider,
+};
+use opentelemetry::{Context, KeyValue};
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::trace::{Sampler, SdkTracer, SdkTracerProvider, SpanData, SpanExporter};
+use smol_str::{format_smolstr, SmolStr};
+
+const TRACEPARENT_VERSION: &str = "00";
+
+/// Writes ended spans to the log.
+#[derive(Debug)]
+struct LogExporter;
+
+impl SpanExporter for LogExporter {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        for span in batch {
+            log_span(&span);
+        }
+        Ok(())
+    }
+}
+
+fn log_span(span: &SpanData) {
+    let took = span.end_time.duration_since(span.start_time);
+    let micros = took.map_or(0, |span| span.as_micros() as u64);
+    let fields: Vec<String> = span
+        .attributes
+        .iter()
+        .map(|field| format!("{}={}", field.key, field.value))
+        .collect();
+    log::info!(
+        target: "applefoldd::span",
+        trace = span.span_context.trace_id().to_string(),
+        span = span.span_context.span_id().to_string(),
+        parent = span.parent_span_id.to_string(),
+        took_us = micros,
+        fields = fields.join(" ");
+        "{}", span.name
+    );
+}
+
+/// Makes the spans of this process.
+#[derive(Clone, Debug)]
+pub(crate) struct SpanSource {
+    tracer: SdkTracer,
+}
+
+impl SpanSource {
+    /// Samples `share` of the traces that begin here; a caller's choice is kept.
+    pub(crate) fn start(share: f64) -> Self {
+        let sampler = Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(share)));
+        let provider = SdkTracerProvider::builder()
+            .with_simple_exporter(LogExporter)
+            .with_sampler(sampler)
+            .build();
+        let tracer = provider.tracer("applefold");
+        Self { tracer }
+    }
+
+    /// Begins the span of a hop under the context that the caller sent.
+    pub(crate) fn begin(&self, name: &'static str, parent: Option<&TraceParent>) -> HopSpan {
+        let context = match parent {
+            Some(parent) => Context::new().with_remote_span_context(parent.0.clone()),
+            None => Context::new(),
+        };
+        let builder = self.tracer.span_builder(name).with_kind(SpanKind::Server);
+        let span = self.tracer.build_with_context(builder, &context);
+        HopSpan { span }
+    }
+}
+
+/// The span of one hop; it ends when it is dropped.
+#[derive(Debug)]
+pub(crate) struct HopSpan {
+    span: opentelemetry_sdk::trace::Span,
+}
+
+impl HopSpan {
+    pub(crate) fn note<V>(&mut self, key: &'static str, value: V)
+    where
+        V: Into<opentelemetry::Value>,
+    {
+        self.span.set_attribute(KeyValue::new(key, value));
+    }
+
+    /// Returns the header that carries this span to the next hop.
+    pub(crate) fn traceparent(&self) -> SmolStr {
+        let context = self.span.span_context();
+        format_smolstr!(
+            "{TRACEPARENT_VERSION}-{}-{}-{:02x}",
+            context.trace_id(),
+            context.span_id(),
+            context.trace_flags().to_u8()
+        )
+    }
+}
+
+/// A trace context that came from the hop before.
+#[derive(Clone, Debug)]
+pub(crate) struct TraceParent(SpanContext);
+
+/// The error of a text that is not a trace context.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TraceParentError;
+
+impl std::fmt::Display for TraceParentError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a version, trace, span and flags in hexadecimal")
+    }
+}
+
+impl std::error::Error for TraceParentError {}
+
+impl FromStr for TraceParent {
+    type Err = TraceParentError;
+
+    fn from_str(text: &str) -> Result<Self, TraceParentError> {
+        let malformed = || TraceParentError;
+        let fields: Vec<&str> = text.split('-').collect();
+        let [_, trace, span, flags] = fields[..] else {
+            return Err(malformed());
+        };
+        let trace = TraceId::from_hex(trace).map_err(|_| malformed())?;
+        let span = SpanId::from_hex(span).map_err(|_| malformed())?;
+        let flags = u8::from_str_radix(flags, 16).map_err(|_| malformed())?;
+        let flags = TraceFlags::new(flags);
+        let context = SpanContext::new(trace, span, flags, true, TraceState::default());
+        if !context.is_valid() {
+            return Err(malformed());
+        }
+        Ok(Self(context))
+    }
+}
