--- a/crates/core/src/claim/load.rs
+++ b/crates/core/src/claim/load.rs
@@ -1,7 +1,8 @@
 //! Taking a shard over: reading its buckets and shutting earlier owners out.
 
 use super::record::BucketRecord;
-use crate::claim::store::{CallNumber, StoreEntry, StoreKey, StoreVersion};
+use super::store::{CallNumber, StoreEntry, StoreKey, StoreReply, StoreVersion};
+use crate::id::FencingNumber;
 use crate::unit::TimePoint;
 
 /// A bucket as it was read.
@@ -70,6 +71,15 @@
         true
     }
 
+    /// Returns whether a later owner has written already.
+    pub(super) fn is_outranked(&self, fencing: FencingNumber, reply: &StoreReply) -> bool {
+        let StoreReply::Listed(entries) = reply else {
+            return false;
+        };
+        let buckets = entries.iter().filter_map(LoadedBucket::parse);
+        buckets.map(|b| b.record.token.fencing).any(|f| f > fencing)
+    }
+
     pub(super) fn next_number(&self) -> u64 {
         self.buckets.last().map_or(1, |bucket| bucket.number + 1)
     }
--- a/crates/core/src/claim/record.rs
+++ b/crates/core/src/claim/record.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::store::StoreKey;
 use super::{ClaimKey, KeptAnswer, RequestFingerprint};
-use crate::claim::store::StoreKey;
 use crate::id::{FencingNumber, RequestId, ShardId};
 use crate::lease::HolderName;
 use crate::unit::{ByteSize, TimeSpan};
--- a/crates/core/src/claim/shard.rs
+++ b/crates/core/src/claim/shard.rs
@@ -6,12 +6,12 @@
 use super::record::{
     answer_kind, bucket_key, shard_prefix, BatchToken, BucketText, EntryKind, EntryRecord,
 };
+use super::store::{CallNumber, StoreAnswer, StoreCall, StoreReply, StoreVersion};
 use super::table::{ClaimRow, ClaimTable, EntryNumber, RowState};
 use super::writer::{BatchFate, BatchWriter, ClosedBucket, QueuedEntry};
 use super::{
     ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimOutcome, ClaimReport, ClaimVerdict,
 };
-use crate::claim::store::{CallNumber, StoreAnswer, StoreCall, StoreReply, StoreVersion};
 use crate::code::{CallRefusal, ResultCode};
 use crate::id::{FencingNumber, ShardId};
 use crate::lease::HolderName;
@@ -286,7 +286,10 @@
                     self.confirm(&entry, actions);
                 }
             }
-            BatchFate::Outranked => actions.extend(self.begin(now, self.token.fencing)),
+            BatchFate::Outranked(fencing) if fencing > self.token.fencing => {
+                actions.extend(self.end(now));
+            }
+            BatchFate::Outranked(_) => actions.extend(self.begin(now, self.token.fencing)),
         }
     }
 
@@ -311,6 +314,10 @@
             return;
         };
         state.call = None;
+        if state.is_outranked(self.token.fencing, &reply) {
+            self.phase = ShardPhase::Idle;
+            return;
+        }
         let going = match (state.step, reply) {
             (LoadStep::List, StoreReply::Listed(entries)) => {
                 let whole = entries.len() < self.options.page_limit;
--- a/crates/core/src/claim/table.rs
+++ b/crates/core/src/claim/table.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::record::{EntryKind, EntryRecord};
+use super::store::CallNumber;
 use super::{ClaimKey, ClaimOptions, KeptAnswer, RequestFingerprint};
-use crate::claim::store::CallNumber;
 use crate::id::RequestId;
 use crate::unit::{ByteSize, TimePoint, TimeSpan};
 
--- a/crates/core/src/claim/writer.rs
+++ b/crates/core/src/claim/writer.rs
@@ -1,11 +1,11 @@
 //! Writing batches of entries, one at a time, and settling lost answers.
 
-use super::record::{bucket_key, BatchToken, BucketText, EntryRecord};
+use super::record::{bucket_key, BatchToken, BucketRecord, BucketText, EntryRecord};
 use super::store::{CallNumber, StoreAnswer, StoreCall, StoreVersion};
 use super::table::EntryNumber;
 use super::write::{StoreWrite, WriteFate};
 use super::ClaimOptions;
-use crate::id::ShardId;
+use crate::id::{FencingNumber, ShardId};
 use crate::unit::{TimePoint, TimeSpan};
 
 /// An entry that is to be written.
@@ -43,8 +43,9 @@
         entries: Vec<QueuedEntry>,
         closed: Option<(u64, ClosedBucket)>,
     },
-    /// Another owner has written; none of the open entries may be relied on.
-    Outranked,
+    /// Another owner has written, under this number where it is known; none of
+    /// the open entries may be relied on.
+    Outranked(FencingNumber),
 }
 
 /// Appends batches to the open bucket.
@@ -140,7 +141,10 @@
         match fate {
             WriteFate::Open => BatchFate::Open,
             WriteFate::Written(version) => self.finish(version),
-            WriteFate::Overtaken(_) => BatchFate::Outranked,
+            WriteFate::Overtaken(entry) => {
+                let record = entry.and_then(|entry| BucketRecord::parse(&entry.value));
+                BatchFate::Outranked(record.map_or(self.token.fencing, |r| r.token.fencing))
+            }
         }
     }
 
