--- a/crates/core/tests/claim.rs
+++ b/crates/core/tests/claim.rs
@@ -57,8 +57,8 @@
 
 fn small_options() -> ClaimOptions {
     ClaimOptions {
-        bucket_limit: ByteSize(600),
-        page_limit: 2,
+        bucket_limit: ByteSize(250),
+        page_limit: 1,
         ..ClaimOptions::default()
     }
 }
@@ -596,6 +596,45 @@
     assert_eq!(bench.replies[&CallNumber(2)], ClaimVerdict::Granted);
 }
 
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    let mut shard = ClaimShard::new(ShardId(3), holder(0), ClaimOptions::default());
+    let mut store = FakeStore::default();
+    let mut now = TimePoint::START;
+    let mut actions = shard.begin(now, FencingNumber(1));
+    let (mut lose, mut reads, mut verdicts) = (false, 0, Vec::new());
+    for round in 0..100 {
+        now = now + TimeSpan::from_millis(10);
+        if round == 50 {
+            let call = CallNumber(1);
+            let ask = ask(1, 1);
+            actions = shard.handle(now, ClaimEvent::Ask { call, ask });
+            lose = true;
+        }
+        actions.extend(shard.tick(now));
+        for action in std::mem::take(&mut actions) {
+            match action {
+                ClaimAction::Reply { verdict, .. } => verdicts.push(verdict),
+                ClaimAction::Settled { .. } => {}
+                ClaimAction::Store(call) => {
+                    reads += u64::from(matches!(call, StoreCall::Get { .. }));
+                    let reply = store.apply(&call);
+                    let reply = if std::mem::take(&mut lose) {
+                        StoreReply::Failed
+                    } else {
+                        reply
+                    };
+                    let call = call.call();
+                    let event = ClaimEvent::Stored(StoreAnswer { call, reply });
+                    actions.extend(shard.handle(now, event));
+                }
+            }
+        }
+    }
+    assert_eq!(verdicts, [ClaimVerdict::Granted]);
+    assert_eq!(reads, 1);
+}
+
 #[test]
 fn writes_and_rows_are_bounded_at_any_load() {
     let options = ClaimOptions {
