--- a/crates/core/tests/claim.rs
+++ b/crates/core/tests/claim.rs
@@ -653,14 +653,14 @@
     };
     let reply = store.apply(&page);
     let mut granted = 0;
-    for key in 1..4 {
+    for key in 1..6 {
         now = now + TimeSpan::from_millis(200);
         let call = CallNumber(key);
         let ask = ask(key, key);
         let actions = old.handle(now, ClaimEvent::Ask { call, ask });
         granted += serve(&mut old, &mut store, now, actions).len();
     }
-    assert_eq!(granted, 3);
+    assert_eq!(granted, 5);
     let call = page.call();
     let actions = new.handle(now, ClaimEvent::Stored(StoreAnswer { call, reply }));
     serve(&mut new, &mut store, now, actions);
@@ -669,7 +669,7 @@
         let actions = new.tick(now);
         serve(&mut new, &mut store, now, actions);
     }
-    for key in 1..4 {
+    for key in 1..6 {
         let call = CallNumber(10 + key);
         let ask = ask(key, 10 + key);
         let actions = new.handle(now, ClaimEvent::Ask { call, ask });
