--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -62,6 +62,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(&self.0)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod memory;
 pub mod naive;
 pub mod order;
+pub mod rank;
 pub mod retry;
 pub mod routing;
 pub mod ticket;
--- a/crates/core/src/routing/subset.rs
+++ b/crates/core/src/routing/subset.rs
@@ -1,9 +1,7 @@
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
-use sha2::{Digest, Sha256};
-
 use crate::id::{BackendId, InstanceId};
+use crate::rank;
 
 /// The backend servers that one entry keeps connections to.
 ///
@@ -20,10 +18,8 @@
     where
         I: IntoIterator<Item = &'a BackendId>,
     {
-        let mut ranked: Vec<&BackendId> = backends.into_iter().collect();
-        ranked.sort_by_cached_key(|backend| (Reverse(rank(instance, backend)), (*backend).clone()));
-        ranked.truncate(size);
-        Self(ranked.into_iter().cloned().collect())
+        let chosen = rank::highest(instance.as_str(), backends, size);
+        Self(chosen.into_iter().cloned().collect())
     }
 
     /// Returns the backend servers of the subset.
@@ -31,14 +27,3 @@
         &self.0
     }
 }
-
-fn rank(instance: &InstanceId, backend: &BackendId) -> [u8; 8] {
-    let mut hasher = Sha256::new();
-    hasher.update(instance.as_str());
-    hasher.update([0]);
-    hasher.update(backend.as_str());
-    let digest = hasher.finalize();
-    let mut rank = [0; 8];
-    rank.copy_from_slice(&digest[..8]);
-    rank
-}
--- a/crates/daemon/src/cmd/args.rs
+++ b/crates/daemon/src/cmd/args.rs
@@ -66,6 +66,9 @@
     /// longest time to serve on an unconfirmed configuration (APPLEFOLD_CONFIRM_BOUND, 6s)
     #[argh(option)]
     pub(crate) confirm_bound: Option<String>,
+    /// length of a usage window, the same for all processes (APPLEFOLD_USAGE_WINDOW, 60s)
+    #[argh(option)]
+    pub(crate) usage_window: Option<String>,
     /// share of traces that are written, from 0 to 1 (APPLEFOLD_TRACE_SHARE, 1)
     #[argh(option)]
     pub(crate) trace_share: Option<String>,
@@ -120,6 +123,9 @@
     /// longest time to serve on an unconfirmed configuration (APPLEFOLD_CONFIRM_BOUND, 6s)
     #[argh(option)]
     pub(crate) confirm_bound: Option<String>,
+    /// length of a usage window, the same for all processes (APPLEFOLD_USAGE_WINDOW, 60s)
+    #[argh(option)]
+    pub(crate) usage_window: Option<String>,
     /// share of traces that are written, from 0 to 1 (APPLEFOLD_TRACE_SHARE, 1)
     #[argh(option)]
     pub(crate) trace_share: Option<String>,
--- a/crates/daemon/src/cmd/sidecar.rs
+++ b/crates/daemon/src/cmd/sidecar.rs
@@ -117,6 +117,14 @@
         },
         TimeSpan::from_secs(6),
     );
+    let usage_window = reader.optional(
+        SettingSource {
+            flag: "--usage-window",
+            variable: "APPLEFOLD_USAGE_WINDOW",
+            given: args.usage_window.as_deref(),
+        },
+        TimeSpan::from_secs(60),
+    );
     let trace_share = reader.optional(
         SettingSource {
             flag: "--trace-share",
@@ -189,6 +197,7 @@
         progress_timeout,
         drain_timeout,
         confirm_bound,
+        usage_window,
         trace_share,
     };
     Ok(CheckedSettings {
--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -8,9 +8,10 @@
 use actix_http::header::{HeaderMap, AUTHORIZATION};
 use actix_http::{HttpMessage, Request, Response};
 use applefold_core::answer::{AnswerAssembler, AnswerShape};
+use applefold_core::claim::{ClaimAsk, ClaimKey, RequestFingerprint};
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::config::{key_digest, ServiceConfig, ServiceRoute, ServingConfig};
-use applefold_core::id::{ModelId, RequestId};
+use applefold_core::id::{IdempotencyKey, ModelId, RequestId, TeamId};
 use applefold_core::routing::PieceChain;
 use applefold_core::unit::{ByteSize, TimeSpan, TokenCount};
 use applefold_wire::dispatch::HeaderPair;
@@ -32,6 +33,7 @@
 const MODELS_PATH: &str = "/v1/models";
 const HEALTH_PATH: &str = "/healthz";
 const OPERATOR_PREFIX: &str = "/operator/";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 const BEARER: &str = "Bearer ";
 /// The largest body that is read before its service is known.
 const MAX_BODY: ByteSize = ByteSize(8 * 1024 * 1024);
@@ -107,7 +109,7 @@
         false => AnswerShape::Bytes { hold },
     };
     let assembler = AnswerAssembler::new(call.plan.request.clone(), shape);
-    let writer = ReplyWriter::new(sender, assembler);
+    let writer = ReplyWriter::new(sender, assembler, call.plan.repeatable);
     actix_rt::spawn(driver::drive(state.clone(), call.plan, writer, span));
     let lost = CallRefusal::lasting(ResultCode::OutcomeUnknown);
     receiver.await.unwrap_or(ReplyStart::Refused(lost))
@@ -136,11 +138,11 @@
             return Err(CallRefusal::lasting(ResultCode::RequestTooLarge));
         }
         let caller = find_caller(config, service, bearer.as_deref())?;
+        let caller_team = caller.as_ref().map(|caller| &caller.team);
         let internal = CallRefusal::lasting(ResultCode::RequestMalformed);
         let id: RequestId = request_id.parse().map_err(|_| internal)?;
         Ok(RequestPlan {
-            request: id,
-            caller,
+            caller: caller.clone(),
             service: service.id.clone(),
             pool: service.pool.clone(),
             model: probe.as_ref().map(|probe| probe.model.clone()),
@@ -156,7 +158,9 @@
                 .map_or(TokenCount::ZERO, |probe| probe.answer_tokens),
             priority: priority_of(service),
             chain: PieceChain::of_prompt(&body),
+            claim: claim_of(&request, service, caller_team, &id, &body)?,
             body,
+            request: id,
         })
     })?;
     Ok(Admitted::Planned(Box::new(PlannedCall {
@@ -257,6 +261,36 @@
     service.is_repeatable(request.path())
 }
 
+/// A call that may not be repeated claims the idempotency key that came with it.
+fn claim_of(
+    request: &Request,
+    service: &ServiceConfig,
+    team: Option<&TeamId>,
+    id: &RequestId,
+    body: &[u8],
+) -> Result<Option<ClaimAsk>, CallRefusal> {
+    let key = text_of(request.headers(), IDEMPOTENCY_HEADER);
+    let (Some(key), Some(team)) = (key, team) else {
+        return Ok(None);
+    };
+    if is_repeatable(service, request) {
+        return Ok(None);
+    }
+    let malformed = CallRefusal::lasting(ResultCode::RequestMalformed);
+    let key: IdempotencyKey = key.parse().map_err(|_| malformed)?;
+    let method = request.method().as_str();
+    let path = request.uri().path_and_query();
+    let path = path.map_or(request.path(), |path| path.as_str());
+    Ok(Some(ClaimAsk {
+        claim: ClaimKey {
+            team: team.clone(),
+            key,
+        },
+        fingerprint: RequestFingerprint::of(team, method, path, body),
+        request: id.clone(),
+    }))
+}
+
 fn passed_headers(headers: &HeaderMap) -> Vec<HeaderPair> {
     let passed = PASSED_HEADERS.iter().filter_map(|name| {
         let value = text_of(headers, name)?;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -123,7 +123,10 @@
 ) -> Result<WireEnd> {
     let end = EndMessage::read(end)?;
     if end.id != dispatch.id {
-        bail!("{} the end of another attempt came", ResultCode::AnswerCrossed);
+        bail!(
+            "{} the end of another attempt came",
+            ResultCode::AnswerCrossed
+        );
     }
     state.config.merge(&end.confirmation, state.now());
     links::note_load(state, &choice.instance, &end.load);
--- /dev/null
+++ b/crates/daemon/src/entry/authority.rs
@@ -0,0 +1,239 @@
+//! Holds the leases of this entry and tells the work done under them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::claim::CLAIM_SHARDS;
+use applefold_core::id::{FencingNumber, InstanceId, ScopeId, ShardId};
+use applefold_core::lease::{
+    HolderName, LeaseAction, LeaseAnswer, LeaseHolder, LeaseOptions, LeaseReply,
+};
+use applefold_core::rank;
+
+use super::state::EntryState;
+use super::{claims, usage};
+use crate::platform::message::{LeaseAsk, LeaseAskKind};
+
+/// Several steps fit within the margin of a lease.
+const STEP_PERIOD: Duration = Duration::from_millis(200);
+/// How many entries ask for one lease.
+const CANDIDATES: usize = 3;
+const USAGE_SCOPE: &str = "usage";
+
+/// The work that is done under one lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum WorkScope {
+    /// The claims of a shard.
+    Claims(ShardId),
+    /// Sealing and reporting usage.
+    Usage,
+}
+
+impl WorkScope {
+    fn all() -> impl Iterator<Item = Self> {
+        let shards = (0..CLAIM_SHARDS).map(|number| Self::Claims(ShardId(number)));
+        shards.chain([Self::Usage])
+    }
+
+    /// Returns the name of the lease.
+    fn scope_id(self) -> ScopeId {
+        let name = match self {
+            Self::Claims(shard) => format!("claims:{shard}"),
+            Self::Usage => USAGE_SCOPE.to_owned(),
+        };
+        name.parse().expect("the name is an identifier")
+    }
+
+    fn options(self) -> LeaseOptions {
+        match self {
+            Self::Claims(_) => LeaseOptions::store_fenced(),
+            Self::Usage => LeaseOptions::default(),
+        }
+    }
+}
+
+struct ScopeRow {
+    lease: LeaseHolder,
+    /// Who held the lease when the platform last said so.
+    owner: Option<InstanceId>,
+}
+
+/// The leases that this entry holds or wants.
+pub(crate) struct LeaseTable {
+    rows: RefCell<BTreeMap<WorkScope, ScopeRow>>,
+}
+
+/// A lease as operators see it.
+pub(crate) struct LeaseNote {
+    pub(crate) scope: ScopeId,
+    pub(crate) owner: Option<InstanceId>,
+    pub(crate) fencing: Option<FencingNumber>,
+}
+
+impl LeaseTable {
+    pub(crate) fn new(holder: &HolderName) -> Self {
+        let rows = WorkScope::all().map(|work| {
+            let lease = LeaseHolder::new(work.scope_id(), holder.clone(), work.options());
+            (work, ScopeRow { lease, owner: None })
+        });
+        let rows = RefCell::new(rows.collect());
+        Self { rows }
+    }
+
+    /// Looks at a lease in the step that acts under it.
+    pub(crate) fn with<T, F>(&self, work: WorkScope, look: F) -> Option<T>
+    where
+        F: FnOnce(&LeaseHolder) -> T,
+    {
+        self.rows.borrow().get(&work).map(|row| look(&row.lease))
+    }
+
+    /// Returns who held the lease when the platform last said so.
+    pub(crate) fn owner(&self, work: WorkScope) -> Option<InstanceId> {
+        self.rows.borrow().get(&work)?.owner.clone()
+    }
+
+    pub(crate) fn notes(&self, state: &EntryState) -> Vec<LeaseNote> {
+        let rows = self.rows.borrow();
+        let notes = rows.values().map(|row| LeaseNote {
+            scope: row.lease.scope().clone(),
+            owner: row.owner.clone(),
+            fencing: row.lease.authority(state.now()).map(|held| held.fencing()),
+        });
+        notes.collect()
+    }
+}
+
+/// Keeps the leases until the process ends.
+pub(crate) async fn follow(state: Rc<EntryState>) {
+    loop {
+        if !state.gate.is_closed() {
+            let wanted = WorkScope::all().filter(|work| is_candidate(&state, *work));
+            for work in wanted {
+                let actions = step(&state, work, LeaseHolder::tick);
+                perform(&state, work, actions);
+            }
+        }
+        actix_rt::time::sleep(STEP_PERIOD).await;
+    }
+}
+
+/// Only a few entries ask for each lease, so that the calls to the platform do
+/// not grow with the entries. A holder goes on asking, to renew.
+fn is_candidate(state: &EntryState, work: WorkScope) -> bool {
+    let held = state
+        .leases
+        .with(work, |lease| lease.authority(state.now()).is_some());
+    if held.unwrap_or(false) {
+        return true;
+    }
+    let entries = state.entries.borrow();
+    let scope = work.scope_id();
+    let candidates = rank::highest(scope.as_str(), entries.iter(), CANDIDATES);
+    candidates.contains(&state.settings.instance)
+}
+
+/// Gives every lease back, so that a successor need not wait.
+pub(crate) async fn release_all(state: &Rc<EntryState>) {
+    for work in WorkScope::all() {
+        let actions = step(state, work, LeaseHolder::release);
+        for action in actions {
+            match action {
+                LeaseAction::Release { fencing } => {
+                    let kind = LeaseAskKind::Release { fencing };
+                    ask(state, work, kind).await;
+                }
+                LeaseAction::End { .. } => end_work(state, work),
+                LeaseAction::Acquire { .. }
+                | LeaseAction::Renew { .. }
+                | LeaseAction::Begin { .. } => {}
+            }
+        }
+    }
+}
+
+fn step<F>(state: &EntryState, work: WorkScope, decide: F) -> Vec<LeaseAction>
+where
+    F: FnOnce(&mut LeaseHolder, applefold_core::unit::TimePoint) -> Vec<LeaseAction>,
+{
+    let mut rows = state.leases.rows.borrow_mut();
+    let row = rows.get_mut(&work);
+    row.map_or_else(Vec::new, |row| decide(&mut row.lease, state.now()))
+}
+
+fn perform(state: &Rc<EntryState>, work: WorkScope, actions: Vec<LeaseAction>) {
+    for action in actions {
+        match action {
+            LeaseAction::Acquire { call, ttl } => {
+                spawn_ask(state, work, call, LeaseAskKind::Acquire { ttl });
+            }
+            LeaseAction::Renew { call, fencing, ttl } => {
+                spawn_ask(state, work, call, LeaseAskKind::Renew { fencing, ttl });
+            }
+            LeaseAction::Release { fencing } => {
+                let state = state.clone();
+                let kind = LeaseAskKind::Release { fencing };
+                actix_rt::spawn(async move { ask(&state, work, kind).await });
+            }
+            LeaseAction::Begin { fencing } => begin_work(state, work, fencing),
+            LeaseAction::End { .. } => end_work(state, work),
+        }
+    }
+}
+
+fn spawn_ask(
+    state: &Rc<EntryState>,
+    work: WorkScope,
+    call: applefold_core::claim::store::CallNumber,
+    kind: LeaseAskKind,
+) {
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let reply = ask(&state, work, kind).await;
+        note_owner(&state, work, &reply);
+        let answer = LeaseAnswer { call, reply };
+        let actions = step(&state, work, |lease, now| lease.handle(now, answer));
+        perform(&state, work, actions);
+    });
+}
+
+async fn ask(state: &Rc<EntryState>, work: WorkScope, kind: LeaseAskKind) -> LeaseReply {
+    let holder = state.holder.clone();
+    let ask = LeaseAsk { holder, kind };
+    state.platform.lease(work.scope_id(), ask).await
+}
+
+fn note_owner(state: &EntryState, work: WorkScope, reply: &LeaseReply) {
+    let owner = match reply {
+        LeaseReply::Granted { .. } => Some(state.settings.instance.clone()),
+        LeaseReply::Held { holder, .. } => holder.as_ref().and_then(instance_of),
+        LeaseReply::Failed => return,
+    };
+    if let Some(row) = state.leases.rows.borrow_mut().get_mut(&work) {
+        row.owner = owner;
+    }
+}
+
+/// The name of a holder is that of its instance with the number of its run.
+fn instance_of(holder: &HolderName) -> Option<InstanceId> {
+    let (instance, _) = holder.as_str().rsplit_once(':')?;
+    instance.parse().ok()
+}
+
+fn begin_work(state: &Rc<EntryState>, work: WorkScope, fencing: FencingNumber) {
+    log::info!(scope = work.scope_id().as_str(), fencing = fencing.0; "authority has begun");
+    match work {
+        WorkScope::Claims(shard) => claims::begin(state, shard, fencing),
+        WorkScope::Usage => usage::begin(state, fencing),
+    }
+}
+
+fn end_work(state: &Rc<EntryState>, work: WorkScope) {
+    log::info!(scope = work.scope_id().as_str(); "authority has ended");
+    match work {
+        WorkScope::Claims(shard) => claims::end(state, shard),
+        WorkScope::Usage => usage::end(state),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/claims.rs
@@ -0,0 +1,214 @@
+//! Claims on idempotency keys: those that this entry owns, and the way to others.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::claim::store::{CallNumber, StoreCall};
+use applefold_core::claim::{
+    ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimReport, ClaimShard, ClaimVerdict,
+    CLAIM_SHARDS, CLAIM_WAIT,
+};
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::id::{FencingNumber, ShardId};
+use applefold_core::lease::HolderName;
+use applefold_core::unit::TimeSpan;
+use applefold_wire::claim as message;
+use eyre::{Result, WrapErr};
+use tokio::sync::oneshot;
+
+use super::authority::WorkScope;
+use super::state::EntryState;
+use crate::link::dial::PeerLink;
+
+const TICK_PERIOD: Duration = Duration::from_millis(50);
+const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+/// How often the report of an outcome is repeated until its owner takes it.
+const REPORT_TRIES: u32 = 20;
+const REPORT_PAUSE: Duration = Duration::from_millis(500);
+
+/// The shards, and who waits for their answers.
+pub(crate) struct ClaimDesk {
+    shards: RefCell<BTreeMap<ShardId, ClaimShard>>,
+    verdicts: RefCell<BTreeMap<CallNumber, oneshot::Sender<ClaimVerdict>>>,
+    settled: RefCell<BTreeMap<CallNumber, oneshot::Sender<bool>>>,
+    last_call: Cell<u64>,
+}
+
+impl ClaimDesk {
+    pub(crate) fn new(holder: &HolderName) -> Self {
+        let shards = (0..CLAIM_SHARDS).map(ShardId).map(|shard| {
+            let row = ClaimShard::new(shard, holder.clone(), ClaimOptions::default());
+            (shard, row)
+        });
+        Self {
+            shards: RefCell::new(shards.collect()),
+            verdicts: RefCell::default(),
+            settled: RefCell::default(),
+            last_call: Cell::new(0),
+        }
+    }
+
+    fn next_call(&self) -> CallNumber {
+        self.last_call.set(self.last_call.get() + 1);
+        CallNumber(self.last_call.get())
+    }
+}
+
+/// Takes a shard over.
+pub(crate) fn begin(state: &Rc<EntryState>, shard: ShardId, fencing: FencingNumber) {
+    let now = state.now();
+    let actions = step(state, shard, |row| row.begin(now, fencing));
+    perform(state, shard, actions);
+}
+
+/// Gives a shard up.
+pub(crate) fn end(state: &Rc<EntryState>, shard: ShardId) {
+    let now = state.now();
+    let actions = step(state, shard, |row| row.end(now));
+    perform(state, shard, actions);
+}
+
+/// Does what is timed.
+pub(crate) async fn follow(state: Rc<EntryState>) {
+    loop {
+        actix_rt::time::sleep(TICK_PERIOD).await;
+        let now = state.now();
+        for shard in (0..CLAIM_SHARDS).map(ShardId) {
+            let actions = step(&state, shard, |row| row.tick(now));
+            perform(&state, shard, actions);
+        }
+    }
+}
+
+fn step<F>(state: &EntryState, shard: ShardId, decide: F) -> Vec<ClaimAction>
+where
+    F: FnOnce(&mut ClaimShard) -> Vec<ClaimAction>,
+{
+    let mut shards = state.claims.shards.borrow_mut();
+    shards.get_mut(&shard).map_or_else(Vec::new, decide)
+}
+
+fn perform(state: &Rc<EntryState>, shard: ShardId, actions: Vec<ClaimAction>) {
+    for action in actions {
+        match action {
+            ClaimAction::Store(call) => spawn_store(state, shard, call),
+            ClaimAction::Reply { call, verdict } => {
+                if let Some(reply) = state.claims.verdicts.borrow_mut().remove(&call) {
+                    let _ = reply.send(verdict);
+                }
+            }
+            ClaimAction::Settled { call, taken } => {
+                if let Some(reply) = state.claims.settled.borrow_mut().remove(&call) {
+                    let _ = reply.send(taken);
+                }
+            }
+        }
+    }
+}
+
+fn spawn_store(state: &Rc<EntryState>, shard: ShardId, call: StoreCall) {
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let answer = state.platform.store(call).await;
+        let now = state.now();
+        let event = ClaimEvent::Stored(answer);
+        let actions = step(&state, shard, |row| row.handle(now, event));
+        perform(&state, shard, actions);
+    });
+}
+
+/// Asks the owner of a claim's shard, which may be this entry.
+pub(crate) async fn ask(state: &Rc<EntryState>, ask: ClaimAsk) -> ClaimVerdict {
+    let refusal = CallRefusal::passing(ResultCode::ClaimUnavailable, RETRY_SOON);
+    let shard = ask.claim.shard();
+    if is_owned(state, shard) {
+        return ask_here(state, ask).await;
+    }
+    let Some(link) = owner_link(state, shard) else {
+        return ClaimVerdict::Refused(refusal);
+    };
+    let asked = ask_there(&link, &ask).await;
+    asked.unwrap_or_else(|error| {
+        log::warn!(code = refusal.code.number(); "claim was not answered: {error:#}");
+        ClaimVerdict::Refused(refusal)
+    })
+}
+
+/// Decides a claim whose shard this entry owns.
+pub(crate) async fn ask_here(state: &Rc<EntryState>, ask: ClaimAsk) -> ClaimVerdict {
+    let shard = ask.claim.shard();
+    let call = state.claims.next_call();
+    let (reply, verdict) = oneshot::channel();
+    state.claims.verdicts.borrow_mut().insert(call, reply);
+    let now = state.now();
+    let event = ClaimEvent::Ask { call, ask };
+    let actions = step(state, shard, |row| row.handle(now, event));
+    perform(state, shard, actions);
+    let refusal = CallRefusal::passing(ResultCode::ClaimUnavailable, RETRY_SOON);
+    verdict.await.unwrap_or(ClaimVerdict::Refused(refusal))
+}
+
+async fn ask_there(link: &PeerLink, ask: &ClaimAsk) -> Result<ClaimVerdict> {
+    let mut request = link.session.claim_request();
+    message::write_ask(ask, request.get().init_ask());
+    let limit = Duration::from_micros(CLAIM_WAIT.0 * 2);
+    let reply = actix_rt::time::timeout(limit, request.send().promise).await;
+    let reply = reply.wrap_err("the shard's owner did not answer in time")??;
+    Ok(message::read_verdict(reply.get()?.get_verdict()?)?)
+}
+
+/// Tells the owner what became of a claimed request, until it is taken.
+pub(crate) async fn report(state: Rc<EntryState>, report: ClaimReport) {
+    for _ in 0..REPORT_TRIES {
+        if report_once(&state, &report).await {
+            return;
+        }
+        actix_rt::time::sleep(REPORT_PAUSE).await;
+    }
+    log::error!(request = report.request.as_str(); "the outcome of a claim was not taken");
+}
+
+async fn report_once(state: &Rc<EntryState>, report: &ClaimReport) -> bool {
+    let shard = report.claim.shard();
+    if is_owned(state, shard) {
+        return report_here(state, report.clone()).await;
+    }
+    let Some(link) = owner_link(state, shard) else {
+        return false;
+    };
+    report_there(&link, report).await.unwrap_or(false)
+}
+
+/// Notes the outcome of a claim whose shard this entry owns.
+pub(crate) async fn report_here(state: &Rc<EntryState>, report: ClaimReport) -> bool {
+    let shard = report.claim.shard();
+    let call = state.claims.next_call();
+    let (reply, taken) = oneshot::channel();
+    state.claims.settled.borrow_mut().insert(call, reply);
+    let now = state.now();
+    let event = ClaimEvent::Settle { call, report };
+    let actions = step(state, shard, |row| row.handle(now, event));
+    perform(state, shard, actions);
+    taken.await.unwrap_or(false)
+}
+
+async fn report_there(link: &PeerLink, report: &ClaimReport) -> Result<bool> {
+    let mut request = link.session.settle_request();
+    message::write_report(report, request.get().init_report());
+    let limit = Duration::from_micros(CLAIM_WAIT.0);
+    let reply = actix_rt::time::timeout(limit, request.send().promise).await;
+    let reply = reply.wrap_err("the shard's owner did not answer in time")??;
+    Ok(reply.get()?.get_taken())
+}
+
+fn is_owned(state: &EntryState, shard: ShardId) -> bool {
+    let shards = state.claims.shards.borrow();
+    shards.get(&shard).is_some_and(ClaimShard::is_ready)
+}
+
+fn owner_link(state: &EntryState, shard: ShardId) -> Option<PeerLink> {
+    let owner = state.leases.owner(WorkScope::Claims(shard))?;
+    state.links.borrow().peer(&owner)
+}
--- a/crates/daemon/src/entry/control.rs
+++ b/crates/daemon/src/entry/control.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use applefold_core::claim::store::StoreVersion;
 use applefold_core::id::Revision;
 use applefold_core::ticket::ChangeTicket;
 use applefold_core::unit::TimeSpan;
@@ -10,10 +11,11 @@
 
 use super::links;
 use super::state::EntryState;
-use crate::platform::message::StoreVersion;
 use crate::platform::PlatformResult;
 
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// The time that each entry adds to the period of reading the list.
+const LIST_SHARE: Duration = Duration::from_millis(10);
 const WATCH_SPAN: TimeSpan = TimeSpan::from_secs(1);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Where accepted tickets stand in the store.
@@ -24,6 +26,12 @@
     format!("{LOG_PREFIX}{:020}", revision.0)
 }
 
+/// All entries together read the list at a bounded rate, however many they are.
+fn list_period(entries: usize) -> Duration {
+    let shared = LIST_SHARE.saturating_mul(entries as u32);
+    LIST_PERIOD.max(shared)
+}
+
 /// Keeps the list of instances.
 pub(crate) async fn follow_instances(state: Rc<EntryState>) {
     loop {
@@ -31,7 +39,8 @@
             Ok(rows) => links::follow_list(&state, rows),
             Err(fault) => log::debug!("could not read the list of instances: {fault}"),
         }
-        actix_rt::time::sleep(LIST_PERIOD).await;
+        state.publish_use();
+        actix_rt::time::sleep(list_period(state.entries.borrow().len())).await;
     }
 }
 
--- a/crates/daemon/src/entry/decide.rs
+++ b/crates/daemon/src/entry/decide.rs
@@ -68,12 +68,7 @@
     }
 
     /// Adds a backend server, or changes what is said of it.
-    pub(crate) fn upsert(
-        &mut self,
-        listed: ListedBackend,
-        config: &ServingConfig,
-        now: TimePoint,
-    ) {
+    pub(crate) fn upsert(&mut self, listed: ListedBackend, config: &ServingConfig, now: TimePoint) {
         let kind = config.pools().get(&listed.pool).map(|pool| pool.kind);
         let role = match kind {
             Some(PoolKind::Plain) => BackendRole::Plain,
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -5,6 +5,7 @@
 
 use applefold_core::admission::AdmissionTicket;
 use applefold_core::answer::{AttemptEnd, AttemptOptions, AttemptPlan, NextStep};
+use applefold_core::claim::{ClaimOutcome, ClaimReport, ClaimVerdict, KeptAnswer};
 use applefold_core::code::{CallRefusal, ResultCode, RunState};
 use applefold_core::health::HealthSample;
 use applefold_core::id::{AttemptNumber, BackendId};
@@ -14,6 +15,7 @@
 use opentelemetry::KeyValue;
 
 use super::attempt;
+use super::claims;
 use super::links::LinkChoice;
 use super::plan::{AttemptInput, RequestPlan};
 use super::reply::ReplyWriter;
@@ -34,7 +36,7 @@
 ) {
     let arrived = state.now();
     let mut driver = RequestDriver::new(&state, &plan, writer);
-    let refusal = driver.run(&span).await.err();
+    let refusal = driver.run_claimed(&span).await.err();
     let code = refusal.map_or(0, |refusal| refusal.code.number());
     if let Some(refusal) = refusal {
         driver.writer.refuse(refusal).await;
@@ -66,7 +68,11 @@
 impl FlightGuard<'_> {
     fn note_first_token(&self) {
         if let Some(flight) = self.flight {
-            self.state.decisions.borrow_mut().backends.first_token(flight);
+            self.state
+                .decisions
+                .borrow_mut()
+                .backends
+                .first_token(flight);
         }
     }
 }
@@ -75,7 +81,11 @@
     fn drop(&mut self) {
         if let Some(flight) = self.flight {
             let now = self.state.now();
-            self.state.decisions.borrow_mut().backends.finish(flight, now);
+            self.state
+                .decisions
+                .borrow_mut()
+                .backends
+                .finish(flight, now);
         }
     }
 }
@@ -89,6 +99,8 @@
     ticket: Option<AdmissionTicket>,
     /// Whether an attempt may have been run, so that "not run" would not be true.
     may_have_run: bool,
+    /// The whole answer, for the claim to keep.
+    answer: Option<KeptAnswer>,
 }
 
 impl<'a> RequestDriver<'a> {
@@ -105,6 +117,41 @@
             excluded: BTreeSet::new(),
             ticket: None,
             may_have_run: false,
+            answer: None,
+        }
+    }
+
+    /// Runs the request under its claim, if it needs one.
+    async fn run_claimed(&mut self, span: &HopSpan) -> Result<(), CallRefusal> {
+        let Some(ask) = &self.plan.claim else {
+            return self.run(span).await;
+        };
+        match claims::ask(self.state, ask.clone()).await {
+            ClaimVerdict::Granted => {}
+            ClaimVerdict::Refused(refusal) => return Err(refusal),
+            ClaimVerdict::Kept(answer) => {
+                self.writer.repeat(answer);
+                return Ok(());
+            }
+        }
+        let ran = self.run(span).await;
+        let report = ClaimReport {
+            claim: ask.claim.clone(),
+            request: ask.request.clone(),
+            outcome: self.claim_outcome(ran),
+        };
+        actix_rt::spawn(claims::report(self.state.clone(), report));
+        ran
+    }
+
+    fn claim_outcome(&mut self, ran: Result<(), CallRefusal>) -> ClaimOutcome {
+        match ran {
+            Ok(()) => {
+                let answer = self.answer.take();
+                answer.map_or(ClaimOutcome::Unknown, ClaimOutcome::Answered)
+            }
+            Err(refusal) if refusal.code.run_state() == RunState::NotRun => ClaimOutcome::NotRun,
+            Err(_) => ClaimOutcome::Unknown,
         }
     }
 
@@ -144,7 +191,10 @@
         choice: &RouteChoice,
         now: TimePoint,
     ) -> Result<Option<AdmissionTicket>, CallRefusal> {
-        self.state.decisions.borrow_mut().admit(self.plan, choice, now)
+        self.state
+            .decisions
+            .borrow_mut()
+            .admit(self.plan, choice, now)
     }
 
     fn note_first_attempt(&self) {
@@ -177,7 +227,13 @@
             resume_tokens: self.writer.progress().resume_tokens,
         });
         let note_first = || flight.note_first_token();
-        let end = attempt::run(self.state, &chosen.link, &dispatch, &mut self.writer, note_first);
+        let end = attempt::run(
+            self.state,
+            &chosen.link,
+            &dispatch,
+            &mut self.writer,
+            note_first,
+        );
         let end = end.await;
         drop(flight);
         self.note_health(&chosen.candidate.backend, end, now);
@@ -185,7 +241,10 @@
     }
 
     fn begin_flight(&self, chosen: &ChosenBackend, now: TimePoint) -> FlightGuard<'a> {
-        let computed = self.plan.prompt_tokens.saturating_sub(chosen.candidate.cached);
+        let computed = self
+            .plan
+            .prompt_tokens
+            .saturating_sub(chosen.candidate.cached);
         let mut decisions = self.state.decisions.borrow_mut();
         let flight = decisions.begin(&chosen.candidate.backend, computed, now);
         FlightGuard {
@@ -222,6 +281,11 @@
         let step = self.attempts.end(number, end, self.writer.progress());
         match step.unwrap_or(NextStep::Refuse(unknown())) {
             NextStep::Finish => {
+                self.answer = self
+                    .plan
+                    .claim
+                    .as_ref()
+                    .and_then(|_| self.writer.held_answer());
                 self.writer.finish().await;
                 NextStep::Finish
             }
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -15,17 +15,19 @@
 
 use super::decide::ListedBackend;
 use super::state::EntryState;
+use super::usage;
 use crate::link::dial::{dial, PeerLink};
-use crate::platform::message::{InstanceRow, InstanceState};
+use crate::platform::message::{InstanceKind, InstanceRow, InstanceState};
 
 pub(crate) const BEAT_PERIOD: Duration = Duration::from_secs(1);
 /// A connection that has not answered for this long is replaced.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 const REDIAL_PAUSE: Duration = Duration::from_millis(250);
 
-/// A sidecar that this entry may send requests to.
+/// A peer that this entry keeps a connection to.
 pub(crate) struct LinkRow {
-    pub(crate) pool: PoolId,
+    /// The pool of a backend server; `None` for another entry.
+    pub(crate) pool: Option<PoolId>,
     pub(crate) domain: DomainId,
     pub(crate) address: SocketAddr,
     pub(crate) leaving: bool,
@@ -42,7 +44,7 @@
     }
 }
 
-/// Every sidecar that this entry may send requests to.
+/// Every peer that this entry keeps a connection to.
 #[derive(Default)]
 pub(crate) struct LinkTable {
     pub(crate) rows: BTreeMap<InstanceId, LinkRow>,
@@ -62,6 +64,18 @@
         let link = self.rows.get(&instance)?.link.clone()?;
         Some(LinkChoice { instance, link })
     }
+
+    /// Returns the connection to another entry, if there is one.
+    pub(crate) fn peer(&self, instance: &InstanceId) -> Option<PeerLink> {
+        let row = self.rows.get(instance).filter(|row| row.pool.is_none())?;
+        row.link.clone()
+    }
+
+    /// Returns every other entry's connection, `None` for one that is not reached.
+    pub(crate) fn peers(&self) -> Vec<Option<PeerLink>> {
+        let peers = self.rows.values().filter(|row| row.pool.is_none());
+        peers.map(|row| row.link.clone()).collect()
+    }
 }
 
 /// A backend server goes by the name of the instance that it runs on.
@@ -96,24 +110,48 @@
 pub(crate) fn follow_list(state: &Rc<EntryState>, listed: Vec<InstanceRow>) {
     let ids: BTreeSet<InstanceId> = listed.iter().map(|row| row.id.clone()).collect();
     forget_gone(state, &ids);
+    let entries = live_entries(&listed);
+    state
+        .decisions
+        .borrow_mut()
+        .admission
+        .set_listed(entries.len() as u32);
+    state.entries.replace(entries);
     for instance in listed {
-        let Some(pool) = usable_pool(state, &instance) else {
-            continue;
-        };
-        note_listed(state, &instance, &pool);
-        keep_row(state, &instance, pool);
-        note_standing(state, &instance.id);
+        match instance.kind {
+            InstanceKind::Entry if instance.id == state.settings.instance => {}
+            InstanceKind::Entry => keep_row(state, &instance, None),
+            InstanceKind::Backend => follow_backend(state, &instance),
+        }
     }
     let now = state.now();
     state.decisions.borrow_mut().tick(now);
 }
 
+fn live_entries(listed: &[InstanceRow]) -> BTreeSet<InstanceId> {
+    let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
+    let live = entries.filter(|row| row.state == InstanceState::Live);
+    live.map(|row| row.id.clone()).collect()
+}
+
+fn follow_backend(state: &Rc<EntryState>, instance: &InstanceRow) {
+    let Some(pool) = usable_pool(state, instance) else {
+        return;
+    };
+    note_listed(state, instance, &pool);
+    keep_row(state, instance, Some(pool));
+    note_standing(state, &instance.id);
+}
+
 fn forget_gone(state: &Rc<EntryState>, ids: &BTreeSet<InstanceId>) {
     let mut table = state.links.borrow_mut();
     let mut decisions = state.decisions.borrow_mut();
     table.rows.retain(|id, _| {
         let backend = backend_of(id);
-        let busy = decisions.backends.get(&backend).is_some_and(|row| row.in_flight() > 0);
+        let busy = decisions
+            .backends
+            .get(&backend)
+            .is_some_and(|row| row.in_flight() > 0);
         let kept = ids.contains(id) || busy;
         if !kept {
             decisions.remove(&backend);
@@ -150,10 +188,12 @@
     };
     let now = state.now();
     let mut decisions = state.decisions.borrow_mut();
-    state.config.with(|config| decisions.upsert(listed, config, now));
+    state
+        .config
+        .with(|config| decisions.upsert(listed, config, now));
 }
 
-fn keep_row(state: &Rc<EntryState>, instance: &InstanceRow, pool: PoolId) {
+fn keep_row(state: &Rc<EntryState>, instance: &InstanceRow, pool: Option<PoolId>) {
     let leaving = instance.state == InstanceState::Leaving || is_withdrawn(state, instance);
     let mut table = state.links.borrow_mut();
     let known = table.rows.get_mut(&instance.id);
@@ -162,7 +202,13 @@
         row.pool = pool;
         return;
     }
-    let task = actix_rt::spawn(keep(state.clone(), instance.id.clone(), instance.address));
+    let kind = instance.kind;
+    let task = actix_rt::spawn(keep(
+        state.clone(),
+        instance.id.clone(),
+        instance.address,
+        kind,
+    ));
     let row = LinkRow {
         pool,
         domain: instance.domain.clone(),
@@ -178,9 +224,14 @@
 }
 
 /// Keeps a connection to one sidecar, a new one whenever the old one ends.
-async fn keep(state: Rc<EntryState>, instance: InstanceId, address: SocketAddr) {
+async fn keep(
+    state: Rc<EntryState>,
+    instance: InstanceId,
+    address: SocketAddr,
+    kind: InstanceKind,
+) {
     loop {
-        let ended = keep_once(&state, &instance, address).await;
+        let ended = keep_once(&state, &instance, address, kind).await;
         if let Some(row) = state.links.borrow_mut().rows.get_mut(&instance) {
             row.link = None;
         }
@@ -196,37 +247,67 @@
     state: &Rc<EntryState>,
     instance: &InstanceId,
     address: SocketAddr,
+    kind: InstanceKind,
 ) -> Result<()> {
     let link = dial(address, &state.gate_options()).await?;
-    let kept = beat_on(state, instance, &link).await;
+    let kept = match kind {
+        InstanceKind::Entry => beat_entry(state, instance, &link).await,
+        InstanceKind::Backend => beat_backend(state, instance, &link).await,
+    };
     link.close();
     kept
 }
 
-async fn beat_on(state: &Rc<EntryState>, instance: &InstanceId, link: &PeerLink) -> Result<()> {
+/// Exchanges heartbeats with another entry.
+async fn beat_entry(state: &Rc<EntryState>, instance: &InstanceId, link: &PeerLink) -> Result<()> {
+    loop {
+        let beat = in_time(exchange(state, &link.session)).await?;
+        state.hear(&beat);
+        note_beat(state, instance, link, &beat);
+        actix_rt::time::sleep(BEAT_PERIOD).await;
+    }
+}
+
+/// Exchanges heartbeats with a sidecar, and keeps its configuration in step.
+async fn beat_backend(
+    state: &Rc<EntryState>,
+    instance: &InstanceId,
+    link: &PeerLink,
+) -> Result<()> {
+    let mut taken = 0;
     loop {
-        let beat = actix_rt::time::timeout(SILENCE_LIMIT, exchange(state, &link.session)).await;
-        let beat = beat.wrap_err("the peer went silent")??;
+        let beat = in_time(exchange(state, &link.session)).await?;
         note_beat(state, instance, link, &beat);
+        note_load(state, instance, &beat.load);
         if beat.confirmation.revision < state.config.revision() {
-            let pushed = actix_rt::time::timeout(SILENCE_LIMIT, push(state, &link.session)).await;
-            pushed.wrap_err("the peer went silent")??;
+            in_time(push(state, &link.session)).await?;
             continue;
         }
+        taken = in_time(usage::pull(state, &link.session, taken)).await?;
         actix_rt::time::sleep(BEAT_PERIOD).await;
     }
 }
 
+/// A peer that takes longer than the silence limit is given up.
+async fn in_time<T, F>(call: F) -> Result<T>
+where
+    F: std::future::Future<Output = Result<T>>,
+{
+    let answered = actix_rt::time::timeout(SILENCE_LIMIT, call).await;
+    answered.wrap_err("the peer went silent")?
+}
+
 fn note_beat(state: &Rc<EntryState>, instance: &InstanceId, link: &PeerLink, beat: &BeatMessage) {
     let now = state.now();
     state.config.merge(&beat.confirmation, now);
-    if let Some(row) = state.links.borrow_mut().rows.get_mut(instance) {
-        row.revision = beat.confirmation.revision;
-        row.last_beat = now;
-        let behind = row.revision < state.config.revision();
-        row.link = (!behind).then(|| link.clone());
-    }
-    note_load(state, instance, &beat.load);
+    let mut table = state.links.borrow_mut();
+    let Some(row) = table.rows.get_mut(instance) else {
+        return;
+    };
+    row.revision = beat.confirmation.revision;
+    row.last_beat = now;
+    let behind = row.pool.is_some() && row.revision < state.config.revision();
+    row.link = (!behind).then(|| link.clone());
 }
 
 async fn exchange(state: &Rc<EntryState>, session: &session::Client) -> Result<BeatMessage> {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -2,27 +2,34 @@
 
 mod api;
 mod attempt;
+mod authority;
 mod chat;
+mod claims;
 mod control;
 mod decide;
 mod driver;
 mod links;
 mod operator;
+mod peers;
 mod plan;
 mod reply;
 mod state;
+mod usage;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use applefold_core::id::{DomainId, InstanceId, RegionId};
 use applefold_core::unit::{ByteSize, TimeSpan};
+use applefold_wire::applefold_capnp::session as session_capnp;
 use eyre::Result;
 use smol_str::SmolStr;
 
+use crate::link::gate;
 use crate::link::secret::SecretRing;
 use crate::signal;
 
+use peers::EntrySession;
 use state::EntryState;
 
 /// The checked settings of an entry.
@@ -42,6 +49,7 @@
     pub(crate) drain_delay: TimeSpan,
     pub(crate) drain_timeout: TimeSpan,
     pub(crate) confirm_bound: TimeSpan,
+    pub(crate) usage_window: TimeSpan,
     pub(crate) trace_share: f64,
 }
 
@@ -78,6 +86,12 @@
     if let Some(address) = state.settings.metrics_listen {
         crate::http::serve_metrics(address, state.metrics.clone()).await?;
     }
+    let listener = gate::bind(state.settings.peer_listen).await?;
+    let session: session_capnp::Client = capnp_rpc::new_client(EntrySession::new(state.clone()));
+    actix_rt::spawn(gate::serve(listener, state.gate_options(), session));
+    actix_rt::spawn(authority::follow(state.clone()));
+    actix_rt::spawn(claims::follow(state.clone()));
+    actix_rt::spawn(usage::follow(state.clone()));
     actix_rt::spawn(control::follow_config(state.clone()));
     actix_rt::spawn(control::follow_instances(state.clone()));
     let server = api::serve(state.clone()).await?;
@@ -90,7 +104,7 @@
 }
 
 /// Tells peers and the balancer first, then lets what runs come to its end.
-async fn stop(state: &EntryState) {
+async fn stop(state: &Rc<EntryState>) {
     log::info!(in_flight = state.gate.in_flight(); "entry is draining");
     state.gate.close();
     actix_rt::time::sleep(std::time::Duration::from_micros(
@@ -101,6 +115,7 @@
     if !drained {
         log::warn!(in_flight = state.gate.in_flight(); "drain timeout passed, work is cut");
     }
+    authority::release_all(state).await;
     signal::linger().await;
     log::info!("entry has stopped");
 }
--- a/crates/daemon/src/entry/operator.rs
+++ b/crates/daemon/src/entry/operator.rs
@@ -5,6 +5,7 @@
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderValue, CONTENT_TYPE};
 use actix_http::{HttpMessage, Method, Request, Response};
+use applefold_core::claim::store::{CallNumber, StoreCall, StoreKey, StoreReply, StoreVersion};
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::ticket::{ChangeTicket, TicketRefusal};
 use applefold_core::unit::TimeSpan;
@@ -14,8 +15,6 @@
 use super::control::log_key;
 use super::reply::refusal_response;
 use super::state::EntryState;
-use crate::platform::message::{PutRequest, StoreVersion};
-use crate::platform::PlatformFault;
 
 const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
 
@@ -68,16 +67,17 @@
         Err(refusal) => return ticket_response(&refusal),
     };
     if !applied.repeat {
-        let put = PutRequest {
-            key: log_key(applied.revision),
+        let put = StoreCall::Put {
+            call: CallNumber(0),
+            key: StoreKey::new(log_key(applied.revision)),
             value: ticket.to_json(),
-            expect: Some(StoreVersion::ABSENT),
+            expect: StoreVersion::ABSENT,
         };
-        if let Err(fault) = state.platform.put(put).await {
-            let code = match fault {
-                PlatformFault::Unsettled => ResultCode::TicketUnsettled,
-                _ => ResultCode::PlatformUnavailable,
-            };
+        if !matches!(
+            state.platform.store(put).await.reply,
+            StoreReply::Written(_)
+        ) {
+            let code = ResultCode::TicketUnsettled;
             return refusal_response(CallRefusal::passing(code, RETRY_SOON));
         }
         state.apply(config);
@@ -96,20 +96,29 @@
     let instances = table.rows.iter().map(|(id, row)| {
         json!({
             "id": id,
-            "kind": "backend",
+            "kind": if row.pool.is_some() { "backend" } else { "entry" },
             "domain": row.domain,
             "revision": row.revision,
             "age_ms": now.since(row.last_beat).as_millis(),
             "state": if row.link.is_some() { "live" } else { "unreached" },
         })
     });
+    let notes = state.leases.notes(state);
+    let leases = notes.iter().map(|note| {
+        json!({
+            "scope": note.scope,
+            "holder": note.owner,
+            "fencing": note.fencing,
+            "held_here": note.fencing.is_some(),
+        })
+    });
     json!({
         "instance": state.settings.instance,
         "revision": note.revision,
         "confirmed_ms_ago": note.age.as_millis(),
         "reach": {"reached": 0, "listed": table.rows.len(), "holds": note.reach_holds},
         "instances": instances.collect::<Vec<_>>(),
-        "leases": [],
+        "leases": leases.collect::<Vec<_>>(),
         "alarms": [],
     })
 }
--- /dev/null
+++ b/crates/daemon/src/entry/peers.rs
@@ -0,0 +1,71 @@
+//! What an entry offers to other entries.
+
+use std::rc::Rc;
+
+use applefold_core::id::WindowId;
+use applefold_wire::applefold_capnp::session;
+use applefold_wire::beat::BeatMessage;
+use applefold_wire::{claim, usage};
+
+use super::claims;
+use super::state::EntryState;
+
+/// The session of every peer; it holds nothing of one peer alone.
+pub(crate) struct EntrySession {
+    state: Rc<EntryState>,
+}
+
+impl EntrySession {
+    pub(crate) fn new(state: Rc<EntryState>) -> Self {
+        Self { state }
+    }
+}
+
+impl session::Server for EntrySession {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: session::HeartbeatParams,
+        mut results: session::HeartbeatResults,
+    ) -> Result<(), capnp::Error> {
+        let beat = BeatMessage::read(params.get()?.get_beat()?)?;
+        self.state.hear(&beat);
+        self.state.beat().write(results.get().init_beat());
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: session::ClaimParams,
+        mut results: session::ClaimResults,
+    ) -> Result<(), capnp::Error> {
+        let ask = claim::read_ask(params.get()?.get_ask()?)?;
+        let verdict = claims::ask_here(&self.state, ask).await;
+        claim::write_verdict(&verdict, results.get().init_verdict());
+        Ok(())
+    }
+
+    async fn settle(
+        self: Rc<Self>,
+        params: session::SettleParams,
+        mut results: session::SettleResults,
+    ) -> Result<(), capnp::Error> {
+        let report = claim::read_report(params.get()?.get_report()?)?;
+        let taken = claims::report_here(&self.state, report).await;
+        results.get().set_taken(taken);
+        Ok(())
+    }
+
+    async fn collect(
+        self: Rc<Self>,
+        params: session::CollectParams,
+        mut results: session::CollectResults,
+    ) -> Result<(), capnp::Error> {
+        let from = WindowId(params.get()?.get_from_window());
+        let batches = self.state.usage.keeper.borrow().batches(from);
+        let mut list = results.get().init_batches(batches.len() as u32);
+        for (index, batch) in batches.iter().enumerate() {
+            usage::write_batch(batch, list.reborrow().get(index as u32));
+        }
+        Ok(())
+    }
+}
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -6,6 +6,7 @@
 use applefold_core::answer::{
     AnswerAssembler, AnswerProgress, CloseVerdict, HeadVerdict, PartVerdict,
 };
+use applefold_core::claim::KeptAnswer;
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::id::AttemptNumber;
 use applefold_core::unit::{ByteSize, TimePoint};
@@ -24,6 +25,8 @@
 const CODE_HEADER: &str = "x-applefold-code";
 const RUN_STATE_HEADER: &str = "x-applefold-run-state";
 const REQUEST_HEADER: &str = "x-request-id";
+/// Says that the answer is that of an earlier run.
+const REPEAT_HEADER: &str = "x-applefold-repeat";
 const EVENT_LIMIT: usize = 64;
 
 /// The error that breaks a body off where the caller must not take it for whole.
@@ -47,6 +50,8 @@
         head: HeadMessage,
         body: mpsc::Receiver<Result<Bytes, BodyBroken>>,
     },
+    /// The answer of an earlier run of the same request.
+    Kept(KeptAnswer, Vec<HeaderPair>),
     /// A refusal.
     Refused(CallRefusal),
 }
@@ -60,10 +65,16 @@
     /// What the last attempt held back until its end.
     rest: Vec<u8>,
     first_byte_at: Option<TimePoint>,
+    /// Whether the request is given up when its caller leaves.
+    follows_caller: bool,
 }
 
 impl ReplyWriter {
-    pub(crate) fn new(start: oneshot::Sender<ReplyStart>, assembler: AnswerAssembler) -> Self {
+    pub(crate) fn new(
+        start: oneshot::Sender<ReplyStart>,
+        assembler: AnswerAssembler,
+        follows_caller: bool,
+    ) -> Self {
         Self {
             start: Some(start),
             events: None,
@@ -71,6 +82,7 @@
             head: None,
             rest: Vec::new(),
             first_byte_at: None,
+            follows_caller,
         }
     }
 
@@ -99,8 +111,12 @@
         self.head.as_ref().map_or(0, |head| head.status)
     }
 
-    /// Returns when the caller has left.
+    /// Returns when the caller has left; a call that may not be repeated goes on
+    /// without it, so that its outcome is known.
     pub(crate) async fn wait_left(&mut self) {
+        if !self.follows_caller {
+            return std::future::pending().await;
+        }
         match (&mut self.start, &self.events) {
             (Some(start), _) => start.closed().await,
             (None, Some(events)) => events.closed().await,
@@ -134,7 +150,10 @@
 
     async fn take_part(&mut self, part: &PartMessage) -> Result<()> {
         let AttemptId { request, attempt } = &part.id;
-        match self.assembler.part(request, *attempt, part.offset.0, &part.data) {
+        match self
+            .assembler
+            .part(request, *attempt, part.offset.0, &part.data)
+        {
             PartVerdict::Forward(bytes) if bytes.is_empty() => Ok(()),
             PartVerdict::Forward(bytes) => self.pass(Ok(bytes.into())).await,
             PartVerdict::Stale => Ok(()),
@@ -154,7 +173,10 @@
         let Some(events) = &self.events else {
             return Ok(());
         };
-        events.send(bytes).await.map_err(|_| eyre!("the caller has left"))
+        events
+            .send(bytes)
+            .await
+            .map_err(|_| eyre!("the caller has left"))
     }
 
     /// Takes the end of an attempt; returns whether the answer is whole.
@@ -186,6 +208,28 @@
         self.send_start(start);
     }
 
+    /// Returns the answer as far as it was held back, for a claim to keep.
+    pub(crate) fn held_answer(&self) -> Option<KeptAnswer> {
+        let head = self.head.as_ref()?;
+        Some(KeptAnswer {
+            status: head.status,
+            body: self.rest.clone(),
+        })
+    }
+
+    /// Gives the caller the answer of an earlier run.
+    pub(crate) fn repeat(&mut self, answer: KeptAnswer) {
+        let kind = HeaderPair {
+            name: SmolStr::new_static("content-type"),
+            value: SmolStr::new_static("application/json"),
+        };
+        let repeat = HeaderPair {
+            name: SmolStr::new_static(REPEAT_HEADER),
+            value: SmolStr::new_static("true"),
+        };
+        self.send_start(ReplyStart::Kept(answer, vec![kind, repeat]));
+    }
+
     /// Answers with a refusal, or breaks off an answer that has begun.
     pub(crate) async fn refuse(&mut self, refusal: CallRefusal) {
         if self.start.is_some() {
@@ -256,10 +300,19 @@
 /// Makes the HTTP response of an answer.
 pub(crate) fn respond(start: ReplyStart, note: ReplyNote, guard: FlightGuard) -> Response<BoxBody> {
     let response = match start {
-        ReplyStart::Whole { head, body } => with_head(&head, BoxBody::new(body)),
+        ReplyStart::Whole { head, body } => {
+            with_head(head.status, &head.headers, BoxBody::new(body))
+        }
+        ReplyStart::Kept(answer, headers) => {
+            with_head(answer.status, &headers, BoxBody::new(answer.body))
+        }
         ReplyStart::Events { head, mut body } => {
             let stream = poll_fn(move |context| body.poll_recv(context));
-            with_head(&head, BoxBody::new(BodyStream::new(stream)))
+            with_head(
+                head.status,
+                &head.headers,
+                BoxBody::new(BodyStream::new(stream)),
+            )
         }
         ReplyStart::Refused(refusal) => refusal_response(refusal),
     };
@@ -280,10 +333,10 @@
     response
 }
 
-fn with_head(head: &HeadMessage, body: BoxBody) -> Response<BoxBody> {
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+fn with_head(status: u16, headers: &[HeaderPair], body: BoxBody) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = Response::new(status).set_body(body);
-    for HeaderPair { name, value } in &head.headers {
+    for HeaderPair { name, value } in headers {
         put_header(&mut response, name, value);
     }
     response
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -1,17 +1,24 @@
 //! What an entry knows.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use applefold_core::admission::TeamUse;
 use applefold_core::config::ServingConfig;
+use applefold_core::id::InstanceId;
+use applefold_core::lease::HolderName;
 use applefold_core::routing::RoutePlace;
 use applefold_core::unit::{TimePoint, TimeSpan};
-use applefold_wire::beat::{BeatMessage, LoadNote};
+use applefold_wire::beat::{BeatMessage, LoadNote, TeamNote};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::authority::LeaseTable;
+use super::claims::ClaimDesk;
 use super::decide::ServingDecisions;
 use super::links::{LinkTable, BEAT_PERIOD};
+use super::usage::UsageDesk;
 use super::EntrySettings;
 use crate::clock::MonotonicClock;
 use crate::confirm::ConfigCell;
@@ -29,6 +36,15 @@
     pub(crate) config: ConfigCell,
     pub(crate) gate: DrainGate,
     pub(crate) links: RefCell<LinkTable>,
+    /// The name under which this run of the process holds leases.
+    pub(crate) holder: HolderName,
+    /// The live entries of the platform's list, this one included.
+    pub(crate) entries: RefCell<BTreeSet<InstanceId>>,
+    pub(crate) leases: LeaseTable,
+    pub(crate) claims: ClaimDesk,
+    pub(crate) usage: UsageDesk,
+    /// What the teams have asked of this entry in the last period.
+    published: RefCell<Vec<TeamNote>>,
     pub(crate) platform: Rc<dyn PlatformApi>,
     pub(crate) metrics: MetricSet,
     pub(crate) spans: SpanSource,
@@ -44,6 +60,8 @@
         let instance = settings.instance.clone();
         let platform = HttpPlatform::new(settings.platform, instance, metrics.clone());
         let mut rng = StdRng::from_entropy();
+        let incarnation = rng.gen();
+        let holder = HolderName::new(&settings.instance, incarnation);
         let beat_period = TimeSpan(BEAT_PERIOD.as_micros() as u64);
         let place = RoutePlace {
             domain: settings.domain.clone(),
@@ -54,10 +72,16 @@
             config: ConfigCell::default(),
             gate: DrainGate::default(),
             links: RefCell::new(LinkTable::default()),
+            entries: RefCell::default(),
+            leases: LeaseTable::new(&holder),
+            claims: ClaimDesk::new(&holder),
+            usage: UsageDesk::new(&holder),
+            holder,
+            published: RefCell::default(),
             platform: Rc::new(platform),
             metrics,
             spans: SpanSource::start(settings.trace_share),
-            incarnation: rng.gen(),
+            incarnation,
             decisions: RefCell::new(ServingDecisions::new(place, beat_period, rng.gen())),
             request_count: Cell::new(0),
             settings,
@@ -96,13 +120,39 @@
         }
     }
 
+    /// Ends a heartbeat period of the teams' use.
+    pub(crate) fn publish_use(&self) {
+        let now = self.now();
+        let uses = self.decisions.borrow_mut().admission.publish(now);
+        let notes = uses.into_iter().map(|used| TeamNote {
+            team: used.team,
+            tokens: used.tokens,
+        });
+        self.published.replace(notes.collect());
+    }
+
+    /// Takes in what another entry tells.
+    pub(crate) fn hear(&self, beat: &BeatMessage) {
+        let now = self.now();
+        self.config.merge(&beat.confirmation, now);
+        let uses = beat.teams.iter().map(|note| TeamUse {
+            team: note.team.clone(),
+            tokens: note.tokens,
+        });
+        let uses: Vec<TeamUse> = uses.collect();
+        let mut decisions = self.decisions.borrow_mut();
+        decisions
+            .admission
+            .observe(beat.instance.clone(), 1, &uses, now);
+    }
+
     pub(crate) fn beat(&self) -> BeatMessage {
         BeatMessage {
             instance: self.settings.instance.clone(),
             domain: self.settings.domain.clone(),
             confirmation: self.config.note(self.now()),
             load: LoadNote::default(),
-            teams: Vec::new(),
+            teams: self.published.borrow().clone(),
             suspects: Vec::new(),
             stopping: self.gate.is_closed(),
         }
--- /dev/null
+++ b/crates/daemon/src/entry/usage.rs
@@ -0,0 +1,187 @@
+//! Usage: kept here for every meter, sealed and reported under a lease.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::claim::store::{CallNumber, StoreCall};
+use applefold_core::id::{FencingNumber, WindowId};
+use applefold_core::lease::HolderName;
+use applefold_core::unit::TimeSpan;
+use applefold_core::usage::{
+    SealerAction, SealerEvent, SealerOptions, UsageBatch, UsageKeeper, UsageReport, UsageSealer,
+};
+use applefold_wire::applefold_capnp::session;
+use applefold_wire::usage as message;
+use eyre::{Result, WrapErr};
+
+use super::authority::WorkScope;
+use super::state::EntryState;
+use crate::link::dial::PeerLink;
+use crate::logging::wall_micros;
+use crate::platform::message::UsageRecord;
+use crate::window;
+
+const TICK_PERIOD: Duration = Duration::from_millis(500);
+/// Lets the figures of a window reach the keepers before it is sealed.
+const SEAL_DELAY: TimeSpan = TimeSpan::from_secs(5);
+const COLLECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What this entry keeps of usage, and the sealer that acts under the lease.
+pub(crate) struct UsageDesk {
+    pub(crate) keeper: RefCell<UsageKeeper>,
+    sealer: RefCell<UsageSealer>,
+}
+
+impl UsageDesk {
+    pub(crate) fn new(holder: &HolderName) -> Self {
+        let sealer = UsageSealer::new(holder.clone(), SealerOptions::default());
+        Self {
+            keeper: RefCell::new(UsageKeeper::new()),
+            sealer: RefCell::new(sealer),
+        }
+    }
+}
+
+/// Returns the last window that has ended.
+fn ended_window(state: &EntryState) -> WindowId {
+    let current = window::around(wall_micros() - SEAL_DELAY.0, state.settings.usage_window);
+    WindowId(current.0.saturating_sub(1))
+}
+
+/// Begins to seal and report.
+pub(crate) fn begin(state: &Rc<EntryState>, fencing: FencingNumber) {
+    state.usage.sealer.borrow_mut().begin(state.now(), fencing);
+}
+
+/// Stops at once; the successor settles what is open.
+pub(crate) fn end(state: &EntryState) {
+    state.usage.sealer.borrow_mut().end();
+}
+
+/// Does what is timed.
+pub(crate) async fn follow(state: Rc<EntryState>) {
+    loop {
+        actix_rt::time::sleep(TICK_PERIOD).await;
+        decide(&state, None);
+    }
+}
+
+/// Decides and sends in one step, so that authority holds when a report leaves.
+fn decide(state: &Rc<EntryState>, event: Option<SealerEvent>) {
+    let now = state.now();
+    let ended = ended_window(state);
+    let actions = state.leases.with(WorkScope::Usage, |lease| {
+        let mut sealer = state.usage.sealer.borrow_mut();
+        match event {
+            Some(event) => sealer.handle(now, ended, lease, event),
+            None => sealer.tick(now, ended, lease),
+        }
+    });
+    for action in actions.unwrap_or_default() {
+        perform(state, action);
+    }
+}
+
+fn perform(state: &Rc<EntryState>, action: SealerAction) {
+    match action {
+        SealerAction::Store(call) => spawn_store(state, call),
+        SealerAction::Collect { call, from } => spawn_collect(state, call, from),
+        SealerAction::Report {
+            call,
+            report,
+            holder,
+            fencing,
+        } => spawn_report(state, call, record_of(report, holder, fencing)),
+        SealerAction::Closed { window, keep_from } => {
+            log::info!(window = window.0; "usage window is reported");
+            state.usage.keeper.borrow_mut().forget_before(keep_from);
+        }
+    }
+}
+
+fn record_of(report: UsageReport, holder: HolderName, fencing: FencingNumber) -> UsageRecord {
+    UsageRecord {
+        report_id: report.id,
+        window: report.key.window,
+        team: report.key.team,
+        service: report.key.service,
+        prompt_tokens: report.totals.prompt_tokens,
+        answer_tokens: report.totals.answer_tokens,
+        requests: report.totals.requests,
+        late: report.late,
+        holder,
+        fencing,
+    }
+}
+
+fn spawn_store(state: &Rc<EntryState>, call: StoreCall) {
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let answer = state.platform.store(call).await;
+        decide(&state, Some(SealerEvent::Stored(answer)));
+    });
+}
+
+fn spawn_report(state: &Rc<EntryState>, call: CallNumber, record: UsageRecord) {
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let reported = state.platform.report(record).await;
+        if let Err(fault) = &reported {
+            log::warn!("could not report usage: {fault}");
+        }
+        let taken = reported.is_ok();
+        decide(&state, Some(SealerEvent::Reported { call, taken }));
+    });
+}
+
+fn spawn_collect(state: &Rc<EntryState>, call: CallNumber, from: WindowId) {
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let mut batches = state.usage.keeper.borrow().batches(from);
+        let mut whole = true;
+        let peers = state.links.borrow().peers();
+        for peer in peers {
+            match collect(peer.as_ref(), from).await {
+                Ok(more) => batches.extend(more),
+                Err(error) => {
+                    log::debug!("a keeper did not answer: {error:#}");
+                    whole = false;
+                }
+            }
+        }
+        let event = SealerEvent::Collected {
+            call,
+            batches,
+            whole,
+        };
+        decide(&state, Some(event));
+    });
+}
+
+async fn collect(peer: Option<&PeerLink>, from: WindowId) -> Result<Vec<UsageBatch>> {
+    let peer = peer.ok_or_else(|| eyre::eyre!("the peer is not connected"))?;
+    let mut request = peer.session.collect_request();
+    request.get().set_from_window(from.0);
+    let reply = actix_rt::time::timeout(COLLECT_TIMEOUT, request.send().promise).await;
+    let reply = reply.wrap_err("the peer did not answer in time")??;
+    let batches = reply.get()?.get_batches()?;
+    let batches = batches.iter().map(message::read_batch);
+    Ok(batches.collect::<Result<_, _>>()?)
+}
+
+/// Fetches what a meter has counted since `taken`; returns the mark to take next time.
+pub(crate) async fn pull(
+    state: &Rc<EntryState>,
+    session: &session::Client,
+    taken: u64,
+) -> Result<u64> {
+    let mut request = session.meter_request();
+    request.get().set_keeper(state.holder.as_str());
+    request.get().set_taken(taken);
+    let reply = request.send().promise.await?;
+    let reply = reply.get()?;
+    let batch = message::read_batch(reply.get_batch()?)?;
+    state.usage.keeper.borrow_mut().take(batch);
+    Ok(reply.get_mark())
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -20,6 +20,7 @@
 mod sidecar;
 mod signal;
 mod trace;
+mod window;
 
 fn main() -> eyre::Result<()> {
     cmd::run(argh::from_env())
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -3,7 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use applefold_core::claim::store::{
+    StoreAnswer, StoreCall, StoreEntry, StoreKey, StoreReply, StoreVersion,
+};
 use applefold_core::id::{FencingNumber, InstanceId, ScopeId};
+use applefold_core::lease::{HolderName, LeaseReply};
 use applefold_core::unit::TimeSpan;
 use awc::error::SendRequestError;
 use awc::http::{Method, StatusCode};
@@ -14,15 +18,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::message::{
-    InstanceRow, KeyValue, LeaseGrant, OrderRecord, PutRequest, StoreVersion, UsageRecord,
-    WatchBatch,
+    InstanceRow, KeyValue, LeaseAsk, LeaseAskKind, OrderRecord, UsageRecord, WatchBatch,
 };
 use super::{PlatformApi, PlatformFault, PlatformResult};
 use crate::metrics::MetricSet;
 
 /// How long a call may take beyond the wait that it asks for.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
 /// Calls the platform on behalf of one process.
 pub(crate) struct HttpPlatform {
@@ -34,16 +37,31 @@
 
 #[derive(Serialize)]
 struct LeaseBody<'a> {
-    holder: &'a InstanceId,
+    holder: &'a HolderName,
     #[serde(skip_serializing_if = "Option::is_none")]
     fencing: Option<FencingNumber>,
     ttl_ms: u64,
 }
 
+#[derive(Deserialize)]
+struct GrantBody {
+    fencing: FencingNumber,
+}
+
+#[derive(Deserialize)]
+struct HeldBody {
+    #[serde(default)]
+    holder: Option<HolderName>,
+    #[serde(default)]
+    fencing: FencingNumber,
+    #[serde(default)]
+    remaining_ms: u64,
+}
+
 #[derive(Serialize)]
 struct PutBody<'a> {
     value: &'a str,
-    expect: Option<StoreVersion>,
+    expect: StoreVersion,
 }
 
 #[derive(Deserialize)]
@@ -66,40 +84,61 @@
     orders: Vec<OrderRecord>,
 }
 
-#[derive(Deserialize)]
-struct NoBody {}
-
 /// One call, before it is sent.
 struct CallPlan {
     kind: &'static str,
     method: Method,
     path: String,
-    body: Option<String>,
+    body: String,
     wait: Duration,
 }
 
+/// An answer that came.
+struct CallAnswer {
+    status: StatusCode,
+    body: Vec<u8>,
+}
+
+impl CallAnswer {
+    fn parse<T>(&self) -> PlatformResult<T>
+    where
+        T: DeserializeOwned,
+    {
+        serde_json::from_slice(&self.body).map_err(|_| PlatformFault::Refused)
+    }
+
+    /// Returns the body of a call that ended well.
+    fn parse_ok<T>(&self) -> PlatformResult<T>
+    where
+        T: DeserializeOwned,
+    {
+        match self.status {
+            StatusCode::OK => self.parse(),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                Err(PlatformFault::Unavailable)
+            }
+            _ => Err(PlatformFault::Refused),
+        }
+    }
+}
+
 impl CallPlan {
-    fn read(kind: &'static str, path: String) -> Self {
+    fn new(kind: &'static str, method: Method, path: String) -> Self {
         Self {
             kind,
-            method: Method::GET,
+            method,
             path,
-            body: None,
+            body: String::new(),
             wait: Duration::ZERO,
         }
     }
 
-    fn write<B>(kind: &'static str, method: Method, path: String, body: &B) -> Self
+    fn with_body<B>(mut self, body: &B) -> Self
     where
         B: Serialize,
     {
-        Self {
-            kind,
-            method,
-            path,
-            body: serde_json::to_string(body).ok(),
-            wait: Duration::ZERO,
-        }
+        self.body = serde_json::to_string(body).unwrap_or_default();
+        self
     }
 }
 
@@ -114,13 +153,9 @@
         }
     }
 
-    async fn call<T>(&self, plan: CallPlan) -> PlatformResult<T>
-    where
-        T: DeserializeOwned,
-    {
-        self.metrics
-            .platform_calls
-            .add(1, &[Label::new("kind", plan.kind)]);
+    async fn call(&self, plan: CallPlan) -> PlatformResult<CallAnswer> {
+        let labels = [Label::new("kind", plan.kind)];
+        self.metrics.platform_calls.add(1, &labels);
         let url = format!("{}{}", self.base, plan.path);
         let changes = plan.method != Method::GET;
         let request = self
@@ -129,153 +164,177 @@
             .timeout(plan.wait + CALL_TIMEOUT)
             .insert_header(("x-client", self.instance.as_str()))
             .insert_header(("content-type", "application/json"));
-        let sent = request.send_body(plan.body.unwrap_or_default()).await;
+        let sent = request.send_body(plan.body).await;
         let mut response = sent.map_err(|error| fault_of(&error, changes))?;
         let status = response.status();
-        let lost = if changes {
-            PlatformFault::Unsettled
-        } else {
-            PlatformFault::Unavailable
-        };
-        let body = response
-            .body()
-            .limit(MAX_ANSWER_BYTES)
-            .await
-            .map_err(|_| lost)?;
-        match status {
-            StatusCode::OK => serde_json::from_slice(&body).map_err(|_| PlatformFault::Malformed),
-            StatusCode::NOT_FOUND => Err(PlatformFault::Missing),
-            StatusCode::CONFLICT => Err(PlatformFault::Conflict(version_in(&body))),
-            StatusCode::PAYLOAD_TOO_LARGE => Err(PlatformFault::TooLarge),
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-                Err(PlatformFault::Unavailable)
-            }
-            _ => Err(PlatformFault::Malformed),
-        }
+        let body = response.body().limit(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|_| lost(changes))?.to_vec();
+        Ok(CallAnswer { status, body })
+    }
+
+    async fn call_store(&self, call: &StoreCall) -> StoreReply {
+        let answer = self.call(store_plan(call)).await;
+        let reply = answer.and_then(|answer| store_reply(call, &answer));
+        reply.unwrap_or(StoreReply::Failed)
+    }
+
+    async fn call_lease(&self, scope: &ScopeId, ask: &LeaseAsk) -> LeaseReply {
+        let answer = self.call(lease_plan(scope, ask)).await;
+        let reply = answer.and_then(|answer| lease_reply(&answer));
+        reply.unwrap_or(LeaseReply::Failed)
     }
 }
 
-fn version_in(body: &[u8]) -> StoreVersion {
-    let parsed: Result<VersionBody, _> = serde_json::from_slice(body);
-    parsed.map_or(StoreVersion::ABSENT, |body| body.version)
+const fn lost(changes: bool) -> PlatformFault {
+    match changes {
+        true => PlatformFault::Unsettled,
+        false => PlatformFault::Unavailable,
+    }
 }
 
 /// A call that never left took no effect; any other failed change may have.
 fn fault_of(error: &SendRequestError, changes: bool) -> PlatformFault {
     match error {
         SendRequestError::Connect(_) | SendRequestError::Url(_) => PlatformFault::Unavailable,
-        _ if changes => PlatformFault::Unsettled,
-        _ => PlatformFault::Unavailable,
+        _ => lost(changes),
     }
 }
 
-impl PlatformApi for HttpPlatform {
-    fn get(&self, key: String) -> LocalBoxFuture<'_, PlatformResult<KeyValue>> {
-        self.call(CallPlan::read("get", format!("/kv/{key}")))
-            .boxed_local()
-    }
-
-    fn put(&self, put: PutRequest) -> LocalBoxFuture<'_, PlatformResult<StoreVersion>> {
-        async move {
-            let path = format!("/kv/{}", put.key);
+fn store_plan(call: &StoreCall) -> CallPlan {
+    match call {
+        StoreCall::Put {
+            key, value, expect, ..
+        } => {
             let body = PutBody {
-                value: &put.value,
-                expect: put.expect,
+                value,
+                expect: *expect,
             };
-            let plan = CallPlan::write("put", Method::PUT, path, &body);
-            let body: VersionBody = self.call(plan).await?;
-            Ok(body.version)
+            CallPlan::new("put", Method::PUT, format!("/kv/{key}")).with_body(&body)
         }
-        .boxed_local()
-    }
-
-    fn list(&self, prefix: String) -> LocalBoxFuture<'_, PlatformResult<Vec<KeyValue>>> {
-        async move {
-            let path = format!("/list?prefix={prefix}");
-            let body: EntriesBody = self.call(CallPlan::read("list", path)).await?;
-            Ok(body.entries)
+        StoreCall::Get { key, .. } => CallPlan::new("get", Method::GET, format!("/kv/{key}")),
+        StoreCall::List {
+            prefix,
+            after,
+            limit,
+            ..
+        } => {
+            let after = after.as_ref().map_or("", StoreKey::as_str);
+            let path = format!("/list?prefix={prefix}&after={after}&limit={limit}");
+            CallPlan::new("list", Method::GET, path)
+        }
+        StoreCall::Delete { key, expect, .. } => {
+            let path = format!("/kv/{key}?expect={expect}");
+            CallPlan::new("delete", Method::DELETE, path)
         }
-        .boxed_local()
     }
+}
 
-    fn delete(&self, key: String) -> LocalBoxFuture<'_, PlatformResult<()>> {
-        async move {
-            let plan = CallPlan::write("delete", Method::DELETE, format!("/kv/{key}"), &());
-            let _: serde_json::Value = self.call(plan).await?;
-            Ok(())
+fn store_reply(call: &StoreCall, answer: &CallAnswer) -> PlatformResult<StoreReply> {
+    match answer.status {
+        StatusCode::NOT_FOUND => return Ok(StoreReply::Absent),
+        StatusCode::CONFLICT => {
+            let body: VersionBody = answer.parse()?;
+            return Ok(StoreReply::Conflict(body.version));
         }
-        .boxed_local()
+        _ => {}
     }
+    Ok(match call {
+        StoreCall::Put { .. } | StoreCall::Delete { .. } => {
+            let body: VersionBody = answer.parse_ok()?;
+            StoreReply::Written(body.version)
+        }
+        StoreCall::Get { .. } => StoreReply::Found(entry_of(answer.parse_ok()?)),
+        StoreCall::List { .. } => {
+            let body: EntriesBody = answer.parse_ok()?;
+            StoreReply::Listed(body.entries.into_iter().map(entry_of).collect())
+        }
+    })
+}
 
-    fn watch(
-        &self,
-        prefix: String,
-        since: StoreVersion,
-        wait: TimeSpan,
-    ) -> LocalBoxFuture<'_, PlatformResult<WatchBatch>> {
-        let millis = wait.as_millis();
-        let path = format!("/watch?prefix={prefix}&since={since}&wait_ms={millis}");
-        let mut plan = CallPlan::read("watch", path);
-        plan.wait = Duration::from_millis(millis);
-        self.call(plan).boxed_local()
+fn entry_of(value: KeyValue) -> StoreEntry {
+    StoreEntry {
+        key: StoreKey::new(value.key),
+        value: value.value,
+        version: value.version,
     }
+}
 
-    fn acquire(
-        &self,
-        scope: ScopeId,
-        ttl: TimeSpan,
-    ) -> LocalBoxFuture<'_, PlatformResult<LeaseGrant>> {
-        async move {
+fn lease_plan(scope: &ScopeId, ask: &LeaseAsk) -> CallPlan {
+    let holder = &ask.holder;
+    let path = format!("/leases/{scope}");
+    match ask.kind {
+        LeaseAskKind::Acquire { ttl } => {
             let body = LeaseBody {
-                holder: &self.instance,
+                holder,
                 fencing: None,
                 ttl_ms: ttl.as_millis(),
             };
-            let path = format!("/leases/{scope}");
-            self.call(CallPlan::write("acquire", Method::POST, path, &body))
-                .await
+            CallPlan::new("acquire", Method::POST, path).with_body(&body)
         }
-        .boxed_local()
-    }
-
-    fn renew(
-        &self,
-        scope: ScopeId,
-        fencing: FencingNumber,
-        ttl: TimeSpan,
-    ) -> LocalBoxFuture<'_, PlatformResult<LeaseGrant>> {
-        async move {
+        LeaseAskKind::Renew { fencing, ttl } => {
             let body = LeaseBody {
-                holder: &self.instance,
+                holder,
                 fencing: Some(fencing),
                 ttl_ms: ttl.as_millis(),
             };
-            let path = format!("/leases/{scope}");
-            self.call(CallPlan::write("renew", Method::PUT, path, &body))
-                .await
+            CallPlan::new("renew", Method::PUT, path).with_body(&body)
+        }
+        LeaseAskKind::Release { fencing } => {
+            let path = format!("{path}?holder={holder}&fencing={fencing}");
+            CallPlan::new("release", Method::DELETE, path)
+        }
+    }
+}
+
+fn lease_reply(answer: &CallAnswer) -> PlatformResult<LeaseReply> {
+    if answer.status == StatusCode::CONFLICT {
+        let body: HeldBody = answer.parse()?;
+        return Ok(LeaseReply::Held {
+            holder: body.holder,
+            fencing: body.fencing,
+            remaining: TimeSpan::from_millis(body.remaining_ms),
+        });
+    }
+    let body: GrantBody = answer.parse_ok()?;
+    let fencing = body.fencing;
+    Ok(LeaseReply::Granted { fencing })
+}
+
+impl PlatformApi for HttpPlatform {
+    fn store(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer> {
+        async move {
+            StoreAnswer {
+                call: call.call(),
+                reply: self.call_store(&call).await,
+            }
         }
         .boxed_local()
     }
 
-    fn release(
+    fn watch(
         &self,
-        scope: ScopeId,
-        fencing: FencingNumber,
-    ) -> LocalBoxFuture<'_, PlatformResult<()>> {
+        prefix: String,
+        since: StoreVersion,
+        wait: TimeSpan,
+    ) -> LocalBoxFuture<'_, PlatformResult<WatchBatch>> {
         async move {
-            let holder = &self.instance;
-            let path = format!("/leases/{scope}?holder={holder}&fencing={fencing}");
-            let plan = CallPlan::write("release", Method::DELETE, path, &());
-            let _: serde_json::Value = self.call(plan).await?;
-            Ok(())
+            let millis = wait.as_millis();
+            let path = format!("/watch?prefix={prefix}&since={since}&wait_ms={millis}");
+            let mut plan = CallPlan::new("watch", Method::GET, path);
+            plan.wait = Duration::from_millis(millis);
+            self.call(plan).await?.parse_ok()
         }
         .boxed_local()
     }
 
+    fn lease(&self, scope: ScopeId, ask: LeaseAsk) -> LocalBoxFuture<'_, LeaseReply> {
+        async move { self.call_lease(&scope, &ask).await }.boxed_local()
+    }
+
     fn instances(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<InstanceRow>>> {
         async move {
-            let plan = CallPlan::read("instances", "/instances".to_owned());
-            let body: InstancesBody = self.call(plan).await?;
+            let plan = CallPlan::new("instances", Method::GET, "/instances".to_owned());
+            let body: InstancesBody = self.call(plan).await?.parse_ok()?;
             Ok(body.instances)
         }
         .boxed_local()
@@ -283,8 +342,8 @@
 
     fn order(&self, order: OrderRecord) -> LocalBoxFuture<'_, PlatformResult<()>> {
         async move {
-            let plan = CallPlan::write("order", Method::POST, "/orders".to_owned(), &order);
-            let _: NoBody = self.call(plan).await?;
+            let plan = CallPlan::new("order", Method::POST, "/orders".to_owned());
+            let _: serde_json::Value = self.call(plan.with_body(&order)).await?.parse_ok()?;
             Ok(())
         }
         .boxed_local()
@@ -292,8 +351,8 @@
 
     fn orders(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<OrderRecord>>> {
         async move {
-            let plan = CallPlan::read("orders", "/orders".to_owned());
-            let body: OrdersBody = self.call(plan).await?;
+            let plan = CallPlan::new("orders", Method::GET, "/orders".to_owned());
+            let body: OrdersBody = self.call(plan).await?.parse_ok()?;
             Ok(body.orders)
         }
         .boxed_local()
@@ -301,8 +360,8 @@
 
     fn report(&self, usage: UsageRecord) -> LocalBoxFuture<'_, PlatformResult<()>> {
         async move {
-            let plan = CallPlan::write("usage", Method::POST, "/usage".to_owned(), &usage);
-            let _: NoBody = self.call(plan).await?;
+            let plan = CallPlan::new("usage", Method::POST, "/usage".to_owned());
+            let _: serde_json::Value = self.call(plan.with_body(&usage)).await?.parse_ok()?;
             Ok(())
         }
         .boxed_local()
--- a/crates/daemon/src/platform/message.rs
+++ b/crates/daemon/src/platform/message.rs
@@ -1,32 +1,17 @@
 //! What goes to the platform and comes from it.
 
-use std::fmt;
 use std::net::SocketAddr;
 
+use applefold_core::claim::store::StoreVersion;
 use applefold_core::id::{
     DomainId, FencingNumber, InstanceId, OrderId, PoolId, RegionId, ServiceId, TeamId, WindowId,
 };
-use applefold_core::unit::TokenCount;
+use applefold_core::lease::HolderName;
+use applefold_core::unit::{TimeSpan, TokenCount};
+use applefold_core::usage::ReportId;
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
 
-/// A version of a value; the store counts one number for all its values.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub(crate) struct StoreVersion(pub(crate) u64);
-
-impl StoreVersion {
-    /// The version of a value that does not exist.
-    pub(crate) const ABSENT: Self = Self(0);
-}
-
-impl fmt::Display for StoreVersion {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-/// A value with its key and version.
+/// A changed value, as a watch brings it.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct KeyValue {
     pub(crate) key: String,
@@ -34,15 +19,6 @@
     pub(crate) version: StoreVersion,
 }
 
-/// A write of a value.
-#[derive(Clone, Debug)]
-pub(crate) struct PutRequest {
-    pub(crate) key: String,
-    pub(crate) value: String,
-    /// The version that the value must have; `None` for any.
-    pub(crate) expect: Option<StoreVersion>,
-}
-
 /// The changes that a watch brought.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct WatchBatch {
@@ -50,10 +26,26 @@
     pub(crate) entries: Vec<KeyValue>,
 }
 
-/// A lease that was granted or renewed.
-#[derive(Clone, Copy, Debug, Deserialize)]
-pub(crate) struct LeaseGrant {
-    pub(crate) fencing: FencingNumber,
+/// What is asked about a lease.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseAsk {
+    pub(crate) holder: HolderName,
+    pub(crate) kind: LeaseAskKind,
+}
+
+/// What is to be done with a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaseAskKind {
+    Acquire {
+        ttl: TimeSpan,
+    },
+    Renew {
+        fencing: FencingNumber,
+        ttl: TimeSpan,
+    },
+    Release {
+        fencing: FencingNumber,
+    },
 }
 
 /// What an instance of the list is.
@@ -97,7 +89,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OrderRecord {
     pub(crate) order_id: OrderId,
-    pub(crate) holder: InstanceId,
+    pub(crate) holder: HolderName,
     pub(crate) fencing: FencingNumber,
     pub(crate) action: OrderAction,
     pub(crate) pool: PoolId,
@@ -108,7 +100,7 @@
 /// A usage report of one window, team and service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct UsageRecord {
-    pub(crate) report_id: SmolStr,
+    pub(crate) report_id: ReportId,
     pub(crate) window: WindowId,
     pub(crate) team: TeamId,
     pub(crate) service: ServiceId,
@@ -116,6 +108,6 @@
     pub(crate) answer_tokens: TokenCount,
     pub(crate) requests: u64,
     pub(crate) late: bool,
-    pub(crate) holder: InstanceId,
+    pub(crate) holder: HolderName,
     pub(crate) fencing: FencingNumber,
 }
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -5,14 +5,13 @@
 pub(crate) mod http;
 pub(crate) mod message;
 
-use applefold_core::id::{FencingNumber, ScopeId};
+use applefold_core::claim::store::{StoreAnswer, StoreCall, StoreVersion};
+use applefold_core::id::ScopeId;
+use applefold_core::lease::LeaseReply;
 use applefold_core::unit::TimeSpan;
 use futures_util::future::LocalBoxFuture;
 
-use message::{
-    InstanceRow, KeyValue, LeaseGrant, OrderRecord, PutRequest, StoreVersion, UsageRecord,
-    WatchBatch,
-};
+use message::{InstanceRow, LeaseAsk, OrderRecord, UsageRecord, WatchBatch};
 
 /// Why a call to the platform did not end well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,26 +20,17 @@
     Unavailable,
     /// The call may or may not have taken effect.
     Unsettled,
-    /// The value has another version than expected, or the lease another holder.
-    Conflict(StoreVersion),
-    /// There is no such value.
-    Missing,
-    /// The value is larger than the store takes.
-    TooLarge,
-    /// The answer cannot be read.
-    Malformed,
+    /// The platform refuses the call as it stands.
+    Refused,
 }
 
 impl std::fmt::Display for PlatformFault {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Unavailable => f.write_str("the platform cannot be reached"),
-            Self::Unsettled => f.write_str("the platform's answer was lost"),
-            Self::Conflict(version) => write!(f, "the platform holds version {version}"),
-            Self::Missing => f.write_str("the platform has no such value"),
-            Self::TooLarge => f.write_str("the value is larger than the platform takes"),
-            Self::Malformed => f.write_str("the platform's answer cannot be read"),
-        }
+        f.write_str(match self {
+            Self::Unavailable => "the platform cannot be reached",
+            Self::Unsettled => "the platform's answer was lost",
+            Self::Refused => "the platform refused the call",
+        })
     }
 }
 
@@ -51,34 +41,29 @@
 
 /// What the platform offers.
 pub(crate) trait PlatformApi {
-    fn get(&self, key: String) -> LocalBoxFuture<'_, PlatformResult<KeyValue>>;
-    fn put(&self, put: PutRequest) -> LocalBoxFuture<'_, PlatformResult<StoreVersion>>;
-    fn list(&self, prefix: String) -> LocalBoxFuture<'_, PlatformResult<Vec<KeyValue>>>;
-    fn delete(&self, key: String) -> LocalBoxFuture<'_, PlatformResult<()>>;
+    /// Calls the key-value service.
+    fn store(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer>;
+
+    /// Waits for changes under `prefix`, at most for `wait`.
     fn watch(
         &self,
         prefix: String,
         since: StoreVersion,
         wait: TimeSpan,
     ) -> LocalBoxFuture<'_, PlatformResult<WatchBatch>>;
-    fn acquire(
-        &self,
-        scope: ScopeId,
-        ttl: TimeSpan,
-    ) -> LocalBoxFuture<'_, PlatformResult<LeaseGrant>>;
-    fn renew(
-        &self,
-        scope: ScopeId,
-        fencing: FencingNumber,
-        ttl: TimeSpan,
-    ) -> LocalBoxFuture<'_, PlatformResult<LeaseGrant>>;
-    fn release(
-        &self,
-        scope: ScopeId,
-        fencing: FencingNumber,
-    ) -> LocalBoxFuture<'_, PlatformResult<()>>;
+
+    /// Asks for a lease, renews it or gives it back.
+    fn lease(&self, scope: ScopeId, ask: LeaseAsk) -> LocalBoxFuture<'_, LeaseReply>;
+
+    /// Reads the lagging list of instances.
     fn instances(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<InstanceRow>>>;
+
+    /// Orders or releases a backend server.
     fn order(&self, order: OrderRecord) -> LocalBoxFuture<'_, PlatformResult<()>>;
+
+    /// Reads the orders that the platform has.
     fn orders(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<OrderRecord>>>;
+
+    /// Reports usage.
     fn report(&self, usage: UsageRecord) -> LocalBoxFuture<'_, PlatformResult<()>>;
 }
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod fingerprint;
+mod meter;
 mod runner;
 mod session;
 mod state;
@@ -40,6 +41,7 @@
     pub(crate) progress_timeout: TimeSpan,
     pub(crate) drain_timeout: TimeSpan,
     pub(crate) confirm_bound: TimeSpan,
+    pub(crate) usage_window: TimeSpan,
     pub(crate) trace_share: f64,
 }
 
--- a/crates/daemon/src/sidecar/runner.rs
+++ b/crates/daemon/src/sidecar/runner.rs
@@ -11,6 +11,7 @@
 use opentelemetry::KeyValue;
 
 use super::backend::{BackendAnswer, BackendFault};
+use super::meter::RequestUse;
 use super::state::SidecarState;
 use super::tally::TokenTally;
 use super::turn::{TurnGuard, TurnRequest};
@@ -90,12 +91,21 @@
 ) -> Result<TurnGuard, CallRefusal> {
     let now = state.now();
     let is_model = dispatch.model.is_some();
-    let prompt = if is_model { dispatch.prompt_tokens } else { TokenCount::ZERO };
+    let prompt = if is_model {
+        dispatch.prompt_tokens
+    } else {
+        TokenCount::ZERO
+    };
     let request = TurnRequest {
-        team: dispatch.team.clone().unwrap_or_else(|| state.open_team.clone()),
+        team: dispatch
+            .team
+            .clone()
+            .unwrap_or_else(|| state.open_team.clone()),
         class: CallClass::from_priority(dispatch.priority),
         prompt: prompt + dispatch.resume_tokens,
-        answer: dispatch.answer_tokens.saturating_sub(dispatch.resume_tokens),
+        answer: dispatch
+            .answer_tokens
+            .saturating_sub(dispatch.resume_tokens),
         deadline: now + dispatch.deadline,
     };
     state.turns.wait(request, now).await
@@ -116,15 +126,13 @@
     if send_head(sink, &head).await.is_err() {
         return AttemptEnd::Broken(answer.check.seen());
     }
-    let mut tally = TokenTally::default();
+    let mut usage = UseGuard::begin(state, dispatch);
     let limit = Duration::from_micros(state.settings.progress_timeout.0);
     while let Ok(Some(piece)) = actix_rt::time::timeout(limit, answer.next()).await {
         let offset = answer.check.seen();
         answer.check.feed(&piece);
         turn.note_answering();
-        let before = tally.used().answer;
-        tally.feed(&piece);
-        turn.charge(tally.used().answer.saturating_sub(before));
+        turn.charge(usage.feed(&piece));
         let part = PartMessage {
             id: dispatch.id.clone(),
             offset,
@@ -134,14 +142,61 @@
             break;
         }
     }
-    let used = tally.finish();
-    log::debug!(request = dispatch.id.request.as_str(), tokens = used.answer.0; "answer ended");
-    match answer.check.is_whole() {
+    usage.whole = answer.check.is_whole();
+    match usage.whole {
         true => AttemptEnd::Whole(answer.check.seen()),
         false => AttemptEnd::Broken(answer.check.seen()),
     }
 }
 
+/// Counts what an attempt has used when it is dropped, however it ended.
+///
+/// Tokens count where they were served; the prompt and the request count once,
+/// with the attempt that brought the end of the answer.
+struct UseGuard<'a> {
+    state: &'a SidecarState,
+    dispatch: &'a DispatchMessage,
+    tally: TokenTally,
+    whole: bool,
+}
+
+impl<'a> UseGuard<'a> {
+    fn begin(state: &'a SidecarState, dispatch: &'a DispatchMessage) -> Self {
+        Self {
+            state,
+            dispatch,
+            tally: TokenTally::default(),
+            whole: false,
+        }
+    }
+
+    /// Takes in a piece of the answer and returns the tokens in it.
+    fn feed(&mut self, piece: &[u8]) -> TokenCount {
+        let before = self.tally.used().answer;
+        self.tally.feed(piece);
+        self.tally.used().answer.saturating_sub(before)
+    }
+}
+
+impl Drop for UseGuard<'_> {
+    fn drop(&mut self) {
+        self.tally.close();
+        let Some(team) = &self.dispatch.team else {
+            return;
+        };
+        let used = self.tally.used();
+        let prompt = used.prompt.unwrap_or(self.dispatch.prompt_tokens);
+        let counted = self.whole && self.dispatch.model.is_some();
+        self.state.meter.count(RequestUse {
+            team: team.clone(),
+            service: self.dispatch.service.clone(),
+            prompt: if counted { prompt } else { TokenCount::ZERO },
+            answer: used.answer,
+            whole: self.whole,
+        });
+    }
+}
+
 async fn send_head(sink: &answer_sink::Client, head: &HeadMessage) -> Result<(), capnp::Error> {
     let mut request = sink.head_request();
     head.write(request.get().init_head());
--- a/crates/daemon/src/sidecar/session.rs
+++ b/crates/daemon/src/sidecar/session.rs
@@ -6,6 +6,7 @@
 use applefold_wire::applefold_capnp::session;
 use applefold_wire::beat::BeatMessage;
 use applefold_wire::dispatch::{DispatchMessage, EndMessage};
+use applefold_wire::usage;
 
 use super::runner;
 use super::state::SidecarState;
@@ -57,6 +58,21 @@
         Ok(())
     }
 
+    async fn meter(
+        self: Rc<Self>,
+        params: session::MeterParams,
+        mut results: session::MeterResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let keeper = params.get_keeper()?.to_str()?;
+        let keeper = keeper.parse();
+        let keeper = keeper.map_err(|_| capnp::Error::failed("the keeper has no name".into()))?;
+        let (batch, mark) = self.state.meter.batch_for(&keeper, params.get_taken());
+        usage::write_batch(&batch, results.get().init_batch());
+        results.get().set_mark(mark);
+        Ok(())
+    }
+
     async fn configure(
         self: Rc<Self>,
         params: session::ConfigureParams,
--- a/crates/daemon/src/sidecar/state.rs
+++ b/crates/daemon/src/sidecar/state.rs
@@ -7,10 +7,13 @@
 use applefold_core::config::KeyLookup;
 use applefold_core::id::TeamId;
 use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_core::usage::MeterName;
 use applefold_wire::beat::{BeatMessage, LoadNote};
 use applefold_wire::dispatch::DispatchMessage;
+use rand::Rng;
 
 use super::backend::BackendClient;
+use super::meter::MeterDesk;
 use super::turn::TurnTable;
 use super::SidecarSettings;
 use crate::clock::MonotonicClock;
@@ -36,12 +39,14 @@
     pub(crate) open_team: TeamId,
     pub(crate) backend: BackendClient,
     pub(crate) load: Cell<LoadNote>,
+    pub(crate) meter: MeterDesk,
     pub(crate) metrics: MetricSet,
     pub(crate) spans: SpanSource,
 }
 
 impl SidecarState {
     pub(crate) fn new(settings: SidecarSettings) -> Self {
+        let name = MeterName::new(&settings.instance, rand::thread_rng().gen());
         Self {
             clock: MonotonicClock::start(),
             config: ConfigCell::default(),
@@ -50,6 +55,7 @@
             open_team: OPEN_TEAM.parse().expect("the name is an identifier"),
             backend: BackendClient::new(settings.backend),
             load: Cell::new(LoadNote::default()),
+            meter: MeterDesk::new(name, settings.usage_window),
             metrics: MetricSet::start(),
             spans: SpanSource::start(settings.trace_share),
             settings,
--- a/crates/daemon/src/sidecar/tally.rs
+++ b/crates/daemon/src/sidecar/tally.rs
@@ -68,10 +68,10 @@
         self.used
     }
 
-    /// Returns what has been used.
-    pub(crate) fn finish(mut self) -> AnswerUse {
+    /// Counts what is left without an end of line.
+    pub(crate) fn close(&mut self) {
         self.count_line();
-        self.used
+        self.line.clear();
     }
 
     fn count_line(&mut self) {
@@ -82,7 +82,10 @@
         };
         if let Some(usage) = event.usage {
             self.used.prompt = Some(TokenCount(usage.prompt_tokens));
-            self.used.answer = TokenCount(usage.completion_tokens);
+            // A resumed stream may tell of tokens that an earlier attempt brought.
+            if self.used.answer == TokenCount::ZERO {
+                self.used.answer = TokenCount(usage.completion_tokens);
+            }
             return;
         }
         let deltas = event
--- a/crates/daemon/src/sidecar/turn.rs
+++ b/crates/daemon/src/sidecar/turn.rs
@@ -178,12 +178,7 @@
         Ok(())
     }
 
-    fn push(
-        &self,
-        id: CallId,
-        request: &TurnRequest,
-        now: TimePoint,
-    ) -> Result<(), CallRefusal> {
+    fn push(&self, id: CallId, request: &TurnRequest, now: TimePoint) -> Result<(), CallRefusal> {
         let call = QueuedCall {
             id,
             team: request.team.clone(),
--- a/crates/wire/applefold.capnp
+++ b/crates/wire/applefold.capnp
@@ -135,15 +135,14 @@
   }
 }
 
-struct ClaimRequest {
-  shard @0 :UInt64;
-  key @1 :Text;
-  team @2 :Text;
-  fingerprint @3 :UInt64;
-  request @4 :Text;
+struct ClaimAsk {
+  key @0 :Text;
+  team @1 :Text;
+  fingerprint @2 :UInt64;
+  request @3 :Text;
 }
 
-struct ClaimReply {
+struct ClaimVerdict {
   union {
     granted @0 :Void;
     refused @1 :Refusal;
@@ -156,13 +155,15 @@
   body @1 :Data;
 }
 
-struct ClaimOutcome {
-  shard @0 :UInt64;
-  key @1 :Text;
-  team @2 :Text;
-  request @3 :Text;
-  answer @4 :KeptAnswer;
-  known @5 :Bool;
+struct ClaimReport {
+  key @0 :Text;
+  team @1 :Text;
+  request @2 :Text;
+  union {
+    answered @3 :KeptAnswer;
+    notRun @4 :Void;
+    unknown @5 :Void;
+  }
 }
 
 struct UsageFigure {
@@ -196,8 +197,10 @@
   dispatch @1 (dispatch :Dispatch, sink :AnswerSink) -> (end :AnswerEnd);
   configure @2 (update :ConfigUpdate) -> (revision :UInt64);
   order @3 (order :Order) -> (reply :OrderReply);
-  claim @4 (claim :ClaimRequest) -> (reply :ClaimReply);
-  settle @5 (outcome :ClaimOutcome) -> ();
-  meter @6 (batch :UsageBatch) -> ();
-  fetchConfig @7 (known :UInt64) -> (update :ConfigUpdate);
+  claim @4 (ask :ClaimAsk) -> (verdict :ClaimVerdict);
+  settle @5 (report :ClaimReport) -> (taken :Bool);
+  # What the keeper `keeper` does not have, given the last mark that it took.
+  meter @6 (keeper :Text, taken :UInt64) -> (batch :UsageBatch, mark :UInt64);
+  # All that a keeper has from a window on.
+  collect @7 (fromWindow :UInt64) -> (batches :List(UsageBatch));
 }
--- a/crates/wire/src/applefold_capnp.rs
+++ b/crates/wire/src/applefold_capnp.rs
@@ -7702,7 +7702,7 @@
         Which<::capnp::Result<crate::applefold_capnp::refusal::Builder<'a>>>;
 }
 
-pub mod claim_request {
+pub mod claim_ask {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -7806,10 +7806,6 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_shard(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
         pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
@@ -7833,7 +7829,7 @@
         }
         #[inline]
         pub fn get_fingerprint(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
         pub fn get_request(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
@@ -7854,7 +7850,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 1,
                 pointers: 3,
             };
     }
@@ -7938,14 +7934,6 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_shard(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_shard(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
         pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
@@ -7995,11 +7983,11 @@
         }
         #[inline]
         pub fn get_fingerprint(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
         pub fn set_fingerprint(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(1, value);
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
         pub fn get_request(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
@@ -8042,68 +8030,53 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(240, 69, 233, 9, 2, 99, 43, 139),
-            ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(186, 205, 163, 23, 160, 171, 53, 160),
+            ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(55, 154, 78, 12, 184, 166, 242, 209),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
             ::capnp::word(100, 46, 99, 97, 112, 110, 112, 58),
-            ::capnp::word(67, 108, 97, 105, 109, 82, 101, 113),
-            ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(67, 108, 97, 105, 109, 65, 115, 107),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 104, 97, 114, 100, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8140,11 +8113,10 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8163,14 +8135,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 1, 4, 0, 2];
-        pub(crate) const TYPE_ID: u64 = 0x8b2b_6302_09e9_45f0;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 3, 1];
+        pub(crate) const TYPE_ID: u64 = 0xa035_aba0_17a3_cdba;
     }
 }
 
-pub mod claim_reply {
+pub mod claim_verdict {
     pub use self::Which::{Granted, Kept, Refused};
 
     #[derive(Copy, Clone)]
@@ -8486,12 +8458,12 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(90, 231, 122, 58, 37, 80, 107, 154),
+            ::capnp::word(220, 108, 21, 70, 106, 46, 65, 168),
             ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(55, 154, 78, 12, 184, 166, 242, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
@@ -8499,8 +8471,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
             ::capnp::word(100, 46, 99, 97, 112, 110, 112, 58),
-            ::capnp::word(67, 108, 97, 105, 109, 82, 101, 112),
-            ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(67, 108, 97, 105, 109, 86, 101, 114),
+            ::capnp::word(100, 105, 99, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
@@ -8575,7 +8547,7 @@
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
-        pub(crate) const TYPE_ID: u64 = 0x9a6b_5025_3a7a_e75a;
+        pub(crate) const TYPE_ID: u64 = 0xa841_2e6a_4615_6cdc;
     }
     pub enum Which<A0, A1> {
         Granted(()),
@@ -8921,7 +8893,9 @@
     }
 }
 
-pub mod claim_outcome {
+pub mod claim_report {
+    pub use self::Which::{Answered, NotRun, Unknown};
+
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -9025,10 +8999,6 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_shard(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
         pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
@@ -9062,21 +9032,25 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_answer(
-            self,
-        ) -> ::capnp::Result<crate::applefold_capnp::kept_answer::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(3),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_answer(&self) -> bool {
+        pub fn has_answered(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 0 {
+                return false;
+            }
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_known(self) -> bool {
-            self.reader.get_bool_field(64)
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Answered(
+                    ::capnp::traits::FromPointerReader::get_from_pointer(
+                        &self.reader.get_pointer_field(3),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                1 => ::core::result::Result::Ok(NotRun(())),
+                2 => ::core::result::Result::Ok(Unknown(())),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
         }
     }
 
@@ -9086,7 +9060,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 1,
                 pointers: 4,
             };
     }
@@ -9170,14 +9144,6 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_shard(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_shard(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
         pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
@@ -9253,19 +9219,11 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_answer(
-            self,
-        ) -> ::capnp::Result<crate::applefold_capnp::kept_answer::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(3),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_answer(
+        pub fn set_answered(
             &mut self,
             value: crate::applefold_capnp::kept_answer::Reader<'_>,
         ) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 0);
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(3),
                 value,
@@ -9273,20 +9231,38 @@
             )
         }
         #[inline]
-        pub fn init_answer(self) -> crate::applefold_capnp::kept_answer::Builder<'a> {
+        pub fn init_answered(self) -> crate::applefold_capnp::kept_answer::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 0);
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
         }
         #[inline]
-        pub fn has_answer(&self) -> bool {
+        pub fn has_answered(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 0 {
+                return false;
+            }
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_known(self) -> bool {
-            self.builder.get_bool_field(64)
+        pub fn set_not_run(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(0, 1);
         }
         #[inline]
-        pub fn set_known(&mut self, value: bool) {
-            self.builder.set_bool_field(64, value);
+        pub fn set_unknown(&mut self, _value: ()) {
+            self.builder.set_data_field::<u16>(0, 2);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => ::core::result::Result::Ok(Answered(
+                    ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                        self.builder.get_pointer_field(3),
+                        ::core::option::Option::None,
+                    ),
+                )),
+                1 => ::core::result::Result::Ok(NotRun(())),
+                2 => ::core::result::Result::Ok(Unknown(())),
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x)),
+            }
         }
     }
 
@@ -9300,20 +9276,16 @@
             }
         }
     }
-    impl Pipeline {
-        pub fn get_answer(&self) -> crate::applefold_capnp::kept_answer::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
-        }
-    }
+    impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(89, 77, 24, 174, 21, 185, 90, 156),
-            ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(22, 137, 175, 225, 193, 51, 155, 206),
+            ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(55, 154, 78, 12, 184, 166, 242, 209),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
@@ -9321,60 +9293,52 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
             ::capnp::word(100, 46, 99, 97, 112, 110, 112, 58),
-            ::capnp::word(67, 108, 97, 105, 109, 79, 117, 116),
-            ::capnp::word(99, 111, 109, 101, 0, 0, 0, 0),
+            ::capnp::word(67, 108, 97, 105, 109, 82, 101, 112),
+            ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(3, 0, 255, 255, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 64, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(4, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 104, 97, 114, 100, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9399,7 +9363,8 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 110, 115, 119, 101, 114, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(232, 169, 211, 148, 183, 190, 22, 251),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9407,23 +9372,31 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 116, 82, 117, 110, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::applefold_capnp::kept_answer::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::applefold_capnp::kept_answer::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                5 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9442,11 +9415,20 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 1, 5, 3, 0, 2];
-        pub(crate) const TYPE_ID: u64 = 0x9c5a_b915_ae18_4d59;
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[3, 4, 5];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 4, 2, 1, 5];
+        pub(crate) const TYPE_ID: u64 = 0xce9b_33c1_e1af_8916;
     }
+    pub enum Which<A0> {
+        Answered(A0),
+        NotRun(()),
+        Unknown(()),
+    }
+    pub type WhichReader<'a> =
+        Which<::capnp::Result<crate::applefold_capnp::kept_answer::Reader<'a>>>;
+    pub type WhichBuilder<'a> =
+        Which<::capnp::Result<crate::applefold_capnp::kept_answer::Builder<'a>>>;
 }
 
 pub mod usage_figure {
@@ -12229,10 +12211,10 @@
         ::capnp::capability::Params<crate::applefold_capnp::session::meter_params::Owned>;
     pub type MeterResults =
         ::capnp::capability::Results<crate::applefold_capnp::session::meter_results::Owned>;
-    pub type FetchConfigParams =
-        ::capnp::capability::Params<crate::applefold_capnp::session::fetch_config_params::Owned>;
-    pub type FetchConfigResults =
-        ::capnp::capability::Results<crate::applefold_capnp::session::fetch_config_results::Owned>;
+    pub type CollectParams =
+        ::capnp::capability::Params<crate::applefold_capnp::session::collect_params::Owned>;
+    pub type CollectResults =
+        ::capnp::capability::Results<crate::applefold_capnp::session::collect_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -12375,11 +12357,11 @@
             self.client
                 .new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
-        pub fn fetch_config_request(
+        pub fn collect_request(
             &self,
         ) -> ::capnp::capability::Request<
-            crate::applefold_capnp::session::fetch_config_params::Owned,
-            crate::applefold_capnp::session::fetch_config_results::Owned,
+            crate::applefold_capnp::session::collect_params::Owned,
+            crate::applefold_capnp::session::collect_results::Owned,
         > {
             self.client
                 .new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
@@ -12449,13 +12431,13 @@
                 "method session::Server::meter not implemented".to_string(),
             )))
         }
-        fn fetch_config(
+        fn collect(
             self: ::capnp::capability::Rc<Self>,
-            _: FetchConfigParams,
-            _: FetchConfigResults,
+            _: CollectParams,
+            _: CollectResults,
         ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
             ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method session::Server::fetch_config not implemented".to_string(),
+                "method session::Server::collect not implemented".to_string(),
             )))
         }
     }
@@ -12570,7 +12552,7 @@
                     false,
                 ),
                 7 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::fetch_config(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::collect(
                         this,
                         ::capnp::private::capability::internal_get_typed_params(params),
                         ::capnp::private::capability::internal_get_typed_results(results),
@@ -15343,16 +15325,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_claim(
-                self,
-            ) -> ::capnp::Result<crate::applefold_capnp::claim_request::Reader<'a>> {
+            pub fn get_ask(self) -> ::capnp::Result<crate::applefold_capnp::claim_ask::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_claim(&self) -> bool {
+            pub fn has_ask(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -15452,18 +15432,18 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_claim(
+            pub fn get_ask(
                 self,
-            ) -> ::capnp::Result<crate::applefold_capnp::claim_request::Builder<'a>> {
+            ) -> ::capnp::Result<crate::applefold_capnp::claim_ask::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_claim(
+            pub fn set_ask(
                 &mut self,
-                value: crate::applefold_capnp::claim_request::Reader<'_>,
+                value: crate::applefold_capnp::claim_ask::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -15472,14 +15452,14 @@
                 )
             }
             #[inline]
-            pub fn init_claim(self) -> crate::applefold_capnp::claim_request::Builder<'a> {
+            pub fn init_ask(self) -> crate::applefold_capnp::claim_ask::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
                     0,
                 )
             }
             #[inline]
-            pub fn has_claim(&self) -> bool {
+            pub fn has_ask(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -15495,7 +15475,7 @@
             }
         }
         impl Pipeline {
-            pub fn get_claim(&self) -> crate::applefold_capnp::claim_request::Pipeline {
+            pub fn get_ask(&self) -> crate::applefold_capnp::claim_ask::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -15522,13 +15502,13 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(99, 108, 97, 105, 109, 0, 0, 0),
+                ::capnp::word(97, 115, 107, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(240, 69, 233, 9, 2, 99, 43, 139),
+                ::capnp::word(186, 205, 163, 23, 160, 171, 53, 160),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -15537,7 +15517,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::applefold_capnp::claim_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::applefold_capnp::claim_ask::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -15671,16 +15651,16 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_reply(
+            pub fn get_verdict(
                 self,
-            ) -> ::capnp::Result<crate::applefold_capnp::claim_reply::Reader<'a>> {
+            ) -> ::capnp::Result<crate::applefold_capnp::claim_verdict::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_reply(&self) -> bool {
+            pub fn has_verdict(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -15780,18 +15760,18 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_reply(
+            pub fn get_verdict(
                 self,
-            ) -> ::capnp::Result<crate::applefold_capnp::claim_reply::Builder<'a>> {
+            ) -> ::capnp::Result<crate::applefold_capnp::claim_verdict::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_reply(
+            pub fn set_verdict(
                 &mut self,
-                value: crate::applefold_capnp::claim_reply::Reader<'_>,
+                value: crate::applefold_capnp::claim_verdict::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -15800,14 +15780,14 @@
                 )
             }
             #[inline]
-            pub fn init_reply(self) -> crate::applefold_capnp::claim_reply::Builder<'a> {
+            pub fn init_verdict(self) -> crate::applefold_capnp::claim_verdict::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
                     0,
                 )
             }
             #[inline]
-            pub fn has_reply(&self) -> bool {
+            pub fn has_verdict(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -15823,7 +15803,7 @@
             }
         }
         impl Pipeline {
-            pub fn get_reply(&self) -> crate::applefold_capnp::claim_reply::Pipeline {
+            pub fn get_verdict(&self) -> crate::applefold_capnp::claim_verdict::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -15850,13 +15830,13 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 100, 105, 99, 116, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(90, 231, 122, 58, 37, 80, 107, 154),
+                ::capnp::word(220, 108, 21, 70, 106, 46, 65, 168),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -15865,7 +15845,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::applefold_capnp::claim_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::applefold_capnp::claim_verdict::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -15999,16 +15979,16 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_outcome(
+            pub fn get_report(
                 self,
-            ) -> ::capnp::Result<crate::applefold_capnp::claim_outcome::Reader<'a>> {
+            ) -> ::capnp::Result<crate::applefold_capnp::claim_report::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_outcome(&self) -> bool {
+            pub fn has_report(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -16108,18 +16088,18 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_outcome(
+            pub fn get_report(
                 self,
-            ) -> ::capnp::Result<crate::applefold_capnp::claim_outcome::Builder<'a>> {
+            ) -> ::capnp::Result<crate::applefold_capnp::claim_report::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_outcome(
+            pub fn set_report(
                 &mut self,
-                value: crate::applefold_capnp::claim_outcome::Reader<'_>,
+                value: crate::applefold_capnp::claim_report::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -16128,14 +16108,14 @@
                 )
             }
             #[inline]
-            pub fn init_outcome(self) -> crate::applefold_capnp::claim_outcome::Builder<'a> {
+            pub fn init_report(self) -> crate::applefold_capnp::claim_report::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
                     0,
                 )
             }
             #[inline]
-            pub fn has_outcome(&self) -> bool {
+            pub fn has_report(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -16151,7 +16131,7 @@
             }
         }
         impl Pipeline {
-            pub fn get_outcome(&self) -> crate::applefold_capnp::claim_outcome::Pipeline {
+            pub fn get_report(&self) -> crate::applefold_capnp::claim_report::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -16178,13 +16158,13 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(89, 77, 24, 174, 21, 185, 90, 156),
+                ::capnp::word(22, 137, 175, 225, 193, 51, 155, 206),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -16193,7 +16173,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::applefold_capnp::claim_outcome::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::applefold_capnp::claim_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -16326,6 +16306,10 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_taken(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
         }
 
         pub struct Builder<'a> {
@@ -16334,7 +16318,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 0,
+                    data: 1,
                     pointers: 0,
                 };
         }
@@ -16422,6 +16406,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_taken(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_taken(&mut self, value: bool) {
+                self.builder.set_bool_field(0, value);
+            }
         }
 
         pub struct Pipeline {
@@ -16436,17 +16428,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(207, 228, 42, 246, 213, 87, 125, 196),
-                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
@@ -16454,9 +16446,28 @@
                 ::capnp::word(83, 101, 115, 115, 105, 111, 110, 46),
                 ::capnp::word(115, 101, 116, 116, 108, 101, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 107, 101, 110, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -16473,9 +16484,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xc47d_57d5_f62a_e4cf;
         }
     }
@@ -16588,18 +16599,20 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_batch(
-                self,
-            ) -> ::capnp::Result<crate::applefold_capnp::usage_batch::Reader<'a>> {
+            pub fn get_keeper(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_batch(&self) -> bool {
+            pub fn has_keeper(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_taken(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> {
@@ -16608,7 +16621,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 0,
+                    data: 1,
                     pointers: 1,
                 };
         }
@@ -16697,36 +16710,40 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_batch(
-                self,
-            ) -> ::capnp::Result<crate::applefold_capnp::usage_batch::Builder<'a>> {
+            pub fn get_keeper(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_batch(
+            pub fn set_keeper(
                 &mut self,
-                value: crate::applefold_capnp::usage_batch::Reader<'_>,
-            ) -> ::capnp::Result<()> {
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
                     value,
                     false,
                 )
+                .unwrap()
             }
             #[inline]
-            pub fn init_batch(self) -> crate::applefold_capnp::usage_batch::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    0,
-                )
+            pub fn init_keeper(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_batch(&self) -> bool {
+            pub fn has_keeper(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_taken(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_taken(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline {
@@ -16739,23 +16756,19 @@
                 }
             }
         }
-        impl Pipeline {
-            pub fn get_batch(&self) -> crate::applefold_capnp::usage_batch::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(194, 51, 147, 253, 229, 19, 165, 254),
-                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
@@ -16763,26 +16776,42 @@
                 ::capnp::word(83, 101, 115, 115, 105, 111, 110, 46),
                 ::capnp::word(109, 101, 116, 101, 114, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(223, 208, 63, 119, 89, 43, 79, 175),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(107, 101, 101, 112, 101, 114, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 97, 107, 101, 110, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::applefold_capnp::usage_batch::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -16801,9 +16830,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0xfea5_13e5_fd93_33c2;
         }
     }
@@ -16907,7 +16936,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -16915,6 +16944,23 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_batch(
+                self,
+            ) -> ::capnp::Result<crate::applefold_capnp::usage_batch::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_batch(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_mark(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> {
@@ -16923,8 +16969,8 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 0,
-                    pointers: 0,
+                    data: 1,
+                    pointers: 1,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -17011,6 +17057,45 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_batch(
+                self,
+            ) -> ::capnp::Result<crate::applefold_capnp::usage_batch::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_batch(
+                &mut self,
+                value: crate::applefold_capnp::usage_batch::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_batch(self) -> crate::applefold_capnp::usage_batch::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_batch(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_mark(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_mark(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline {
@@ -17023,19 +17108,23 @@
                 }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_batch(&self) -> crate::applefold_capnp::usage_batch::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(173, 89, 228, 252, 160, 164, 151, 186),
-                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
@@ -17043,9 +17132,44 @@
                 ::capnp::word(83, 101, 115, 115, 105, 111, 110, 46),
                 ::capnp::word(109, 101, 116, 101, 114, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(223, 208, 63, 119, 89, 43, 79, 175),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 97, 114, 107, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::applefold_capnp::usage_batch::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -17062,14 +17186,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0xba97_a4a0_fce4_59ad;
         }
     }
 
-    pub mod fetch_config_params {
+    pub mod collect_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -17177,7 +17301,7 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_known(self) -> u64 {
+            pub fn get_from_window(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
         }
@@ -17277,11 +17401,11 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_known(self) -> u64 {
+            pub fn get_from_window(self) -> u64 {
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_known(&mut self, value: u64) {
+            pub fn set_from_window(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(0, value);
             }
         }
@@ -17305,27 +17429,27 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
                 ::capnp::word(100, 46, 99, 97, 112, 110, 112, 58),
                 ::capnp::word(83, 101, 115, 115, 105, 111, 110, 46),
-                ::capnp::word(102, 101, 116, 99, 104, 67, 111, 110),
-                ::capnp::word(102, 105, 103, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 108, 108, 101, 99, 116, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 114, 111, 109, 87, 105, 110, 100),
+                ::capnp::word(111, 119, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -17362,7 +17486,7 @@
         }
     }
 
-    pub mod fetch_config_results {
+    pub mod collect_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -17470,16 +17594,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_update(
+            pub fn get_batches(
                 self,
-            ) -> ::capnp::Result<crate::applefold_capnp::config_update::Reader<'a>> {
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::applefold_capnp::usage_batch::Owned>,
+            > {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_update(&self) -> bool {
+            pub fn has_batches(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -17579,18 +17705,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_update(
+            pub fn get_batches(
                 self,
-            ) -> ::capnp::Result<crate::applefold_capnp::config_update::Builder<'a>> {
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::applefold_capnp::usage_batch::Owned>,
+            > {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_update(
+            pub fn set_batches(
                 &mut self,
-                value: crate::applefold_capnp::config_update::Reader<'_>,
+                value: ::capnp::struct_list::Reader<'_, crate::applefold_capnp::usage_batch::Owned>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -17599,14 +17727,18 @@
                 )
             }
             #[inline]
-            pub fn init_update(self) -> crate::applefold_capnp::config_update::Builder<'a> {
+            pub fn init_batches(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::applefold_capnp::usage_batch::Owned>
+            {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
-                    0,
+                    size,
                 )
             }
             #[inline]
-            pub fn has_update(&self) -> bool {
+            pub fn has_batches(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -17621,51 +17753,50 @@
                 }
             }
         }
-        impl Pipeline {
-            pub fn get_update(&self) -> crate::applefold_capnp::config_update::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(188, 119, 208, 143, 161, 241, 146, 186),
                 ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 98, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
                 ::capnp::word(100, 46, 99, 97, 112, 110, 112, 58),
                 ::capnp::word(83, 101, 115, 115, 105, 111, 110, 46),
-                ::capnp::word(102, 101, 116, 99, 104, 67, 111, 110),
-                ::capnp::word(102, 105, 103, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 108, 108, 101, 99, 116, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(117, 112, 100, 97, 116, 101, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(212, 162, 166, 87, 15, 133, 21, 158),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 97, 116, 99, 104, 101, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(223, 208, 63, 119, 89, 43, 79, 175),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::applefold_capnp::config_update::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::applefold_capnp::usage_batch::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
