--- a/crates/daemon/src/entry/control.rs
+++ b/crates/daemon/src/entry/control.rs
@@ -40,7 +40,8 @@
             Err(fault) => log::debug!("could not read the list of instances: {fault}"),
         }
         state.publish_use();
-        actix_rt::time::sleep(list_period(state.entries.borrow().len())).await;
+        let period = list_period(state.entries.borrow().len());
+        actix_rt::time::sleep(period).await;
     }
 }
 
