Add the client, the call command and the load tool of the stand-ins

Cause: demos must need no other HTTP client, and added latency has to be measured with every answer checked.

--- a/crates/standins/src/cmd/args.rs
+++ b/crates/standins/src/cmd/args.rs
@@ -3,11 +3,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_http::Method;
 use applefold_standins::{
-    EngineOptions, EngineRole, PlainOptions, PlatformOptions, StandinOptions,
+    EngineOptions, EngineRole, LoadPlan, PlainOptions, PlatformOptions, StandinOptions,
 };
 use argh::FromArgs;
 
+/// The model that an engine has unless told otherwise.
+const DEFAULT_MODEL: &str = "tiny-1";
+/// The length of answers in a load.
+const DEFAULT_ANSWER_TOKENS: u64 = 16;
+/// The length of prompts in a load.
+const DEFAULT_PROMPT_BYTES: usize = 400;
+
 /// Stand-ins for the platform, model engines and plain services, for tests only.
 #[derive(FromArgs)]
 pub(crate) struct CommandOptions {
@@ -21,6 +29,8 @@
     Platform(PlatformArgs),
     Engine(EngineArgs),
     Plain(PlainArgs),
+    Call(CallArgs),
+    Load(LoadArgs),
 }
 
 /// Run a platform.
@@ -170,3 +180,81 @@
         })
     }
 }
+
+/// Call a stand-in or applefold and print the answer.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "call")]
+pub(crate) struct CallArgs {
+    /// the address to call
+    #[argh(option)]
+    pub(crate) address: SocketAddr,
+    /// the path, with its query
+    #[argh(option)]
+    pub(crate) path: String,
+    /// the method; GET without a body, else POST
+    #[argh(option)]
+    pub(crate) method: Option<Method>,
+    /// the body
+    #[argh(option)]
+    pub(crate) body: Option<String>,
+    /// a bearer credential
+    #[argh(option)]
+    pub(crate) bearer: Option<String>,
+    /// a header as name:value; may be given several times
+    #[argh(option)]
+    pub(crate) header: Vec<String>,
+    /// print the text of a streamed answer as it comes
+    #[argh(switch)]
+    pub(crate) stream: bool,
+    /// fail unless the answer holds just these first tokens of an engine's answer
+    #[argh(option)]
+    pub(crate) expect_tokens: Option<u64>,
+}
+
+/// Send a bounded load of chat requests and print the latencies.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+pub(crate) struct LoadArgs {
+    /// the address to call
+    #[argh(option)]
+    address: SocketAddr,
+    /// a bearer credential
+    #[argh(option)]
+    bearer: Option<String>,
+    /// the model
+    #[argh(option, default = "DEFAULT_MODEL.to_owned()")]
+    model: String,
+    /// how many requests in all
+    #[argh(option)]
+    requests: u64,
+    /// how many requests at a time
+    #[argh(option, default = "1")]
+    concurrency: usize,
+    /// ask for streamed answers
+    #[argh(switch)]
+    stream: bool,
+    /// the answers' length in tokens
+    #[argh(option, default = "DEFAULT_ANSWER_TOKENS")]
+    max_tokens: u64,
+    /// the prompts' length in bytes
+    #[argh(option, default = "DEFAULT_PROMPT_BYTES")]
+    prompt_bytes: usize,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
+
+impl LoadArgs {
+    pub(crate) fn plan(&self) -> LoadPlan {
+        LoadPlan {
+            address: self.address,
+            bearer: self.bearer.clone(),
+            model: self.model.clone(),
+            requests: self.requests,
+            concurrency: self.concurrency,
+            stream: self.stream,
+            max_tokens: self.max_tokens,
+            prompt_bytes: self.prompt_bytes,
+        }
+    }
+}
--- a/crates/standins/src/cmd/mod.rs
+++ b/crates/standins/src/cmd/mod.rs
@@ -1,11 +1,13 @@
 //! The subcommands and their arguments.
 
 mod args;
+mod call;
+mod load;
 mod serve;
 
 use eyre::Result;
 
-pub(crate) use args::{CommandOptions, Subcommand};
+pub(crate) use args::{CallArgs, CommandOptions, LoadArgs, Subcommand};
 
 impl CommandOptions {
     /// Runs the chosen subcommand to its end.
@@ -14,6 +16,8 @@
             Subcommand::Platform(args) => serve::run(args.listen, args.options()),
             Subcommand::Engine(args) => serve::run(args.listen, args.options()),
             Subcommand::Plain(args) => serve::run(args.listen, args.options()),
+            Subcommand::Call(args) => call::run(args),
+            Subcommand::Load(args) => load::run(args),
         }
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,14 +5,19 @@
 //! that failures are caused and not waited for. The choices are told in
 //! [docs/design/standins.md](../../../docs/design/standins.md).
 
+mod chat;
+mod client;
 mod connection;
 mod engine;
 mod handle;
 mod http;
+mod load;
 mod plain;
 mod platform;
 mod server;
 
+pub use chat::{expected_text, whole_text, ChatCall, ChatStream};
+pub use client::{ClientAnswer, ClientError, EngineHistory, StandinClient};
 pub use engine::answer::{answer_text, token_text, PromptHash};
 pub use engine::cache::{CacheChange, CacheEvent, PromptExport, PIECE_TOKENS};
 pub use engine::chat::{prompt_tokens, ChatMessage, ChatRequest, StreamOptions};
@@ -22,12 +27,15 @@
 pub use engine::options::{EngineOptions, EngineRole, RoleError};
 pub use engine::orders::{EngineOrder, EngineOrderRecord, OrderKind, OrderState};
 pub use handle::StandinHandle;
+pub use load::{run_load, LatencySummary, LoadPlan, LoadSummary};
 pub use plain::{ExecutionRecord, PlainAction, PlainFaults, PlainOptions};
 pub use platform::faults::PlatformFaults;
 pub use platform::fleet::{
     FleetAction, FleetOrder, InstanceKind, InstanceRecord, InstanceState, OrderRecord,
 };
+pub use platform::lease::{LeaseGrant, LeaseRequest, LeaseView};
 pub use platform::options::PlatformOptions;
 pub use platform::stats::StatsView;
+pub use platform::store::{KeyEntry, KeyWrite};
 pub use platform::usage::{UsageReport, UsageView, UsageViolation};
 pub use server::{serve, CrashMode, StandinOptions};
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -2,11 +2,17 @@
 
 mod cmd;
 
-use eyre::Result;
+use std::process::ExitCode;
 
-fn main() -> Result<()> {
+fn main() -> ExitCode {
     let options: cmd::CommandOptions = argh::from_env();
     let env = env_logger::Env::default().default_filter_or("warn");
     env_logger::Builder::from_env(env).init();
-    options.run()
+    match options.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("applefold-standin: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- a/crates/standins/src/platform/lease.rs
+++ b/crates/standins/src/platform/lease.rs
@@ -7,26 +7,33 @@
 use tokio::time::Instant;
 
 /// A request for a lease, or its renewal where `fencing` is given.
-#[derive(Debug, Deserialize)]
-pub(crate) struct LeaseRequest {
-    pub(crate) holder: String,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Who asks.
+    pub holder: String,
+    /// The number of the lease to renew.
     #[serde(default)]
-    pub(crate) fencing: u64,
-    pub(crate) ttl_ms: u64,
+    pub fencing: u64,
+    /// For how long.
+    pub ttl_ms: u64,
 }
 
 /// A granted lease.
-#[derive(Debug, Serialize)]
-pub(crate) struct LeaseGrant {
-    pub(crate) fencing: u64,
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseGrant {
+    /// Its number.
+    pub fencing: u64,
 }
 
 /// Who holds a lease, and the last number given out.
-#[derive(Debug, Serialize)]
-pub(crate) struct LeaseView {
-    pub(crate) holder: Option<String>,
-    pub(crate) fencing: u64,
-    pub(crate) remaining_ms: u64,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseView {
+    /// The holder, where there is one.
+    pub holder: Option<String>,
+    /// The last number given out.
+    pub fencing: u64,
+    /// How long the lease still holds.
+    pub remaining_ms: u64,
 }
 
 #[derive(Default)]
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -9,19 +9,23 @@
 pub(crate) const MAX_VALUE_BYTES: usize = 1 << 20;
 
 /// A key as the platform shows it.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct KeyEntry {
-    pub(crate) key: String,
-    pub(crate) value: String,
-    pub(crate) version: u64,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyEntry {
+    /// The key.
+    pub key: String,
+    /// Its value.
+    pub value: String,
+    /// The store's revision when it was written.
+    pub version: u64,
 }
 
 /// A write of a key.
-#[derive(Debug, Deserialize)]
-pub(crate) struct KeyWrite {
-    pub(crate) value: String,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyWrite {
+    /// The new value.
+    pub value: String,
     /// 0 creates, another number compares, `None` overwrites.
-    pub(crate) expect: Option<u64>,
+    pub expect: Option<u64>,
 }
 
 /// The refusal of a write whose expected version is not the current one.
