Move every stream that a crash broke off

Cause: the retry budget (10 at once) was spent by one crash; of 48 streams over two engines the rest of the crashed one's broke off with 2002. Ruled out: a larger budget, which load could spend too. Change: only refusals and timeouts spend the budget; crashes bound the others. Conclusion: a crash takes no stream with it.

--- a/crates/daemon/src/cmd/entry.rs
+++ b/crates/daemon/src/cmd/entry.rs
@@ -1,6 +1,7 @@
 //! Runs an entry.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use applefold_core::answer::HOLD_LIMIT;
 use applefold_core::unit::TimeSpan;
@@ -171,7 +172,7 @@
         "at least 2s, so that a lost heartbeat does not stop service",
     );
     reader.check_pair(
-        listen.is_none() || listen != peer_listen,
+        listen.is_none_or(|address: SocketAddr| address.port() == 0) || listen != peer_listen,
         SettingSource {
             flag: "--peer-listen",
             variable: "APPLEFOLD_PEER_LISTEN",
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -141,6 +141,7 @@
         },
         WireEnd::NotRun(refusal) => AttemptEnd::NotRun(refusal),
         WireEnd::Broken(_) => AttemptEnd::Broken,
+        WireEnd::Unknown(refusal) if refusal.code == ResultCode::PeerSilent => AttemptEnd::Silent,
         WireEnd::Unknown(_) => AttemptEnd::Unknown,
     }
 }
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -297,14 +297,17 @@
         }
     }
 
-    /// Keeps retries a bounded share of the requests.
+    /// Keeps retries a bounded share of the requests where load causes them.
+    ///
+    /// What a crash broke off is always moved: crashes bound these retries, and
+    /// one crash breaks off more streams at once than the budget holds.
     fn spend_retry(&self, attempt: AttemptNumber, end: AttemptEnd) -> RetryDecision {
         let refusal = match end {
             AttemptEnd::NotRun(refusal) => refusal,
-            AttemptEnd::Whole | AttemptEnd::Broken => {
-                CallRefusal::passing(ResultCode::BackendFailed, RETRY_SOON)
+            AttemptEnd::Silent => unknown(),
+            AttemptEnd::Whole | AttemptEnd::Broken | AttemptEnd::Unknown => {
+                return RetryDecision::Again(attempt.next());
             }
-            AttemptEnd::Unknown | AttemptEnd::Silent => unknown(),
         };
         let failed = FailedAttempt {
             attempt,
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -22,7 +22,7 @@
 use applefold_core::id::{DomainId, InstanceId, RegionId};
 use applefold_core::unit::{ByteSize, TimeSpan};
 use applefold_wire::applefold_capnp::session as session_capnp;
-use eyre::Result;
+use eyre::{Result, WrapErr};
 use smol_str::SmolStr;
 
 use crate::link::gate;
@@ -87,6 +87,9 @@
         crate::http::serve_metrics(address, state.metrics.clone()).await?;
     }
     let listener = gate::bind(state.settings.peer_listen).await?;
+    let peers = listener
+        .local_addr()
+        .wrap_err("could not read the address for peers")?;
     let session: session_capnp::Client = capnp_rpc::new_client(EntrySession::new(state.clone()));
     actix_rt::spawn(gate::serve(listener, state.gate_options(), session));
     actix_rt::spawn(authority::follow(state.clone()));
@@ -96,7 +99,7 @@
     actix_rt::spawn(control::follow_instances(state.clone()));
     let server = api::serve(state.clone()).await?;
     log::info!(instance = state.settings.instance.as_str(),
-        callers = state.settings.listen.to_string(); "entry is serving");
+        callers = server.address.to_string(), peers = peers.to_string(); "entry is serving");
     signal::wait_stop().await?;
     stop(&state).await;
     drop(server);
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -23,6 +23,8 @@
 
 /// A listening server; dropping it stops accepting.
 pub(crate) struct HttpServer {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
     task: actix_rt::task::JoinHandle<()>,
 }
 
@@ -40,6 +42,7 @@
 {
     let context = || format!("could not listen on {address}");
     let listener = TcpListener::bind(address).await.wrap_err_with(context)?;
+    let address = listener.local_addr().wrap_err_with(context)?;
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(HEAD_TIMEOUT)
@@ -66,7 +69,7 @@
             });
         }
     });
-    Ok(HttpServer { task })
+    Ok(HttpServer { address, task })
 }
 
 /// Serves the metrics for as long as the process runs.
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -17,7 +17,7 @@
 use applefold_core::id::{DomainId, InstanceId, PoolId};
 use applefold_core::unit::TimeSpan;
 use applefold_wire::applefold_capnp::session as session_capnp;
-use eyre::Result;
+use eyre::{Result, WrapErr};
 
 use crate::link::gate::{self, GateOptions};
 use crate::link::secret::SecretRing;
@@ -48,6 +48,9 @@
 /// Runs until the process is told to stop and nothing is in flight.
 pub(crate) async fn run(settings: SidecarSettings) -> Result<()> {
     let listener = gate::bind(settings.peer_listen).await?;
+    let peers = listener
+        .local_addr()
+        .wrap_err("could not read the address for peers")?;
     let options = GateOptions {
         instance: settings.instance.to_string(),
         secrets: settings.secrets.clone(),
@@ -62,7 +65,7 @@
     let clock = state.clock;
     actix_rt::spawn(turn::follow(state.turns.clone(), move || clock.now()));
     log::info!(instance = state.settings.instance.as_str(),
-        peers = state.settings.peer_listen.to_string(); "sidecar is serving");
+        peers = peers.to_string(); "sidecar is serving");
     signal::wait_stop().await?;
     stop(&state).await;
     Ok(())
--- a/crates/daemon/src/sidecar/runner.rs
+++ b/crates/daemon/src/sidecar/runner.rs
@@ -81,7 +81,8 @@
         Ok(Err(BackendFault::NotSent)) => {
             AttemptEnd::NotRun(CallRefusal::passing(ResultCode::BackendMissing, RETRY_SOON))
         }
-        Ok(Err(BackendFault::NoAnswer)) | Err(_) => AttemptEnd::Unknown(unknown),
+        Ok(Err(BackendFault::NoAnswer)) => AttemptEnd::Unknown(unknown),
+        Err(_) => AttemptEnd::Unknown(CallRefusal::lasting(ResultCode::PeerSilent)),
     }
 }
 
