Test the stand-ins, and mend what the tests found

Cause: a fault that does not do what it says makes every test that rests on it worthless.

What the tests found, each mended here: - A stream cut after 4 tokens had delivered 2: the body's error dropped what was not flushed. The stream yields once before it ends in an error. - A call held by a freeze could be answered by an engine that crashed at that moment, since the crash fault ended the freeze first and a cut connection raced with its handler. The crash comes first and a cut has priority.

--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::{unfold, Stream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::task::yield_now;
 
 use super::answer::PromptHash;
 use super::batch::{BatchJob, JobEvent};
@@ -147,6 +148,8 @@
         let mut chunk = BytesMut::new();
         while chunk.is_empty() {
             let Some(event) = self.received.recv().await else {
+                // What has been made so far is flushed before the connection is cut.
+                yield_now().await;
                 self.ended = true;
                 return Err(io::ErrorKind::ConnectionAborted.into());
             };
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -117,14 +117,14 @@
         if !call.is_read() {
             let faults: EngineFaults = call.json()?;
             *self.faults.borrow_mut() = faults.clone();
-            self.thawed.notify_waiters();
-            if faults.silent {
-                self.switch.table.silence_all_but(call.peer);
-            }
             if faults.crash {
                 self.crash();
                 return Err(CallAnswer::Cut);
             }
+            if faults.silent {
+                self.switch.table.silence_all_but(call.peer);
+            }
+            self.thawed.notify_waiters();
         }
         Ok(reply_ok(&*self.faults.borrow()))
     }
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -2,12 +2,15 @@
 
 mod cmd;
 
+use std::io::Write;
 use std::process::ExitCode;
 
+/// What is logged unless the environment says otherwise; streams that faults cut are no news.
+const LOG_FILTER: &str = "warn,actix_http::h1::dispatcher=off";
+
 fn main() -> ExitCode {
     let options: cmd::CommandOptions = argh::from_env();
-    let env = env_logger::Env::default().default_filter_or("warn");
-    env_logger::Builder::from_env(env).init();
+    start_log();
     match options.run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
@@ -16,3 +19,17 @@
         }
     }
 }
+
+fn start_log() {
+    let env = env_logger::Env::default().default_filter_or(LOG_FILTER);
+    let mut builder = env_logger::Builder::from_env(env);
+    builder.format(|out, record| {
+        let line = serde_json::json!({
+            "level": record.level().as_str(),
+            "target": record.target(),
+            "message": record.args().to_string(),
+        });
+        writeln!(out, "{line}")
+    });
+    builder.init();
+}
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -127,11 +127,11 @@
     fn handle_faults(&self, call: &HttpCall) -> Result<CallAnswer, CallAnswer> {
         if !call.is_read() {
             *self.faults.borrow_mut() = call.json()?;
-            self.thawed.notify_waiters();
             if self.faults.borrow().crash {
                 self.crash();
                 return Err(CallAnswer::Cut);
             }
+            self.thawed.notify_waiters();
         }
         Ok(reply_ok(&*self.faults.borrow()))
     }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -149,10 +149,11 @@
         let handler = handler.clone();
         actix_rt::spawn(async move {
             tokio::select! {
+                biased;
+                () = guard.cut() => {}
                 result = handler.call((guard.wrap(socket), Some(peer))) => {
                     result.unwrap_or_else(|error| log::debug!("connection ended: {error}"));
                 }
-                () = guard.cut() => {}
             }
         });
     }
--- /dev/null
+++ b/crates/standins/tests/common/mod.rs
@@ -0,0 +1,37 @@
+//! Help for the tests of the stand-ins.
+
+use std::future::Future;
+use std::time::Duration;
+
+use actix_http::Method;
+use applefold_standins::StandinClient;
+use serde_json::Value;
+use tokio::time::sleep;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Waits until `check` holds; a test that hangs here has failed.
+pub(crate) async fn eventually<F, Fut>(mut check: F)
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    while !check().await {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Sends JSON and returns the status with the body.
+pub(crate) async fn send(
+    client: &StandinClient,
+    method: Method,
+    path: &str,
+    body: Value,
+) -> (u16, Value) {
+    let body = match body {
+        Value::Null => String::new(),
+        other => other.to_string(),
+    };
+    let answer = client.call(method, path, body.into()).await.unwrap();
+    (answer.status, answer.json().unwrap())
+}
--- /dev/null
+++ b/crates/standins/tests/engine.rs
@@ -0,0 +1,326 @@
+//! The engine: whole and resumed answers, streams that end early, the cache.
+
+mod common;
+
+use std::time::Duration;
+
+use actix_http::Method;
+use applefold_standins::{
+    whole_text, CacheEvent, ChatCall, ChatStream, ClientError, EngineOptions, PromptExport,
+    RequestState, StandinClient, StandinHandle, PIECE_TOKENS,
+};
+use bytes::Bytes;
+use futures_util::future::join;
+use serde_json::{json, Value};
+use tokio::time::timeout;
+
+use common::{eventually, send};
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const ENDLESS_TOKENS: u64 = 100_000;
+/// Longer than the answer takes that is silenced.
+const SILENCE: Duration = Duration::from_millis(600);
+
+fn start() -> (StandinHandle, StandinClient) {
+    start_with(EngineOptions {
+        step: Duration::from_millis(1),
+        stream_rate: 1_000,
+        down_time: Duration::from_millis(50),
+        ..EngineOptions::default()
+    })
+}
+
+fn start_with(options: EngineOptions) -> (StandinHandle, StandinClient) {
+    let handle = StandinHandle::engine(options).unwrap();
+    let client = StandinClient::new(handle.address);
+    (handle, client)
+}
+
+fn chat(prompt: &str, tokens: u64) -> ChatCall {
+    ChatCall::new("tiny-1", prompt, tokens)
+}
+
+/// Opens a stream and waits for its first token.
+async fn open(client: &StandinClient, chat: &ChatCall) -> ChatStream {
+    let mut stream = client.chat_stream(chat).await.unwrap();
+    assert!(stream.next_text().await.unwrap().is_some());
+    stream
+}
+
+async fn state_of(client: &StandinClient, request_id: &str) -> Option<RequestState> {
+    let history = client.engine_history().await.ok()?;
+    let mut rows = history.requests.iter();
+    let row = rows.find(|row| row.request_id == request_id)?;
+    Some(row.state)
+}
+
+async fn raw(client: &StandinClient, chat: &ChatCall) -> Bytes {
+    let mut client = client.clone();
+    for (name, value) in &chat.headers {
+        client = client.with_header(name, value);
+    }
+    let answer = client
+        .call(Method::POST, CHAT_PATH, chat.body(true))
+        .await
+        .unwrap();
+    answer.body
+}
+
+#[actix_rt::test]
+async fn streamed_and_whole_answers_hold_the_same_text() {
+    let (_handle, client) = start();
+    let chat = chat("which extinguisher?", 20);
+    let mut stream = client.chat_stream(&chat).await.unwrap();
+    assert_eq!(stream.read_to_end().await.unwrap(), chat.expected_text());
+    let answer = client
+        .call(Method::POST, CHAT_PATH, chat.body(false))
+        .await
+        .unwrap();
+    assert_eq!(whole_text(&answer.body).unwrap(), chat.expected_text());
+    let body: Value = answer.json().unwrap();
+    assert_eq!(body["object"], "chat.completion");
+    assert_eq!(body["usage"]["completion_tokens"], 20);
+    assert_eq!(body["choices"][0]["finish_reason"], "length");
+}
+
+#[actix_rt::test]
+async fn stream_has_the_shape_that_model_clients_read() {
+    let (_handle, client) = start();
+    let body = json!({
+        "model": "tiny-1", "messages": [{ "role": "user", "content": "hi" }],
+        "max_tokens": 2, "stream": true, "stream_options": { "include_usage": true },
+    });
+    let answer = client
+        .call(Method::POST, CHAT_PATH, body.to_string().into())
+        .await
+        .unwrap();
+    assert_eq!(answer.headers["content-type"], "text/event-stream");
+    let text = answer.text();
+    let events: Vec<&str> = text.split_terminator("\n\n").collect();
+    assert_eq!(events.last(), Some(&"data: [DONE]"));
+    let chunks = events[..events.len() - 1].iter().map(|event| {
+        let data = event.strip_prefix("data: ").unwrap();
+        serde_json::from_str::<Value>(data).unwrap()
+    });
+    let chunks: Vec<Value> = chunks.collect();
+    assert_eq!(chunks.len(), 5);
+    assert!(chunks
+        .iter()
+        .all(|chunk| chunk["object"] == "chat.completion.chunk"));
+    assert_eq!(chunks[0]["choices"][0]["delta"]["role"], "assistant");
+    assert_eq!(chunks[3]["choices"][0]["finish_reason"], "length");
+    assert_eq!(chunks[4]["choices"], json!([]));
+    assert_eq!(chunks[4]["usage"]["total_tokens"], 4);
+}
+
+#[actix_rt::test]
+async fn answer_resumed_at_any_token_is_the_same_to_the_byte() {
+    let (_handle, client) = start_with(EngineOptions {
+        step: Duration::ZERO,
+        ..EngineOptions::default()
+    });
+    let tokens = 12;
+    let chat = chat("resume me", tokens).with_header("x-request-id", "r");
+    let whole = raw(&client, &chat).await;
+    let events: Vec<&[u8]> = whole.split_inclusive(|byte| *byte == b'\n').collect();
+    for first in 1..=tokens {
+        let resumed = chat
+            .clone()
+            .with_header("x-resume-tokens", &first.to_string());
+        // The opening chunk and each token take two lines.
+        let rest = events[2 * (first as usize + 1)..].concat();
+        assert_eq!(raw(&client, &resumed).await, rest, "from token {first}");
+    }
+}
+
+#[actix_rt::test]
+async fn prompt_that_crashes_the_engine_cuts_all_streams_and_forgets_state() {
+    let (_handle, client) = start();
+    client
+        .set_faults(&json!({ "crash_on": "poison" }))
+        .await
+        .unwrap();
+    let bystander = chat("hello", ENDLESS_TOKENS).with_header("x-request-id", "bystander");
+    let mut stream = open(&client, &bystander).await;
+    let poison = chat("some poison", 5).with_header("x-request-id", "poison");
+    // The head of the answer may have come before the crash or not.
+    if let Ok(mut stream) = client.chat_stream(&poison).await {
+        assert_eq!(stream.read_to_end().await, Err(ClientError::Cut));
+    }
+    assert_eq!(stream.read_to_end().await, Err(ClientError::Cut));
+    eventually(|| async { client.engine_history().await.is_ok() }).await;
+    assert_eq!(
+        state_of(&client, "bystander").await,
+        Some(RequestState::Crashed)
+    );
+    assert_eq!(
+        state_of(&client, "poison").await,
+        Some(RequestState::Crashed)
+    );
+    let again = chat("hello", 3);
+    let mut stream = client.chat_stream(&again).await.unwrap();
+    assert_eq!(stream.read_to_end().await.unwrap(), again.expected_text());
+}
+
+#[actix_rt::test]
+async fn crashed_engine_is_down_for_a_time() {
+    let (_handle, client) = start();
+    client
+        .set_faults(&json!({ "crash": true, "down_ms": 600_000 }))
+        .await
+        .unwrap_err();
+    let refused = client.call(Method::GET, "/load", Bytes::new()).await;
+    assert!(
+        matches!(refused, Err(ClientError::Unanswered(_))),
+        "{refused:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn crash_cuts_calls_that_wait() {
+    let (handle, client) = start();
+    client.set_faults(&json!({ "freeze": true })).await.unwrap();
+    let waiting = client.call(Method::GET, "/load", Bytes::new());
+    let crashing = async {
+        let operator = StandinClient::new(handle.address);
+        let held = timeout(Duration::from_millis(50), operator.get::<Value>("/load")).await;
+        assert!(held.is_err());
+        operator.crash().await.unwrap();
+    };
+    let (waited, ()) = join(waiting, crashing).await;
+    assert!(
+        matches!(waited, Err(ClientError::Unanswered(_))),
+        "{waited:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn stream_is_cut_once_after_the_given_tokens() {
+    let (_handle, client) = start();
+    client
+        .set_faults(&json!({ "cut_after_tokens": 4 }))
+        .await
+        .unwrap();
+    let chat = chat("cut me", 10);
+    let mut stream = client.chat_stream(&chat).await.unwrap();
+    let mut words = 0;
+    let end = loop {
+        match stream.next_text().await {
+            Ok(Some(text)) => words += text.split_whitespace().count(),
+            other => break other,
+        }
+    };
+    assert_eq!((words, end), (4, Err(ClientError::Cut)));
+    let mut stream = client.chat_stream(&chat).await.unwrap();
+    assert_eq!(stream.read_to_end().await.unwrap(), chat.expected_text());
+}
+
+#[actix_rt::test]
+async fn request_ends_when_it_is_cancelled_or_its_caller_leaves() {
+    let (_handle, client) = start();
+    let first = chat("a", ENDLESS_TOKENS).with_header("x-request-id", "first");
+    let mut stream = open(&client, &first).await;
+    let (_, answer) = send(&client, Method::POST, "/cancel/first", Value::Null).await;
+    assert_eq!(answer, json!({ "cancelled": 1 }));
+    assert_eq!(stream.read_to_end().await, Err(ClientError::Cut));
+    assert_eq!(
+        state_of(&client, "first").await,
+        Some(RequestState::Cancelled)
+    );
+    let second = chat("b", ENDLESS_TOKENS).with_header("x-request-id", "second");
+    drop(open(&client, &second).await);
+    eventually(|| async { state_of(&client, "second").await == Some(RequestState::Cancelled) })
+        .await;
+}
+
+#[actix_rt::test]
+async fn silent_connections_stay_open_and_new_ones_work() {
+    let (handle, client) = start();
+    let long = chat("quiet", 300);
+    let mut stream = open(&client, &long).await;
+    let operator = StandinClient::new(handle.address);
+    operator
+        .set_faults(&json!({ "silent": true }))
+        .await
+        .unwrap();
+    // What was under way still comes; then neither an end nor a cut.
+    let rest = timeout(SILENCE, stream.read_to_end()).await;
+    assert!(rest.is_err(), "{rest:?}");
+    operator.set_faults(&json!({})).await.unwrap();
+    let rest = timeout(SILENCE, stream.read_to_end()).await;
+    assert!(rest.is_err(), "{rest:?}");
+    let fresh = StandinClient::new(handle.address);
+    let short = chat("fresh", 3);
+    let mut stream = fresh.chat_stream(&short).await.unwrap();
+    assert_eq!(stream.read_to_end().await.unwrap(), short.expected_text());
+}
+
+#[actix_rt::test]
+async fn frozen_engine_goes_on_where_it_stood() {
+    let (_handle, client) = start();
+    let chat = chat("cold", 300);
+    let mut stream = client.chat_stream(&chat).await.unwrap();
+    let mut text = stream.next_text().await.unwrap().unwrap();
+    client.set_faults(&json!({ "freeze": true })).await.unwrap();
+    let call = client.call(Method::GET, "/load", Bytes::new());
+    assert!(timeout(Duration::from_millis(50), call).await.is_err());
+    client.set_faults(&json!({})).await.unwrap();
+    text.push_str(&stream.read_to_end().await.unwrap());
+    assert_eq!(text, chat.expected_text());
+}
+
+#[actix_rt::test]
+async fn known_prefixes_are_read_from_the_cache_and_can_be_moved() {
+    let (_handle, first) = start_with(instant());
+    let (_other, second) = start_with(instant());
+    let prompt = "prefix ".repeat(2 * PIECE_TOKENS as usize);
+    let ask = |client: StandinClient, ending: &str| {
+        let body = chat(&format!("{prompt}{ending}"), 1).body(false);
+        async move { client.call(Method::POST, CHAT_PATH, body).await.unwrap() }
+    };
+    let cached = |answer: &applefold_standins::ClientAnswer| {
+        let body: Value = answer.json().unwrap();
+        body["usage"]["prompt_tokens_details"]["cached_tokens"].clone()
+    };
+    let cold = ask(first.clone(), "a").await;
+    assert_eq!(cached(&cold), 0);
+    assert_eq!(cached(&ask(first.clone(), "b").await), 3 * PIECE_TOKENS);
+    let path = format!("/kv-cache/{}", cold.headers["x-prompt-hash"]);
+    let export: PromptExport = first.get(&path).await.unwrap();
+    let imported: Value = second.send(Method::PUT, &path, &export).await.unwrap();
+    assert_eq!(imported["tokens"], export.tokens);
+    assert_eq!(cached(&ask(second, "a").await), export.tokens);
+    first
+        .set_faults(&json!({ "export_fails": true }))
+        .await
+        .unwrap();
+    assert_eq!(send(&first, Method::GET, &path, Value::Null).await.0, 500);
+}
+
+#[actix_rt::test]
+async fn full_cache_evicts_and_its_events_have_gaps() {
+    let (_handle, client) = start_with(EngineOptions {
+        memory_tokens: 4 * PIECE_TOKENS,
+        cache_gap_every: 3,
+        ..instant()
+    });
+    for letter in ["a", "b", "c"] {
+        let prompt = letter.repeat(9_000);
+        let body = chat(&prompt, 1).body(false);
+        let answer = client.call(Method::POST, CHAT_PATH, body).await.unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    let (_, answer) = send(&client, Method::GET, "/cache/events?since=0", Value::Null).await;
+    let events: Vec<CacheEvent> = serde_json::from_value(answer["events"].clone()).unwrap();
+    let serials: Vec<u64> = events.iter().map(|event| event.serial).collect();
+    assert_eq!(serials, [1, 2, 4, 5, 7, 8]);
+    assert_eq!(json!(events.last().unwrap().change), "evicted");
+}
+
+fn instant() -> EngineOptions {
+    EngineOptions {
+        step: Duration::ZERO,
+        cache_lag: Duration::ZERO,
+        ..EngineOptions::default()
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/platform.rs
@@ -0,0 +1,340 @@
+//! The platform: races, lost answers, leases, lag, orders and usage.
+
+mod common;
+
+use std::time::Duration;
+
+use actix_http::Method;
+use applefold_standins::{ClientError, PlatformOptions, StandinClient, StandinHandle};
+use futures_util::future::join_all;
+use serde_json::{json, Value};
+use tokio::time::{sleep, timeout};
+
+use common::{eventually, send};
+
+fn start() -> (StandinHandle, StandinClient) {
+    start_with(PlatformOptions {
+        writes_per_sec: 100_000,
+        reads_per_sec: 100_000,
+        ..PlatformOptions::default()
+    })
+}
+
+fn start_with(options: PlatformOptions) -> (StandinHandle, StandinClient) {
+    let handle = StandinHandle::platform(options).unwrap();
+    let client = StandinClient::new(handle.address);
+    (handle, client)
+}
+
+async fn put(client: &StandinClient, key: &str, value: &str, expect: Value) -> (u16, Value) {
+    let body = json!({ "value": value, "expect": expect });
+    send(client, Method::PUT, &format!("/kv/{key}"), body).await
+}
+
+#[actix_rt::test]
+async fn one_of_many_creators_wins() {
+    let (_handle, client) = start();
+    let tries = (0..32).map(|number| {
+        let client = client.clone();
+        async move { put(&client, "log/1", &number.to_string(), json!(0)).await.0 }
+    });
+    let statuses = join_all(tries).await;
+    assert_eq!(statuses.iter().filter(|status| **status == 200).count(), 1);
+    assert_eq!(statuses.iter().filter(|status| **status == 409).count(), 31);
+}
+
+#[actix_rt::test]
+async fn compare_and_swap_loses_no_increment() {
+    let (_handle, client) = start();
+    put(&client, "sum", "0", Value::Null).await;
+    let adders = (0..8).map(|_| {
+        let client = client.clone();
+        async move {
+            let mut added = 0;
+            while added < 10 {
+                let (_, entry) = send(&client, Method::GET, "/kv/sum", Value::Null).await;
+                let sum: u64 = entry["value"].as_str().unwrap().parse().unwrap();
+                let next = (sum + 1).to_string();
+                let (status, _) = put(&client, "sum", &next, entry["version"].clone()).await;
+                added += u64::from(status == 200);
+            }
+        }
+    });
+    join_all(adders).await;
+    let (_, entry) = send(&client, Method::GET, "/kv/sum", Value::Null).await;
+    assert_eq!(entry["value"], "80");
+}
+
+#[actix_rt::test]
+async fn writes_are_checked_against_the_version() {
+    let (_handle, client) = start();
+    assert_eq!(
+        put(&client, "a", "1", json!(0)).await,
+        (200, json!({ "version": 1 }))
+    );
+    assert_eq!(
+        put(&client, "b", "1", Value::Null).await,
+        (200, json!({ "version": 2 }))
+    );
+    assert_eq!(
+        put(&client, "a", "2", json!(7)).await,
+        (409, json!({ "version": 1 }))
+    );
+    assert_eq!(
+        put(&client, "a", "2", json!(1)).await,
+        (200, json!({ "version": 3 }))
+    );
+    let (status, _) = send(&client, Method::DELETE, "/kv/a?expect=1", Value::Null).await;
+    assert_eq!(status, 409);
+    let (status, _) = send(&client, Method::DELETE, "/kv/a?expect=3", Value::Null).await;
+    assert_eq!(status, 200);
+    let (status, _) = send(&client, Method::GET, "/kv/a", Value::Null).await;
+    assert_eq!(status, 404);
+    let large = "x".repeat((1 << 20) + 1);
+    assert_eq!(put(&client, "c", &large, Value::Null).await.0, 413);
+}
+
+#[actix_rt::test]
+async fn lists_go_on_after_a_key() {
+    let (_handle, client) = start();
+    for key in ["p/1", "p/2", "p/3", "q/1"] {
+        put(&client, key, key, Value::Null).await;
+    }
+    let cases = [
+        ("/list?prefix=p%2F&limit=2", vec!["p/1", "p/2"]),
+        ("/list?prefix=p/&after=p/2", vec!["p/3"]),
+        ("/list?prefix=z", vec![]),
+    ];
+    for (path, expected) in cases {
+        let (_, list) = send(&client, Method::GET, path, Value::Null).await;
+        let entries = list["entries"].as_array().unwrap();
+        let keys: Vec<_> = entries
+            .iter()
+            .map(|entry| entry["key"].as_str().unwrap())
+            .collect();
+        assert_eq!(keys, expected, "{path}");
+    }
+}
+
+#[actix_rt::test]
+async fn watch_ends_with_a_write_or_a_deletion_under_its_prefix() {
+    let (_handle, client) = start();
+    put(&client, "p/1", "old", Value::Null).await;
+    let watch = |since: u64| {
+        let client = client.clone();
+        let path = format!("/watch?prefix=p/&since={since}&wait_ms=600000");
+        actix_rt::spawn(async move { send(&client, Method::GET, &path, Value::Null).await.1 })
+    };
+    let written = watch(1);
+    put(&client, "q/1", "elsewhere", Value::Null).await;
+    put(&client, "p/2", "new", Value::Null).await;
+    let news = written.await.unwrap();
+    let entry = json!({ "key": "p/2", "value": "new", "version": 3 });
+    assert_eq!(news, json!({ "revision": 3, "entries": [entry] }));
+    let deleted = watch(3);
+    send(&client, Method::DELETE, "/kv/p/2", Value::Null).await;
+    assert_eq!(
+        deleted.await.unwrap(),
+        json!({ "revision": 4, "entries": [] })
+    );
+}
+
+#[actix_rt::test]
+async fn lost_answers_take_effect() {
+    let (_handle, client) = start();
+    client
+        .set_faults(&json!({ "lose_answers": 1 }))
+        .await
+        .unwrap();
+    let body = json!({ "value": "x", "expect": 0 }).to_string();
+    let lost = client.call(Method::PUT, "/kv/a", body.clone().into()).await;
+    assert!(matches!(lost, Err(ClientError::Unanswered(_))), "{lost:?}");
+    let (status, entry) = send(&client, Method::GET, "/kv/a", Value::Null).await;
+    assert_eq!((status, &entry["value"]), (200, &json!("x")));
+    assert_eq!(put(&client, "a", "x", json!(0)).await.0, 409);
+}
+
+#[actix_rt::test]
+async fn refused_writes_use_up_no_lost_answer() {
+    let (_handle, client) = start();
+    put(&client, "a", "x", Value::Null).await;
+    client
+        .set_faults(&json!({ "lose_answers": 1 }))
+        .await
+        .unwrap();
+    assert_eq!(put(&client, "a", "y", json!(0)).await.0, 409);
+    let lost = client
+        .call(Method::DELETE, "/kv/a", Vec::new().into())
+        .await;
+    assert!(matches!(lost, Err(ClientError::Unanswered(_))));
+}
+
+#[actix_rt::test]
+async fn frozen_calls_wait_and_a_down_platform_refuses() {
+    let (_handle, client) = start();
+    client.set_faults(&json!({ "freeze": true })).await.unwrap();
+    let frozen = timeout(
+        Duration::from_millis(50),
+        put(&client, "a", "x", Value::Null),
+    )
+    .await;
+    assert!(frozen.is_err());
+    client.set_faults(&json!({ "down": true })).await.unwrap();
+    assert_eq!(put(&client, "a", "x", Value::Null).await.0, 503);
+    client.set_faults(&json!({})).await.unwrap();
+    assert_eq!(put(&client, "a", "x", Value::Null).await.0, 200);
+}
+
+#[actix_rt::test]
+async fn calls_beyond_the_rate_are_refused_and_counted() {
+    let (_handle, client) = start_with(PlatformOptions {
+        writes_per_sec: 5,
+        ..PlatformOptions::default()
+    });
+    let client = client.with_header("x-client", "entry-1");
+    let tries = (0..40).map(|_| put(&client, "a", "x", Value::Null));
+    let statuses: Vec<u16> = join_all(tries)
+        .await
+        .into_iter()
+        .map(|(status, _)| status)
+        .collect();
+    let refused = statuses.iter().filter(|status| **status == 429).count() as u64;
+    assert!(refused > 0);
+    let stats = client.stats().await.unwrap();
+    assert_eq!(stats.refused, refused);
+    assert_eq!(stats.clients["entry-1"]["PUT kv"], 40);
+}
+
+#[actix_rt::test]
+async fn lease_of_a_paused_holder_goes_to_the_next_under_a_higher_number() {
+    let (_handle, client) = start();
+    let take = |holder: &str, ttl_ms: u64| {
+        let body = json!({ "holder": holder, "ttl_ms": ttl_ms });
+        send(&client, Method::POST, "/leases/control", body)
+    };
+    assert_eq!(take("a", 100).await, (200, json!({ "fencing": 1 })));
+    let (status, held) = take("b", 100).await;
+    assert_eq!(
+        (status, &held["holder"], &held["fencing"]),
+        (409, &json!("a"), &json!(1))
+    );
+    // The holder pauses: it does not renew until the lease has run out.
+    eventually(|| async {
+        send(&client, Method::GET, "/leases/control", Value::Null)
+            .await
+            .0
+            == 404
+    })
+    .await;
+    let renewal = json!({ "holder": "a", "fencing": 1, "ttl_ms": 100 });
+    let (status, _) = send(&client, Method::PUT, "/leases/control", renewal.clone()).await;
+    assert_eq!(status, 409);
+    assert_eq!(take("b", 600_000).await, (200, json!({ "fencing": 2 })));
+    let (status, held) = send(&client, Method::PUT, "/leases/control", renewal).await;
+    assert_eq!(
+        (status, &held["holder"], &held["fencing"]),
+        (409, &json!("b"), &json!(2))
+    );
+    let path = "/leases/control?holder=a&fencing=1";
+    assert_eq!(
+        send(&client, Method::DELETE, path, Value::Null).await.0,
+        409
+    );
+    let path = "/leases/control?holder=b&fencing=2";
+    assert_eq!(
+        send(&client, Method::DELETE, path, Value::Null).await.0,
+        200
+    );
+    assert_eq!(take("a", 100).await, (200, json!({ "fencing": 3 })));
+}
+
+#[actix_rt::test]
+async fn list_of_instances_lags() {
+    let (_handle, client) = start();
+    let record = |id: &str| {
+        let text = json!({
+            "id": id, "kind": "backend", "address": "127.0.0.1:7", "domain": "d1",
+            "region": "r1", "pool": "chat", "state": "live",
+        });
+        serde_json::from_value(text).unwrap()
+    };
+    client.announce(&record("one")).await.unwrap();
+    assert_eq!(client.instances().await.unwrap(), [record("one")]);
+    client
+        .set_faults(&json!({ "list_lag_ms": 600_000 }))
+        .await
+        .unwrap();
+    client.announce(&record("two")).await.unwrap();
+    send(&client, Method::DELETE, "/instances/one", Value::Null).await;
+    assert_eq!(client.instances().await.unwrap(), [record("one")]);
+    client
+        .set_faults(&json!({ "list_lag_ms": 1 }))
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(2)).await;
+    assert_eq!(client.instances().await.unwrap(), [record("two")]);
+}
+
+#[actix_rt::test]
+async fn orders_are_recorded_and_checked_only_when_told() {
+    let (_handle, client) = start();
+    let order = |id: &str, fencing: u64| {
+        json!({
+            "order_id": id, "holder": "a", "fencing": fencing, "action": "start",
+            "pool": "chat", "domain": "d1", "instance": null,
+        })
+    };
+    let cases = [
+        (false, 2, 200),
+        (false, 1, 200),
+        (true, 1, 409),
+        (true, 2, 200),
+    ];
+    for (check, fencing, status) in cases {
+        client
+            .set_faults(&json!({ "check_fencing": check }))
+            .await
+            .unwrap();
+        let answer = send(&client, Method::POST, "/orders", order("o", fencing)).await;
+        assert_eq!(answer.0, status, "{check} {fencing}");
+    }
+    let orders = client.fleet_orders().await.unwrap();
+    let accepted: Vec<bool> = orders.iter().map(|record| record.accepted).collect();
+    assert_eq!(accepted, [true, true, false, true]);
+    assert_eq!(orders.last().unwrap().serial, 4);
+}
+
+#[actix_rt::test]
+async fn usage_is_billed_once_and_differing_repeats_are_violations() {
+    let (_handle, client) = start();
+    let report = |id: &str, tokens: u64, late: bool| {
+        json!({
+            "report_id": id, "window": 7, "team": "t", "service": "s", "prompt_tokens": tokens,
+            "answer_tokens": 1, "requests": 1, "late": late, "holder": "a", "fencing": 1,
+        })
+    };
+    let cases = [
+        ("r1", 10, false, 200),
+        ("r2", 10, false, 200),
+        ("r3", 11, false, 409),
+    ];
+    for (id, tokens, late, status) in cases {
+        let answer = send(&client, Method::POST, "/usage", report(id, tokens, late)).await;
+        assert_eq!(answer.0, status, "{id}");
+    }
+    assert_eq!(
+        send(&client, Method::POST, "/usage", report("r4", 3, true))
+            .await
+            .0,
+        200
+    );
+    let usage = client.usage().await.unwrap();
+    let billed: Vec<&str> = usage
+        .reports
+        .iter()
+        .map(|row| row.report_id.as_str())
+        .collect();
+    assert_eq!(billed, ["r1", "r4"]);
+    assert_eq!(usage.repeats, 1);
+    assert_eq!(usage.violations[0].reported.report_id, "r3");
+}
