--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -274,6 +274,11 @@
         actions
     }
 
+    /// Asks for the lease again after it was given back.
+    pub fn pursue(&mut self) {
+        self.wanted = true;
+    }
+
     /// Ends authority at once and gives the lease back.
     pub fn release(&mut self, now: TimePoint) -> Vec<LeaseAction> {
         let mut actions = self.step(now);
