--- a/crates/core/src/answer/assembler.rs
+++ b/crates/core/src/answer/assembler.rs
@@ -79,6 +79,7 @@
 #[derive(Debug)]
 pub struct AnswerAssembler {
     request: RequestId,
+    asked: AnswerShape,
     shape: AnswerShape,
     attempt: AttemptNumber,
     /// How many bytes of this attempt's answer have come.
@@ -99,6 +100,7 @@
     pub fn new(request: RequestId, shape: AnswerShape) -> Self {
         Self {
             request,
+            asked: shape,
             shape,
             attempt: AttemptNumber::default(),
             received: 0,
@@ -120,6 +122,7 @@
         self.searched = 0;
         if !self.forwarded {
             self.status = None;
+            self.shape = self.asked;
         }
     }
 
