Let late parts of the answer tests hold whole events

Cause: with earlier attempts' parts taken, the random histories still passed, since the late parts held no whole event. Conclusion: the same fault now fails them.

--- a/crates/core/tests/answer.rs
+++ b/crates/core/tests/answer.rs
@@ -157,8 +157,9 @@
     for piece in text.chunks(how.piece) {
         let number = AttemptNumber(attempt);
         if how.late && attempt > 1 {
-            let other = vec![b'x'; piece.len()];
-            caller.extend(joiner.part(AttemptNumber(attempt - 1), offset, &other));
+            let other = chunk("late", r#"{"delta":{"content":"late "}}"#, "\n");
+            let number = AttemptNumber(attempt - 1);
+            caller.extend(joiner.part(number, offset, other.as_bytes()));
         }
         caller.extend(joiner.part(number, offset, piece));
         if how.doubled {
