Prove that no history lets a conflicting order through the fence

Cause: an engine may ignore fencing numbers, and a restarted sidecar forgets what it has let through. Change: a fence starts quiet for the longest order and its settling time, unless the backend server is known to be at nothing; a checker over random histories of holders, crashes, restarts and lost readings; a naive fence beside it. Figures: 4,000 histories pass; the naive fence lets conflicting orders through.

--- a/crates/core/src/fence.rs
+++ b/crates/core/src/fence.rs
@@ -47,18 +47,23 @@
     current: Option<CurrentOrder>,
     done: VecDeque<EngineOrder>,
     unsettled: bool,
+    quiet_until: TimePoint,
     reads: CallNumber,
 }
 
 impl OrderFence {
     /// A fence that knows of no order yet.
-    pub fn new(options: FenceOptions) -> Self {
+    ///
+    /// An earlier run of the sidecar may have let an order through, so that
+    /// none is let through until that one's time is over.
+    pub fn new(now: TimePoint, options: FenceOptions) -> Self {
         Self {
+            quiet_until: now + options.order_limit + options.settle_span,
             options,
             highest: BTreeMap::new(),
             current: None,
             done: VecDeque::new(),
-            unsettled: false,
+            unsettled: true,
             reads: CallNumber::default(),
         }
     }
@@ -95,7 +100,8 @@
             FenceEvent::EngineReplied { order, reply } => {
                 self.replied(now, &order, reply, &mut actions);
             }
-            FenceEvent::EngineCrashed => self.crashed(&mut actions),
+            FenceEvent::EngineCrashed => self.crashed(now, &mut actions),
+            FenceEvent::EngineIdle => self.quiet_until = now,
         }
         actions
     }
@@ -147,6 +153,8 @@
             if joins {
                 return current.waiters.push(call);
             }
+        }
+        if self.current.is_some() || now < self.quiet_until {
             let refusal = CallRefusal::passing(ResultCode::OrderConflict, RETRY_AFTER);
             let verdict = OrderVerdict::Refused(refusal);
             return actions.push(FenceAction::Reply { call, verdict });
@@ -154,7 +162,7 @@
         let read = self.reads.advance();
         let scope = order.scope.clone();
         self.current = Some(CurrentOrder {
-            deadline: now + order.span,
+            deadline: now + order.span.min(self.options.order_limit),
             order,
             waiters: vec![call],
             step: OrderStep::Checking { read, sent: now },
@@ -241,7 +249,8 @@
     }
 
     /// A backend server that has died is at nothing any more, whatever it had begun.
-    fn crashed(&mut self, actions: &mut Vec<FenceAction>) {
+    fn crashed(&mut self, now: TimePoint, actions: &mut Vec<FenceAction>) {
+        self.quiet_until = now;
         let sent = match &self.current {
             Some(current) => !matches!(current.step, OrderStep::Checking { .. }),
             None => false,
--- a/crates/core/src/fence/types.rs
+++ b/crates/core/src/fence/types.rs
@@ -13,6 +13,8 @@
 pub struct FenceOptions {
     /// The oldest that the reading of a lease may be when an order is sent.
     pub check_timeout: TimeSpan,
+    /// The longest time that an order may give a backend server.
+    pub order_limit: TimeSpan,
     /// How long after its deadline a backend server may still be at an order.
     pub settle_span: TimeSpan,
     /// How many carried out orders are remembered.
@@ -23,7 +25,8 @@
     fn default() -> Self {
         Self {
             check_timeout: TimeSpan::from_secs(1),
-            settle_span: TimeSpan::from_secs(30),
+            order_limit: TimeSpan::from_secs(20),
+            settle_span: TimeSpan::from_secs(10),
             done_limit: 64,
         }
     }
@@ -112,6 +115,8 @@
     },
     /// The backend server's process has ended; a later one starts afresh.
     EngineCrashed,
+    /// The backend server is known to be at no order, as when it has just started.
+    EngineIdle,
 }
 
 /// The answer to an order.
--- /dev/null
+++ b/crates/core/tests/fence.rs
@@ -0,0 +1,552 @@
+//! The fence of a backend server under changing holders, crashes and restarts.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use applefold_core::claim::store::CallNumber;
+use applefold_core::code::{ResultCode, RunState};
+use applefold_core::fence::{
+    EngineOrder, EngineReply, EngineState, FenceAction, FenceEvent, FenceOptions, LeaseReading,
+    OrderFence, OrderVerdict,
+};
+use applefold_core::id::{FencingNumber, InstanceId, OrderId};
+use applefold_core::lease::HolderName;
+use applefold_core::unit::{TimePoint, TimeSpan};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+
+fn holder(fencing: u64) -> HolderName {
+    let instance: InstanceId = format!("entry-{fencing}").parse().unwrap();
+    HolderName::new(&instance, 1)
+}
+
+fn order(id: u64, fencing: u64) -> EngineOrder {
+    EngineOrder {
+        id: format!("order-{id}").parse().unwrap(),
+        scope: "pool:chat".parse().unwrap(),
+        holder: holder(fencing),
+        fencing: FencingNumber(fencing),
+        span: TimeSpan::from_secs(5),
+        body: format!("load {id}").into(),
+    }
+}
+
+trait Fence {
+    fn start(now: TimePoint) -> Self;
+    fn handle(&mut self, now: TimePoint, event: FenceEvent) -> Vec<FenceAction>;
+    fn tick(&mut self, now: TimePoint) -> Vec<FenceAction>;
+}
+
+impl Fence for OrderFence {
+    fn start(now: TimePoint) -> Self {
+        Self::new(now, FenceOptions::default())
+    }
+
+    fn handle(&mut self, now: TimePoint, event: FenceEvent) -> Vec<FenceAction> {
+        OrderFence::handle(self, now, event)
+    }
+
+    fn tick(&mut self, now: TimePoint) -> Vec<FenceAction> {
+        OrderFence::tick(self, now)
+    }
+}
+
+/// Remembers the highest number it has seen, and looks at nothing else.
+#[derive(Default)]
+struct NaiveFence {
+    highest: FencingNumber,
+    calls: BTreeMap<OrderId, CallNumber>,
+}
+
+impl Fence for NaiveFence {
+    fn start(_now: TimePoint) -> Self {
+        Self::default()
+    }
+
+    fn handle(&mut self, now: TimePoint, event: FenceEvent) -> Vec<FenceAction> {
+        match event {
+            FenceEvent::Order { order, .. } if order.fencing < self.highest => Vec::new(),
+            FenceEvent::Order { call, order } => {
+                self.highest = order.fencing;
+                self.calls.insert(order.id.clone(), call);
+                let deadline = now + order.span;
+                vec![FenceAction::Send { order, deadline }]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn tick(&mut self, _now: TimePoint) -> Vec<FenceAction> {
+        Vec::new()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A new holder takes the lease.
+    Take,
+    /// The lease lapses.
+    Lapse,
+    /// An order comes, from the holder `behind` terms ago.
+    Order {
+        id: u64,
+        behind: u64,
+    },
+    /// A reading of the lease is made, or its answer comes, or is lost.
+    Read {
+        at: usize,
+    },
+    Answer {
+        at: usize,
+    },
+    LoseRead {
+        at: usize,
+    },
+    /// The backend server ends its order; the reply may be lost.
+    Finish {
+        lost: bool,
+        refused: bool,
+    },
+    Crash,
+    Restart {
+        idle: bool,
+    },
+    Advance {
+        millis: u64,
+    },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let at = 0..4usize;
+    let step = prop_oneof![
+        2 => Just(Step::Take),
+        1 => Just(Step::Lapse),
+        8 => (0..10u64, 0..3u64).prop_map(|(id, behind)| Step::Order { id, behind }),
+        8 => at.clone().prop_map(|at| Step::Read { at }),
+        8 => at.clone().prop_map(|at| Step::Answer { at }),
+        1 => at.prop_map(|at| Step::LoseRead { at }),
+        4 => (any::<bool>(), any::<bool>())
+            .prop_map(|(lost, refused)| Step::Finish { lost, refused }),
+        1 => Just(Step::Crash),
+        1 => any::<bool>().prop_map(|idle| Step::Restart { idle }),
+        6 => (1..4_000u64).prop_map(|millis| Step::Advance { millis }),
+    ];
+    prop::collection::vec(step, 1..250)
+}
+
+struct RunningOrder {
+    order: EngineOrder,
+    until: TimePoint,
+}
+
+struct World<F> {
+    fence: F,
+    now: TimePoint,
+    term: u64,
+    lease: Option<u64>,
+    /// When each term's lease was last held.
+    held: BTreeMap<u64, TimePoint>,
+    reads: Vec<CallNumber>,
+    answers: Vec<(CallNumber, LeaseReading)>,
+    running: Option<RunningOrder>,
+    checks_numbers: bool,
+    engine_highest: FencingNumber,
+    sent_highest: FencingNumber,
+    calls: BTreeMap<CallNumber, EngineOrder>,
+    sent: BTreeSet<(OrderId, FencingNumber)>,
+    executed: BTreeMap<OrderId, u64>,
+    asked: CallNumber,
+}
+
+impl<F> World<F>
+where
+    F: Fence,
+{
+    fn new(checks_numbers: bool) -> Self {
+        Self {
+            fence: F::start(TimePoint::START),
+            now: TimePoint::START + TimeSpan::from_secs(60),
+            term: 1,
+            lease: Some(1),
+            held: BTreeMap::new(),
+            reads: Vec::new(),
+            answers: Vec::new(),
+            running: None,
+            checks_numbers,
+            engine_highest: FencingNumber(0),
+            sent_highest: FencingNumber(0),
+            calls: BTreeMap::new(),
+            sent: BTreeSet::new(),
+            executed: BTreeMap::new(),
+            asked: CallNumber::default(),
+        }
+    }
+
+    fn event(&mut self, event: FenceEvent) -> Result<(), String> {
+        let actions = self.fence.handle(self.now, event);
+        self.take(actions)
+    }
+
+    fn take(&mut self, actions: Vec<FenceAction>) -> Result<(), String> {
+        for action in actions {
+            match action {
+                FenceAction::ReadLease { call, .. } => self.reads.push(call),
+                FenceAction::Send { order, .. } => self.send(order)?,
+                FenceAction::Reply { call, verdict } => self.reply(call, verdict)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, order: EngineOrder) -> Result<(), String> {
+        if let Some(running) = &self.running {
+            return Err(format!("{} came while {} ran", order.id, running.order.id));
+        }
+        if order.fencing < self.sent_highest {
+            return Err(format!(
+                "number {} after {}",
+                order.fencing, self.sent_highest
+            ));
+        }
+        let held = self.held.get(&order.fencing.0).copied();
+        let held = held.unwrap_or(TimePoint::START);
+        if self.now.since(held) > FenceOptions::default().check_timeout {
+            return Err(format!("number {} lapsed at {held}", order.fencing));
+        }
+        self.sent_highest = order.fencing;
+        self.sent.insert((order.id.clone(), order.fencing));
+        if self.checks_numbers && order.fencing < self.engine_highest {
+            return Err("an engine that checks numbers was sent an old one".into());
+        }
+        self.engine_highest = order.fencing;
+        let until = self.now + TimeSpan::from_secs(14);
+        self.running = Some(RunningOrder { order, until });
+        Ok(())
+    }
+
+    fn reply(&mut self, call: CallNumber, verdict: OrderVerdict) -> Result<(), String> {
+        let Some(order) = self.calls.remove(&call) else {
+            return Err(format!("{call} was answered twice"));
+        };
+        match verdict {
+            OrderVerdict::Done if !self.executed.contains_key(&order.id) => {
+                Err(format!("{} was never done", order.id))
+            }
+            OrderVerdict::Refused(refusal)
+                if refusal.code.run_state() == RunState::NotRun
+                    && refusal.code != ResultCode::OrderRefused
+                    && self.running.as_ref().is_some_and(|r| r.order == order)
+                    && refusal.code != ResultCode::OrderConflict =>
+            {
+                Err(format!("{} runs, but was refused: {refusal}", order.id))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn step(&mut self, step: Step) -> Result<(), String> {
+        if let Some(term) = self.lease {
+            self.held.insert(term, self.now);
+        }
+        match step {
+            Step::Take => {
+                self.term += 1;
+                self.lease = Some(self.term);
+                Ok(())
+            }
+            Step::Lapse => {
+                self.lease = None;
+                Ok(())
+            }
+            Step::Order { id, behind } => {
+                let fencing = self.term.saturating_sub(behind).max(1);
+                let order = order(id * 100 + fencing, fencing);
+                self.asked.0 += 1;
+                let call = self.asked;
+                self.calls.insert(call, order.clone());
+                self.event(FenceEvent::Order { call, order })
+            }
+            Step::Read { at } => {
+                if self.reads.is_empty() {
+                    return Ok(());
+                }
+                let call = self.reads.remove(at % self.reads.len());
+                let reading = match self.lease {
+                    None => LeaseReading::Free,
+                    Some(term) => LeaseReading::Held {
+                        holder: holder(term),
+                        fencing: FencingNumber(term),
+                    },
+                };
+                self.answers.push((call, reading));
+                Ok(())
+            }
+            Step::Answer { at } => {
+                if self.answers.is_empty() {
+                    return Ok(());
+                }
+                let (call, reading) = self.answers.remove(at % self.answers.len());
+                self.event(FenceEvent::LeaseRead { call, reading })
+            }
+            Step::LoseRead { at } => {
+                if self.reads.is_empty() {
+                    return Ok(());
+                }
+                let call = self.reads.remove(at % self.reads.len());
+                let reading = LeaseReading::Failed;
+                self.event(FenceEvent::LeaseRead { call, reading })
+            }
+            Step::Finish { lost, refused } => self.finish(lost, refused),
+            Step::Crash => {
+                self.running = None;
+                self.event(FenceEvent::EngineCrashed)
+            }
+            Step::Restart { idle } => self.restart(idle),
+            Step::Advance { millis } => self.advance(TimeSpan::from_millis(millis)),
+        }
+    }
+
+    fn finish(&mut self, lost: bool, refused: bool) -> Result<(), String> {
+        let Some(running) = self.running.take() else {
+            return Ok(());
+        };
+        let id = running.order.id;
+        if !refused {
+            *self.executed.entry(id.clone()).or_default() += 1;
+        }
+        let reply = match (lost, refused) {
+            (true, _) => return Ok(()),
+            (false, true) => EngineReply::Refused,
+            (false, false) => EngineReply::Done,
+        };
+        self.event(FenceEvent::EngineReplied { order: id, reply })
+    }
+
+    /// The sidecar is replaced and knows nothing; its connections are gone.
+    fn restart(&mut self, idle: bool) -> Result<(), String> {
+        self.fence = F::start(self.now);
+        self.reads.clear();
+        self.answers.clear();
+        self.calls.clear();
+        if idle && self.running.is_none() {
+            return self.event(FenceEvent::EngineIdle);
+        }
+        Ok(())
+    }
+
+    fn advance(&mut self, span: TimeSpan) -> Result<(), String> {
+        self.now = self.now + span;
+        if self.running.as_ref().is_some_and(|r| self.now >= r.until) {
+            self.finish(false, false)?;
+        }
+        let actions = self.fence.tick(self.now);
+        self.take(actions)
+    }
+
+    /// With faults over, a fresh order is carried out.
+    fn settle(&mut self) -> Result<(), String> {
+        self.step(Step::Take)?;
+        self.advance(TimeSpan::from_secs(60))?;
+        self.reads.clear();
+        self.answers.clear();
+        self.step(Step::Order { id: 99, behind: 0 })?;
+        self.step(Step::Read { at: 0 })?;
+        self.step(Step::Answer { at: 0 })?;
+        self.finish(false, false)?;
+        let id = order(9_900 + self.term, self.term).id;
+        let done = self.executed.contains_key(&id);
+        done.then_some(())
+            .ok_or_else(|| "a fresh order was not done".into())
+    }
+}
+
+fn holds<F>() -> Result<(), String>
+where
+    F: Fence,
+{
+    let config = ProptestConfig {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(41),
+        failure_persistence: None,
+        max_shrink_iters: 500,
+        ..ProptestConfig::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let result = runner.run(&(any::<bool>(), steps()), |(checks, steps)| {
+        let mut world = World::<F>::new(checks);
+        let run = move || -> Result<(), String> {
+            for step in steps {
+                world.step(step)?;
+            }
+            world.settle()
+        };
+        run().map_err(TestCaseError::fail)
+    });
+    result.map_err(|error| error.to_string())
+}
+
+#[test]
+fn no_history_lets_a_conflicting_order_through() {
+    assert_eq!(holds::<OrderFence>(), Ok(()));
+}
+
+#[test]
+fn the_naive_fence_lets_conflicting_orders_through() {
+    let error = holds::<NaiveFence>().unwrap_err();
+    let seen = error.contains("came while") || error.contains("lapsed at");
+    assert!(seen, "{error}");
+}
+
+struct Bench {
+    fence: OrderFence,
+    now: TimePoint,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut fence = OrderFence::new(TimePoint::START, FenceOptions::default());
+        fence.handle(TimePoint::START, FenceEvent::EngineIdle);
+        let now = TimePoint::START;
+        Self { fence, now }
+    }
+
+    fn order(&mut self, call: u64, order: EngineOrder) -> Vec<FenceAction> {
+        let call = CallNumber(call);
+        self.fence
+            .handle(self.now, FenceEvent::Order { call, order })
+    }
+
+    fn read(&mut self, call: u64, reading: LeaseReading) -> Vec<FenceAction> {
+        let call = CallNumber(call);
+        self.fence
+            .handle(self.now, FenceEvent::LeaseRead { call, reading })
+    }
+
+    fn replied(&mut self, id: u64, reply: EngineReply) -> Vec<FenceAction> {
+        let order = order(id, 1).id;
+        self.fence
+            .handle(self.now, FenceEvent::EngineReplied { order, reply })
+    }
+
+    fn wait(&mut self, span: TimeSpan) -> Vec<FenceAction> {
+        self.now = self.now + span;
+        self.fence.tick(self.now)
+    }
+}
+
+fn held(fencing: u64) -> LeaseReading {
+    LeaseReading::Held {
+        holder: holder(fencing),
+        fencing: FencingNumber(fencing),
+    }
+}
+
+fn code(actions: &[FenceAction]) -> Option<ResultCode> {
+    match actions {
+        [FenceAction::Reply {
+            verdict: OrderVerdict::Refused(refusal),
+            ..
+        }] => Some(refusal.code),
+        _ => None,
+    }
+}
+
+#[test]
+fn an_order_is_sent_only_under_the_lease_as_read() {
+    let readings = [
+        (held(3), None),
+        (held(4), Some(ResultCode::FencingOutdated)),
+        (held(2), Some(ResultCode::AuthorityLapsed)),
+        (
+            LeaseReading::Held {
+                holder: holder(7),
+                fencing: FencingNumber(3),
+            },
+            Some(ResultCode::AuthorityLapsed),
+        ),
+        (LeaseReading::Free, Some(ResultCode::AuthorityLapsed)),
+        (LeaseReading::Failed, Some(ResultCode::PlatformUnavailable)),
+    ];
+    for (reading, expected) in readings {
+        let mut bench = Bench::new();
+        bench.order(1, order(1, 3));
+        let actions = bench.read(1, reading);
+        assert_eq!(code(&actions), expected);
+        let sent = matches!(actions[0], FenceAction::Send { .. });
+        assert_eq!(sent, expected.is_none());
+    }
+}
+
+#[test]
+fn an_order_past_its_deadline_is_not_sent() {
+    let mut bench = Bench::new();
+    let brief = EngineOrder {
+        span: TimeSpan::from_millis(500),
+        ..order(1, 1)
+    };
+    bench.order(1, brief);
+    bench.wait(TimeSpan::from_millis(500));
+    assert_eq!(
+        code(&bench.read(1, held(1))),
+        Some(ResultCode::AuthorityLapsed)
+    );
+}
+
+#[test]
+fn a_done_order_is_not_carried_out_again() {
+    let mut bench = Bench::new();
+    bench.order(1, order(1, 1));
+    bench.read(1, held(1));
+    bench.order(2, order(1, 1));
+    let replies = bench.replied(1, EngineReply::Done);
+    assert_eq!(replies.len(), 2, "both senders are answered");
+    let again = bench.order(3, order(1, 1));
+    let verdict = OrderVerdict::Done;
+    let call = CallNumber(3);
+    assert_eq!(again, [FenceAction::Reply { call, verdict }]);
+    let other = EngineOrder {
+        body: "unload".into(),
+        ..order(1, 1)
+    };
+    assert_eq!(
+        code(&bench.order(4, other)),
+        Some(ResultCode::OrderConflict)
+    );
+}
+
+#[test]
+fn a_crash_mid_change_is_settled_by_a_fresh_order() {
+    let mut bench = Bench::new();
+    bench.order(1, order(1, 1));
+    bench.read(1, held(1));
+    assert_eq!(bench.fence.state(), EngineState::Changing);
+    let actions = bench.fence.handle(bench.now, FenceEvent::EngineCrashed);
+    assert_eq!(code(&actions), Some(ResultCode::OrderUnsettled));
+    assert_eq!(bench.fence.state(), EngineState::Unsettled);
+    bench.order(2, order(2, 1));
+    bench.read(2, held(1));
+    bench.replied(2, EngineReply::Done);
+    assert_eq!(bench.fence.state(), EngineState::Settled);
+}
+
+#[test]
+fn an_order_without_an_answer_holds_others_back_until_its_time_is_over() {
+    let mut bench = Bench::new();
+    bench.order(1, order(1, 1));
+    bench.read(1, held(1));
+    let actions = bench.wait(TimeSpan::from_secs(5));
+    assert_eq!(code(&actions), Some(ResultCode::OrderUnsettled));
+    let refused = bench.order(2, order(2, 1));
+    assert_eq!(code(&refused), Some(ResultCode::OrderConflict));
+    bench.wait(TimeSpan::from_secs(10));
+    let taken = bench.order(3, order(3, 1));
+    assert!(matches!(taken[0], FenceAction::ReadLease { .. }));
+}
+
+#[test]
+fn a_late_reading_does_not_let_an_order_through() {
+    let mut bench = Bench::new();
+    bench.order(1, order(1, 1));
+    let actions = bench.wait(TimeSpan::from_secs(1));
+    assert_eq!(code(&actions), Some(ResultCode::PlatformUnavailable));
+    assert_eq!(bench.read(1, held(1)), []);
+}
