--- a/crates/core/src/usage/record.rs
+++ b/crates/core/src/usage/record.rs
@@ -9,10 +9,15 @@
 use crate::id::{FencingNumber, WindowId};
 use crate::lease::HolderName;
 
+/// The place of the record that all windows follow.
+pub(super) const ORIGIN: WindowId = WindowId(0);
+
 /// A sealed window. Its figures never change; only `reported` does.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct SealRecord {
     pub(super) window: WindowId,
+    /// The window to seal after this one.
+    pub(super) next: WindowId,
     pub(super) holder: HolderName,
     pub(super) fencing: FencingNumber,
     /// Usage of the window itself.
@@ -31,6 +36,19 @@
         serde_json::to_string(self).expect("records hold only text, numbers and lists")
     }
 
+    /// The record that all windows follow; creating it decides which is the first.
+    pub(super) fn origin(first: WindowId, holder: HolderName, fencing: FencingNumber) -> Self {
+        Self {
+            window: ORIGIN,
+            next: first,
+            holder,
+            fencing,
+            due: Vec::new(),
+            late: Vec::new(),
+            reported: true,
+        }
+    }
+
     /// Returns the reports, equal whoever makes them.
     pub(super) fn reports(&self) -> Vec<UsageReport> {
         let mut late: BTreeMap<UsageKey, UsageTotals> = BTreeMap::new();
--- a/crates/core/src/usage/sealer.rs
+++ b/crates/core/src/usage/sealer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::record::{seal_key, seal_prefix, SealRecord};
+use super::record::{seal_key, seal_prefix, SealRecord, ORIGIN};
 use super::{
     SealerAction, SealerEvent, SealerOptions, UsageFigure, UsageKeeper, UsageKey, UsageReport,
     UsageTotals,
@@ -202,6 +202,8 @@
                         let record = (**record).clone();
                         self.adopt(now, record, version);
                     }
+                    // Another holder made the first record: what follows it is read.
+                    WriteFate::Overtaken(_) if record.window == ORIGIN => self.reload(now),
                     // Another holder sealed the window: its figures stand.
                     WriteFate::Overtaken(entry) => self.adopt_entry(now, entry),
                 }
@@ -247,12 +249,30 @@
             }
         }
         if whole {
-            let last = self.seals.last_key_value();
-            self.next = last.map_or(ended, |(window, _)| window.next());
-            self.proceed(now);
+            self.start(now, ended);
         }
     }
 
+    /// Goes on after the last sealed window, or seals the record that all follow.
+    fn start(&mut self, now: TimePoint, ended: WindowId) {
+        let Some(last) = self.seals.last_key_value().map(|(window, _)| *window) else {
+            let record = SealRecord::origin(ended, self.holder.clone(), self.fencing);
+            return self.create(now, record);
+        };
+        // A window is sealed only after the one before it was reported, so that
+        // an earlier record without reports came too late, from a stale holder.
+        self.seals
+            .retain(|window, seal| seal.record.reported || *window == last);
+        self.next = self.seals[&last].record.next;
+        self.proceed(now);
+    }
+
+    fn create(&mut self, now: TimePoint, record: SealRecord) {
+        let key = seal_key(record.window);
+        let write = StoreWrite::new(now, key, record.value(), StoreVersion::ABSENT);
+        self.phase = SealerPhase::Sealing(Box::new(write), Box::new(record));
+    }
+
     /// Turns to the oldest unreported window, or rests.
     fn proceed(&mut self, now: TimePoint) {
         let open = self.seals.values().find(|seal| !seal.record.reported);
@@ -311,15 +331,14 @@
         let (due, late) = self.figures(&merged, window);
         let record = SealRecord {
             window,
+            next: window.next(),
             holder: self.holder.clone(),
             fencing: self.fencing,
             due,
             late,
             reported: false,
         };
-        let value = record.value();
-        let write = StoreWrite::new(now, seal_key(window), value, StoreVersion::ABSENT);
-        self.phase = SealerPhase::Sealing(Box::new(write), Box::new(record));
+        self.create(now, record);
     }
 
     fn figures(
@@ -363,7 +382,7 @@
     }
 
     fn adopt(&mut self, now: TimePoint, record: SealRecord, version: StoreVersion) {
-        self.next = record.window.next();
+        self.next = record.next;
         let window = record.window;
         self.seals.insert(window, StoredSeal { record, version });
         self.proceed(now);
@@ -429,12 +448,14 @@
     fn forget_old(&mut self, keep_from: WindowId, actions: &mut Vec<SealerAction>) {
         // One more window is kept, so that a record is gone only after its
         // usage has been forgotten.
-        let old = |window: &WindowId| window.next() < keep_from;
-        while let Some(entry) = self.seals.first_entry() {
-            if !old(entry.key()) || !entry.get().record.reported {
-                return;
-            }
-            let (window, seal) = entry.remove_entry();
+        let old = |window: &WindowId| *window != ORIGIN && window.next() < keep_from;
+        let seals = self.seals.iter();
+        let seals = seals.filter(|(window, seal)| old(window) && seal.record.reported);
+        let seals: Vec<WindowId> = seals.map(|(window, _)| *window).collect();
+        for window in seals {
+            let Some(seal) = self.seals.remove(&window) else {
+                continue;
+            };
             actions.push(SealerAction::Store(StoreCall::Delete {
                 call: self.calls.advance(),
                 key: seal_key(window),
