Refuse requests that crash backend servers, and only those

Cause: now and then a single request crashes each backend server that runs it; what ran beside it must neither be lost nor refused with it. Ruled out: counting crashes alone, which refuses all ten neighbours of a crasher that are moved to the same backend server with it. Change: a ledger of crashes by fingerprint, bounded, spread by heartbeats with ages that do not start anew, cleared everywhere by one whole answer; suspects run apart, of many one in eight together. Figures: in a fleet of 12 with up to 13 neighbours the crasher takes two backend servers and no neighbour is refused; of 14 to 99 neighbours at most an eighth.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod id;
 pub mod lease;
 pub mod order;
+pub mod quarantine;
 pub mod unit;
 pub mod usage;
--- /dev/null
+++ b/crates/core/src/quarantine.rs
@@ -0,0 +1,228 @@
+//! Requests that crash the backend servers that run them.
+//!
+//! A fingerprint that was running on two backend servers when they died is
+//! refused everywhere for a time. Requests that ran beside it are run apart
+//! from each other until one completes, so that they are not refused with it.
+//! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers).
+
+use std::collections::BTreeMap;
+
+use crate::claim::RequestFingerprint;
+use crate::code::{CallRefusal, ResultCode};
+use crate::id::BackendId;
+use crate::unit::{TimePoint, TimeSpan};
+
+const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
+
+/// The sizes and times of a ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LedgerOptions {
+    /// At how many backend servers a fingerprint is refused.
+    pub crash_limit: usize,
+    /// How long after its last crash a fingerprint is remembered and refused.
+    pub remember: TimeSpan,
+    /// The most fingerprints remembered.
+    pub row_limit: usize,
+    /// Of how many requests that ran together one may run beside another again.
+    pub apart: usize,
+    /// The most news in one heartbeat.
+    pub news_limit: usize,
+}
+
+impl Default for LedgerOptions {
+    fn default() -> Self {
+        Self {
+            crash_limit: 2,
+            remember: TimeSpan::from_secs(600),
+            row_limit: 4_096,
+            apart: 8,
+            news_limit: 32,
+        }
+    }
+}
+
+/// What one process tells others about a fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectNews {
+    /// The request's fingerprint.
+    pub fingerprint: RequestFingerprint,
+    /// The backend server that died while running it; `None` where it completed whole.
+    pub backend: Option<BackendId>,
+    /// How long ago that was.
+    pub age: TimeSpan,
+}
+
+#[derive(Clone, Debug, Default)]
+struct SuspectRow {
+    crashes: BTreeMap<BackendId, TimePoint>,
+    /// When it last completed whole; earlier crashes do not count.
+    completed: Option<TimePoint>,
+}
+
+impl SuspectRow {
+    fn last_change(&self) -> Option<TimePoint> {
+        self.crashes.values().copied().chain(self.completed).max()
+    }
+
+    fn note(&mut self, backend: Option<BackendId>, at: TimePoint) {
+        let Some(backend) = backend else {
+            self.completed = self.completed.max(Some(at));
+            self.crashes.retain(|_, crash| *crash > at);
+            return;
+        };
+        if self.completed.is_some_and(|completed| at <= completed) {
+            return;
+        }
+        let crash = self.crashes.entry(backend).or_insert(at);
+        *crash = at.max(*crash);
+    }
+}
+
+/// Counts the crashes of backend servers against what they were running.
+#[derive(Debug)]
+pub struct CrashLedger {
+    options: LedgerOptions,
+    rows: BTreeMap<RequestFingerprint, SuspectRow>,
+}
+
+impl CrashLedger {
+    /// A ledger that has seen no crash.
+    pub fn new(options: LedgerOptions) -> Self {
+        Self {
+            options,
+            rows: BTreeMap::new(),
+        }
+    }
+
+    /// Returns how many fingerprints are remembered.
+    pub fn row_count(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Notes that `backend` died while it ran requests with these fingerprints.
+    pub fn note_crash(
+        &mut self,
+        now: TimePoint,
+        backend: &BackendId,
+        running: &[RequestFingerprint],
+    ) {
+        for fingerprint in running {
+            self.note(now, *fingerprint, Some(backend.clone()), now);
+        }
+    }
+
+    /// Notes that a request completed whole, which clears its fingerprint.
+    pub fn note_completion(&mut self, now: TimePoint, fingerprint: RequestFingerprint) {
+        if self.rows.contains_key(&fingerprint) {
+            self.note(now, fingerprint, None, now);
+        }
+    }
+
+    /// Takes what another process tells.
+    pub fn learn(&mut self, now: TimePoint, news: SuspectNews) {
+        if news.age < self.options.remember {
+            self.note(now, news.fingerprint, news.backend, now - news.age);
+        }
+    }
+
+    /// Returns what to tell others, the latest first.
+    pub fn news(&self, now: TimePoint) -> Vec<SuspectNews> {
+        let mut news = Vec::new();
+        for (fingerprint, row) in &self.rows {
+            let crashes = row.crashes.iter();
+            let crashes = crashes.map(|(backend, at)| (Some(backend.clone()), *at));
+            let completed = row.completed.map(|at| (None, at));
+            for (backend, at) in crashes.chain(completed) {
+                news.push(SuspectNews {
+                    fingerprint: *fingerprint,
+                    backend,
+                    age: now.since(at),
+                });
+            }
+        }
+        news.sort_by_key(|one| one.age);
+        news.truncate(self.options.news_limit);
+        news
+    }
+
+    /// Decides whether a request may run beside those that run already.
+    pub fn admit(
+        &self,
+        fingerprint: RequestFingerprint,
+        running: &[RequestFingerprint],
+    ) -> Result<(), CallRefusal> {
+        let Some(row) = self.rows.get(&fingerprint) else {
+            return Ok(());
+        };
+        if row.crashes.len() >= self.options.crash_limit {
+            return Err(CallRefusal::lasting(ResultCode::RequestQuarantined));
+        }
+        let suspects = running.iter().filter(|beside| self.is_suspect(**beside));
+        let most = row
+            .crashes
+            .keys()
+            .map(|backend| self.allowed_beside(backend));
+        match most.min() {
+            Some(most) if suspects.count() >= most => {
+                let refusal = CallRefusal::passing(ResultCode::BackendBusy, RETRY_AFTER);
+                Err(refusal)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Forgets what is too long ago.
+    pub fn tick(&mut self, now: TimePoint) {
+        let remember = self.options.remember;
+        for row in self.rows.values_mut() {
+            row.crashes.retain(|_, at| now.since(*at) < remember);
+            row.completed = row.completed.filter(|at| now.since(*at) < remember);
+        }
+        self.rows.retain(|_, row| row.last_change().is_some());
+    }
+
+    fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
+        let row = self.rows.get(&fingerprint);
+        row.is_some_and(|row| !row.crashes.is_empty())
+    }
+
+    /// Returns how many of those that ran on `backend` may run together again.
+    ///
+    /// Few are kept wholly apart; of many, some run together, so that an
+    /// ordinary crash does not hold up all that ran on the backend server.
+    fn allowed_beside(&self, backend: &BackendId) -> usize {
+        let rows = self.rows.values();
+        let together = rows.filter(|row| row.crashes.contains_key(backend)).count();
+        (together / self.options.apart).max(1)
+    }
+
+    fn note(
+        &mut self,
+        now: TimePoint,
+        fingerprint: RequestFingerprint,
+        backend: Option<BackendId>,
+        at: TimePoint,
+    ) {
+        let row = self.rows.entry(fingerprint).or_default();
+        row.note(backend, at);
+        if self.rows.len() > self.options.row_limit {
+            self.tick(now);
+            self.drop_oldest();
+        }
+    }
+
+    /// Drops the row that changed longest ago; refused fingerprints go last.
+    fn drop_oldest(&mut self) {
+        if self.rows.len() <= self.options.row_limit {
+            return;
+        }
+        let limit = self.options.crash_limit;
+        let oldest = self.rows.iter().min_by_key(|(_, row)| {
+            let refused = row.crashes.len() >= limit;
+            (refused, row.last_change())
+        });
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.rows.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,209 @@
+//! Requests that crash backend servers, and those that run beside them.
+
+use std::collections::BTreeMap;
+
+use applefold_core::claim::RequestFingerprint;
+use applefold_core::code::ResultCode;
+use applefold_core::id::BackendId;
+use applefold_core::quarantine::{CrashLedger, LedgerOptions, SuspectNews};
+use applefold_core::unit::{TimePoint, TimeSpan};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const CRASHER: RequestFingerprint = RequestFingerprint(0);
+const SERVERS: usize = 12;
+
+fn backend(number: usize) -> BackendId {
+    format!("engine-{number}").parse().unwrap()
+}
+
+fn at(secs: u64) -> TimePoint {
+    TimePoint::START + TimeSpan::from_secs(secs)
+}
+
+fn code(ledger: &CrashLedger, fingerprint: RequestFingerprint) -> Option<ResultCode> {
+    ledger
+        .admit(fingerprint, &[])
+        .err()
+        .map(|refusal| refusal.code)
+}
+
+#[test]
+fn the_second_backend_server_is_the_last() {
+    let mut ledger = CrashLedger::new(LedgerOptions::default());
+    ledger.note_crash(at(0), &backend(1), &[CRASHER]);
+    ledger.note_crash(at(1), &backend(1), &[CRASHER]);
+    assert_eq!(code(&ledger, CRASHER), None, "one backend server, twice");
+    ledger.note_crash(at(2), &backend(2), &[CRASHER]);
+    assert_eq!(code(&ledger, CRASHER), Some(ResultCode::RequestQuarantined));
+    ledger.tick(at(600));
+    assert_eq!(code(&ledger, CRASHER), Some(ResultCode::RequestQuarantined));
+    ledger.tick(at(602));
+    assert_eq!(code(&ledger, CRASHER), None, "for a time");
+    assert_eq!(ledger.row_count(), 0);
+}
+
+#[test]
+fn news_reach_everyone_and_do_not_live_longer_by_being_told() {
+    let mut ledgers: Vec<CrashLedger> = (0..3)
+        .map(|_| CrashLedger::new(LedgerOptions::default()))
+        .collect();
+    ledgers[0].note_crash(at(0), &backend(1), &[CRASHER]);
+    ledgers[1].note_crash(at(1), &backend(2), &[CRASHER]);
+    for second in 2..700 {
+        for (from, to) in [(0, 1), (1, 2), (2, 0)] {
+            for news in ledgers[from].news(at(second)) {
+                ledgers[to].learn(at(second), news);
+            }
+        }
+        for ledger in &mut ledgers {
+            ledger.tick(at(second));
+        }
+        let refused = ledgers.iter().map(|ledger| code(ledger, CRASHER));
+        let refused = refused.filter(|code| code.is_some()).count();
+        match second {
+            4..=598 => assert_eq!(refused, 3, "at {second} s"),
+            601.. => assert_eq!(refused, 0, "at {second} s"),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn completing_whole_clears_everywhere() {
+    let innocent = RequestFingerprint(7);
+    let mut here = CrashLedger::new(LedgerOptions::default());
+    let mut there = CrashLedger::new(LedgerOptions::default());
+    for ledger in [&mut here, &mut there] {
+        ledger.note_crash(at(0), &backend(1), &[CRASHER, innocent]);
+    }
+    here.note_completion(at(5), innocent);
+    for news in here.news(at(6)) {
+        there.learn(at(6), news);
+    }
+    let stale = SuspectNews {
+        fingerprint: innocent,
+        backend: Some(backend(1)),
+        age: TimeSpan::from_secs(7),
+    };
+    for ledger in [&mut here, &mut there] {
+        ledger.learn(at(7), stale.clone());
+        ledger.note_crash(at(8), &backend(2), &[innocent]);
+        assert_eq!(code(ledger, innocent), None);
+    }
+}
+
+#[test]
+fn suspects_run_apart_and_others_beside_them() {
+    let mut ledger = CrashLedger::new(LedgerOptions::default());
+    let (one, two, other) = (
+        RequestFingerprint(1),
+        RequestFingerprint(2),
+        RequestFingerprint(3),
+    );
+    ledger.note_crash(at(0), &backend(1), &[one, two]);
+    let refusal = ledger.admit(one, &[two]).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::BackendBusy);
+    assert_eq!(ledger.admit(one, &[other]), Ok(()));
+    assert_eq!(ledger.admit(other, &[one]), Ok(()));
+}
+
+#[test]
+fn the_table_is_bounded_and_keeps_the_refused() {
+    let options = LedgerOptions {
+        row_limit: 100,
+        ..LedgerOptions::default()
+    };
+    let mut ledger = CrashLedger::new(options);
+    for server in [1, 2] {
+        ledger.note_crash(at(0), &backend(server), &[CRASHER]);
+    }
+    for number in 1..1_000 {
+        ledger.note_crash(at(1), &backend(3), &[RequestFingerprint(number)]);
+        assert!(ledger.row_count() <= 100);
+    }
+    assert_eq!(code(&ledger, CRASHER), Some(ResultCode::RequestQuarantined));
+}
+
+/// What a fleet makes of a stream of requests with one crasher in it.
+struct FleetOutcome {
+    crashes: usize,
+    condemned: usize,
+}
+
+/// Runs `count` requests that all begin on one backend server with the crasher,
+/// which is sent again whenever its backend server has died.
+fn run_fleet(count: u64, apart: bool, seed: u64) -> FleetOutcome {
+    let mut ledger = CrashLedger::new(LedgerOptions::default());
+    let mut running: BTreeMap<usize, Vec<RequestFingerprint>> = BTreeMap::new();
+    let all: Vec<RequestFingerprint> = (0..=count).map(RequestFingerprint).collect();
+    let mut waiting = all.clone();
+    waiting.rotate_left(seed as usize % all.len());
+    running.insert(0, std::mem::take(&mut waiting));
+    let mut crashes = 0;
+    let mut back_at: BTreeMap<usize, u64> = BTreeMap::new();
+    for second in 0..200 {
+        let now = at(second);
+        let crasher_at = running.iter().find(|(_, r)| r.contains(&CRASHER));
+        if let Some(server) = crasher_at.map(|(server, _)| *server) {
+            crashes += 1;
+            back_at.insert(server, second + 20);
+            let lost = running.remove(&server).unwrap_or_default();
+            ledger.note_crash(now, &backend(server), &lost);
+            waiting.extend(lost);
+        }
+        // Whatever has run for a second has completed.
+        for fingerprint in running.values_mut().flat_map(std::mem::take) {
+            ledger.note_completion(now, fingerprint);
+        }
+        for fingerprint in std::mem::take(&mut waiting) {
+            let first = (second as usize + seed as usize) % SERVERS;
+            let servers = (0..SERVERS).map(|step| (first + step) % SERVERS);
+            let up = servers.filter(|server| back_at.get(server).is_none_or(|at| *at <= second));
+            let mut servers = up.filter(|server| {
+                let beside = running.get(server).map_or(&[][..], Vec::as_slice);
+                let beside = if apart { beside } else { &[] };
+                ledger.admit(fingerprint, beside).is_ok()
+            });
+            match servers.next() {
+                Some(server) => running.entry(server).or_default().push(fingerprint),
+                None => waiting.push(fingerprint),
+            }
+        }
+    }
+    let innocents = all.iter().filter(|fingerprint| **fingerprint != CRASHER);
+    let condemned = innocents.filter(|fingerprint| code(&ledger, **fingerprint).is_some());
+    FleetOutcome {
+        crashes,
+        condemned: condemned.count(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(61),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_crasher_takes_two_backend_servers_and_no_neighbour(count in 0..14u64, seed in 0..50u64) {
+        let outcome = run_fleet(count, true, seed);
+        prop_assert_eq!(outcome.crashes, 2);
+        prop_assert_eq!(outcome.condemned, 0);
+    }
+
+    #[test]
+    fn of_many_neighbours_few_are_refused_with_it(count in 14..100u64, seed in 0..50u64) {
+        let outcome = run_fleet(count, true, seed);
+        prop_assert_eq!(outcome.crashes, 2);
+        prop_assert!(outcome.condemned as u64 <= count / 8, "{} of {count}", outcome.condemned);
+    }
+}
+
+#[test]
+fn without_running_apart_the_neighbours_are_refused_too() {
+    let outcome = run_fleet(10, false, 3);
+    assert_eq!(outcome.condemned, 10);
+}
