--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -21,6 +21,9 @@
 
 /// What both the holder and the naive reference can do.
 trait Holder {
+    /// The longest time that its orders stay on their way.
+    const IN_FLIGHT: TimeSpan = ORDER_IN_FLIGHT;
+
     fn make(node: usize) -> Self;
     fn tick(&mut self, now: TimePoint) -> Vec<LeaseAction>;
     fn handle(&mut self, now: TimePoint, answer: LeaseAnswer) -> Vec<LeaseAction>;
@@ -53,6 +56,35 @@
     }
 }
 
+/// Acts as soon as it is given the lease, so that the margin alone keeps two apart.
+struct PromptHolder(LeaseHolder);
+
+impl Holder for PromptHolder {
+    const IN_FLIGHT: TimeSpan = TimeSpan::ZERO;
+
+    fn make(node: usize) -> Self {
+        let scope = "claims:3".parse().unwrap();
+        let options = LeaseOptions::store_fenced();
+        Self(LeaseHolder::new(scope, name(node), options))
+    }
+
+    fn tick(&mut self, now: TimePoint) -> Vec<LeaseAction> {
+        self.0.tick(now)
+    }
+
+    fn handle(&mut self, now: TimePoint, answer: LeaseAnswer) -> Vec<LeaseAction> {
+        self.0.handle(now, answer)
+    }
+
+    fn release(&mut self, now: TimePoint) -> Vec<LeaseAction> {
+        Holder::release(&mut self.0, now)
+    }
+
+    fn acts_under(&self, now: TimePoint) -> Option<FencingNumber> {
+        self.0.acts_under(now)
+    }
+}
+
 /// Counts its lease from the arrival of the answer, and acts at once.
 struct NaiveHolder {
     held: Option<(FencingNumber, TimePoint)>,
@@ -288,8 +320,8 @@
         self.acted += 1;
         let delay = match self.sent % 3 {
             0 => TimeSpan::ZERO,
-            1 => ORDER_IN_FLIGHT,
-            _ => TimeSpan(ORDER_IN_FLIGHT.0 / 2),
+            1 => H::IN_FLIGHT,
+            _ => TimeSpan(H::IN_FLIGHT.0 / 2),
         };
         self.orders
             .insert((self.now + delay, self.sent), (node, fencing));
@@ -439,6 +471,11 @@
     assert_eq!(holds::<LeaseHolder>(21, 1_500), Ok(()));
 }
 
+#[test]
+fn the_margin_alone_keeps_two_apart() {
+    assert_eq!(holds::<PromptHolder>(22, 1_500), Ok(()));
+}
+
 #[test]
 fn the_naive_holder_acts_beside_another() {
     let error = holds::<NaiveHolder>(21, 1_500).unwrap_err();
@@ -504,6 +541,31 @@
     assert_eq!(last, sent + 4_990, "of a lease of 6 s with a margin of 1 s");
 }
 
+#[test]
+fn lost_and_late_answers_do_not_extend_the_lease() {
+    let mut holder = acting_holder();
+    let mut renewals = Vec::new();
+    for millis in (18_200..30_000).step_by(200) {
+        for action in holder.tick(at(millis)) {
+            if let LeaseAction::Renew { call, .. } = action {
+                renewals.push(call);
+            }
+        }
+        let answer = match renewals.as_slice() {
+            [first, _] => granted(first.0, 1),
+            [.., last] => LeaseAnswer {
+                call: *last,
+                reply: LeaseReply::Failed,
+            },
+            [] => continue,
+        };
+        holder.handle(at(millis), answer);
+        let acts = holder.authority(at(millis)).is_some();
+        assert_eq!(acts, millis < 22_994, "the last renewal was sent at 18 s");
+    }
+    assert!(renewals.len() > 3);
+}
+
 #[test]
 fn a_pause_longer_than_the_margin_ends_authority_first() {
     let mut holder = acting_holder();
