--- /dev/null
+++ b/crates/core/src/forecast.rs
@@ -0,0 +1,207 @@
+//! Forecasts of token demand for each pool, from offered requests alone.
+//!
+//! Refused requests count as well: a forecast of served work would hide the
+//! load that admission turns away. The model and its constants are explained in
+//! [docs/design/roles.md](../../../docs/design/roles.md).
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::PoolId;
+use crate::unit::{TimePoint, TimeSpan, TokenCount, TokenRate};
+
+/// The length of the slots that arrivals are summed over.
+const SLOT: TimeSpan = TimeSpan::from_secs(1);
+/// How many empty slots are replayed after a gap; older history has faded by then.
+const MAX_GAP_SLOTS: u64 = 900;
+
+/// The time constants of the averages.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ForecastSettings {
+    /// Time constant of the short moving average and of the level.
+    pub short: TimeSpan,
+    /// Time constant of the long moving average and of the uncertainty.
+    pub long: TimeSpan,
+    /// Time constant of the trend.
+    pub trend: TimeSpan,
+    /// The longest time that a trend is carried on for.
+    pub trend_reach: TimeSpan,
+    /// Width of the uncertainty band in standard deviations of the level.
+    pub band_deviations: f64,
+}
+
+impl Default for ForecastSettings {
+    fn default() -> Self {
+        Self {
+            short: TimeSpan::from_secs(10),
+            long: TimeSpan::from_secs(120),
+            trend: TimeSpan::from_secs(30),
+            trend_reach: TimeSpan::from_secs(20),
+            band_deviations: 1.0,
+        }
+    }
+}
+
+/// A request that was offered to a pool, whether it was admitted or not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DemandEvent {
+    /// The pool that serves the request.
+    pub pool: PoolId,
+    /// Prompt tokens that no prefix cache is expected to hold.
+    pub prefill: TokenCount,
+    /// Answer tokens expected.
+    pub decode: TokenCount,
+}
+
+/// What is expected of one kind of work in one pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateForecast {
+    /// Short moving average.
+    pub short: TokenRate,
+    /// Long moving average.
+    pub long: TokenRate,
+    /// Level and trend carried to the time asked for.
+    pub expected: TokenRate,
+    /// Lower end of the uncertainty band around `expected`.
+    pub lower: TokenRate,
+    /// Upper end of the uncertainty band around `expected`.
+    pub upper: TokenRate,
+}
+
+/// What is expected of a pool at the time asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolDemand {
+    /// Prompt tokens to be computed.
+    pub prefill: RateForecast,
+    /// Answer tokens to be generated.
+    pub decode: RateForecast,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct SeriesRow {
+    slot_tokens: u64,
+    started: bool,
+    short: f64,
+    long: f64,
+    level: f64,
+    trend: f64,
+    variance: f64,
+}
+
+#[derive(Clone, Debug)]
+struct PoolRow {
+    slot_start: TimePoint,
+    prefill: SeriesRow,
+    decode: SeriesRow,
+}
+
+/// Holds the averages of each pool.
+#[derive(Clone, Debug, Default)]
+pub struct DemandForecast {
+    settings: ForecastSettings,
+    pools: BTreeMap<PoolId, PoolRow>,
+}
+
+impl DemandForecast {
+    /// A forecast that has seen nothing yet.
+    pub fn new(settings: ForecastSettings) -> Self {
+        Self {
+            settings,
+            pools: BTreeMap::new(),
+        }
+    }
+
+    /// Counts an offered request.
+    pub fn handle(&mut self, now: TimePoint, event: DemandEvent) {
+        let row = self.pools.entry(event.pool).or_insert(PoolRow {
+            slot_start: now,
+            prefill: SeriesRow::default(),
+            decode: SeriesRow::default(),
+        });
+        row.close_slots(now, &self.settings);
+        row.prefill.slot_tokens += event.prefill.0;
+        row.decode.slot_tokens += event.decode.0;
+    }
+
+    /// Closes the slots that have ended, so that silence counts as no demand.
+    pub fn tick(&mut self, now: TimePoint) {
+        for row in self.pools.values_mut() {
+            row.close_slots(now, &self.settings);
+        }
+    }
+
+    /// Returns what is expected of `pool` after `ahead`; nothing where it was never asked.
+    pub fn demand(&self, pool: &PoolId, ahead: TimeSpan) -> PoolDemand {
+        let Some(row) = self.pools.get(pool) else {
+            return PoolDemand::default();
+        };
+        PoolDemand {
+            prefill: row.prefill.forecast(ahead, &self.settings),
+            decode: row.decode.forecast(ahead, &self.settings),
+        }
+    }
+}
+
+impl PoolRow {
+    fn close_slots(&mut self, now: TimePoint, settings: &ForecastSettings) {
+        let behind = now.since(self.slot_start).0 / SLOT.0;
+        if behind > MAX_GAP_SLOTS {
+            self.slot_start = now - TimeSpan(MAX_GAP_SLOTS * SLOT.0);
+        }
+        while self.slot_start + SLOT <= now {
+            self.prefill.close_slot(settings);
+            self.decode.close_slot(settings);
+            self.slot_start = self.slot_start + SLOT;
+        }
+    }
+}
+
+/// The weight of one slot in an exponential average of the given time constant.
+fn slot_weight(constant: TimeSpan) -> f64 {
+    let slots = constant.as_secs_f64() / SLOT.as_secs_f64();
+    1.0 / (slots + 1.0)
+}
+
+fn to_rate(value: f64) -> TokenRate {
+    TokenRate(value.max(0.0).round() as u64)
+}
+
+impl SeriesRow {
+    fn close_slot(&mut self, settings: &ForecastSettings) {
+        let rate = self.slot_tokens as f64 / SLOT.as_secs_f64();
+        self.slot_tokens = 0;
+        if !self.started {
+            self.started = true;
+            self.short = rate;
+            self.long = rate;
+            self.level = rate;
+            return;
+        }
+        let short = slot_weight(settings.short);
+        let long = slot_weight(settings.long);
+        let error = rate - self.level;
+        self.variance += (error * error - self.variance) * long;
+        self.short += (rate - self.short) * short;
+        self.long += (rate - self.long) * long;
+        let level = self.level + self.trend + (error - self.trend) * short;
+        let slope = level - self.level;
+        self.trend += (slope - self.trend) * slot_weight(settings.trend);
+        self.level = level.max(0.0);
+    }
+
+    fn forecast(&self, ahead: TimeSpan, settings: &ForecastSettings) -> RateForecast {
+        let reach = ahead.min(settings.trend_reach).as_secs_f64();
+        let expected = (self.level + self.trend * reach).max(0.0);
+        let weight = slot_weight(settings.short);
+        let deviation = (self.variance * weight / (2.0 - weight)).sqrt();
+        let band = deviation * settings.band_deviations;
+        RateForecast {
+            short: to_rate(self.short),
+            long: to_rate(self.long),
+            expected: to_rate(expected),
+            lower: to_rate(expected - band),
+            upper: to_rate(expected + band),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,5 +6,9 @@
 //! in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
 pub mod code;
+pub mod fleet;
+pub mod forecast;
 pub mod id;
+pub mod role;
 pub mod unit;
+pub mod weight;
