--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,10 +5,17 @@
 //! can drive it with as many nodes as it likes in one thread. The reasons are
 //! in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
+pub mod admission;
 pub mod code;
+pub mod fairness;
 pub mod fleet;
 pub mod forecast;
+pub mod health;
 pub mod id;
+pub mod memory;
+pub mod naive;
+pub mod retry;
 pub mod role;
+pub mod routing;
 pub mod unit;
 pub mod weight;
