Play seeded workloads to the decisions and to the naive version

Cause: the decisions' worth has to be measured against the naive version on the same arrivals and faults. Ruled out: a simulation of the cluster; the fakes answer only the actions of the decisions.

--- a/crates/core/src/role/mod.rs
+++ b/crates/core/src/role/mod.rs
@@ -18,6 +18,7 @@
 pub use self::planner::RolePlanner;
 
 use crate::id::{BackendId, DomainId, FencingNumber, PoolId};
+use crate::routing::BackendRole;
 use crate::unit::{ByteSize, TimeSpan, TokenCount, TokenRate};
 
 /// What an engine is set to do.
@@ -212,3 +213,13 @@
         backend: BackendId,
     },
 }
+
+impl From<EngineRole> for BackendRole {
+    fn from(role: EngineRole) -> Self {
+        match role {
+            EngineRole::Both => Self::Mixed,
+            EngineRole::Prefill => Self::Prefill,
+            EngineRole::Decode => Self::Decode,
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/cmd/mod.rs
@@ -0,0 +1,15 @@
+//! The subcommands; their argument types are in [`args`].
+
+mod args;
+mod run;
+
+pub(crate) use self::args::Args;
+
+use self::args::Command;
+
+/// Runs the subcommand that was asked for.
+pub(crate) fn run(args: Args) -> eyre::Result<()> {
+    match args.command {
+        Command::Run(args) => run::run(args),
+    }
+}
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -1,2 +1,26 @@
-//! Placeholder.
-fn main() {}
+//! Experiments over the decisions of applefold, in virtual time.
+//!
+//! The workloads, measures and targets are in
+//! [docs/design/experiment.md](../../../docs/design/experiment.md).
+
+mod cmd;
+mod control;
+mod engine;
+mod entry;
+mod fault;
+mod mechanism;
+mod member;
+mod plain;
+mod platform;
+mod prefix;
+mod queue;
+mod score;
+mod serve;
+mod table;
+mod workload;
+mod world;
+
+fn main() -> eyre::Result<()> {
+    let args: cmd::Args = argh::from_env();
+    cmd::run(args)
+}
