--- a/crates/experiment/src/cmd/run.rs
+++ b/crates/experiment/src/cmd/run.rs
@@ -7,7 +7,7 @@
 use crate::fault::faults;
 use crate::mechanism::{Mechanism, VersionSet};
 use crate::score::RunScore;
-use crate::table::{self, VersionRow};
+use crate::table::{self, RowLabel, VersionRow};
 use crate::workload::{arrivals, schedule, swings, Workload};
 use crate::world::{RunPlan, World};
 
@@ -63,15 +63,16 @@
 
 fn measure(workload: &Workload, args: &RunArgs, versions: &[NamedVersion]) -> Vec<VersionRow> {
     let span = TimeSpan::from_secs(args.minutes * SECS_PER_MINUTE);
-    let mut all_swings = 0;
+    let mut swing_counts = Vec::new();
     let mut runs: Vec<Vec<RunScore>> = versions.iter().map(|_| Vec::new()).collect();
     for seed in 1..=args.seeds {
         let phases = schedule(workload, seed, span);
-        all_swings += swings(workload, &phases);
+        swing_counts.push(swings(workload, &phases));
         let requests = arrivals(workload, &phases, seed);
         let faults = faults(seed, span);
         let plan = RunPlan {
             workload,
+            phases: &phases,
             requests: &requests,
             faults: &faults,
             seed,
@@ -81,8 +82,15 @@
             row.push(World::run(plan, &named.version));
         }
     }
+    let naive = runs[0].clone();
     let named = versions.iter().zip(runs);
     named
-        .map(|(named, runs)| VersionRow::new(workload.name, &named.name, all_swings, runs))
+        .map(|(named, runs)| {
+            let label = RowLabel {
+                workload: workload.name.to_owned(),
+                version: named.name.clone(),
+            };
+            VersionRow::new(label, &swing_counts, &naive, runs)
+        })
         .collect()
 }
--- a/crates/experiment/src/score.rs
+++ b/crates/experiment/src/score.rs
@@ -6,7 +6,7 @@
 use applefold_core::unit::TimeSpan;
 use serde::Serialize;
 
-use crate::workload::TEAM_SHARES;
+use crate::workload::{PhaseSpan, TEAM_SHARES};
 use crate::world::World;
 
 const WINDOW: TimeSpan = TimeSpan::from_secs(60);
@@ -42,6 +42,22 @@
     /// `None` where nothing was refused.
     pub(crate) early_refusals: Option<f64>,
     pub(crate) run_twice: u64,
+    pub(crate) phases: Vec<PhaseScore>,
+}
+
+/// The figures of the requests that arrived in one phase of a run.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct PhaseScore {
+    pub(crate) phase: usize,
+    pub(crate) offered: u64,
+    pub(crate) good: u64,
+    pub(crate) refused: u64,
+}
+
+impl PhaseScore {
+    pub(crate) fn good_share(&self) -> f64 {
+        self.good as f64 / self.offered.max(1) as f64
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -68,8 +84,8 @@
                     score.good += 1;
                     model_good += u64::from(!class.is_plain());
                 }
-                Some(CallOutcome::Late) => score.late += 1,
-                Some(CallOutcome::Broken) | None => score.broken += 1,
+                Some(CallOutcome::Late) | None => score.late += 1,
+                Some(CallOutcome::Broken) => score.broken += 1,
                 Some(CallOutcome::Refused { after }) => {
                     score.refused += 1;
                     early += u64::from(after.0 * EARLY_PART <= class.first_within.0);
@@ -83,10 +99,31 @@
         score.engine_secs_per_good = paid_secs / model_good.max(1) as f64;
         score.early_refusals = (score.refused > 0).then(|| early as f64 / score.refused as f64);
         score.worst_team = worst_team(world);
+        score.phases = phase_scores(world);
         score
     }
 }
 
+fn phase_scores(world: &World<'_>) -> Vec<PhaseScore> {
+    let spans = world.plan.phases;
+    let fresh = |span: &PhaseSpan| PhaseScore {
+        phase: span.phase,
+        ..PhaseScore::default()
+    };
+    let mut scores: Vec<PhaseScore> = spans.iter().map(fresh).collect();
+    for (request, row) in world.rows.iter().enumerate() {
+        let at = world.offered(request).at;
+        let place = spans.partition_point(|span| span.end <= at);
+        if let Some(score) = scores.get_mut(place) {
+            score.offered += 1;
+            score.good += u64::from(row.outcome == Some(CallOutcome::Good));
+            let refused = matches!(row.outcome, Some(CallOutcome::Refused { .. }));
+            score.refused += u64::from(refused);
+        }
+    }
+    scores
+}
+
 fn worst_team(world: &World<'_>) -> f64 {
     let mut windows: BTreeMap<u64, Vec<TeamWork>> = BTreeMap::new();
     for (request, row) in world.rows.iter().enumerate() {
--- a/crates/experiment/src/table.rs
+++ b/crates/experiment/src/table.rs
@@ -4,13 +4,21 @@
 
 use crate::score::RunScore;
 
-/// One version on one workload, over all seeds.
+/// The phases of naive runs with a smaller share of good answers are overloaded.
+const OVERLOADED_BELOW: f64 = 0.95;
+
+/// What a row is about.
 #[derive(Clone, Debug, Serialize)]
-pub(crate) struct VersionRow {
+pub(crate) struct RowLabel {
     pub(crate) workload: String,
     pub(crate) version: String,
+}
+
+/// One version on one workload, over all seeds.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct VersionRow {
+    pub(crate) label: RowLabel,
     pub(crate) seeds: u64,
-    pub(crate) swings: u32,
     pub(crate) runs: Vec<RunScore>,
     pub(crate) summary: VersionSummary,
 }
@@ -21,7 +29,13 @@
     pub(crate) good_per_sec: SpreadFigure,
     pub(crate) good_share: SpreadFigure,
     pub(crate) worst_team: SpreadFigure,
+    /// Good answers over naive's, in the phases in which naive is overloaded.
+    pub(crate) overload_gain: Option<SpreadFigure>,
+    /// Good answers over naive's, in the other phases.
+    pub(crate) steady_gain: Option<SpreadFigure>,
     pub(crate) role_changes: SpreadFigure,
+    /// Role changes for each true swing.
+    pub(crate) changes_per_swing: Option<SpreadFigure>,
     pub(crate) engine_secs_per_good: SpreadFigure,
     pub(crate) early_refusals: Option<SpreadFigure>,
     pub(crate) broken: SpreadFigure,
@@ -43,18 +57,31 @@
 }
 
 impl VersionRow {
-    pub(crate) fn new(workload: &str, version: &str, swings: u32, runs: Vec<RunScore>) -> Self {
+    pub(crate) fn new(
+        label: RowLabel,
+        swings: &[u32],
+        naive: &[RunScore],
+        runs: Vec<RunScore>,
+    ) -> Self {
         let of = |end, figure: fn(&RunScore) -> f64| {
             spread(runs.iter().map(figure).collect(), end).unwrap_or(SpreadFigure {
                 median: 0.0,
                 worst: 0.0,
             })
         };
+        let pairs = || naive.iter().zip(&runs);
+        let overload = pairs().filter_map(|(naive, run)| gain(naive, run, true));
+        let steady = pairs().filter_map(|(naive, run)| gain(naive, run, false));
+        let swung = swings.iter().zip(&runs).filter(|(swings, _)| **swings > 0);
+        let per_swing = swung.map(|(swings, run)| f64::from(run.role_changes) / f64::from(*swings));
         let early = runs.iter().filter_map(|run| run.early_refusals).collect();
         let summary = VersionSummary {
             good_per_sec: of(WorseEnd::Low, |run| run.good_per_sec),
             good_share: of(WorseEnd::Low, |run| run.good_share),
             worst_team: of(WorseEnd::Low, |run| run.worst_team),
+            overload_gain: spread(overload.collect(), WorseEnd::Low),
+            steady_gain: spread(steady.collect(), WorseEnd::Low),
+            changes_per_swing: spread(per_swing.collect(), WorseEnd::High),
             role_changes: of(WorseEnd::High, |run| f64::from(run.role_changes)),
             engine_secs_per_good: of(WorseEnd::High, |run| run.engine_secs_per_good),
             early_refusals: spread(early, WorseEnd::Low),
@@ -62,16 +89,30 @@
             run_twice: of(WorseEnd::High, |run| run.run_twice as f64),
         };
         Self {
-            workload: workload.to_owned(),
-            version: version.to_owned(),
+            label,
             seeds: runs.len() as u64,
-            swings,
             runs,
             summary,
         }
     }
 }
 
+/// Good answers over naive's, in the phases in which naive is or is not overloaded.
+fn gain(naive: &RunScore, run: &RunScore, overloaded: bool) -> Option<f64> {
+    let phases = naive.phases.iter().zip(&run.phases);
+    let chosen = phases.filter(|(naive, _)| {
+        let short = naive.good_share() < OVERLOADED_BELOW;
+        naive.offered > 0 && short == overloaded
+    });
+    let (mut theirs, mut ours, mut any) = (0, 0, false);
+    for (naive, run) in chosen {
+        theirs += naive.good;
+        ours += run.good;
+        any = true;
+    }
+    any.then(|| ours as f64 / theirs.max(1) as f64)
+}
+
 fn spread(mut values: Vec<f64>, end: WorseEnd) -> Option<SpreadFigure> {
     values.sort_by(f64::total_cmp);
     let (first, last) = (*values.first()?, *values.last()?);
@@ -87,43 +128,57 @@
     Some(SpreadFigure { median, worst })
 }
 
+const HEADINGS: [&str; 12] = [
+    "good/s",
+    "good share",
+    "x naive over",
+    "x naive else",
+    "worst team",
+    "role changes",
+    "per swing",
+    "engine-s/good",
+    "early refusals",
+    "broken",
+    "run twice",
+    "usage reports",
+];
+
 /// Prints the rows as a table; each figure is the median, then the worst.
 pub(crate) fn print(rows: &[VersionRow]) {
-    println!(
-        "{:<11} {:<19} {:>15} {:>15} {:>13} {:>13} {:>7} {:>15} {:>15} {:>13} {:>11}",
-        "workload",
-        "version",
-        "good/s",
-        "good share",
-        "worst team",
-        "role changes",
-        "swings",
-        "engine-s/good",
-        "early refusals",
-        "broken",
-        "run twice",
-    );
+    print!("{:<11} {:<19}", "workload", "version");
+    for heading in HEADINGS {
+        print!(" {heading:>15}");
+    }
+    println!();
     for row in rows {
-        let summary = &row.summary;
-        let early = summary.early_refusals;
-        println!(
-            "{:<11} {:<19} {:>15} {:>15} {:>13} {:>13} {:>7} {:>15} {:>15} {:>13} {:>11}",
-            row.workload,
-            row.version,
-            pair(summary.good_per_sec, 2),
-            pair(summary.good_share, 3),
-            pair(summary.worst_team, 3),
-            pair(summary.role_changes, 0),
-            row.swings,
-            pair(summary.engine_secs_per_good, 3),
-            early.map_or_else(|| "none".to_owned(), |figure| pair(figure, 3)),
-            pair(summary.broken, 0),
-            pair(summary.run_twice, 0),
-        );
+        print!("{:<11} {:<19}", row.label.workload, row.label.version);
+        for cell in cells(&row.summary) {
+            print!(" {cell:>15}");
+        }
+        println!();
     }
-    println!("usage reports (late, differing): not measured by this command");
 }
 
-fn pair(figure: SpreadFigure, digits: usize) -> String {
+fn cells(summary: &VersionSummary) -> [String; HEADINGS.len()] {
+    [
+        pair(Some(summary.good_per_sec), 2),
+        pair(Some(summary.good_share), 3),
+        pair(summary.overload_gain, 2),
+        pair(summary.steady_gain, 3),
+        pair(Some(summary.worst_team), 3),
+        pair(Some(summary.role_changes), 0),
+        pair(summary.changes_per_swing, 1),
+        pair(Some(summary.engine_secs_per_good), 3),
+        pair(summary.early_refusals, 3),
+        pair(Some(summary.broken), 0),
+        pair(Some(summary.run_twice), 0),
+        "not measured".to_owned(),
+    ]
+}
+
+fn pair(figure: Option<SpreadFigure>, digits: usize) -> String {
+    let Some(figure) = figure else {
+        return "none".to_owned();
+    };
     format!("{:.digits$} {:.digits$}", figure.median, figure.worst)
 }
--- a/crates/experiment/src/world.rs
+++ b/crates/experiment/src/world.rs
@@ -19,7 +19,7 @@
 use crate::member::{engine_id, plain_id, plain_spec};
 use crate::plain::PlainServer;
 use crate::score::{CallOutcome, RunScore};
-use crate::workload::{OfferedRequest, RequestClass, Workload};
+use crate::workload::{OfferedRequest, PhaseSpan, RequestClass, Workload};
 
 /// Requests may end for this long after the last has arrived.
 const AFTERMATH: TimeSpan = TimeSpan::from_secs(60);
@@ -150,6 +150,7 @@
 #[derive(Clone, Copy)]
 pub(crate) struct RunPlan<'a> {
     pub(crate) workload: &'a Workload,
+    pub(crate) phases: &'a [PhaseSpan],
     pub(crate) requests: &'a [OfferedRequest],
     pub(crate) faults: &'a [FaultEvent],
     pub(crate) seed: u64,
