--- a/crates/core/src/role/planner.rs
+++ b/crates/core/src/role/planner.rs
@@ -316,7 +316,6 @@
         if !settled || !row.rested(now, decision.to, &settings) {
             return Vec::new();
         }
-        row.paying = None;
         row.change = Some(ChangeRow {
             decision: decision.clone(),
             phase: ChangePhase::Draining,
