--- a/crates/core/src/role/mod.rs
+++ b/crates/core/src/role/mod.rs
@@ -150,7 +150,7 @@
             horizon: TimeSpan::from_secs(60),
             settle: TimeSpan::from_secs(5),
             rest: TimeSpan::from_secs(2),
-            reversal_rest: TimeSpan::from_secs(60),
+            reversal_rest: TimeSpan::from_secs(20),
             switch: TimeSpan::from_secs(4),
             drain_limit: TimeSpan::from_secs(60),
             order_limit: TimeSpan::from_secs(15),
