--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,10 +8,14 @@
 pub mod admission;
 pub mod code;
 pub mod fairness;
+pub mod fleet;
+pub mod forecast;
 pub mod health;
 pub mod id;
 pub mod memory;
 pub mod naive;
 pub mod retry;
+pub mod role;
 pub mod routing;
 pub mod unit;
+pub mod weight;
