--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,16 +6,22 @@
 //! in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
 pub mod admission;
+pub mod answer;
+pub mod claim;
 pub mod code;
 pub mod fairness;
+pub mod fence;
 pub mod fleet;
 pub mod forecast;
 pub mod health;
 pub mod id;
+pub mod lease;
 pub mod memory;
 pub mod naive;
+pub mod order;
 pub mod retry;
 pub mod role;
 pub mod routing;
 pub mod unit;
+pub mod usage;
 pub mod weight;
