Measure how time and memory grow with each table

Cause: the sizes that the users plan for cannot be run on one machine, so each table is grown alone and its slope is taken. Ruled out: a counting allocator, which the lints forbid (unsafe code).

Removing a backend server from the health tracker may bring another one back; the result must now be looked at, and the experiment does.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -127,6 +127,7 @@
     }
 
     /// Forgets a backend server; the pool that is left may then need another one back.
+    #[must_use = "the backend server that comes back has to be sent requests again"]
     pub fn remove(&mut self, id: &BackendId) -> Option<HealthAction> {
         let pool = self.rows.remove(id)?.pool;
         if self.left_out(&pool) * 2 <= self.size(&pool) {
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -172,7 +172,7 @@
                     tracker.tick(now);
                 }
                 HealthStep::Remove(id) => {
-                    tracker.remove(&backend(id));
+                    let _ = tracker.remove(&backend(id));
                 }
             }
             let known = (0..9).filter(|id| tracker.knows(&backend(*id))).count();
--- a/crates/experiment/src/cmd/args.rs
+++ b/crates/experiment/src/cmd/args.rs
@@ -16,6 +16,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Run(RunArgs),
+    Scale(ScaleArgs),
 }
 
 /// Plays seeded workloads and faults to applefold and to the naive version.
@@ -46,3 +47,12 @@
     #[argh(switch)]
     pub(crate) json: bool,
 }
+
+/// Measures how time and memory grow with the size of each table.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+pub(crate) struct ScaleArgs {
+    /// print JSON instead of a table
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
--- a/crates/experiment/src/cmd/mod.rs
+++ b/crates/experiment/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod run;
+mod scale;
 
 pub(crate) use self::args::Args;
 
@@ -11,5 +12,6 @@
 pub(crate) fn run(args: Args) -> eyre::Result<()> {
     match args.command {
         Command::Run(args) => run::run(args),
+        Command::Scale(args) => scale::run(args),
     }
 }
--- /dev/null
+++ b/crates/experiment/src/cmd/scale.rs
@@ -0,0 +1,18 @@
+//! `scale`: measures how time and memory grow with each table.
+
+use eyre::WrapErr;
+
+use super::args::ScaleArgs;
+use crate::scale;
+
+pub(super) fn run(args: ScaleArgs) -> eyre::Result<()> {
+    let report = scale::measure().wrap_err_with(|| "could not measure the tables")?;
+    if !args.json {
+        print!("{report}");
+        return Ok(());
+    }
+    let text = serde_json::to_string_pretty(&report)
+        .wrap_err_with(|| "could not write the report as JSON")?;
+    println!("{text}");
+    Ok(())
+}
--- a/crates/experiment/src/entry.rs
+++ b/crates/experiment/src/entry.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use applefold_core::admission::AdmissionControl;
-use applefold_core::health::{HealthPolicy, HealthTracker};
+use applefold_core::health::{HealthAction, HealthPolicy, HealthTracker};
 use applefold_core::id::{BackendId, PoolId};
 use applefold_core::naive::NaiveRouter;
 use applefold_core::retry::{RetryLedger, RetryPolicy};
@@ -91,7 +91,11 @@
     }
 
     pub(crate) fn forget(&mut self, id: &BackendId) {
-        self.health.remove(id);
+        if let Some(HealthAction::TakeBack(back)) = self.health.remove(id) {
+            self.table.set_standing(&back, BackendStanding::Serving);
+            self.turn_table
+                .set_standing(&back, BackendStanding::Serving);
+        }
         self.table.remove(id);
         self.turn_table.remove(id);
     }
--- /dev/null
+++ b/crates/experiment/src/scale/admitting.rs
@@ -0,0 +1,131 @@
+use std::hint::black_box;
+
+use applefold_core::admission::{
+    AdmissionControl, AdmissionDeadlines, AdmissionRequest, TeamLimit, TeamUse,
+};
+use applefold_core::id::{BackendId, InstanceId, TeamId};
+use applefold_core::routing::{RouteCandidate, RouteChoice};
+use applefold_core::unit::{CallRate, TimePoint, TimeSpan, TokenCount, TokenRate};
+
+use super::probe::{ScaleProbe, SeriesPlan};
+use crate::member::named;
+
+pub(super) const TEAMS: &[u64] = &[10, 30, 100, 300, 530];
+const PEERS: u64 = 8;
+const PERIOD: TimeSpan = TimeSpan::from_secs(1);
+const NOW: TimePoint = TimePoint(1_000_000);
+
+struct AdmissionBench {
+    control: AdmissionControl,
+    requests: Vec<AdmissionRequest>,
+    choice: RouteChoice,
+    uses: Vec<TeamUse>,
+    peers: Vec<InstanceId>,
+}
+
+pub(super) fn grow(probe: &mut ScaleProbe) -> eyre::Result<()> {
+    let plan = |event| SeriesPlan {
+        table: "teams at an entry",
+        row: "team",
+        event,
+        sizes: TEAMS,
+    };
+    probe.measure(plan("admit and settle a request"), bench, admit)?;
+    probe.measure(plan("end a heartbeat period"), bench, publish)?;
+    let peers = SeriesPlan {
+        table: "teams that 8 peers report",
+        row: "team",
+        ..plan("take in a peer's heartbeat")
+    };
+    probe.measure(peers, heard, observe)
+}
+
+pub(super) fn team(number: u64) -> TeamId {
+    named(&format!("team-of-users-{number:03}"))
+}
+
+fn bench(rows: u64) -> AdmissionBench {
+    let mut bench = AdmissionBench {
+        control: AdmissionControl::new(PERIOD),
+        requests: (0..rows).map(request).collect(),
+        choice: choice(),
+        uses: (0..rows).map(team_use).collect(),
+        peers: (0..PEERS)
+            .map(|number| named(&format!("entry-{number:03}")))
+            .collect(),
+    };
+    for number in 0..rows {
+        bench.control.set_limit(team(number), limit(), NOW);
+        admit(&mut bench, number);
+    }
+    bench
+}
+
+fn heard(rows: u64) -> AdmissionBench {
+    let mut bench = bench(rows);
+    for turn in 0..PEERS {
+        observe(&mut bench, turn);
+    }
+    bench
+}
+
+fn limit() -> TeamLimit {
+    TeamLimit {
+        calls: Some(CallRate(1_000_000)),
+        tokens: Some(TokenRate(1_000_000_000)),
+        running: Some(1_000_000),
+    }
+}
+
+fn request(number: u64) -> AdmissionRequest {
+    AdmissionRequest {
+        team: team(number),
+        prompt_tokens: TokenCount(200),
+        answer_tokens: TokenCount(100),
+        deadlines: AdmissionDeadlines {
+            first_token: TimeSpan::from_millis(430),
+            between_tokens: Some(TimeSpan::from_millis(69)),
+        },
+    }
+}
+
+fn choice() -> RouteChoice {
+    let backend: BackendId = named("engine-0001.eu-1a");
+    let candidate = RouteCandidate {
+        backend,
+        first_token: TimeSpan::from_millis(100),
+        unqueued: TimeSpan::from_millis(50),
+        between_tokens: TimeSpan::from_millis(30),
+        alone_between: TimeSpan::from_millis(3),
+        cached: TokenCount::ZERO,
+        competing: 10,
+    };
+    RouteChoice {
+        candidates: vec![candidate],
+    }
+}
+
+fn team_use(number: u64) -> TeamUse {
+    TeamUse {
+        team: team(number),
+        tokens: TokenCount(1_000 + number),
+    }
+}
+
+fn admit(bench: &mut AdmissionBench, turn: u64) {
+    let request = &bench.requests[turn as usize % bench.requests.len()];
+    if let Ok(ticket) = bench.control.admit(request, &bench.choice, NOW) {
+        ticket.settle(TokenCount(250));
+    }
+}
+
+fn publish(bench: &mut AdmissionBench, turn: u64) {
+    let now = NOW + TimeSpan(turn);
+    black_box(bench.control.publish(now));
+}
+
+fn observe(bench: &mut AdmissionBench, turn: u64) {
+    let peer = bench.peers[(turn % PEERS) as usize].clone();
+    let now = NOW + TimeSpan(turn);
+    bench.control.observe(peer, 1, &bench.uses, now);
+}
