Keep idle engines for 300 s before they are released

Cause: engines released after 90 s were missing when the next phase began, and an order takes 90 s; the missing answers cost more than the idle engines.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -59,7 +59,7 @@
         Self {
             lead: TimeSpan::from_secs(90),
             order_deadline: TimeSpan::from_secs(180),
-            break_even: TimeSpan::from_secs(90),
+            break_even: TimeSpan::from_secs(300),
             restart_grace: TimeSpan::from_secs(30),
             domain_rest: TimeSpan::from_secs(60),
             usable_share: 0.85,
