--- a/crates/core/src/role/mod.rs
+++ b/crates/core/src/role/mod.rs
@@ -217,7 +217,7 @@
 impl From<EngineRole> for BackendRole {
     fn from(role: EngineRole) -> Self {
         match role {
-            EngineRole::Both => Self::Mixed,
+            EngineRole::Both => Self::Both,
             EngineRole::Prefill => Self::Prefill,
             EngineRole::Decode => Self::Decode,
         }
--- a/crates/experiment/src/entry.rs
+++ b/crates/experiment/src/entry.rs
@@ -106,7 +106,7 @@
             ..request.clone()
         };
         let turn = match role {
-            BackendRole::Prefill | BackendRole::Mixed => 0,
+            BackendRole::Prefill | BackendRole::Both => 0,
             BackendRole::Decode => 1,
             BackendRole::Plain => 2,
         };
--- a/crates/experiment/src/serve.rs
+++ b/crates/experiment/src/serve.rs
@@ -6,8 +6,8 @@
 use applefold_core::code::{CallRefusal, ResultCode, RunState};
 use applefold_core::fairness::{CallClass, CallId, QueuePace, QueuedCall};
 use applefold_core::health::HealthSample;
-use applefold_core::id::{AttemptNumber, ServiceId};
-use applefold_core::retry::{FailedAttempt, RetryDecision};
+use applefold_core::id::ServiceId;
+use applefold_core::retry::RetryDecision;
 use applefold_core::role::EngineState;
 use applefold_core::routing::{BackendRole, CacheChange, CacheEvent, RouteChoice, RoutePhase};
 use applefold_core::unit::{TimePoint, TimeSpan, TokenCount, TokenRate};
@@ -445,14 +445,11 @@
     }
 
     fn retry(&mut self, request: usize, refusal: CallRefusal) {
-        let failed = FailedAttempt {
-            attempt: AttemptNumber(self.rows[request].attempt),
-            refusal,
-            repeatable: !self.class(request).is_plain(),
-            time_left: self.next_due(request).since(self.now),
+        let left = self.next_due(request).since(self.now);
+        let Some(attempts) = &mut self.rows[request].attempts else {
+            return;
         };
-        let service = self.service(request);
-        match self.entry.retry.decide(&service, &failed) {
+        match self.entry.retry.decide(attempts, refusal, left) {
             RetryDecision::Again(_) => self.attempt(request),
             RetryDecision::GiveUp(refusal) => match refusal.code.run_state() {
                 RunState::NotRun if self.rows[request].executions == 0 => {
--- a/crates/experiment/src/world.rs
+++ b/crates/experiment/src/world.rs
@@ -5,6 +5,7 @@
 
 use applefold_core::admission::AdmissionTicket;
 use applefold_core::id::BackendId;
+use applefold_core::retry::RequestAttempts;
 use applefold_core::role::EngineRole;
 use applefold_core::routing::{CacheEvent, FlightId, LoadReport};
 use applefold_core::unit::{TimePoint, TimeSpan};
@@ -135,6 +136,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RequestRow {
     pub(crate) attempt: u64,
+    pub(crate) attempts: Option<RequestAttempts>,
     pub(crate) sent_at: TimePoint,
     pub(crate) backend: Option<BackendId>,
     pub(crate) flight: Option<FlightId>,
@@ -336,8 +338,9 @@
         }
         self.control
             .note_demand(self.now, self.offered(request), self.class(request));
-        let service = self.service(request);
-        self.entry.retry.first_attempt(&service);
+        let repeatable = !self.class(request).is_plain();
+        let attempts = self.entry.retry.begin(self.service(request), repeatable);
+        self.rows[request].attempts = Some(attempts);
         self.attempt(request);
     }
 }
