--- a/crates/experiment/src/serve.rs
+++ b/crates/experiment/src/serve.rs
@@ -445,11 +445,11 @@
     }
 
     fn retry(&mut self, request: usize, refusal: CallRefusal) {
-        let time_left = self.next_due(request).since(self.now);
+        let left = self.next_due(request).since(self.now);
         let Some(attempts) = &mut self.rows[request].attempts else {
-            return self.end(request, CallOutcome::Broken);
+            return;
         };
-        match self.entry.retry.decide(attempts, refusal, time_left) {
+        match self.entry.retry.decide(attempts, refusal, left) {
             RetryDecision::Again(_) => self.attempt(request),
             RetryDecision::GiveUp(refusal) => match refusal.code.run_state() {
                 RunState::NotRun if self.rows[request].executions == 0 => {
--- a/crates/experiment/src/world.rs
+++ b/crates/experiment/src/world.rs
@@ -338,9 +338,8 @@
         }
         self.control
             .note_demand(self.now, self.offered(request), self.class(request));
-        let service = self.service(request);
         let repeatable = !self.class(request).is_plain();
-        let attempts = self.entry.retry.begin(service, repeatable);
+        let attempts = self.entry.retry.begin(self.service(request), repeatable);
         self.rows[request].attempts = Some(attempts);
         self.attempt(request);
     }
