--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod memory;
 pub mod naive;
 pub mod order;
+pub mod rank;
 pub mod retry;
 pub mod role;
 pub mod routing;
--- /dev/null
+++ b/crates/daemon/src/entry/links.rs
@@ -0,0 +1,336 @@
+//! The connections to sidecars, and the heartbeats on them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::config::ObjectState;
+use applefold_core::id::{BackendId, DomainId, InstanceId, PoolId, Revision};
+use applefold_core::routing::RoutePlace;
+use applefold_core::unit::TimePoint;
+use applefold_wire::applefold_capnp::session;
+use applefold_wire::beat::{BeatMessage, LoadNote};
+use eyre::{Result, WrapErr};
+
+use super::decide::ListedBackend;
+use super::state::EntryState;
+use super::usage;
+use crate::link::dial::{dial, PeerLink};
+use crate::platform::message::{InstanceKind, InstanceRow, InstanceState};
+
+pub(crate) const BEAT_PERIOD: Duration = Duration::from_secs(1);
+/// A connection that has not answered for this long is replaced.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+const REDIAL_PAUSE: Duration = Duration::from_millis(250);
+
+/// A peer that this entry keeps a connection to.
+pub(crate) struct LinkRow {
+    /// The pool of a backend server; `None` for another entry.
+    pub(crate) pool: Option<PoolId>,
+    pub(crate) domain: DomainId,
+    pub(crate) address: SocketAddr,
+    pub(crate) leaving: bool,
+    pub(crate) link: Option<PeerLink>,
+    pub(crate) load: LoadNote,
+    pub(crate) revision: Revision,
+    pub(crate) last_beat: TimePoint,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Drop for LinkRow {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Every peer that this entry keeps a connection to.
+#[derive(Default)]
+pub(crate) struct LinkTable {
+    pub(crate) rows: BTreeMap<InstanceId, LinkRow>,
+}
+
+/// A sidecar chosen for an attempt.
+#[derive(Clone)]
+pub(crate) struct LinkChoice {
+    pub(crate) instance: InstanceId,
+    pub(crate) link: PeerLink,
+}
+
+impl LinkTable {
+    /// Returns the connection to a backend server, if there is one.
+    pub(crate) fn link_to(&self, backend: &BackendId) -> Option<LinkChoice> {
+        let instance: InstanceId = backend.as_str().parse().ok()?;
+        let link = self.rows.get(&instance)?.link.clone()?;
+        Some(LinkChoice { instance, link })
+    }
+
+    /// Returns the connection to another entry, if there is one.
+    pub(crate) fn peer(&self, instance: &InstanceId) -> Option<PeerLink> {
+        let row = self.rows.get(instance).filter(|row| row.pool.is_none())?;
+        row.link.clone()
+    }
+
+    /// Returns every other entry's connection, `None` for one that is not reached.
+    pub(crate) fn peers(&self) -> Vec<Option<PeerLink>> {
+        let peers = self.rows.values().filter(|row| row.pool.is_none());
+        peers.map(|row| row.link.clone()).collect()
+    }
+}
+
+/// A backend server goes by the name of the instance that it runs on.
+pub(crate) fn backend_of(instance: &InstanceId) -> BackendId {
+    let id = instance.as_str().parse();
+    id.expect("every instance name is an identifier")
+}
+
+/// Takes in the load that a sidecar told just now.
+pub(crate) fn note_load(state: &EntryState, instance: &InstanceId, load: &LoadNote) {
+    let now = state.now();
+    if let Some(row) = state.links.borrow_mut().rows.get_mut(instance) {
+        row.load = *load;
+    }
+    let backend = backend_of(instance);
+    state.decisions.borrow_mut().note_load(&backend, load, now);
+    note_standing(state, instance);
+}
+
+fn note_standing(state: &EntryState, instance: &InstanceId) {
+    let links = state.links.borrow();
+    let Some(row) = links.rows.get(instance) else {
+        return;
+    };
+    let draining = row.leaving || row.load.draining;
+    let backend = backend_of(instance);
+    let mut decisions = state.decisions.borrow_mut();
+    decisions.set_standing(&backend, row.link.is_some(), draining);
+}
+
+/// Brings the tables in step with the platform's list.
+pub(crate) fn follow_list(state: &Rc<EntryState>, listed: Vec<InstanceRow>) {
+    let ids: BTreeSet<InstanceId> = listed.iter().map(|row| row.id.clone()).collect();
+    forget_gone(state, &ids);
+    let entries = live_entries(&listed);
+    state
+        .decisions
+        .borrow_mut()
+        .admission
+        .set_listed(entries.len() as u32);
+    state.entries.replace(entries);
+    for instance in listed {
+        match instance.kind {
+            InstanceKind::Entry if instance.id == state.settings.instance => {}
+            InstanceKind::Entry => keep_row(state, &instance, None),
+            InstanceKind::Backend => follow_backend(state, &instance),
+        }
+    }
+    let now = state.now();
+    state.decisions.borrow_mut().tick(now);
+}
+
+fn live_entries(listed: &[InstanceRow]) -> BTreeSet<InstanceId> {
+    let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
+    let live = entries.filter(|row| row.state == InstanceState::Live);
+    live.map(|row| row.id.clone()).collect()
+}
+
+fn follow_backend(state: &Rc<EntryState>, instance: &InstanceRow) {
+    let Some(pool) = usable_pool(state, instance) else {
+        return;
+    };
+    note_listed(state, instance, &pool);
+    keep_row(state, instance, Some(pool));
+    note_standing(state, &instance.id);
+}
+
+fn forget_gone(state: &Rc<EntryState>, ids: &BTreeSet<InstanceId>) {
+    let mut table = state.links.borrow_mut();
+    let mut decisions = state.decisions.borrow_mut();
+    table.rows.retain(|id, _| {
+        let backend = backend_of(id);
+        let busy = decisions
+            .backends
+            .get(&backend)
+            .is_some_and(|row| row.in_flight() > 0);
+        let kept = ids.contains(id) || busy;
+        if !kept {
+            decisions.remove(&backend);
+        }
+        kept
+    });
+}
+
+/// Returns the pool that operators or else the list put a backend server in.
+fn usable_pool(state: &Rc<EntryState>, instance: &InstanceRow) -> Option<PoolId> {
+    let backend = backend_of(&instance.id);
+    state.config.with(|config| {
+        let engine = config.engine_named(&backend, instance.pool.as_ref())?;
+        Some(engine.pool)
+    })
+}
+
+fn is_withdrawn(state: &Rc<EntryState>, instance: &InstanceRow) -> bool {
+    let backend = backend_of(&instance.id);
+    state.config.with(|config| {
+        let engine = config.engine_named(&backend, instance.pool.as_ref());
+        engine.is_some_and(|engine| engine.state == ObjectState::Withdrawn)
+    })
+}
+
+fn note_listed(state: &Rc<EntryState>, instance: &InstanceRow, pool: &PoolId) {
+    let listed = ListedBackend {
+        id: backend_of(&instance.id),
+        pool: pool.clone(),
+        place: RoutePlace {
+            domain: instance.domain.clone(),
+            region: instance.region.clone(),
+        },
+    };
+    let now = state.now();
+    let mut decisions = state.decisions.borrow_mut();
+    state
+        .config
+        .with(|config| decisions.upsert(listed, config, now));
+}
+
+fn keep_row(state: &Rc<EntryState>, instance: &InstanceRow, pool: Option<PoolId>) {
+    let leaving = instance.state == InstanceState::Leaving || is_withdrawn(state, instance);
+    let mut table = state.links.borrow_mut();
+    let known = table.rows.get_mut(&instance.id);
+    if let Some(row) = known.filter(|row| row.address == instance.address) {
+        row.leaving = leaving;
+        row.pool = pool;
+        return;
+    }
+    let kind = instance.kind;
+    let task = actix_rt::spawn(keep(
+        state.clone(),
+        instance.id.clone(),
+        instance.address,
+        kind,
+    ));
+    let row = LinkRow {
+        pool,
+        domain: instance.domain.clone(),
+        address: instance.address,
+        leaving,
+        link: None,
+        load: LoadNote::default(),
+        revision: Revision::default(),
+        last_beat: TimePoint::START,
+        task,
+    };
+    table.rows.insert(instance.id.clone(), row);
+}
+
+/// Keeps a connection to one sidecar, a new one whenever the old one ends.
+async fn keep(
+    state: Rc<EntryState>,
+    instance: InstanceId,
+    address: SocketAddr,
+    kind: InstanceKind,
+) {
+    loop {
+        let ended = keep_once(&state, &instance, address, kind).await;
+        if let Some(row) = state.links.borrow_mut().rows.get_mut(&instance) {
+            row.link = None;
+        }
+        note_standing(&state, &instance);
+        if let Err(error) = ended {
+            log::debug!(peer = instance.as_str(); "connection ended: {error:#}");
+        }
+        actix_rt::time::sleep(REDIAL_PAUSE).await;
+    }
+}
+
+async fn keep_once(
+    state: &Rc<EntryState>,
+    instance: &InstanceId,
+    address: SocketAddr,
+    kind: InstanceKind,
+) -> Result<()> {
+    let link = dial(address, &state.gate_options()).await?;
+    let kept = match kind {
+        InstanceKind::Entry => beat_entry(state, instance, &link).await,
+        InstanceKind::Backend => beat_backend(state, instance, &link).await,
+    };
+    link.close();
+    kept
+}
+
+/// Exchanges heartbeats with another entry.
+async fn beat_entry(state: &Rc<EntryState>, instance: &InstanceId, link: &PeerLink) -> Result<()> {
+    loop {
+        let beat = in_time(exchange(state, &link.session)).await?;
+        state.hear(&beat);
+        note_beat(state, instance, link, &beat);
+        actix_rt::time::sleep(BEAT_PERIOD).await;
+    }
+}
+
+/// Exchanges heartbeats with a sidecar, and keeps its configuration in step.
+async fn beat_backend(
+    state: &Rc<EntryState>,
+    instance: &InstanceId,
+    link: &PeerLink,
+) -> Result<()> {
+    let mut taken = 0;
+    loop {
+        let beat = in_time(exchange(state, &link.session)).await?;
+        note_beat(state, instance, link, &beat);
+        note_load(state, instance, &beat.load);
+        if beat.confirmation.revision < state.config.revision() {
+            in_time(push(state, &link.session)).await?;
+            continue;
+        }
+        taken = in_time(usage::pull(state, &link.session, taken)).await?;
+        wait_beat(state, &beat).await;
+    }
+}
+
+/// Waits for the next heartbeat, which is due at once after a change.
+async fn wait_beat(state: &Rc<EntryState>, beat: &BeatMessage) {
+    let changed = state.config.wait_change();
+    if beat.confirmation.revision < state.config.revision() {
+        return;
+    }
+    let _ = actix_rt::time::timeout(BEAT_PERIOD, changed).await;
+}
+
+/// A peer that takes longer than the silence limit is given up.
+async fn in_time<T, F>(call: F) -> Result<T>
+where
+    F: std::future::Future<Output = Result<T>>,
+{
+    let answered = actix_rt::time::timeout(SILENCE_LIMIT, call).await;
+    answered.wrap_err("the peer went silent")?
+}
+
+fn note_beat(state: &Rc<EntryState>, instance: &InstanceId, link: &PeerLink, beat: &BeatMessage) {
+    let now = state.now();
+    state.config.merge(&beat.confirmation, now);
+    let mut table = state.links.borrow_mut();
+    let Some(row) = table.rows.get_mut(instance) else {
+        return;
+    };
+    row.revision = beat.confirmation.revision;
+    row.last_beat = now;
+    row.link = Some(link.clone());
+}
+
+async fn exchange(state: &Rc<EntryState>, session: &session::Client) -> Result<BeatMessage> {
+    let mut request = session.heartbeat_request();
+    state.beat().write(request.get().init_beat());
+    let reply = request.send().promise.await?;
+    Ok(BeatMessage::read(reply.get()?.get_beat()?)?)
+}
+
+/// Sends the whole configuration to a peer that is behind.
+async fn push(state: &Rc<EntryState>, session: &session::Client) -> Result<()> {
+    let mut request = session.configure_request();
+    let mut update = request.get().init_update();
+    update.set_revision(state.config.revision().0);
+    update.set_body(&*state.config.with(|config| config.to_json()));
+    request.send().promise.await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/platform/message.rs
@@ -0,0 +1,113 @@
+//! What goes to the platform and comes from it.
+
+use std::net::SocketAddr;
+
+use applefold_core::claim::store::StoreVersion;
+use applefold_core::id::{
+    DomainId, FencingNumber, InstanceId, OrderId, PoolId, RegionId, ServiceId, TeamId, WindowId,
+};
+use applefold_core::lease::HolderName;
+use applefold_core::unit::{TimeSpan, TokenCount};
+use applefold_core::usage::ReportId;
+use serde::{Deserialize, Serialize};
+
+/// A changed value, as a watch brings it.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct KeyValue {
+    pub(crate) key: String,
+    pub(crate) value: String,
+    pub(crate) version: StoreVersion,
+}
+
+/// The changes that a watch brought.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct WatchBatch {
+    pub(crate) revision: StoreVersion,
+    pub(crate) entries: Vec<KeyValue>,
+}
+
+/// What is asked about a lease.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaseAsk {
+    pub(crate) holder: HolderName,
+    pub(crate) kind: LeaseAskKind,
+}
+
+/// What is to be done with a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaseAskKind {
+    Acquire {
+        ttl: TimeSpan,
+    },
+    Renew {
+        fencing: FencingNumber,
+        ttl: TimeSpan,
+    },
+    Release {
+        fencing: FencingNumber,
+    },
+}
+
+/// What an instance of the list is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum InstanceKind {
+    Entry,
+    Backend,
+}
+
+/// Whether an instance stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum InstanceState {
+    Live,
+    Leaving,
+}
+
+/// A row of the platform's lagging list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct InstanceRow {
+    pub(crate) id: InstanceId,
+    pub(crate) kind: InstanceKind,
+    pub(crate) address: SocketAddr,
+    pub(crate) domain: DomainId,
+    pub(crate) region: RegionId,
+    #[serde(default)]
+    pub(crate) pool: Option<PoolId>,
+    pub(crate) state: InstanceState,
+}
+
+/// What an order asks of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum OrderAction {
+    Start,
+    Release,
+}
+
+/// An order of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OrderRecord {
+    pub(crate) order_id: OrderId,
+    pub(crate) holder: HolderName,
+    pub(crate) fencing: FencingNumber,
+    pub(crate) action: OrderAction,
+    pub(crate) pool: PoolId,
+    pub(crate) domain: DomainId,
+    pub(crate) instance: Option<InstanceId>,
+}
+
+/// A usage report of one window, team and service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UsageRecord {
+    pub(crate) report_id: ReportId,
+    pub(crate) window: WindowId,
+    pub(crate) team: TeamId,
+    pub(crate) service: ServiceId,
+    pub(crate) prompt_tokens: TokenCount,
+    pub(crate) answer_tokens: TokenCount,
+    pub(crate) requests: u64,
+    pub(crate) late: bool,
+    pub(crate) holder: HolderName,
+    pub(crate) fencing: FencingNumber,
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/runner.rs
@@ -0,0 +1,221 @@
+//! Runs one attempt against the backend server and sends the answer back.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::fairness::CallClass;
+use applefold_core::unit::{TimeSpan, TokenCount};
+use applefold_wire::applefold_capnp::answer_sink;
+use applefold_wire::dispatch::{AttemptEnd, DispatchMessage, HeadMessage, PartMessage};
+use opentelemetry::KeyValue;
+
+use super::backend::{BackendAnswer, BackendFault};
+use super::meter::RequestUse;
+use super::state::SidecarState;
+use super::tally::TokenTally;
+use super::turn::{TurnGuard, TurnRequest};
+use crate::trace::HopSpan;
+
+/// When a caller may try again after a refusal that passes.
+const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+/// How long a request waits for the configuration that its entry goes by.
+const CATCH_UP_LIMIT: TimeSpan = TimeSpan::from_secs(2);
+/// How long the head of an answer may take at least, whatever the deadline.
+const MIN_HEAD_WAIT: TimeSpan = TimeSpan::from_secs(1);
+
+/// Runs an attempt and says how it ended.
+pub(crate) async fn run(
+    state: &Rc<SidecarState>,
+    dispatch: DispatchMessage,
+    sink: answer_sink::Client,
+) -> AttemptEnd {
+    let parent = dispatch.traceparent.parse().ok();
+    let mut span = state.spans.begin("sidecar.attempt", parent.as_ref());
+    span.note("request", dispatch.id.request.to_string());
+    span.note("attempt", dispatch.id.attempt.0 as i64);
+    let end = run_checked(state, &dispatch, &sink, &span).await;
+    let label = end_label(&end);
+    span.note("end", label);
+    state
+        .metrics
+        .attempts
+        .add(1, &[KeyValue::new("end", label)]);
+    end
+}
+
+fn end_label(end: &AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Whole(_) => "whole",
+        AttemptEnd::NotRun(_) => "not_run",
+        AttemptEnd::Broken(_) => "broken",
+        AttemptEnd::Unknown(_) => "unknown",
+    }
+}
+
+async fn run_checked(
+    state: &Rc<SidecarState>,
+    dispatch: &DispatchMessage,
+    sink: &answer_sink::Client,
+    span: &HopSpan,
+) -> AttemptEnd {
+    // An entry that is ahead is pushing what it knows right now.
+    let limit = CATCH_UP_LIMIT.min(dispatch.deadline);
+    state
+        .config
+        .wait_revision(dispatch.confirmation.revision, limit)
+        .await;
+    if let Err(refusal) = state.check(dispatch) {
+        return AttemptEnd::NotRun(refusal);
+    }
+    let Some(_flight) = state.gate.enter() else {
+        let refusal = CallRefusal::passing(ResultCode::ServiceShutting, RETRY_SOON);
+        return AttemptEnd::NotRun(refusal);
+    };
+    let turn = match wait_turn(state, dispatch).await {
+        Ok(turn) => turn,
+        Err(refusal) => return AttemptEnd::NotRun(refusal),
+    };
+    // A key may have been withdrawn while the request waited.
+    if let Err(refusal) = state.check(dispatch) {
+        return AttemptEnd::NotRun(refusal);
+    }
+    let wait = Duration::from_micros(dispatch.deadline.max(MIN_HEAD_WAIT).0);
+    let traceparent = span.traceparent();
+    let sent = state.backend.send(dispatch, &traceparent);
+    let unknown = CallRefusal::lasting(ResultCode::OutcomeUnknown);
+    match actix_rt::time::timeout(wait, sent).await {
+        Ok(Ok(answer)) => relay(state, dispatch, sink, answer, &turn).await,
+        Ok(Err(BackendFault::NotSent)) => {
+            AttemptEnd::NotRun(CallRefusal::passing(ResultCode::BackendMissing, RETRY_SOON))
+        }
+        Ok(Err(BackendFault::NoAnswer)) => AttemptEnd::Unknown(unknown),
+        Err(_) => AttemptEnd::Unknown(CallRefusal::lasting(ResultCode::PeerSilent)),
+    }
+}
+
+async fn wait_turn(
+    state: &Rc<SidecarState>,
+    dispatch: &DispatchMessage,
+) -> Result<TurnGuard, CallRefusal> {
+    let now = state.now();
+    let is_model = dispatch.model.is_some();
+    let prompt = if is_model {
+        dispatch.prompt_tokens
+    } else {
+        TokenCount::ZERO
+    };
+    let request = TurnRequest {
+        team: dispatch
+            .team
+            .clone()
+            .unwrap_or_else(|| state.open_team.clone()),
+        class: CallClass::from_priority(dispatch.priority),
+        prompt: prompt + dispatch.resume_tokens,
+        answer: dispatch
+            .answer_tokens
+            .saturating_sub(dispatch.resume_tokens),
+        deadline: now + dispatch.deadline,
+    };
+    state.turns.wait(request, now).await
+}
+
+async fn relay(
+    state: &Rc<SidecarState>,
+    dispatch: &DispatchMessage,
+    sink: &answer_sink::Client,
+    mut answer: BackendAnswer,
+    turn: &TurnGuard,
+) -> AttemptEnd {
+    let head = HeadMessage {
+        id: dispatch.id.clone(),
+        status: answer.status,
+        headers: std::mem::take(&mut answer.headers),
+    };
+    if send_head(sink, &head).await.is_err() {
+        return AttemptEnd::Broken(answer.check.seen());
+    }
+    let mut usage = UseGuard::begin(state, dispatch);
+    let limit = Duration::from_micros(state.settings.progress_timeout.0);
+    while let Ok(Some(piece)) = actix_rt::time::timeout(limit, answer.next()).await {
+        let offset = answer.check.seen();
+        answer.check.feed(&piece);
+        turn.note_answering();
+        turn.charge(usage.feed(&piece));
+        let part = PartMessage {
+            id: dispatch.id.clone(),
+            offset,
+            data: piece.to_vec(),
+        };
+        if send_part(sink, &part).await.is_err() {
+            break;
+        }
+    }
+    usage.whole = answer.check.is_whole();
+    match usage.whole {
+        true => AttemptEnd::Whole(answer.check.seen()),
+        false => AttemptEnd::Broken(answer.check.seen()),
+    }
+}
+
+/// Counts what an attempt has used when it is dropped, however it ended.
+///
+/// Tokens count where they were served; the prompt and the request count once,
+/// with the attempt that brought the end of the answer.
+struct UseGuard<'a> {
+    state: &'a SidecarState,
+    dispatch: &'a DispatchMessage,
+    tally: TokenTally,
+    whole: bool,
+}
+
+impl<'a> UseGuard<'a> {
+    fn begin(state: &'a SidecarState, dispatch: &'a DispatchMessage) -> Self {
+        Self {
+            state,
+            dispatch,
+            tally: TokenTally::default(),
+            whole: false,
+        }
+    }
+
+    /// Takes in a piece of the answer and returns the tokens in it.
+    fn feed(&mut self, piece: &[u8]) -> TokenCount {
+        let before = self.tally.used().answer;
+        self.tally.feed(piece);
+        self.tally.used().answer.saturating_sub(before)
+    }
+}
+
+impl Drop for UseGuard<'_> {
+    fn drop(&mut self) {
+        self.tally.close();
+        let Some(team) = &self.dispatch.team else {
+            return;
+        };
+        let used = self.tally.used();
+        let prompt = used.prompt.unwrap_or(self.dispatch.prompt_tokens);
+        let counted = self.whole && self.dispatch.model.is_some();
+        self.state.meter.count(RequestUse {
+            team: team.clone(),
+            service: self.dispatch.service.clone(),
+            prompt: if counted { prompt } else { TokenCount::ZERO },
+            answer: used.answer,
+            whole: self.whole,
+        });
+    }
+}
+
+async fn send_head(sink: &answer_sink::Client, head: &HeadMessage) -> Result<(), capnp::Error> {
+    let mut request = sink.head_request();
+    head.write(request.get().init_head());
+    request.send().promise.await?;
+    Ok(())
+}
+
+async fn send_part(sink: &answer_sink::Client, part: &PartMessage) -> Result<(), capnp::Error> {
+    let mut request = sink.part_request();
+    part.write(request.get().init_part());
+    request.send().promise.await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/state.rs
@@ -0,0 +1,137 @@
+//! What a sidecar knows.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::config::KeyLookup;
+use applefold_core::id::TeamId;
+use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_core::usage::MeterName;
+use applefold_wire::beat::{BeatMessage, LoadNote};
+use applefold_wire::dispatch::DispatchMessage;
+use rand::Rng;
+
+use super::backend::BackendClient;
+use super::meter::MeterDesk;
+use super::turn::TurnTable;
+use super::SidecarSettings;
+use crate::clock::MonotonicClock;
+use crate::confirm::ConfigCell;
+use crate::drain::DrainGate;
+use crate::metrics::MetricSet;
+use crate::trace::SpanSource;
+
+/// When a caller may try again after a refusal that another instance can turn.
+const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+
+/// The team that calls of open routes are counted for.
+const OPEN_TEAM: &str = "open:all";
+
+/// The state of a sidecar, shared by its tasks.
+pub(crate) struct SidecarState {
+    pub(crate) settings: SidecarSettings,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) config: ConfigCell,
+    pub(crate) gate: DrainGate,
+    pub(crate) turns: Rc<TurnTable>,
+    /// Stands for callers of routes open to all.
+    pub(crate) open_team: TeamId,
+    pub(crate) backend: BackendClient,
+    pub(crate) load: Cell<LoadNote>,
+    pub(crate) meter: MeterDesk,
+    pub(crate) metrics: MetricSet,
+    pub(crate) spans: SpanSource,
+}
+
+impl SidecarState {
+    pub(crate) fn new(settings: SidecarSettings) -> Self {
+        let name = MeterName::new(&settings.instance, rand::thread_rng().gen());
+        Self {
+            clock: MonotonicClock::start(),
+            config: ConfigCell::default(),
+            gate: DrainGate::default(),
+            turns: Rc::new(TurnTable::new(settings.slots)),
+            open_team: OPEN_TEAM.parse().expect("the name is an identifier"),
+            backend: BackendClient::new(settings.backend),
+            load: Cell::new(LoadNote::default()),
+            meter: MeterDesk::new(name, settings.usage_window),
+            metrics: MetricSet::start(),
+            spans: SpanSource::start(settings.trace_share),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Returns the load as entries should see it.
+    pub(crate) fn load_note(&self) -> LoadNote {
+        let load = self.load.get();
+        LoadNote {
+            running: self.turns.running() as u32,
+            waiting: self.turns.waiting() as u32,
+            waiting_tokens: load.waiting_tokens.max(self.turns.ahead()),
+            draining: self.gate.is_closed(),
+            ..load
+        }
+    }
+
+    pub(crate) fn beat(&self) -> BeatMessage {
+        let now = self.now();
+        BeatMessage {
+            instance: self.settings.instance.clone(),
+            domain: self.settings.domain.clone(),
+            confirmation: self.config.note(now),
+            load: self.load_note(),
+            teams: Vec::new(),
+            suspects: Vec::new(),
+            stopping: self.gate.is_closed(),
+        }
+    }
+
+    /// Checks a request against this process's own configuration, so that an
+    /// entry that is behind cannot let a withdrawn key through.
+    pub(crate) fn check(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
+        self.check_confirmed(dispatch)?;
+        self.config.with(|config| {
+            let service = config.services().get(&dispatch.service);
+            let unknown = CallRefusal::passing(ResultCode::BackendMismatch, RETRY_SOON);
+            let service = service.ok_or(unknown)?;
+            if service.pool != self.settings.pool {
+                return Err(unknown);
+            }
+            if service.open {
+                return Ok(());
+            }
+            let refused = CallRefusal::lasting(ResultCode::KeyRefused);
+            let key = dispatch.key.as_ref().ok_or(refused)?;
+            let key = match config.key_named(key) {
+                KeyLookup::Active(key) => key,
+                KeyLookup::Unknown | KeyLookup::Withdrawn(_) => return Err(refused),
+            };
+            let team = dispatch.team.as_ref().ok_or(refused)?;
+            if key.team != *team {
+                return Err(refused);
+            }
+            if !service.allows(team) {
+                return Err(CallRefusal::lasting(ResultCode::TeamForbidden));
+            }
+            Ok(())
+        })
+    }
+
+    fn check_confirmed(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
+        let note = self.config.note(self.now());
+        let behind = note.revision < dispatch.confirmation.revision;
+        let stale = note.age > self.settings.confirm_bound && !note.reach_holds;
+        if behind || stale {
+            return Err(CallRefusal::passing(
+                ResultCode::ConfigUnconfirmed,
+                RETRY_SOON,
+            ));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,35 @@
+//! The program that runs one stand-in, or calls one.
+
+mod cmd;
+
+use std::io::Write;
+use std::process::ExitCode;
+
+/// What is logged unless the environment says otherwise; streams that faults cut are no news.
+const LOG_FILTER: &str = "warn,actix_http::h1::dispatcher=off";
+
+fn main() -> ExitCode {
+    let options: cmd::CommandOptions = argh::from_env();
+    start_log();
+    match options.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("applefold-standin: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start_log() {
+    let env = env_logger::Env::default().default_filter_or(LOG_FILTER);
+    let mut builder = env_logger::Builder::from_env(env);
+    builder.format(|out, record| {
+        let line = serde_json::json!({
+            "level": record.level().as_str(),
+            "target": record.target(),
+            "message": record.args().to_string(),
+        });
+        writeln!(out, "{line}")
+    });
+    builder.init();
+}
