--- a/crates/daemon/src/entry/decide.rs
+++ b/crates/daemon/src/entry/decide.rs
@@ -61,7 +61,7 @@
             let limit = TeamLimit {
                 calls: team.limits.requests_per_s,
                 tokens: team.limits.tokens_per_s,
-                running: team.limits.running.map(|most| most as u32),
+                running: team.limits.running,
             };
             self.admission.set_limit(team.id.clone(), limit, now);
         }
@@ -72,7 +72,7 @@
         let kind = config.pools().get(&listed.pool).map(|pool| pool.kind);
         let role = match kind {
             Some(PoolKind::Plain) => BackendRole::Plain,
-            Some(PoolKind::Model) | None => BackendRole::Mixed,
+            Some(PoolKind::Model) | None => BackendRole::Both,
         };
         self.health.add(listed.id.clone(), listed.pool.clone(), now);
         self.backends.upsert(BackendSpec {
@@ -87,7 +87,8 @@
 
     pub(crate) fn remove(&mut self, id: &BackendId) {
         self.backends.remove(id);
-        self.health.remove(id);
+        let action = self.health.remove(id);
+        self.follow_health(action);
         self.noted.remove(id);
     }
 
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -9,7 +9,7 @@
 use applefold_core::code::{CallRefusal, ResultCode, RunState};
 use applefold_core::health::HealthSample;
 use applefold_core::id::{AttemptNumber, BackendId};
-use applefold_core::retry::{FailedAttempt, RetryDecision};
+use applefold_core::retry::{RequestAttempts, RetryDecision};
 use applefold_core::routing::{FlightId, RouteCandidate, RouteChoice};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
@@ -95,6 +95,8 @@
     plan: &'a RequestPlan,
     writer: ReplyWriter,
     attempts: AttemptPlan,
+    /// What the retry budget knows of the request; `None` until it is admitted.
+    budgeted: Option<RequestAttempts>,
     excluded: BTreeSet<BackendId>,
     ticket: Option<AdmissionTicket>,
     /// Whether an attempt may have been run, so that "not run" would not be true.
@@ -114,6 +116,7 @@
             plan,
             writer,
             attempts: AttemptPlan::new(options),
+            budgeted: None,
             excluded: BTreeSet::new(),
             ticket: None,
             may_have_run: false,
@@ -197,9 +200,11 @@
             .admit(self.plan, choice, now)
     }
 
-    fn note_first_attempt(&self) {
+    fn note_first_attempt(&mut self) {
         let mut decisions = self.state.decisions.borrow_mut();
-        decisions.retries.first_attempt(&self.plan.service);
+        let service = self.plan.service.clone();
+        let attempts = decisions.retries.begin(service, self.plan.repeatable);
+        self.budgeted = Some(attempts);
     }
 
     fn pick(&self, choice: &RouteChoice) -> Option<ChosenBackend> {
@@ -301,7 +306,7 @@
     ///
     /// What a crash broke off is always moved: crashes bound these retries, and
     /// one crash breaks off more streams at once than the budget holds.
-    fn spend_retry(&self, attempt: AttemptNumber, end: AttemptEnd) -> RetryDecision {
+    fn spend_retry(&mut self, attempt: AttemptNumber, end: AttemptEnd) -> RetryDecision {
         let refusal = match end {
             AttemptEnd::NotRun(refusal) => refusal,
             AttemptEnd::Silent => unknown(),
@@ -309,14 +314,12 @@
                 return RetryDecision::Again(attempt.next());
             }
         };
-        let failed = FailedAttempt {
-            attempt,
-            refusal,
-            repeatable: self.plan.repeatable,
-            time_left: self.time_left(),
+        let time_left = self.time_left();
+        let Some(attempts) = &mut self.budgeted else {
+            return RetryDecision::GiveUp(refusal);
         };
         let mut decisions = self.state.decisions.borrow_mut();
-        decisions.retries.decide(&self.plan.service, &failed)
+        decisions.retries.decide(attempts, refusal, time_left)
     }
 
     /// A caller that already reads the answer has been met in time.
