Stop a request at the second backend server that it crashes

Cause: a request that crashes each engine was moved to the next and sent again through other entries. Ruled out: learning of crashes from the next heartbeat alone, because a repeat is faster; a broken link as a crash, because it says nothing of the request. Change: sidecars and entries keep the ledger of crashes; a crash is told to every peer at once.

--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -141,13 +141,17 @@
         let caller_team = caller.as_ref().map(|caller| &caller.team);
         let internal = CallRefusal::lasting(ResultCode::RequestMalformed);
         let id: RequestId = request_id.parse().map_err(|_| internal)?;
+        let path = backend_path(service, &request);
+        let team = caller_team.unwrap_or(&state.open_team);
+        let method = request.method().as_str();
+        let fingerprint = RequestFingerprint::of(team, method, &path, &body);
         Ok(RequestPlan {
             caller: caller.clone(),
             service: service.id.clone(),
             pool: service.pool.clone(),
             model: probe.as_ref().map(|probe| probe.model.clone()),
             method: SmolStr::new(request.method().as_str()),
-            path: backend_path(service, &request),
+            path,
             headers: passed_headers(request.headers()),
             stream: probe.as_ref().is_some_and(|probe| probe.stream),
             repeatable: is_repeatable(service, &request),
@@ -158,6 +162,7 @@
                 .map_or(TokenCount::ZERO, |probe| probe.answer_tokens),
             priority: priority_of(service),
             chain: PieceChain::of_prompt(&body),
+            fingerprint,
             claim: claim_of(&request, service, caller_team, &id, &body)?,
             body,
             request: id,
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -26,6 +26,20 @@
     Part(PartMessage),
 }
 
+/// How an attempt ended, and whether the backend server died while it ran.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptResult {
+    pub(crate) end: AttemptEnd,
+    pub(crate) crashed: bool,
+}
+
+impl From<AttemptEnd> for AttemptResult {
+    fn from(end: AttemptEnd) -> Self {
+        let crashed = false;
+        Self { end, crashed }
+    }
+}
+
 /// Takes pieces from the sidecar.
 struct SinkServer {
     pieces: mpsc::Sender<AnswerPiece>,
@@ -67,7 +81,7 @@
     dispatch: &DispatchMessage,
     writer: &mut ReplyWriter,
     note_first: F,
-) -> AttemptEnd
+) -> AttemptResult
 where
     F: Fn(),
 {
@@ -85,26 +99,26 @@
                 note_first();
                 if let Err(error) = writer.take(piece, state.now()).await {
                     log::debug!(request = dispatch.id.request.as_str(); "attempt ended: {error:#}");
-                    return AttemptEnd::Broken;
+                    return AttemptEnd::Broken.into();
                 }
             }
             reply = &mut reply => {
                 while let Ok(piece) = pieces.try_recv() {
                     if writer.take(piece, state.now()).await.is_err() {
-                        return AttemptEnd::Broken;
+                        return AttemptEnd::Broken.into();
                     }
                 }
                 let Ok(reply) = reply else {
-                    return AttemptEnd::Unknown;
+                    return AttemptEnd::Unknown.into();
                 };
                 let end = reply.get().and_then(|reply| reply.get_end());
                 let end = end.map_err(eyre::Report::from);
                 let end = end.and_then(|end| read_end(state, choice, dispatch, end));
-                return end.map_or(AttemptEnd::Unknown, |end| settle_end(writer, dispatch, end));
+                return end.map_or(AttemptEnd::Unknown.into(), |end| settle_end(writer, dispatch, &end));
             }
-            () = writer.wait_left() => return AttemptEnd::Unknown,
-            () = choice.link.wait_closed() => return AttemptEnd::Unknown,
-            () = actix_rt::time::sleep(silence) => return AttemptEnd::Silent,
+            () = writer.wait_left() => return AttemptEnd::Unknown.into(),
+            () = choice.link.wait_closed() => return AttemptEnd::Unknown.into(),
+            () = actix_rt::time::sleep(silence) => return AttemptEnd::Silent.into(),
         }
     }
 }
@@ -120,7 +134,7 @@
     choice: &LinkChoice,
     dispatch: &DispatchMessage,
     end: answer_end::Reader<'_>,
-) -> Result<WireEnd> {
+) -> Result<EndMessage> {
     let end = EndMessage::read(end)?;
     if end.id != dispatch.id {
         bail!(
@@ -130,11 +144,15 @@
     }
     state.config.merge(&end.confirmation, state.now());
     links::note_load(state, &choice.instance, &end.load);
-    Ok(end.end)
+    Ok(end)
 }
 
-fn settle_end(writer: &mut ReplyWriter, dispatch: &DispatchMessage, end: WireEnd) -> AttemptEnd {
-    match end {
+fn settle_end(
+    writer: &mut ReplyWriter,
+    dispatch: &DispatchMessage,
+    message: &EndMessage,
+) -> AttemptResult {
+    let end = match message.end {
         WireEnd::Whole(size) => match writer.close(&dispatch.id, size) {
             true => AttemptEnd::Whole,
             false => AttemptEnd::Broken,
@@ -143,5 +161,7 @@
         WireEnd::Broken(_) => AttemptEnd::Broken,
         WireEnd::Unknown(refusal) if refusal.code == ResultCode::PeerSilent => AttemptEnd::Silent,
         WireEnd::Unknown(_) => AttemptEnd::Unknown,
-    }
+    };
+    let crashed = message.crashed;
+    AttemptResult { end, crashed }
 }
--- a/crates/daemon/src/entry/decide.rs
+++ b/crates/daemon/src/entry/decide.rs
@@ -9,6 +9,7 @@
 use applefold_core::config::{PoolKind, ServiceRoute, ServingConfig};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
 use applefold_core::id::{BackendId, ModelId, PoolId};
+use applefold_core::quarantine::{CrashLedger, LedgerOptions};
 use applefold_core::retry::{RetryLedger, RetryPolicy};
 use applefold_core::routing::{
     BackendRole, BackendSpec, BackendStanding, BackendTable, CacheChange, CacheEvent, FlightId,
@@ -27,6 +28,7 @@
     pub(crate) backends: BackendTable,
     pub(crate) admission: AdmissionControl,
     pub(crate) retries: RetryLedger,
+    pub(crate) suspects: CrashLedger,
     health: HealthTracker,
     planner: RoutePlanner,
     rng: Pcg64Mcg,
@@ -48,6 +50,7 @@
             backends: BackendTable::new(),
             admission: AdmissionControl::new(beat_period),
             retries: RetryLedger::new(RetryPolicy::default()),
+            suspects: CrashLedger::new(LedgerOptions::default()),
             health: HealthTracker::new(HealthPolicy::default()),
             planner: RoutePlanner::new(place, RoutePolicy::default()),
             rng: Pcg64Mcg::new(seed),
@@ -117,6 +120,7 @@
 
     /// Finds what has gone silent, and lets heartbeats be the probes.
     pub(crate) fn tick(&mut self, now: TimePoint) {
+        self.suspects.tick(now);
         let actions = self.health.tick(now);
         for action in actions {
             self.follow_health(Some(action));
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -14,7 +14,7 @@
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
 
-use super::attempt;
+use super::attempt::{self, AttemptResult};
 use super::claims;
 use super::links::LinkChoice;
 use super::plan::{AttemptInput, RequestPlan};
@@ -164,6 +164,8 @@
         self.ticket = self.admit(&choice, now)?;
         self.note_first_attempt();
         loop {
+            self.check_suspect()
+                .map_err(|refusal| self.truthful(refusal))?;
             let chosen = self.pick(&choice);
             let chosen = chosen.ok_or_else(|| self.truthful(missing()))?;
             match self.attempt(&chosen, span).await {
@@ -239,12 +241,31 @@
             &mut self.writer,
             note_first,
         );
-        let end = end.await;
+        let AttemptResult { end, crashed } = end.await;
         drop(flight);
+        if crashed {
+            self.note_crash(&chosen.candidate.backend);
+        }
         self.note_health(&chosen.candidate.backend, end, now);
         self.next_step(number, end).await
     }
 
+    /// Every peer hears at once of a request that a backend server died of.
+    fn note_crash(&self, backend: &BackendId) {
+        let now = self.state.now();
+        let mut decisions = self.state.decisions.borrow_mut();
+        decisions
+            .suspects
+            .note_crash(now, backend, &[self.plan.fingerprint]);
+        self.state.urgent.notify_waiters();
+    }
+
+    /// Refuses what has crashed too many backend servers.
+    fn check_suspect(&self) -> Result<(), CallRefusal> {
+        let decisions = self.state.decisions.borrow();
+        decisions.suspects.admit(self.plan.fingerprint, &[])
+    }
+
     fn begin_flight(&self, chosen: &ChosenBackend, now: TimePoint) -> FlightGuard<'a> {
         let computed = self
             .plan
@@ -336,7 +357,9 @@
             return CallRefusal::lasting(ResultCode::AnswerBroken);
         }
         if self.may_have_run && refusal.code.run_state() == RunState::NotRun {
-            return CallRefusal::passing(ResultCode::OutcomeUnknown, RETRY_SOON);
+            let code = ResultCode::OutcomeUnknown;
+            let retry_after = refusal.retry_after;
+            return CallRefusal { code, retry_after };
         }
         refusal
     }
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -264,7 +264,7 @@
         let beat = in_time(exchange(state, &link.session)).await?;
         state.hear(&beat);
         note_beat(state, instance, link, &beat);
-        actix_rt::time::sleep(BEAT_PERIOD).await;
+        wait_period(state).await;
     }
 }
 
@@ -294,7 +294,15 @@
     if beat.confirmation.revision < state.config.revision() {
         return;
     }
-    let _ = actix_rt::time::timeout(BEAT_PERIOD, changed).await;
+    tokio::select! {
+        () = changed => {}
+        () = wait_period(state) => {}
+    }
+}
+
+/// Waits for the period of heartbeats, or until there is urgent news.
+async fn wait_period(state: &EntryState) {
+    let _ = actix_rt::time::timeout(BEAT_PERIOD, state.urgent.notified()).await;
 }
 
 /// A peer that takes longer than the silence limit is given up.
@@ -309,6 +317,7 @@
 fn note_beat(state: &Rc<EntryState>, instance: &InstanceId, link: &PeerLink, beat: &BeatMessage) {
     let now = state.now();
     state.config.merge(&beat.confirmation, now);
+    state.learn(&beat.suspects);
     let mut table = state.links.borrow_mut();
     let Some(row) = table.rows.get_mut(instance) else {
         return;
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -32,6 +32,8 @@
 use peers::EntrySession;
 use state::EntryState;
 
+pub(crate) use state::OPEN_TEAM;
+
 /// The checked settings of an entry.
 #[derive(Clone, Debug)]
 pub(crate) struct EntrySettings {
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -6,13 +6,15 @@
 
 use applefold_core::admission::TeamUse;
 use applefold_core::config::ServingConfig;
-use applefold_core::id::InstanceId;
+use applefold_core::id::{InstanceId, TeamId};
 use applefold_core::lease::HolderName;
+use applefold_core::quarantine::SuspectNews;
 use applefold_core::routing::RoutePlace;
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_wire::beat::{BeatMessage, LoadNote, TeamNote};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
 
 use super::authority::LeaseTable;
 use super::claims::ClaimDesk;
@@ -29,6 +31,9 @@
 use crate::platform::PlatformApi;
 use crate::trace::SpanSource;
 
+/// Calls of open routes are told apart from others by this name.
+pub(crate) const OPEN_TEAM: &str = "open:all";
+
 /// The state of an entry, shared by its tasks.
 pub(crate) struct EntryState {
     pub(crate) settings: EntrySettings,
@@ -49,6 +54,10 @@
     pub(crate) metrics: MetricSet,
     pub(crate) spans: SpanSource,
     pub(crate) decisions: RefCell<ServingDecisions>,
+    /// Stands for callers of routes open to all.
+    pub(crate) open_team: TeamId,
+    /// Says that the next heartbeats should go out at once.
+    pub(crate) urgent: Notify,
     request_count: Cell<u64>,
     /// Tells this run of the process from earlier ones in request ids.
     incarnation: u64,
@@ -83,6 +92,8 @@
             spans: SpanSource::start(settings.trace_share),
             incarnation,
             decisions: RefCell::new(ServingDecisions::new(place, beat_period, rng.gen())),
+            open_team: OPEN_TEAM.parse().expect("the name is an identifier"),
+            urgent: Notify::new(),
             request_count: Cell::new(0),
             settings,
         }
@@ -131,6 +142,15 @@
         self.published.replace(notes.collect());
     }
 
+    /// Takes in what a peer knows of requests that crash backend servers.
+    pub(crate) fn learn(&self, news: &[SuspectNews]) {
+        let now = self.now();
+        let mut decisions = self.decisions.borrow_mut();
+        for one in news {
+            decisions.suspects.learn(now, one.clone());
+        }
+    }
+
     /// Takes in what another entry tells.
     pub(crate) fn hear(&self, beat: &BeatMessage) {
         let now = self.now();
@@ -153,7 +173,7 @@
             confirmation: self.config.note(self.now()),
             load: LoadNote::default(),
             teams: self.published.borrow().clone(),
-            suspects: Vec::new(),
+            suspects: self.decisions.borrow().suspects.news(self.now()),
             stopping: self.gate.is_closed(),
         }
     }
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -1,11 +1,11 @@
 //! The process beside a backend server, the only one that talks to it.
 
 mod backend;
-mod fingerprint;
 mod meter;
 mod runner;
 mod session;
 mod state;
+mod suspects;
 mod tally;
 mod turn;
 mod watch;
--- a/crates/daemon/src/sidecar/runner.rs
+++ b/crates/daemon/src/sidecar/runner.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use applefold_core::claim::RequestFingerprint;
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::fairness::CallClass;
-use applefold_core::unit::{TimeSpan, TokenCount};
+use applefold_core::unit::{ByteSize, TimeSpan, TokenCount};
 use applefold_wire::applefold_capnp::answer_sink;
 use applefold_wire::dispatch::{AttemptEnd, DispatchMessage, HeadMessage, PartMessage};
 use opentelemetry::KeyValue;
@@ -24,24 +25,48 @@
 /// How long the head of an answer may take at least, whatever the deadline.
 const MIN_HEAD_WAIT: TimeSpan = TimeSpan::from_secs(1);
 
+/// How an attempt ended, and whether the backend server seems to have died of it.
+pub(crate) struct RanAttempt {
+    pub(crate) end: AttemptEnd,
+    pub(crate) crashed: bool,
+}
+
+impl RanAttempt {
+    fn not_run(refusal: CallRefusal) -> Self {
+        let end = AttemptEnd::NotRun(refusal);
+        Self {
+            end,
+            crashed: false,
+        }
+    }
+
+    fn broken(size: ByteSize) -> Self {
+        let end = AttemptEnd::Broken(size);
+        Self {
+            end,
+            crashed: false,
+        }
+    }
+}
+
 /// Runs an attempt and says how it ended.
 pub(crate) async fn run(
     state: &Rc<SidecarState>,
     dispatch: DispatchMessage,
     sink: answer_sink::Client,
-) -> AttemptEnd {
+) -> RanAttempt {
     let parent = dispatch.traceparent.parse().ok();
     let mut span = state.spans.begin("sidecar.attempt", parent.as_ref());
     span.note("request", dispatch.id.request.to_string());
     span.note("attempt", dispatch.id.attempt.0 as i64);
-    let end = run_checked(state, &dispatch, &sink, &span).await;
-    let label = end_label(&end);
+    let ran = run_checked(state, &dispatch, &sink, &span).await;
+    let label = end_label(&ran.end);
     span.note("end", label);
     state
         .metrics
         .attempts
         .add(1, &[KeyValue::new("end", label)]);
-    end
+    ran
 }
 
 fn end_label(end: &AttemptEnd) -> &'static str {
@@ -58,39 +83,70 @@
     dispatch: &DispatchMessage,
     sink: &answer_sink::Client,
     span: &HopSpan,
-) -> AttemptEnd {
+) -> RanAttempt {
     // An entry that is ahead is pushing what it knows right now.
     let limit = CATCH_UP_LIMIT.min(dispatch.deadline);
-    state
-        .config
-        .wait_revision(dispatch.confirmation.revision, limit)
-        .await;
+    let revision = dispatch.confirmation.revision;
+    state.config.wait_revision(revision, limit).await;
     if let Err(refusal) = state.check(dispatch) {
-        return AttemptEnd::NotRun(refusal);
+        return RanAttempt::not_run(refusal);
     }
     let Some(_flight) = state.gate.enter() else {
         let refusal = CallRefusal::passing(ResultCode::ServiceShutting, RETRY_SOON);
-        return AttemptEnd::NotRun(refusal);
+        return RanAttempt::not_run(refusal);
     };
     let turn = match wait_turn(state, dispatch).await {
         Ok(turn) => turn,
-        Err(refusal) => return AttemptEnd::NotRun(refusal),
+        Err(refusal) => return RanAttempt::not_run(refusal),
     };
     // A key may have been withdrawn while the request waited.
     if let Err(refusal) = state.check(dispatch) {
-        return AttemptEnd::NotRun(refusal);
+        return RanAttempt::not_run(refusal);
+    }
+    let fingerprint = fingerprint_of(state, dispatch);
+    let running = match state.suspects.admit(fingerprint, state.now()) {
+        Ok(running) => running,
+        Err(refusal) => return RanAttempt::not_run(refusal),
+    };
+    let ran = send(state, dispatch, sink, span, &turn).await;
+    drop(running);
+    match ran.end {
+        AttemptEnd::Whole(_) => state.suspects.note_completion(fingerprint, state.now()),
+        _ if ran.crashed => state.suspects.note_crash(fingerprint, state.now()),
+        _ => {}
     }
+    ran
+}
+
+fn fingerprint_of(state: &SidecarState, dispatch: &DispatchMessage) -> RequestFingerprint {
+    let team = dispatch.team.as_ref().unwrap_or(&state.open_team);
+    RequestFingerprint::of(team, &dispatch.method, &dispatch.path, &dispatch.body)
+}
+
+async fn send(
+    state: &Rc<SidecarState>,
+    dispatch: &DispatchMessage,
+    sink: &answer_sink::Client,
+    span: &HopSpan,
+    turn: &TurnGuard,
+) -> RanAttempt {
     let wait = Duration::from_micros(dispatch.deadline.max(MIN_HEAD_WAIT).0);
     let traceparent = span.traceparent();
     let sent = state.backend.send(dispatch, &traceparent);
-    let unknown = CallRefusal::lasting(ResultCode::OutcomeUnknown);
     match actix_rt::time::timeout(wait, sent).await {
-        Ok(Ok(answer)) => relay(state, dispatch, sink, answer, &turn).await,
+        Ok(Ok(answer)) => relay(state, dispatch, sink, answer, turn).await,
         Ok(Err(BackendFault::NotSent)) => {
-            AttemptEnd::NotRun(CallRefusal::passing(ResultCode::BackendMissing, RETRY_SOON))
+            let refusal = CallRefusal::passing(ResultCode::BackendMissing, RETRY_SOON);
+            RanAttempt::not_run(refusal)
         }
-        Ok(Err(BackendFault::NoAnswer)) => AttemptEnd::Unknown(unknown),
-        Err(_) => AttemptEnd::Unknown(CallRefusal::lasting(ResultCode::PeerSilent)),
+        Ok(Err(BackendFault::NoAnswer)) => RanAttempt {
+            end: AttemptEnd::Unknown(CallRefusal::lasting(ResultCode::OutcomeUnknown)),
+            crashed: true,
+        },
+        Err(_) => RanAttempt {
+            end: AttemptEnd::Unknown(CallRefusal::lasting(ResultCode::PeerSilent)),
+            crashed: false,
+        },
     }
 }
 
@@ -126,18 +182,23 @@
     sink: &answer_sink::Client,
     mut answer: BackendAnswer,
     turn: &TurnGuard,
-) -> AttemptEnd {
+) -> RanAttempt {
     let head = HeadMessage {
         id: dispatch.id.clone(),
         status: answer.status,
         headers: std::mem::take(&mut answer.headers),
     };
     if send_head(sink, &head).await.is_err() {
-        return AttemptEnd::Broken(answer.check.seen());
+        return RanAttempt::broken(answer.check.seen());
     }
     let mut usage = UseGuard::begin(state, dispatch);
     let limit = Duration::from_micros(state.settings.progress_timeout.0);
-    while let Ok(Some(piece)) = actix_rt::time::timeout(limit, answer.next()).await {
+    let mut crashed = false;
+    while let Ok(piece) = actix_rt::time::timeout(limit, answer.next()).await {
+        let Some(piece) = piece else {
+            crashed = !answer.check.is_whole();
+            break;
+        };
         let offset = answer.check.seen();
         answer.check.feed(&piece);
         turn.note_answering();
@@ -152,10 +213,12 @@
         }
     }
     usage.whole = answer.check.is_whole();
-    match usage.whole {
-        true => AttemptEnd::Whole(answer.check.seen()),
-        false => AttemptEnd::Broken(answer.check.seen()),
-    }
+    let size = answer.check.seen();
+    let end = match usage.whole {
+        true => AttemptEnd::Whole(size),
+        false => AttemptEnd::Broken(size),
+    };
+    RanAttempt { end, crashed }
 }
 
 /// Counts what an attempt has used when it is dropped, however it ended.
--- a/crates/daemon/src/sidecar/session.rs
+++ b/crates/daemon/src/sidecar/session.rs
@@ -31,6 +31,7 @@
         let beat = BeatMessage::read(params.get()?.get_beat()?)?;
         let now = self.state.now();
         self.state.config.merge(&beat.confirmation, now);
+        self.state.suspects.learn(&beat.suspects, now);
         self.state.beat().write(results.get().init_beat());
         Ok(())
     }
@@ -47,10 +48,11 @@
         self.state
             .config
             .merge(&dispatch.confirmation, self.state.now());
-        let end = runner::run(&self.state, dispatch, sink).await;
+        let ran = runner::run(&self.state, dispatch, sink).await;
         let end = EndMessage {
             id,
-            end,
+            end: ran.end,
+            crashed: ran.crashed,
             load: self.state.load_note(),
             confirmation: self.state.config.note(self.state.now()),
         };
--- a/crates/daemon/src/sidecar/state.rs
+++ b/crates/daemon/src/sidecar/state.rs
@@ -14,20 +14,19 @@
 
 use super::backend::BackendClient;
 use super::meter::MeterDesk;
+use super::suspects::SuspectDesk;
 use super::turn::TurnTable;
 use super::SidecarSettings;
 use crate::clock::MonotonicClock;
 use crate::confirm::ConfigCell;
 use crate::drain::DrainGate;
+use crate::entry::OPEN_TEAM;
 use crate::metrics::MetricSet;
 use crate::trace::SpanSource;
 
 /// When a caller may try again after a refusal that another instance can turn.
 const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
 
-/// The team that calls of open routes are counted for.
-const OPEN_TEAM: &str = "open:all";
-
 /// The state of a sidecar, shared by its tasks.
 pub(crate) struct SidecarState {
     pub(crate) settings: SidecarSettings,
@@ -40,6 +39,7 @@
     pub(crate) backend: BackendClient,
     pub(crate) load: Cell<LoadNote>,
     pub(crate) meter: MeterDesk,
+    pub(crate) suspects: SuspectDesk,
     pub(crate) metrics: MetricSet,
     pub(crate) spans: SpanSource,
 }
@@ -55,6 +55,7 @@
             open_team: OPEN_TEAM.parse().expect("the name is an identifier"),
             backend: BackendClient::new(settings.backend),
             load: Cell::new(LoadNote::default()),
+            suspects: SuspectDesk::new(&settings.instance),
             meter: MeterDesk::new(name, settings.usage_window),
             metrics: MetricSet::start(),
             spans: SpanSource::start(settings.trace_share),
@@ -86,7 +87,7 @@
             confirmation: self.config.note(now),
             load: self.load_note(),
             teams: Vec::new(),
-            suspects: Vec::new(),
+            suspects: self.suspects.news(now),
             stopping: self.gate.is_closed(),
         }
     }
--- a/crates/wire/applefold.capnp
+++ b/crates/wire/applefold.capnp
@@ -44,13 +44,14 @@
   confirmation @2 :Confirmation;
   load @3 :Load;
   teams @4 :List(TeamUse);
-  # Fingerprints that have crashed backend servers, with the number of crashes.
+  # What is known of requests that were running when backend servers died.
   suspects @5 :List(Suspect);
   stopping @6 :Bool;
 }
 
 struct Suspect {
   fingerprint @0 :UInt64;
+  # Empty where the request completed whole.
   backend @1 :Text;
   ageMicros @2 :UInt64;
 }
@@ -105,6 +106,8 @@
   attempt @1 :UInt64;
   load @6 :Load;
   confirmation @7 :Confirmation;
+  # Whether the backend server died while it ran the request.
+  crashed @8 :Bool;
   union {
     # The answer is whole and this long.
     whole @2 :UInt64;
--- a/crates/wire/src/applefold_capnp.rs
+++ b/crates/wire/src/applefold_capnp.rs
@@ -6336,6 +6336,10 @@
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
+        pub fn get_crashed(self) -> bool {
+            self.reader.get_bool_field(144)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Whole(self.reader.get_data_field::<u64>(1))),
@@ -6594,6 +6598,14 @@
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
+        pub fn get_crashed(self) -> bool {
+            self.builder.get_bool_field(144)
+        }
+        #[inline]
+        pub fn set_crashed(&mut self, value: bool) {
+            self.builder.set_bool_field(144, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => ::core::result::Result::Ok(Whole(self.builder.get_data_field::<u64>(1))),
@@ -6634,7 +6646,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 139] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(241, 130, 72, 14, 25, 142, 85, 201),
             ::capnp::word(16, 0, 0, 0, 1, 0, 3, 0),
@@ -6644,7 +6656,7 @@
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
@@ -6652,63 +6664,70 @@
             ::capnp::word(65, 110, 115, 119, 101, 114, 69, 110),
             ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 255, 255, 1, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 255, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 254, 255, 1, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 253, 255, 1, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 252, 255, 1, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 144, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6774,6 +6793,14 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6785,6 +6812,7 @@
                 5 => <crate::applefold_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <crate::applefold_capnp::load::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::applefold_capnp::confirmation::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6803,9 +6831,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 6, 7, 8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[2, 3, 4, 5];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 4, 7, 6, 3, 0, 5, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 4, 7, 8, 6, 3, 0, 5, 2];
         pub(crate) const TYPE_ID: u64 = 0xc955_8e19_0e48_82f1;
     }
     pub enum Which<A0, A1> {
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -1,10 +1,12 @@
 //! Heartbeats and what they carry: confirmation, load, use and suspects.
 
+use applefold_core::claim::RequestFingerprint;
 use applefold_core::id::{BackendId, DomainId, InstanceId, Revision, TeamId};
+use applefold_core::quarantine::SuspectNews;
 use applefold_core::unit::{TimeSpan, TokenCount, TokenRate};
 
 use crate::applefold_capnp::{confirmation, heartbeat, load, suspect, team_use};
-use crate::error::{parse, MessageError};
+use crate::error::{parse, parse_optional, MessageError};
 
 /// What a process knows of the configuration and of the platform.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -102,31 +104,18 @@
     }
 }
 
-/// A crash of a backend server while it ran a request with this fingerprint.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SuspectNote {
-    /// The fingerprint of the request.
-    pub fingerprint: u64,
-    /// The backend server that crashed.
-    pub backend: BackendId,
-    /// The time since the crash.
-    pub age: TimeSpan,
+fn write_news(news: &SuspectNews, mut builder: suspect::Builder<'_>) {
+    builder.set_fingerprint(news.fingerprint.0);
+    builder.set_backend(news.backend.as_ref().map_or("", BackendId::as_str));
+    builder.set_age_micros(news.age.0);
 }
 
-impl SuspectNote {
-    fn write(&self, mut builder: suspect::Builder<'_>) {
-        builder.set_fingerprint(self.fingerprint);
-        builder.set_backend(self.backend.as_str());
-        builder.set_age_micros(self.age.0);
-    }
-
-    fn read(reader: suspect::Reader<'_>) -> Result<Self, MessageError> {
-        Ok(Self {
-            fingerprint: reader.get_fingerprint(),
-            backend: parse(reader.get_backend()?)?,
-            age: TimeSpan(reader.get_age_micros()),
-        })
-    }
+fn read_news(reader: suspect::Reader<'_>) -> Result<SuspectNews, MessageError> {
+    Ok(SuspectNews {
+        fingerprint: RequestFingerprint(reader.get_fingerprint()),
+        backend: parse_optional(reader.get_backend()?)?,
+        age: TimeSpan(reader.get_age_micros()),
+    })
 }
 
 /// A heartbeat; its answer is a heartbeat of the other side.
@@ -143,7 +132,7 @@
     /// What teams have used at the sender.
     pub teams: Vec<TeamNote>,
     /// Requests that have crashed backend servers.
-    pub suspects: Vec<SuspectNote>,
+    pub suspects: Vec<SuspectNews>,
     /// Whether the sender is stopping.
     pub stopping: bool,
 }
@@ -163,7 +152,7 @@
         }
         let mut suspects = builder.init_suspects(self.suspects.len() as u32);
         for (index, suspect) in self.suspects.iter().enumerate() {
-            suspect.write(suspects.reborrow().get(index as u32));
+            write_news(suspect, suspects.reborrow().get(index as u32));
         }
     }
 
@@ -174,7 +163,7 @@
     /// Returns [`MessageError`] where a field does not hold what its type promises.
     pub fn read(reader: heartbeat::Reader<'_>) -> Result<Self, MessageError> {
         let teams = reader.get_teams()?.iter().map(TeamNote::read);
-        let suspects = reader.get_suspects()?.iter().map(SuspectNote::read);
+        let suspects = reader.get_suspects()?.iter().map(read_news);
         Ok(Self {
             instance: parse(reader.get_instance()?)?,
             domain: parse(reader.get_domain()?)?,
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -7,7 +7,7 @@
 
 use crate::applefold_capnp::{answer_end, answer_head, answer_part, dispatch, pair};
 use crate::beat::{ConfirmationNote, LoadNote};
-use crate::error::{parse, read_refusal, write_refusal, MessageError};
+use crate::error::{parse, parse_optional, read_refusal, write_refusal, MessageError};
 
 /// One HTTP header.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -154,17 +154,6 @@
     }
 }
 
-fn parse_optional<T>(text: capnp::text::Reader<'_>) -> Result<Option<T>, MessageError>
-where
-    T: std::str::FromStr,
-    T::Err: std::fmt::Display,
-{
-    if text.is_empty() {
-        return Ok(None);
-    }
-    parse(text).map(Some)
-}
-
 /// The status and the headers of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeadMessage {
@@ -260,6 +249,8 @@
     pub id: AttemptId,
     /// How it ended.
     pub end: AttemptEnd,
+    /// Whether the backend server died while it ran the request.
+    pub crashed: bool,
     /// The load of the backend server now.
     pub load: LoadNote,
     /// What the sidecar knows of the configuration.
@@ -274,6 +265,7 @@
         self.load.write(builder.reborrow().init_load());
         self.confirmation
             .write(builder.reborrow().init_confirmation());
+        builder.set_crashed(self.crashed);
         match self.end {
             AttemptEnd::Whole(size) => builder.set_whole(size.0),
             AttemptEnd::NotRun(refusal) => write_refusal(refusal, builder.init_not_run()),
@@ -300,6 +292,7 @@
                 attempt: AttemptNumber(reader.get_attempt()),
             },
             end,
+            crashed: reader.get_crashed(),
             load: LoadNote::read(reader.get_load()?),
             confirmation: ConfirmationNote::read(reader.get_confirmation()?),
         })
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -68,6 +68,18 @@
     text.parse().map_err(MessageError::new)
 }
 
+/// Parses a text field in which an empty text stands for nothing.
+pub(crate) fn parse_optional<T>(text: capnp::text::Reader<'_>) -> Result<Option<T>, MessageError>
+where
+    T: FromStr,
+    T::Err: fmt::Display,
+{
+    if text.is_empty() {
+        return Ok(None);
+    }
+    parse(text).map(Some)
+}
+
 /// Writes a refusal.
 pub(crate) fn write_refusal(refusal: CallRefusal, mut builder: refusal::Builder<'_>) {
     builder.set_code(refusal.code.number());
