--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -1,24 +1,22 @@
 //! Authority under pauses, drifting clocks, late and lost messages.
 
+mod lease_support;
+
 use std::collections::BTreeMap;
 
 use applefold_core::claim::store::CallNumber;
-use applefold_core::id::{FencingNumber, InstanceId};
+use applefold_core::id::FencingNumber;
 use applefold_core::lease::{
-    HolderName, LeaseAction, LeaseAnswer, LeaseHolder, LeaseOptions, LeaseReply, ORDER_IN_FLIGHT,
+    LeaseAction, LeaseAnswer, LeaseHolder, LeaseOptions, LeaseReply, ORDER_IN_FLIGHT,
 };
 use applefold_core::unit::{TimePoint, TimeSpan};
+use lease_support::{name, FakeLease};
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
 
 const NODES: usize = 3;
 const STEP: TimeSpan = TimeSpan::from_millis(100);
 
-fn name(node: usize) -> HolderName {
-    let instance: InstanceId = format!("entry-{node}").parse().unwrap();
-    HolderName::new(&instance, 1)
-}
-
 /// What both the holder and the naive reference can do.
 trait Holder {
     /// The longest time that its orders stay on their way.
@@ -138,61 +136,6 @@
     }
 }
 
-/// The platform's lease, on the true clock.
-#[derive(Default)]
-struct FakeLease {
-    held: Option<(usize, FencingNumber, TimePoint)>,
-    last: FencingNumber,
-    renews_lapsed: bool,
-}
-
-impl FakeLease {
-    fn apply(&mut self, node: usize, action: &LeaseAction, now: TimePoint) -> LeaseReply {
-        let live = self.held.filter(|(_, _, until)| now < *until);
-        match action {
-            LeaseAction::Acquire { ttl, .. } => match live {
-                Some(held) => self.refuse(held, now),
-                None => {
-                    self.last = self.last.next();
-                    self.held = Some((node, self.last, now + *ttl));
-                    LeaseReply::Granted { fencing: self.last }
-                }
-            },
-            LeaseAction::Renew { fencing, ttl, .. } => {
-                let held = if self.renews_lapsed { self.held } else { live };
-                match held {
-                    Some((holder, number, _)) if holder == node && number == *fencing => {
-                        self.held = Some((node, number, now + *ttl));
-                        LeaseReply::Granted { fencing: number }
-                    }
-                    Some(held) => self.refuse(held, now),
-                    None => LeaseReply::Held {
-                        holder: None,
-                        fencing: self.last,
-                        remaining: TimeSpan::ZERO,
-                    },
-                }
-            }
-            LeaseAction::Release { fencing } => {
-                let mine = |(holder, number, _)| holder == node && number == *fencing;
-                if self.held.is_some_and(mine) {
-                    self.held = None;
-                }
-                LeaseReply::Failed
-            }
-            LeaseAction::Begin { .. } | LeaseAction::End { .. } => LeaseReply::Failed,
-        }
-    }
-
-    fn refuse(&self, held: (usize, FencingNumber, TimePoint), now: TimePoint) -> LeaseReply {
-        LeaseReply::Held {
-            holder: Some(name(held.0)),
-            fencing: held.1,
-            remaining: held.2.since(now),
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Step {
     /// Time passes; the nodes whose bit is not set are paused.
@@ -282,10 +225,7 @@
         Self {
             nodes: (0..NODES).map(H::make).collect(),
             clocks,
-            lease: FakeLease {
-                renews_lapsed,
-                ..FakeLease::default()
-            },
+            lease: FakeLease::new(renews_lapsed),
             now: TimePoint::START,
             calls: Vec::new(),
             answers: Vec::new(),
