Find the silent, the leaving and the gone, and stop without cutting

Cause: the platform's list of instances lags, heartbeats come late or not at all, and a process that stops has to finish what it has. Ruled out: believing what was told last, which gives work to the silent and the stopped; a leaving mark of the list that holds for good, which would keep a restarted instance out when the mark was stale.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod answer;
 pub mod claim;
 pub mod code;
+pub mod drain;
 pub mod fence;
 pub mod id;
 pub mod lease;
+pub mod membership;
 pub mod order;
 pub mod quarantine;
 pub mod unit;
--- /dev/null
+++ b/crates/core/tests/drain.rs
@@ -0,0 +1,93 @@
+//! Stopping without cutting a request.
+
+use applefold_core::code::{ResultCode, RunState};
+use applefold_core::drain::{DrainAction, DrainOptions, DrainPhase, DrainState, WorkGuard};
+use applefold_core::unit::{TimePoint, TimeSpan};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::START + TimeSpan::from_millis(millis)
+}
+
+#[test]
+fn an_entry_goes_on_taking_work_until_it_is_known_to_stop() {
+    let mut state = DrainState::new(DrainOptions::entry());
+    let first = state.admit().unwrap();
+    assert_eq!(state.begin(at(0)), [DrainAction::Announce]);
+    assert_eq!(state.begin(at(1)), []);
+    let second = state.admit().unwrap();
+    state.tick(at(4_999), true);
+    assert_eq!(state.phase(), DrainPhase::LameDuck);
+    assert_eq!(state.tick(at(5_000), true), []);
+    let refusal = state.admit().unwrap_err();
+    assert_eq!(refusal.code, ResultCode::InstanceDraining);
+    assert_eq!(refusal.code.run_state(), RunState::NotRun);
+    drop(first);
+    assert_eq!(state.tick(at(60_000), true), []);
+    drop(second);
+    assert_eq!(state.tick(at(60_001), true), [DrainAction::HandBack]);
+    assert_eq!(state.tick(at(60_002), false), []);
+    assert_eq!(state.tick(at(60_003), true), [DrainAction::Exit]);
+    assert_eq!(state.tick(at(60_004), true), []);
+}
+
+#[test]
+fn a_sidecar_refuses_at_once() {
+    let mut state = DrainState::new(DrainOptions::sidecar());
+    state.begin(at(0));
+    assert_eq!(state.admit().unwrap_err().code, ResultCode::ServiceShutting);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Admit,
+    Finish(usize),
+    Begin,
+    Tick { millis: u64, settled: bool },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        Just(Step::Admit),
+        (0..5usize).prop_map(Step::Finish),
+        Just(Step::Begin),
+        (1..3_000u64, any::<bool>()).prop_map(|(millis, settled)| Step::Tick { millis, settled }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(81),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn nothing_is_cut(steps in prop::collection::vec(step(), 1..80)) {
+        let mut state = DrainState::new(DrainOptions::entry());
+        let mut guards: Vec<WorkGuard> = Vec::new();
+        let mut now = TimePoint::START;
+        let mut seen = Vec::new();
+        for step in steps {
+            match step {
+                Step::Admit => guards.extend(state.admit().ok()),
+                Step::Finish(at) if !guards.is_empty() => {
+                    guards.remove(at % guards.len());
+                }
+                Step::Finish(_) => {}
+                Step::Begin => seen.extend(state.begin(now)),
+                Step::Tick { millis, settled } => {
+                    now = now + TimeSpan::from_millis(millis);
+                    let actions = state.tick(now, settled);
+                    prop_assert!(actions.is_empty() || guards.is_empty());
+                    seen.extend(actions);
+                }
+            }
+            prop_assert_eq!(state.running(), guards.len());
+        }
+        let order = [DrainAction::Announce, DrainAction::HandBack, DrainAction::Exit];
+        prop_assert_eq!(&seen[..], &order[..seen.len()]);
+    }
+}
