Let a call to the platform outlive its caller, and end one to an engine with it

Cause: a write that is under way when its caller gives up is what a lease and an order must survive, while an engine should stop work that nobody reads. Both depended on the HTTP library's default and were tested by nothing.

Change: the engine ends a call when the caller leaves, streamed or not; the platform and the plain service carry it out. The history keeps 20000 requests instead of 100000, as each holds all headers.

Ruled out: short waits before the caller leaves, which on a busy machine can end before the call has come; the tests wait until the stand-in has it.

--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -14,7 +14,7 @@
 /// The bytes of prompt text in a piece.
 const PIECE_BYTES: usize = (PIECE_TOKENS * TOKEN_BYTES) as usize;
 /// The events that are kept.
-const MAX_EVENTS: usize = 100_000;
+const MAX_EVENTS: usize = 20_000;
 
 /// A piece of a prompt, hashed together with all that stands before it.
 pub(crate) type PieceHash = u64;
--- a/crates/standins/src/engine/history.rs
+++ b/crates/standins/src/engine/history.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 /// The requests that are kept.
-const MAX_REQUESTS: usize = 100_000;
+const MAX_REQUESTS: usize = 20_000;
 
 /// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -90,6 +90,12 @@
         }
     }
 
+    /// Returns whether a call ends when its caller leaves; elsewhere it takes
+    /// effect all the same, late as it may be.
+    fn ends_with_caller(&self) -> bool {
+        matches!(self, Self::Engine(_))
+    }
+
     fn is_down(&self) -> bool {
         match self {
             Self::Platform(_) => false,
@@ -130,6 +136,7 @@
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(HEAD_TIMEOUT)
+        .h1_allow_half_closed(!service.ends_with_caller())
         .h1(fn_service(move |request: Request| {
             answer(answering.clone(), cutting.clone(), request)
         }));
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Help for the tests of the stand-ins.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::future::Future;
 use std::time::Duration;
 
@@ -21,6 +23,19 @@
     }
 }
 
+/// Drops a call that is not answered, once `check` holds.
+pub(crate) async fn abandon<C, F, Fut>(call: C, check: F)
+where
+    C: Future,
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    tokio::select! {
+        _ = call => panic!("the call was answered"),
+        () = eventually(check) => {}
+    }
+}
+
 /// Sends JSON and returns the status with the body.
 pub(crate) async fn send(
     client: &StandinClient,
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -14,12 +14,12 @@
 use serde_json::{json, Value};
 use tokio::time::timeout;
 
-use common::{eventually, send};
+use common::{abandon, eventually, send};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const ENDLESS_TOKENS: u64 = 100_000;
 /// Longer than the answer takes that is silenced.
-const SILENCE: Duration = Duration::from_millis(600);
+const SILENCE: Duration = Duration::from_millis(1_200);
 
 fn start() -> (StandinHandle, StandinClient) {
     start_with(EngineOptions {
@@ -54,6 +54,10 @@
     Some(row.state)
 }
 
+async fn is_cancelled(client: &StandinClient, request_id: &str) -> bool {
+    state_of(client, request_id).await == Some(RequestState::Cancelled)
+}
+
 async fn raw(client: &StandinClient, chat: &ChatCall) -> Bytes {
     let mut client = client.clone();
     for (name, value) in &chat.headers {
@@ -229,14 +233,18 @@
     );
     let second = chat("b", ENDLESS_TOKENS).with_header("x-request-id", "second");
     drop(open(&client, &second).await);
-    eventually(|| async { state_of(&client, "second").await == Some(RequestState::Cancelled) })
-        .await;
+    eventually(|| is_cancelled(&client, "second")).await;
+    let whole = client.clone().with_header("x-request-id", "third");
+    let call = whole.call(Method::POST, CHAT_PATH, second.body(false));
+    let running = || async { state_of(&client, "third").await == Some(RequestState::Running) };
+    abandon(call, running).await;
+    eventually(|| is_cancelled(&client, "third")).await;
 }
 
 #[actix_rt::test]
 async fn silent_connections_stay_open_and_new_ones_work() {
     let (handle, client) = start();
-    let long = chat("quiet", 300);
+    let long = chat("quiet", 1_000);
     let mut stream = open(&client, &long).await;
     let operator = StandinClient::new(handle.address);
     operator
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -10,7 +10,7 @@
 use serde_json::{json, Value};
 use tokio::time::{sleep, timeout};
 
-use common::{eventually, send};
+use common::{abandon, eventually, send};
 
 fn start() -> (StandinHandle, StandinClient) {
     start_with(PlatformOptions {
@@ -154,6 +154,18 @@
     assert_eq!(put(&client, "a", "x", json!(0)).await.0, 409);
 }
 
+#[actix_rt::test]
+async fn held_call_takes_effect_after_its_caller_has_left() {
+    let (_handle, client) = start();
+    client.set_faults(&json!({ "freeze": true })).await.unwrap();
+    let write = put(&client, "late", "x", Value::Null);
+    let has_come = || async { client.stats().await.unwrap().kinds.contains_key("PUT kv") };
+    abandon(write, has_come).await;
+    client.set_faults(&json!({})).await.unwrap();
+    eventually(|| async { send(&client, Method::GET, "/kv/late", Value::Null).await.0 == 200 })
+        .await;
+}
+
 #[actix_rt::test]
 async fn refused_writes_use_up_no_lost_answer() {
     let (_handle, client) = start();
