Give decode the time that prefill leaves

Cause: while a prompt was being read, decode got half of each step even where prefill used less than the other half, so the batch was slower than its rates.

Change: prefill takes at most its share; decode takes the rest of the step.

--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -181,22 +181,11 @@
             return outcome;
         }
         let secs = elapsed.as_secs_f64();
-        let has_prefill = self.running.values().any(|row| !row.prefilled);
-        let has_decode = self.running.values().any(|row| row.prefilled);
-        let share = if has_prefill && has_decode {
-            PREFILL_SHARE
-        } else {
-            1.0
-        };
-        self.prefill(rates.prefill * share * secs, cache);
-        let decode_share = if has_prefill && has_decode {
-            1.0 - share
-        } else {
-            1.0
-        };
+        let prefill_secs = self.prefill(secs * self.prefill_share(), rates.prefill, cache);
+        let decode_secs = secs - prefill_secs;
         let stream_limit = cut_after.unwrap_or(u64::MAX);
         self.decode(
-            rates.decode * decode_share * secs,
+            rates.decode * decode_secs,
             rates.stream * secs,
             stream_limit,
         );
@@ -232,19 +221,31 @@
         false
     }
 
-    fn prefill(&mut self, mut budget: f64, cache: &mut PrefixCache) {
+    /// Returns the part of the time that prefill may take.
+    fn prefill_share(&self) -> f64 {
+        let has_decode = self.running.values().any(|row| row.prefilled);
+        match has_decode {
+            true => PREFILL_SHARE,
+            false => 1.0,
+        }
+    }
+
+    /// Reads prompts for at most `secs`, and returns the time that it took.
+    fn prefill(&mut self, secs: f64, rate: f64, cache: &mut PrefixCache) -> f64 {
+        let mut read = 0.0;
         for row in self.running.values_mut().filter(|row| !row.prefilled) {
-            let part = budget.min(row.prefill_left);
+            let part = row.prefill_left.min(rate * secs - read);
             row.prefill_left -= part;
-            budget -= part;
+            read += part;
             if row.prefill_left > 0.0 {
-                return;
+                break;
             }
             row.prefilled = true;
             let job = &row.job;
             cache.store(job.prompt, job.prompt_tokens, &job.pieces, Instant::now());
             send(job, JobEvent::Prefilled(row.cached));
         }
+        read / rate
     }
 
     fn decode(&mut self, budget: f64, stream_budget: f64, stream_limit: u64) {
