--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -21,6 +21,8 @@
     pub silent: bool,
     /// The next stream to have sent so many tokens is cut, once.
     pub cut_after_tokens: Option<u64>,
+    /// This many of the next answers are those of another request.
+    pub cross_answers: u64,
     /// Exports of KV cache fail.
     pub export_fails: bool,
 }
