--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -13,7 +13,7 @@
 
 /// The length of the slots that arrivals are summed over.
 const SLOT: TimeSpan = TimeSpan::from_secs(1);
-/// How many empty slots are replayed after a gap; older history has faded by then.
+/// After so many slots without a call, what came before says nothing about now.
 const MAX_GAP_SLOTS: u64 = 900;
 
 /// The time constants of the averages.
@@ -76,12 +76,15 @@
     pub prefill: RateForecast,
     /// Answer tokens to be generated.
     pub decode: RateForecast,
+    /// How long the pool's demand has been watched.
+    pub observed: TimeSpan,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct SeriesRow {
     slot_tokens: u64,
-    started: bool,
+    /// Slots that the averages are made of.
+    slots: u64,
     short: f64,
     long: f64,
     level: f64,
@@ -139,6 +142,7 @@
         PoolDemand {
             prefill: row.prefill.forecast(ahead, &self.settings),
             decode: row.decode.forecast(ahead, &self.settings),
+            observed: TimeSpan(row.prefill.slots * SLOT.0),
         }
     }
 }
@@ -147,7 +151,9 @@
     fn close_slots(&mut self, now: TimePoint, settings: &ForecastSettings) {
         let behind = now.since(self.slot_start).0 / SLOT.0;
         if behind > MAX_GAP_SLOTS {
-            self.slot_start = now - TimeSpan(MAX_GAP_SLOTS * SLOT.0);
+            self.prefill = SeriesRow::silent();
+            self.decode = SeriesRow::silent();
+            self.slot_start = now;
         }
         while self.slot_start + SLOT <= now {
             self.prefill.close_slot(settings);
@@ -168,18 +174,25 @@
 }
 
 impl SeriesRow {
+    fn silent() -> Self {
+        Self {
+            slots: MAX_GAP_SLOTS,
+            ..Self::default()
+        }
+    }
+
     fn close_slot(&mut self, settings: &ForecastSettings) {
         let rate = self.slot_tokens as f64 / SLOT.as_secs_f64();
         self.slot_tokens = 0;
-        if !self.started {
-            self.started = true;
+        self.slots += 1;
+        if self.slots == 1 {
             self.short = rate;
             self.long = rate;
             self.level = rate;
             return;
         }
-        let short = slot_weight(settings.short);
-        let long = slot_weight(settings.long);
+        let short = self.weight(settings.short);
+        let long = self.weight(settings.long);
         let error = rate - self.level;
         self.variance += (error * error - self.variance) * long;
         self.short += (rate - self.short) * short;
@@ -190,10 +203,15 @@
         self.level = level.max(0.0);
     }
 
+    /// A young average weighs its slots equally, so that the first ones do not pass for certain.
+    fn weight(&self, constant: TimeSpan) -> f64 {
+        slot_weight(constant).max(1.0 / self.slots as f64)
+    }
+
     fn forecast(&self, ahead: TimeSpan, settings: &ForecastSettings) -> RateForecast {
         let reach = ahead.min(settings.trend_reach).as_secs_f64();
         let expected = (self.level + self.trend * reach).max(0.0);
-        let weight = slot_weight(settings.short);
+        let weight = self.weight(settings.short);
         let deviation = (self.variance * weight / (2.0 - weight)).sqrt();
         let band = deviation * settings.band_deviations;
         RateForecast {
--- a/crates/core/src/role/mod.rs
+++ b/crates/core/src/role/mod.rs
@@ -122,6 +122,8 @@
 pub struct RoleSettings {
     /// How long a mix is expected to last once it has changed.
     pub horizon: TimeSpan,
+    /// How long demand must have been watched before a change is made.
+    pub warmup: TimeSpan,
     /// How long a change must have paid without a break before it is made.
     pub settle: TimeSpan,
     /// Pause after a change before the next in the same pool.
@@ -148,6 +150,7 @@
     fn default() -> Self {
         Self {
             horizon: TimeSpan::from_secs(60),
+            warmup: TimeSpan::from_secs(30),
             settle: TimeSpan::from_secs(5),
             rest: TimeSpan::from_secs(2),
             reversal_rest: TimeSpan::from_secs(20),
--- a/crates/core/src/role/planner.rs
+++ b/crates/core/src/role/planner.rs
@@ -294,7 +294,7 @@
     }
 
     fn consider(&mut self, now: TimePoint, pool: &PoolId, demand: &PoolDemand) -> Vec<RoleAction> {
-        if self.pool_drains(pool) {
+        if self.pool_drains(pool) || demand.observed < self.settings.warmup {
             return Vec::new();
         }
         let best = self.engines.best_change(pool, demand, &self.settings);
