--- a/crates/core/src/routing/subset.rs
+++ b/crates/core/src/routing/subset.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeSet;
 
-use sha2::{Digest, Sha256};
-
 use crate::id::{BackendId, InstanceId};
+use crate::rank::NameRank;
+
+const RING: &str = "subset";
 
 /// The backend servers that one entry keeps connections to.
 ///
@@ -26,7 +27,7 @@
         I: IntoIterator<Item = &'a BackendId>,
     {
         let mut ring: Vec<&BackendId> = backends.into_iter().collect();
-        ring.sort_by_cached_key(|backend| (rank(backend), (*backend).clone()));
+        ring.sort_by_cached_key(|backend| (NameRank::of(RING, backend.as_str()), *backend));
         let place = entries.range(..instance.clone()).count();
         let first = place * ring.len() / entries.len().max(1);
         let stretch = ring.iter().cycle().skip(first).take(size.min(ring.len()));
@@ -38,10 +39,3 @@
         &self.0
     }
 }
-
-fn rank(backend: &BackendId) -> [u8; 8] {
-    let digest = Sha256::digest(backend.as_str());
-    let mut rank = [0; 8];
-    rank.copy_from_slice(&digest[..8]);
-    rank
-}
--- /dev/null
+++ b/crates/daemon/src/entry/reply.rs
@@ -0,0 +1,369 @@
+//! What goes back to the caller.
+
+use actix_http::body::{BodySize, BodyStream, BoxBody, MessageBody};
+use actix_http::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use actix_http::{Response, StatusCode};
+use applefold_core::answer::{
+    AnswerAssembler, AnswerProgress, CloseVerdict, HeadVerdict, PartVerdict,
+};
+use applefold_core::claim::KeptAnswer;
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::id::AttemptNumber;
+use applefold_core::unit::{ByteSize, TimePoint};
+use applefold_wire::dispatch::{AttemptId, HeadMessage, HeaderPair, PartMessage};
+use bytes::Bytes;
+use eyre::{bail, eyre, Result};
+use futures_util::stream::poll_fn;
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot};
+
+use super::attempt::AnswerPiece;
+use crate::drain::FlightGuard;
+
+const EVENT_STREAM: &str = "text/event-stream";
+const CODE_HEADER: &str = "x-applefold-code";
+const RUN_STATE_HEADER: &str = "x-applefold-run-state";
+const REQUEST_HEADER: &str = "x-request-id";
+/// Says that the answer is that of an earlier run.
+const REPEAT_HEADER: &str = "x-applefold-repeat";
+const EVENT_LIMIT: usize = 64;
+
+/// The error that breaks a body off where the caller must not take it for whole.
+#[derive(Debug)]
+pub(crate) struct BodyBroken;
+
+impl std::fmt::Display for BodyBroken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", ResultCode::AnswerBroken.meaning())
+    }
+}
+
+impl std::error::Error for BodyBroken {}
+
+/// What a caller is answered.
+pub(crate) enum ReplyStart {
+    /// A whole answer.
+    Whole { head: HeadMessage, body: Vec<u8> },
+    /// A stream of events that has begun.
+    Events {
+        head: HeadMessage,
+        body: mpsc::Receiver<Result<Bytes, BodyBroken>>,
+    },
+    /// The answer of an earlier run of the same request.
+    Kept(KeptAnswer, Vec<HeaderPair>),
+    /// A refusal.
+    Refused(CallRefusal),
+}
+
+/// Puts an answer together and hands it to the caller's connection.
+pub(crate) struct ReplyWriter {
+    start: Option<oneshot::Sender<ReplyStart>>,
+    events: Option<mpsc::Sender<Result<Bytes, BodyBroken>>>,
+    assembler: AnswerAssembler,
+    head: Option<HeadMessage>,
+    /// What the last attempt held back until its end.
+    rest: Vec<u8>,
+    first_byte_at: Option<TimePoint>,
+    /// Whether the request is given up when its caller leaves.
+    follows_caller: bool,
+}
+
+impl ReplyWriter {
+    pub(crate) fn new(
+        start: oneshot::Sender<ReplyStart>,
+        assembler: AnswerAssembler,
+        follows_caller: bool,
+    ) -> Self {
+        Self {
+            start: Some(start),
+            events: None,
+            assembler,
+            head: None,
+            rest: Vec::new(),
+            first_byte_at: None,
+            follows_caller,
+        }
+    }
+
+    /// Begins an attempt; what the caller has not seen of the one before is forgotten.
+    pub(crate) fn begin(&mut self, attempt: AttemptNumber) {
+        self.assembler.begin(attempt);
+        self.rest.clear();
+        if self.events.is_none() {
+            self.head = None;
+            self.first_byte_at = None;
+        }
+    }
+
+    /// Returns how far the answer has come.
+    pub(crate) fn progress(&self) -> AnswerProgress {
+        self.assembler.progress()
+    }
+
+    /// Returns when the first byte came.
+    pub(crate) fn first_byte_at(&self) -> Option<TimePoint> {
+        self.first_byte_at
+    }
+
+    /// Returns the status of the answer, or 0 before its head.
+    pub(crate) fn status(&self) -> u16 {
+        self.head.as_ref().map_or(0, |head| head.status)
+    }
+
+    /// Returns when the caller has left; a call that may not be repeated goes on
+    /// without it, so that its outcome is known.
+    pub(crate) async fn wait_left(&mut self) {
+        if !self.follows_caller {
+            return std::future::pending().await;
+        }
+        match (&mut self.start, &self.events) {
+            (Some(start), _) => start.closed().await,
+            (None, Some(events)) => events.closed().await,
+            (None, None) => std::future::pending().await,
+        }
+    }
+
+    /// Takes a piece of the answer; an error ends the attempt.
+    pub(crate) async fn take(&mut self, piece: AnswerPiece, now: TimePoint) -> Result<()> {
+        match piece {
+            AnswerPiece::Head(head) => self.take_head(head),
+            AnswerPiece::Part(part) => {
+                self.first_byte_at.get_or_insert(now);
+                self.take_part(&part).await
+            }
+        }
+    }
+
+    fn take_head(&mut self, head: HeadMessage) -> Result<()> {
+        let AttemptId { request, attempt } = &head.id;
+        match self.assembler.head(request, *attempt, head.status) {
+            HeadVerdict::Use => {
+                self.head = Some(head);
+                Ok(())
+            }
+            HeadVerdict::Repeat | HeadVerdict::Stale => Ok(()),
+            HeadVerdict::Differs => bail!("the answer went on with another status"),
+            HeadVerdict::Crossed(refusal) => Err(crossed(refusal)),
+        }
+    }
+
+    async fn take_part(&mut self, part: &PartMessage) -> Result<()> {
+        let AttemptId { request, attempt } = &part.id;
+        match self
+            .assembler
+            .part(request, *attempt, part.offset.0, &part.data)
+        {
+            PartVerdict::Forward(bytes) if bytes.is_empty() => Ok(()),
+            PartVerdict::Forward(bytes) => self.pass(Ok(bytes.into())).await,
+            PartVerdict::Stale => Ok(()),
+            PartVerdict::Crossed(refusal) => Err(crossed(refusal)),
+            PartVerdict::Broken => bail!("a part of the answer is missing"),
+        }
+    }
+
+    async fn pass(&mut self, bytes: Result<Bytes, BodyBroken>) -> Result<()> {
+        if let (Some(start), Some(head)) = (self.start.take(), &self.head) {
+            let (sender, body) = mpsc::channel(EVENT_LIMIT);
+            let head = head.clone();
+            let started = start.send(ReplyStart::Events { head, body });
+            started.map_err(|_| eyre!("the caller has left"))?;
+            self.events = Some(sender);
+        }
+        let Some(events) = &self.events else {
+            return Ok(());
+        };
+        events
+            .send(bytes)
+            .await
+            .map_err(|_| eyre!("the caller has left"))
+    }
+
+    /// Takes the end of an attempt; returns whether the answer is whole.
+    pub(crate) fn close(&mut self, id: &AttemptId, size: ByteSize) -> bool {
+        match self.assembler.close(&id.request, id.attempt, size.0) {
+            CloseVerdict::Whole(rest) => {
+                self.rest = rest;
+                true
+            }
+            CloseVerdict::Stale | CloseVerdict::Crossed(_) | CloseVerdict::Broken => false,
+        }
+    }
+
+    /// Hands the end of a whole answer to the caller.
+    pub(crate) async fn finish(&mut self) {
+        let rest = std::mem::take(&mut self.rest);
+        if self.events.is_some() {
+            if !rest.is_empty() {
+                let _ = self.pass(Ok(rest.into())).await;
+            }
+            self.events = None;
+            return;
+        }
+        let lost = CallRefusal::lasting(ResultCode::OutcomeUnknown);
+        let start = match self.head.take() {
+            Some(head) => ReplyStart::Whole { head, body: rest },
+            None => ReplyStart::Refused(lost),
+        };
+        self.send_start(start);
+    }
+
+    /// Returns the answer as far as it was held back, for a claim to keep.
+    pub(crate) fn held_answer(&self) -> Option<KeptAnswer> {
+        let head = self.head.as_ref()?;
+        Some(KeptAnswer {
+            status: head.status,
+            body: self.rest.clone(),
+        })
+    }
+
+    /// Gives the caller the answer of an earlier run.
+    pub(crate) fn repeat(&mut self, answer: KeptAnswer) {
+        let kind = HeaderPair {
+            name: SmolStr::new_static("content-type"),
+            value: SmolStr::new_static("application/json"),
+        };
+        let repeat = HeaderPair {
+            name: SmolStr::new_static(REPEAT_HEADER),
+            value: SmolStr::new_static("true"),
+        };
+        self.send_start(ReplyStart::Kept(answer, vec![kind, repeat]));
+    }
+
+    /// Answers with a refusal, or breaks off an answer that has begun.
+    pub(crate) async fn refuse(&mut self, refusal: CallRefusal) {
+        if self.start.is_some() {
+            self.send_start(ReplyStart::Refused(refusal));
+            return;
+        }
+        if self.head.as_ref().is_some_and(is_event_stream) {
+            let event = format!("data: {}\n\n", error_body(refusal.code));
+            let _ = self.pass(Ok(event.into())).await;
+        }
+        let _ = self.pass(Err(BodyBroken)).await;
+        self.events = None;
+    }
+
+    fn send_start(&mut self, reply: ReplyStart) {
+        if let Some(start) = self.start.take() {
+            let _ = start.send(reply);
+        }
+    }
+}
+
+fn crossed(refusal: CallRefusal) -> eyre::Report {
+    log::error!(code = refusal.code.number(); "an answer came for another request");
+    eyre!("{refusal}")
+}
+
+fn is_event_stream(head: &HeadMessage) -> bool {
+    let mut headers = head.headers.iter();
+    headers.any(|pair| pair.name == "content-type" && pair.value.starts_with(EVENT_STREAM))
+}
+
+fn error_body(code: ResultCode) -> serde_json::Value {
+    json!({"error": {
+        "code": code.number(),
+        "message": code.meaning(),
+        "run_state": code.run_state().as_str(),
+        "type": code.name(),
+    }})
+}
+
+/// Holds the request in flight until its body has left.
+struct GuardedBody {
+    body: BoxBody,
+    _guard: FlightGuard,
+}
+
+impl MessageBody for GuardedBody {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Bytes, Self::Error>>> {
+        std::pin::Pin::new(&mut self.body).poll_next(context)
+    }
+}
+
+/// What every answer tells besides its content.
+pub(crate) struct ReplyNote {
+    pub(crate) request: SmolStr,
+    pub(crate) closing: bool,
+}
+
+/// Makes the HTTP response of an answer.
+pub(crate) fn respond(start: ReplyStart, note: ReplyNote, guard: FlightGuard) -> Response<BoxBody> {
+    let response = match start {
+        ReplyStart::Whole { head, body } => {
+            with_head(head.status, &head.headers, BoxBody::new(body))
+        }
+        ReplyStart::Kept(answer, headers) => {
+            with_head(answer.status, &headers, BoxBody::new(answer.body))
+        }
+        ReplyStart::Events { head, mut body } => {
+            let stream = poll_fn(move |context| body.poll_recv(context));
+            with_head(
+                head.status,
+                &head.headers,
+                BoxBody::new(BodyStream::new(stream)),
+            )
+        }
+        ReplyStart::Refused(refusal) => refusal_response(refusal),
+    };
+    let mut response = response.map_body(|_, body| {
+        BoxBody::new(GuardedBody {
+            body,
+            _guard: guard,
+        })
+    });
+    put_header(&mut response, REQUEST_HEADER, &note.request);
+    if note.closing {
+        response
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+fn with_head(status: u16, headers: &[HeaderPair], body: BoxBody) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::new(status).set_body(body);
+    for HeaderPair { name, value } in headers {
+        put_header(&mut response, name, value);
+    }
+    response
+}
+
+/// Makes the HTTP response of a refusal.
+pub(crate) fn refusal_response(refusal: CallRefusal) -> Response<BoxBody> {
+    let code = refusal.code;
+    let status = StatusCode::from_u16(code.status());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = BoxBody::new(error_body(code).to_string());
+    let mut response = Response::new(status).set_body(body);
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    put_header(&mut response, CODE_HEADER, &code.number().to_string());
+    put_header(&mut response, RUN_STATE_HEADER, code.run_state().as_str());
+    if let Some(span) = refusal.retry_after {
+        let seconds = HeaderValue::from(span.as_secs_ceil().max(1));
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+fn put_header(response: &mut Response<BoxBody>, name: &str, value: &str) {
+    let name = HeaderName::from_bytes(name.as_bytes());
+    let value = HeaderValue::from_str(value);
+    if let (Ok(name), Ok(value)) = (name, value) {
+        response.headers_mut().insert(name, value);
+    }
+}
