--- a/crates/daemon/src/cmd/args.rs
+++ b/crates/daemon/src/cmd/args.rs
@@ -63,7 +63,7 @@
     /// time for requests to end when stopping (APPLEFOLD_DRAIN_TIMEOUT, 120s)
     #[argh(option)]
     pub(crate) drain_timeout: Option<String>,
-    /// longest time to serve on an unconfirmed configuration (APPLEFOLD_CONFIRM_BOUND, 6s)
+    /// longest time to serve on an unconfirmed configuration (APPLEFOLD_CONFIRM_BOUND, 5s)
     #[argh(option)]
     pub(crate) confirm_bound: Option<String>,
     /// length of a usage window, the same for all processes (APPLEFOLD_USAGE_WINDOW, 60s)
@@ -120,9 +120,6 @@
     /// time for requests to end when stopping (APPLEFOLD_DRAIN_TIMEOUT, 120s)
     #[argh(option)]
     pub(crate) drain_timeout: Option<String>,
-    /// longest time to serve on an unconfirmed configuration (APPLEFOLD_CONFIRM_BOUND, 6s)
-    #[argh(option)]
-    pub(crate) confirm_bound: Option<String>,
     /// length of a usage window, the same for all processes (APPLEFOLD_USAGE_WINDOW, 60s)
     #[argh(option)]
     pub(crate) usage_window: Option<String>,
--- a/crates/daemon/src/cmd/entry.rs
+++ b/crates/daemon/src/cmd/entry.rs
@@ -125,7 +125,7 @@
             variable: "APPLEFOLD_CONFIRM_BOUND",
             given: args.confirm_bound.as_deref(),
         },
-        TimeSpan::from_secs(6),
+        TimeSpan::from_secs(5),
     );
     let usage_window = reader.optional(
         SettingSource {
--- a/crates/daemon/src/cmd/sidecar.rs
+++ b/crates/daemon/src/cmd/sidecar.rs
@@ -15,7 +15,6 @@
 
 const DEFAULT_SLOTS: usize = 32;
 const MAX_SLOTS: usize = 4_096;
-const MIN_CONFIRM_BOUND: TimeSpan = TimeSpan::from_secs(2);
 const MISSING: &str = "a required setting is missing";
 
 /// Checks the settings and runs a sidecar.
@@ -109,14 +108,6 @@
         },
         TimeSpan::from_secs(120),
     );
-    let confirm_bound = reader.optional(
-        SettingSource {
-            flag: "--confirm-bound",
-            variable: "APPLEFOLD_CONFIRM_BOUND",
-            given: args.confirm_bound.as_deref(),
-        },
-        TimeSpan::from_secs(6),
-    );
     let usage_window = reader.optional(
         SettingSource {
             flag: "--usage-window",
@@ -151,16 +142,6 @@
         share,
         "a number from 0 to 1",
     );
-    let bound = SettingSource {
-        flag: "--confirm-bound",
-        variable: "APPLEFOLD_CONFIRM_BOUND",
-        given: args.confirm_bound.as_deref(),
-    };
-    reader.check(
-        confirm_bound >= MIN_CONFIRM_BOUND,
-        bound,
-        "at least 2s, so that a lost heartbeat does not stop service",
-    );
     reader.check(
         (1..=MAX_SLOTS).contains(&slots),
         SettingSource {
@@ -196,7 +177,6 @@
         slots,
         progress_timeout,
         drain_timeout,
-        confirm_bound,
         usage_window,
         trace_share,
     };
--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -121,7 +121,6 @@
     request_id: &str,
 ) -> Result<Admitted, CallRefusal> {
     let arrived = state.now();
-    check_confirmed(state)?;
     let bearer = bearer_of(request.headers());
     if request.path() == MODELS_PATH {
         return models(state, bearer.as_deref()).map(Admitted::Direct);
@@ -138,6 +137,9 @@
             return Err(CallRefusal::lasting(ResultCode::RequestTooLarge));
         }
         let caller = find_caller(config, service, bearer.as_deref())?;
+        if caller.is_some() {
+            state.config.serves_keyed(arrived)?;
+        }
         let caller_team = caller.as_ref().map(|caller| &caller.team);
         let internal = CallRefusal::lasting(ResultCode::RequestMalformed);
         let id: RequestId = request_id.parse().map_err(|_| internal)?;
@@ -174,18 +176,6 @@
     })))
 }
 
-/// Refuses every call while the configuration may have changed unseen.
-fn check_confirmed(state: &EntryState) -> Result<(), CallRefusal> {
-    let note = state.config.note(state.now());
-    if note.age <= state.settings.confirm_bound || note.reach_holds {
-        return Ok(());
-    }
-    Err(CallRefusal::passing(
-        ResultCode::ConfigUnconfirmed,
-        RETRY_SOON,
-    ))
-}
-
 fn find_service<'a>(
     config: &'a ServingConfig,
     path: &str,
@@ -226,6 +216,7 @@
 }
 
 fn models(state: &EntryState, bearer: Option<&str>) -> Result<Response<BoxBody>, CallRefusal> {
+    state.config.serves_keyed(state.now())?;
     let models = state.config.with(|config| {
         let caller = known_caller(config, bearer)?;
         let models = config.models_for(&caller.team).into_iter().cloned();
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -142,7 +142,6 @@
             ResultCode::AnswerCrossed
         );
     }
-    state.config.merge(&end.confirmation, state.now());
     links::note_load(state, &choice.instance, &end.load);
     Ok(end)
 }
--- /dev/null
+++ b/crates/daemon/src/entry/config.rs
@@ -0,0 +1,197 @@
+//! The configuration of this entry, and how it is kept current.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::code::CallRefusal;
+use applefold_core::config::ServingConfig;
+use applefold_core::id::{InstanceId, Revision};
+use applefold_core::reach::{ListedInstance, ReachShare};
+use applefold_core::spread::{ConfigKeeper, Confirmation, SpreadAction};
+use applefold_core::ticket::{ConfigPush, LogCompaction};
+use applefold_core::unit::TimePoint;
+use applefold_wire::applefold_capnp::session;
+use eyre::{Result, WrapErr};
+use tokio::sync::futures::Notified;
+use tokio::sync::Notify;
+
+use super::state::EntryState;
+
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+const COMPACT_PERIOD: Duration = Duration::from_secs(10);
+
+/// The keeper, and those who wait for a change.
+pub(crate) struct ConfigDesk {
+    keeper: RefCell<ConfigKeeper>,
+    changed: Notify,
+}
+
+impl ConfigDesk {
+    pub(crate) fn new(keeper: ConfigKeeper) -> Self {
+        Self {
+            keeper: RefCell::new(keeper),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Looks something up in the configuration.
+    pub(crate) fn with<T, F>(&self, look: F) -> T
+    where
+        F: FnOnce(&ServingConfig) -> T,
+    {
+        look(self.keeper.borrow().config())
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.with(|config| config.revision)
+    }
+
+    /// Returns what to tell peers.
+    pub(crate) fn confirmation(&self, now: TimePoint) -> Confirmation {
+        self.keeper.borrow().confirmation(now)
+    }
+
+    /// Decides whether to serve a request that carries a key.
+    pub(crate) fn serves_keyed(&self, now: TimePoint) -> Result<(), CallRefusal> {
+        self.keeper.borrow().serves_keyed(now)
+    }
+
+    /// Returns the share of the entries that is heard.
+    pub(crate) fn reach(&self, now: TimePoint) -> ReachShare {
+        self.keeper.borrow().reach(now)
+    }
+
+    /// Starts to count the other entries, ahead of a ticket.
+    pub(crate) fn begin_filing(&self, now: TimePoint) {
+        self.keeper.borrow_mut().begin_filing(now);
+    }
+
+    /// Decides whether a ticket may be filed from here.
+    pub(crate) fn may_file(&self, now: TimePoint) -> Result<(), CallRefusal> {
+        self.keeper.borrow().may_file(now)
+    }
+
+    /// Decides whether a ticket in the log may be acknowledged.
+    pub(crate) fn may_acknowledge(&self, revision: Revision) -> bool {
+        self.keeper.borrow().may_acknowledge(revision)
+    }
+
+    /// Takes over the list of entries.
+    pub(crate) fn update_fleet(&self, entries: &[ListedInstance]) {
+        self.keeper.borrow_mut().update_fleet(entries);
+    }
+
+    /// Takes a peer's reply to a heartbeat that was sent at `asked_at`.
+    pub(crate) fn hear_reply(&self, peer: &InstanceId, said: Confirmation, asked_at: TimePoint) {
+        self.keeper.borrow_mut().hear_reply(peer, said, asked_at);
+    }
+
+    /// Takes what a peer says unasked.
+    pub(crate) fn overhear(&self, peer: &InstanceId, said: &Confirmation) {
+        self.keeper.borrow_mut().overhear(peer, said);
+    }
+
+    /// Returns what a peer at `known` lacks.
+    pub(crate) fn push_since(&self, known: Revision) -> ConfigPush {
+        self.keeper.borrow().push_since(known)
+    }
+
+    /// Returns a wait for the next change.
+    pub(crate) fn wait_change(&self) -> Notified<'_> {
+        self.changed.notified()
+    }
+}
+
+/// Does something to the keeper and lets the rest of the entry follow a change.
+fn update<T, F>(state: &EntryState, change: F) -> T
+where
+    F: FnOnce(&mut ConfigKeeper) -> T,
+{
+    let before = state.config.revision();
+    let result = change(&mut state.config.keeper.borrow_mut());
+    if state.config.revision() > before {
+        state.follow_config();
+        state.config.changed.notify_waiters();
+    }
+    result
+}
+
+/// Takes what a peer or a filing knows.
+pub(crate) fn take_push(state: &EntryState, push: ConfigPush) {
+    update(state, |keeper| keeper.take_push(push));
+}
+
+/// Keeps the configuration current.
+pub(crate) async fn follow(state: Rc<EntryState>) {
+    loop {
+        let now = state.now();
+        let actions = update(&state, |keeper| keeper.tick(now));
+        for action in actions {
+            perform(&state, action);
+        }
+        actix_rt::time::sleep(TICK_PERIOD).await;
+    }
+}
+
+fn perform(state: &Rc<EntryState>, action: SpreadAction) {
+    match action {
+        SpreadAction::Ask { peer } => state.links.borrow().wake(&peer),
+        SpreadAction::Fetch { peer, known } => {
+            let link = state.links.borrow().peer(&peer);
+            if let Some(link) = link {
+                actix_rt::spawn(fetch_noted(state.clone(), link.session, known));
+            }
+        }
+        SpreadAction::Call { number, call } => {
+            let state = state.clone();
+            actix_rt::spawn(async move {
+                let asked_at = state.now();
+                let answer = state.platform.config(call).await;
+                let now = state.now();
+                update(&state, |keeper| {
+                    keeper.take_answer(number, answer, asked_at, now)
+                });
+            });
+        }
+    }
+}
+
+/// Fetches what a peer knows beyond `known`.
+pub(crate) async fn fetch_noted(state: Rc<EntryState>, session: session::Client, known: Revision) {
+    if let Err(error) = fetch(&state, &session, known).await {
+        log::debug!("could not fetch the configuration from a peer: {error:#}");
+    }
+}
+
+async fn fetch(state: &EntryState, session: &session::Client, known: Revision) -> Result<()> {
+    let mut request = session.fetch_request();
+    request.get().set_known(known.0);
+    let reply = actix_rt::time::timeout(FETCH_TIMEOUT, request.send().promise).await;
+    let reply = reply.wrap_err("the peer did not answer in time")??;
+    let text = reply.get()?.get_update()?.get_body()?.to_str()?;
+    take_push(state, ConfigPush::from_json(text)?);
+    Ok(())
+}
+
+/// Shortens the log in the store from time to time; only those who watch it do.
+pub(crate) async fn compact(state: Rc<EntryState>) {
+    loop {
+        actix_rt::time::sleep(COMPACT_PERIOD).await;
+        let Some(mut run) = due_compaction(&state) else {
+            continue;
+        };
+        while let Some(call) = run.next_call() {
+            run.absorb(state.platform.config(call).await);
+        }
+    }
+}
+
+fn due_compaction(state: &EntryState) -> Option<LogCompaction> {
+    let keeper = state.config.keeper.borrow();
+    if !keeper.is_watcher(state.now()) {
+        return None;
+    }
+    LogCompaction::due(keeper.config(), keeper.reader().snapshot_revision())
+}
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -229,7 +229,7 @@
         let dispatch = self.plan.dispatch(AttemptInput {
             attempt: number,
             now,
-            confirmation: self.state.config.note(now),
+            confirmation: self.state.config.confirmation(now),
             traceparent: span.traceparent(),
             resume_tokens: self.writer.progress().resume_tokens,
         });
--- /dev/null
+++ b/crates/daemon/src/entry/filing.rs
@@ -0,0 +1,110 @@
+//! Files tickets that operators send.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::id::Revision;
+use applefold_core::ticket::{
+    ChangeTicket, ConfigPush, FilingOutcome, FilingStep, TicketFiling, TicketRefusal,
+};
+use applefold_core::unit::TimeSpan;
+
+use super::config;
+use super::state::EntryState;
+
+/// How long the other entries are waited for before a ticket is refused.
+const REACH_WAIT: TimeSpan = TimeSpan::from_secs(3);
+/// How long the store is tried.
+const FILING_LIMIT: TimeSpan = TimeSpan::from_secs(4);
+/// How long an accepted ticket is waited for to be in force widely enough.
+const SPREAD_WAIT: TimeSpan = TimeSpan::from_secs(4);
+const POLL_PERIOD: Duration = Duration::from_millis(50);
+const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+
+/// A ticket that was accepted.
+pub(crate) struct FiledTicket {
+    pub(crate) revision: Revision,
+    pub(crate) repeat: bool,
+}
+
+/// Why a ticket was not acknowledged.
+pub(crate) enum FilingFault {
+    /// The ticket itself is wrong.
+    Ticket(TicketRefusal),
+    /// The system cannot accept or settle it now.
+    Call(CallRefusal),
+}
+
+/// Files a ticket and waits until it may be acknowledged.
+pub(crate) async fn file(
+    state: &Rc<EntryState>,
+    ticket: ChangeTicket,
+) -> Result<FiledTicket, FilingFault> {
+    state.config.begin_filing(state.now());
+    wait_reach(state).await.map_err(FilingFault::Call)?;
+    let filed = settle(state, ticket).await?;
+    wait_spread(state, filed.revision).await?;
+    Ok(filed)
+}
+
+async fn wait_reach(state: &EntryState) -> Result<(), CallRefusal> {
+    let until = state.now() + REACH_WAIT;
+    loop {
+        let now = state.now();
+        match state.config.may_file(now) {
+            Ok(()) => return Ok(()),
+            Err(refusal) if now >= until => return Err(refusal),
+            Err(_) => actix_rt::time::sleep(POLL_PERIOD).await,
+        }
+    }
+}
+
+async fn settle(state: &Rc<EntryState>, ticket: ChangeTicket) -> Result<FiledTicket, FilingFault> {
+    let known = state.config.with(Clone::clone);
+    let deadline = state.now() + FILING_LIMIT;
+    let mut filing = TicketFiling::new(ticket, known, deadline);
+    loop {
+        match filing.step(state.now()) {
+            FilingStep::Call(call) => {
+                let asked_at = state.now();
+                let answer = state.platform.config(call).await;
+                filing.absorb(answer, asked_at, state.now());
+            }
+            FilingStep::Wait(span) => {
+                actix_rt::time::sleep(Duration::from_micros(span.0)).await;
+            }
+            FilingStep::Done(outcome) => {
+                let read = Box::new(filing.config().clone());
+                config::take_push(state, ConfigPush::Whole(read));
+                return conclude(outcome);
+            }
+        }
+    }
+}
+
+fn conclude(outcome: FilingOutcome) -> Result<FiledTicket, FilingFault> {
+    match outcome {
+        FilingOutcome::Accepted { revision, repeat } => Ok(FiledTicket { revision, repeat }),
+        FilingOutcome::Refused(refusal) => Err(FilingFault::Ticket(refusal)),
+        FilingOutcome::Unsettled => Err(unsettled()),
+    }
+}
+
+fn unsettled() -> FilingFault {
+    let code = ResultCode::TicketUnsettled;
+    FilingFault::Call(CallRefusal::passing(code, RETRY_SOON))
+}
+
+/// Before it is acknowledged, a ticket runs at so many entries that no other part
+/// of them can serve on without it.
+async fn wait_spread(state: &EntryState, revision: Revision) -> Result<(), FilingFault> {
+    let until = state.now() + SPREAD_WAIT;
+    while !state.config.may_acknowledge(revision) {
+        if state.now() >= until {
+            return Err(unsettled());
+        }
+        actix_rt::time::sleep(POLL_PERIOD).await;
+    }
+    Ok(())
+}
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -7,12 +7,15 @@
 
 use applefold_core::config::ObjectState;
 use applefold_core::id::{BackendId, DomainId, InstanceId, PoolId, Revision};
+use applefold_core::reach::ListedInstance;
 use applefold_core::routing::RoutePlace;
 use applefold_core::unit::TimePoint;
 use applefold_wire::applefold_capnp::session;
 use applefold_wire::beat::{BeatMessage, LoadNote};
 use eyre::{Result, WrapErr};
+use tokio::sync::Notify;
 
+use super::config;
 use super::decide::ListedBackend;
 use super::state::EntryState;
 use super::usage;
@@ -35,6 +38,7 @@
     pub(crate) load: LoadNote,
     pub(crate) revision: Revision,
     pub(crate) last_beat: TimePoint,
+    wake: Rc<Notify>,
     task: actix_rt::task::JoinHandle<()>,
 }
 
@@ -71,6 +75,17 @@
         row.link.clone()
     }
 
+    fn wake_of(&self, instance: &InstanceId) -> Option<Rc<Notify>> {
+        self.rows.get(instance).map(|row| row.wake.clone())
+    }
+
+    /// Sends the next heartbeat to another entry now.
+    pub(crate) fn wake(&self, instance: &InstanceId) {
+        if let Some(row) = self.rows.get(instance) {
+            row.wake.notify_one();
+        }
+    }
+
     /// Returns every other entry's connection, `None` for one that is not reached.
     pub(crate) fn peers(&self) -> Vec<Option<PeerLink>> {
         let peers = self.rows.values().filter(|row| row.pool.is_none());
@@ -116,6 +131,8 @@
         .borrow_mut()
         .admission
         .set_listed(entries.len() as u32);
+    let listed_entries = listed_entries(&listed);
+    state.config.update_fleet(&listed_entries);
     state.entries.replace(entries);
     for instance in listed {
         match instance.kind {
@@ -134,6 +151,16 @@
     live.map(|row| row.id.clone()).collect()
 }
 
+fn listed_entries(listed: &[InstanceRow]) -> Vec<ListedInstance> {
+    let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
+    let live = entries.filter(|row| row.state == InstanceState::Live);
+    let rows = live.map(|row| ListedInstance {
+        id: row.id.clone(),
+        domain: row.domain.clone(),
+    });
+    rows.collect()
+}
+
 fn follow_backend(state: &Rc<EntryState>, instance: &InstanceRow) {
     let Some(pool) = usable_pool(state, instance) else {
         return;
@@ -218,6 +245,7 @@
         load: LoadNote::default(),
         revision: Revision::default(),
         last_beat: TimePoint::START,
+        wake: Rc::default(),
         task,
     };
     table.rows.insert(instance.id.clone(), row);
@@ -261,10 +289,14 @@
 /// Exchanges heartbeats with another entry.
 async fn beat_entry(state: &Rc<EntryState>, instance: &InstanceId, link: &PeerLink) -> Result<()> {
     loop {
+        let asked_at = state.now();
         let beat = in_time(exchange(state, &link.session)).await?;
         state.hear(&beat);
+        state
+            .config
+            .hear_reply(instance, beat.confirmation, asked_at);
         note_beat(state, instance, link, &beat);
-        wait_period(state).await;
+        wait_asked(state, instance).await;
     }
 }
 
@@ -280,7 +312,8 @@
         note_beat(state, instance, link, &beat);
         note_load(state, instance, &beat.load);
         if beat.confirmation.revision < state.config.revision() {
-            in_time(push(state, &link.session)).await?;
+            let known = beat.confirmation.revision;
+            in_time(push(state, &link.session, known)).await?;
             continue;
         }
         taken = in_time(usage::pull(state, &link.session, taken)).await?;
@@ -300,6 +333,20 @@
     }
 }
 
+/// Waits until the keeper of the configuration asks, or for the usual period.
+async fn wait_asked(state: &EntryState, instance: &InstanceId) {
+    let wake = state.links.borrow().wake_of(instance);
+    let Some(wake) = wake else {
+        return;
+    };
+    let changed = state.config.wait_change();
+    tokio::select! {
+        () = wake.notified() => {}
+        () = changed => {}
+        () = wait_period(state) => {}
+    }
+}
+
 /// Waits for the period of heartbeats, or until there is urgent news.
 async fn wait_period(state: &EntryState) {
     let _ = actix_rt::time::timeout(BEAT_PERIOD, state.urgent.notified()).await;
@@ -316,7 +363,11 @@
 
 fn note_beat(state: &Rc<EntryState>, instance: &InstanceId, link: &PeerLink, beat: &BeatMessage) {
     let now = state.now();
-    state.config.merge(&beat.confirmation, now);
+    if beat.confirmation.revision > state.config.revision() {
+        let known = state.config.revision();
+        let session = link.session.clone();
+        actix_rt::spawn(config::fetch_noted(state.clone(), session, known));
+    }
     state.learn(&beat.suspects);
     let mut table = state.links.borrow_mut();
     let Some(row) = table.rows.get_mut(instance) else {
@@ -334,12 +385,13 @@
     Ok(BeatMessage::read(reply.get()?.get_beat()?)?)
 }
 
-/// Sends the whole configuration to a peer that is behind.
-async fn push(state: &Rc<EntryState>, session: &session::Client) -> Result<()> {
+/// Sends a peer that is behind what it lacks.
+async fn push(state: &Rc<EntryState>, session: &session::Client, known: Revision) -> Result<()> {
     let mut request = session.configure_request();
+    let push = state.config.push_since(known);
     let mut update = request.get().init_update();
     update.set_revision(state.config.revision().0);
-    update.set_body(&*state.config.with(|config| config.to_json()));
+    update.set_body(&*push.to_json());
     request.send().promise.await?;
     Ok(())
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -5,9 +5,11 @@
 mod authority;
 mod chat;
 mod claims;
+mod config;
 mod control;
 mod decide;
 mod driver;
+mod filing;
 mod links;
 mod operator;
 mod peers;
@@ -97,7 +99,8 @@
     actix_rt::spawn(authority::follow(state.clone()));
     actix_rt::spawn(claims::follow(state.clone()));
     actix_rt::spawn(usage::follow(state.clone()));
-    actix_rt::spawn(control::follow_config(state.clone()));
+    actix_rt::spawn(config::follow(state.clone()));
+    actix_rt::spawn(config::compact(state.clone()));
     actix_rt::spawn(control::follow_instances(state.clone()));
     let server = api::serve(state.clone()).await?;
     log::info!(instance = state.settings.instance.as_str(),
--- a/crates/daemon/src/entry/operator.rs
+++ b/crates/daemon/src/entry/operator.rs
@@ -5,18 +5,17 @@
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderValue, CONTENT_TYPE};
 use actix_http::{HttpMessage, Method, Request, Response};
-use applefold_core::claim::store::{CallNumber, StoreCall, StoreKey, StoreReply, StoreVersion};
 use applefold_core::code::{CallRefusal, ResultCode};
-use applefold_core::ticket::{ChangeTicket, TicketRefusal};
-use applefold_core::unit::TimeSpan;
+use applefold_core::id::TicketNumber;
+use applefold_core::ticket::{log_key, ChangeTicket, StoreAnswer, StoreCall, TicketRefusal};
 use serde_json::{json, Value};
 
 use super::api::{bearer_of, read_body};
-use super::control::log_key;
+use super::filing::{self, FilingFault};
 use super::reply::refusal_response;
 use super::state::EntryState;
 
-const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+const TICKET_PREFIX: &str = "/operator/tickets/";
 
 /// Answers an operator's call.
 pub(crate) async fn handle(state: &Rc<EntryState>, mut request: Request) -> Response<BoxBody> {
@@ -32,7 +31,11 @@
     let method = request.method().clone();
     match (&method, request.path()) {
         (&Method::POST, "/operator/tickets") => file(state, &body).await,
+        (&Method::POST, "/operator/tickets/check") => check(state, &body),
         (&Method::GET, "/operator/status") => json_response(status(state)),
+        (&Method::GET, path) if path.starts_with(TICKET_PREFIX) => {
+            show(state, &path[TICKET_PREFIX.len()..]).await
+        }
         _ => refusal_response(CallRefusal::lasting(ResultCode::RouteUnknown)),
     }
 }
@@ -56,42 +59,63 @@
     base.map_body(|_, _| BoxBody::new(body.to_string()))
 }
 
+fn check(state: &EntryState, body: &str) -> Response<BoxBody> {
+    let checked = ChangeTicket::parse(body).and_then(|ticket| {
+        state.config.with(|config| ticket.check(config))?;
+        Ok(ticket)
+    });
+    match checked {
+        Err(refusal) => ticket_response(&refusal),
+        Ok(ticket) => {
+            let touches = ticket.touches();
+            let touches: Vec<String> = touches.iter().map(ToString::to_string).collect();
+            json_response(json!({"ticket": ticket.number, "touches": touches}))
+        }
+    }
+}
+
 async fn file(state: &Rc<EntryState>, body: &str) -> Response<BoxBody> {
     let ticket = match ChangeTicket::parse(body) {
         Ok(ticket) => ticket,
         Err(refusal) => return ticket_response(&refusal),
     };
-    let mut config = state.config.with(Clone::clone);
-    let applied = match config.apply(&ticket) {
-        Ok(applied) => applied,
-        Err(refusal) => return ticket_response(&refusal),
-    };
-    if !applied.repeat {
-        let put = StoreCall::Put {
-            call: CallNumber(0),
-            key: StoreKey::new(log_key(applied.revision)),
-            value: ticket.to_json(),
-            expect: StoreVersion::ABSENT,
-        };
-        if !matches!(
-            state.platform.store(put).await.reply,
-            StoreReply::Written(_)
-        ) {
-            let code = ResultCode::TicketUnsettled;
-            return refusal_response(CallRefusal::passing(code, RETRY_SOON));
-        }
-        state.apply(config);
+    let number = ticket.number;
+    match filing::file(state, ticket).await {
+        Ok(filed) => json_response(json!({
+            "ticket": number,
+            "revision": filed.revision,
+            "repeat": filed.repeat,
+        })),
+        Err(FilingFault::Ticket(refusal)) => ticket_response(&refusal),
+        Err(FilingFault::Call(refusal)) => refusal_response(refusal),
     }
-    json_response(json!({
-        "ticket": ticket.number,
-        "revision": applied.revision,
-        "repeat": applied.repeat,
-    }))
+}
+
+/// Returns a ticket as it stands in the log.
+async fn show(state: &EntryState, number: &str) -> Response<BoxBody> {
+    let unknown = refusal_response(CallRefusal::lasting(ResultCode::RouteUnknown));
+    let Ok(number) = number.parse::<TicketNumber>() else {
+        return unknown;
+    };
+    let record = state
+        .config
+        .with(|config| config.ticket_record(number).copied());
+    let Some(record) = record else {
+        return unknown;
+    };
+    let key = log_key(record.revision);
+    let body = match state.platform.config(StoreCall::Read { key }).await {
+        StoreAnswer::Found(entry) => serde_json::from_str(&entry.value).unwrap_or(Value::Null),
+        _ => Value::Null,
+    };
+    json_response(json!({"ticket": number, "revision": record.revision, "body": body}))
 }
 
 fn status(state: &Rc<EntryState>) -> Value {
     let now = state.now();
-    let note = state.config.note(now);
+    let note = state.config.confirmation(now);
+    let reach = state.config.reach(now);
+    let serves = state.config.serves_keyed(now).is_ok();
     let table = state.links.borrow();
     let instances = table.rows.iter().map(|(id, row)| {
         json!({
@@ -116,7 +140,8 @@
         "instance": state.settings.instance,
         "revision": note.revision,
         "confirmed_ms_ago": note.age.as_millis(),
-        "reach": {"reached": 0, "listed": table.rows.len(), "holds": note.reach_holds},
+        "reach": {"reached": reach.reached, "listed": reach.listed, "holds": reach.may_serve()},
+        "serves_keyed": serves,
         "instances": instances.collect::<Vec<_>>(),
         "leases": leases.collect::<Vec<_>>(),
         "alarms": [],
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use applefold_core::id::WindowId;
+use applefold_core::id::{Revision, WindowId};
 use applefold_wire::applefold_capnp::session;
 use applefold_wire::beat::BeatMessage;
 use applefold_wire::{claim, usage};
@@ -68,4 +68,17 @@
         }
         Ok(())
     }
+
+    async fn fetch(
+        self: Rc<Self>,
+        params: session::FetchParams,
+        mut results: session::FetchResults,
+    ) -> Result<(), capnp::Error> {
+        let known = Revision(params.get()?.get_known());
+        let push = self.state.config.push_since(known);
+        let mut update = results.get().init_update();
+        update.set_revision(push.revision().unwrap_or(known).0);
+        update.set_body(&*push.to_json());
+        Ok(())
+    }
 }
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -4,8 +4,8 @@
 use applefold_core::config::{KeyConfig, ServiceConfig, ServicePriority};
 use applefold_core::id::{AttemptNumber, KeyId, ModelId, PoolId, RequestId, ServiceId, TeamId};
 use applefold_core::routing::PieceChain;
+use applefold_core::spread::Confirmation;
 use applefold_core::unit::{TimePoint, TokenCount};
-use applefold_wire::beat::ConfirmationNote;
 use applefold_wire::dispatch::{AttemptId, DispatchMessage, HeaderPair};
 use smol_str::SmolStr;
 
@@ -66,7 +66,7 @@
 pub(crate) struct AttemptInput {
     pub(crate) attempt: AttemptNumber,
     pub(crate) now: TimePoint,
-    pub(crate) confirmation: ConfirmationNote,
+    pub(crate) confirmation: Confirmation,
     pub(crate) traceparent: SmolStr,
     pub(crate) resume_tokens: TokenCount,
 }
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -5,25 +5,26 @@
 use std::rc::Rc;
 
 use applefold_core::admission::TeamUse;
-use applefold_core::config::ServingConfig;
 use applefold_core::id::{InstanceId, TeamId};
 use applefold_core::lease::HolderName;
 use applefold_core::quarantine::SuspectNews;
 use applefold_core::routing::RoutePlace;
+use applefold_core::spread::{ConfigKeeper, SpreadSettings};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_wire::beat::{BeatMessage, LoadNote, TeamNote};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
 use super::authority::LeaseTable;
 use super::claims::ClaimDesk;
+use super::config::ConfigDesk;
 use super::decide::ServingDecisions;
 use super::links::{LinkTable, BEAT_PERIOD};
 use super::usage::UsageDesk;
 use super::EntrySettings;
 use crate::clock::MonotonicClock;
-use crate::confirm::ConfigCell;
 use crate::drain::DrainGate;
 use crate::link::gate::GateOptions;
 use crate::metrics::MetricSet;
@@ -38,7 +39,7 @@
 pub(crate) struct EntryState {
     pub(crate) settings: EntrySettings,
     pub(crate) clock: MonotonicClock,
-    pub(crate) config: ConfigCell,
+    pub(crate) config: ConfigDesk,
     pub(crate) gate: DrainGate,
     pub(crate) links: RefCell<LinkTable>,
     /// The name under which this run of the process holds leases.
@@ -71,6 +72,16 @@
         let mut rng = StdRng::from_entropy();
         let incarnation = rng.gen();
         let holder = HolderName::new(&settings.instance, incarnation);
+        let spread = SpreadSettings {
+            confirm_bound: settings.confirm_bound,
+            ..SpreadSettings::default()
+        };
+        let keeper = ConfigKeeper::new(
+            settings.instance.clone(),
+            settings.domain.clone(),
+            spread,
+            Pcg64Mcg::new(rng.gen()),
+        );
         let beat_period = TimeSpan(BEAT_PERIOD.as_micros() as u64);
         let place = RoutePlace {
             domain: settings.domain.clone(),
@@ -78,7 +89,7 @@
         };
         Self {
             clock: MonotonicClock::start(),
-            config: ConfigCell::default(),
+            config: ConfigDesk::new(keeper),
             gate: DrainGate::default(),
             links: RefCell::new(LinkTable::default()),
             entries: RefCell::default(),
@@ -110,18 +121,14 @@
         format!("r-{:016x}-{count:x}", self.incarnation)
     }
 
-    /// Puts a configuration in force, unless it is older than the one that is.
-    pub(crate) fn apply(&self, config: ServingConfig) -> bool {
-        if !self.config.apply(config) {
-            return false;
-        }
+    /// Lets the decisions follow a configuration that has just been put in force.
+    pub(crate) fn follow_config(&self) {
         let now = self.now();
         let mut decisions = self.decisions.borrow_mut();
         self.config.with(|config| decisions.configure(config, now));
         let revision = self.config.revision();
         self.metrics.revision.record(revision.0, &[]);
         log::info!(revision = revision.0; "configuration is in force");
-        true
     }
 
     pub(crate) fn gate_options(&self) -> GateOptions {
@@ -154,7 +161,7 @@
     /// Takes in what another entry tells.
     pub(crate) fn hear(&self, beat: &BeatMessage) {
         let now = self.now();
-        self.config.merge(&beat.confirmation, now);
+        self.config.overhear(&beat.instance, &beat.confirmation);
         let uses = beat.teams.iter().map(|note| TeamUse {
             team: note.team.clone(),
             tokens: note.tokens,
@@ -170,7 +177,7 @@
         BeatMessage {
             instance: self.settings.instance.clone(),
             domain: self.settings.domain.clone(),
-            confirmation: self.config.note(self.now()),
+            confirmation: self.config.confirmation(self.now()),
             load: LoadNote::default(),
             teams: self.published.borrow().clone(),
             suspects: self.decisions.borrow().suspects.news(self.now()),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,7 +8,6 @@
 
 mod clock;
 mod cmd;
-mod confirm;
 mod drain;
 mod entry;
 mod http;
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -8,6 +8,7 @@
 };
 use applefold_core::id::{FencingNumber, InstanceId, ScopeId};
 use applefold_core::lease::{HolderName, LeaseReply};
+use applefold_core::ticket::{StoreAnswer as ConfigAnswer, StoreCall as ConfigCall};
 use applefold_core::unit::TimeSpan;
 use awc::error::SendRequestError;
 use awc::http::{Method, StatusCode};
@@ -17,9 +18,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::message::{
-    InstanceRow, KeyValue, LeaseAsk, LeaseAskKind, OrderRecord, UsageRecord, WatchBatch,
-};
+use super::log;
+use super::message::{InstanceRow, KeyValue, LeaseAsk, LeaseAskKind, OrderRecord, UsageRecord};
 use super::{PlatformApi, PlatformFault, PlatformResult};
 use crate::http;
 use crate::metrics::MetricSet;
@@ -60,9 +60,9 @@
 }
 
 #[derive(Serialize)]
-struct PutBody<'a> {
-    value: &'a str,
-    expect: StoreVersion,
+pub(super) struct PutBody<'a> {
+    pub(super) value: &'a str,
+    pub(super) expect: StoreVersion,
 }
 
 #[derive(Deserialize)]
@@ -71,8 +71,8 @@
 }
 
 #[derive(Deserialize)]
-struct EntriesBody {
-    entries: Vec<KeyValue>,
+pub(super) struct EntriesBody {
+    pub(super) entries: Vec<KeyValue>,
 }
 
 #[derive(Deserialize)]
@@ -86,22 +86,22 @@
 }
 
 /// One call, before it is sent.
-struct CallPlan {
+pub(super) struct CallPlan {
     kind: &'static str,
     method: Method,
     path: String,
     body: String,
-    wait: Duration,
+    pub(super) wait: Duration,
 }
 
 /// An answer that came.
-struct CallAnswer {
-    status: StatusCode,
+pub(super) struct CallAnswer {
+    pub(super) status: StatusCode,
     body: Vec<u8>,
 }
 
 impl CallAnswer {
-    fn parse<T>(&self) -> PlatformResult<T>
+    pub(super) fn parse<T>(&self) -> PlatformResult<T>
     where
         T: DeserializeOwned,
     {
@@ -109,7 +109,7 @@
     }
 
     /// Returns the body of a call that ended well.
-    fn parse_ok<T>(&self) -> PlatformResult<T>
+    pub(super) fn parse_ok<T>(&self) -> PlatformResult<T>
     where
         T: DeserializeOwned,
     {
@@ -124,7 +124,7 @@
 }
 
 impl CallPlan {
-    fn new(kind: &'static str, method: Method, path: String) -> Self {
+    pub(super) fn new(kind: &'static str, method: Method, path: String) -> Self {
         Self {
             kind,
             method,
@@ -134,7 +134,7 @@
         }
     }
 
-    fn with_body<B>(mut self, body: &B) -> Self
+    pub(super) fn with_body<B>(mut self, body: &B) -> Self
     where
         B: Serialize,
     {
@@ -312,18 +312,10 @@
         .boxed_local()
     }
 
-    fn watch(
-        &self,
-        prefix: String,
-        since: StoreVersion,
-        wait: TimeSpan,
-    ) -> LocalBoxFuture<'_, PlatformResult<WatchBatch>> {
+    fn config(&self, call: ConfigCall) -> LocalBoxFuture<'_, ConfigAnswer> {
         async move {
-            let millis = wait.as_millis();
-            let path = format!("/watch?prefix={prefix}&since={since}&wait_ms={millis}");
-            let mut plan = CallPlan::new("watch", Method::GET, path);
-            plan.wait = Duration::from_millis(millis);
-            self.call(plan).await?.parse_ok()
+            let answer = self.call(log::plan(&call)).await;
+            log::answer(&call, answer)
         }
         .boxed_local()
     }
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -3,15 +3,16 @@
 //! Another wire format is one new adapter; [`http`] is the one in use.
 
 pub(crate) mod http;
+mod log;
 pub(crate) mod message;
 
-use applefold_core::claim::store::{StoreAnswer, StoreCall, StoreVersion};
+use applefold_core::claim::store::{StoreAnswer, StoreCall};
 use applefold_core::id::ScopeId;
 use applefold_core::lease::LeaseReply;
-use applefold_core::unit::TimeSpan;
+use applefold_core::ticket::{StoreAnswer as ConfigAnswer, StoreCall as ConfigCall};
 use futures_util::future::LocalBoxFuture;
 
-use message::{InstanceRow, LeaseAsk, OrderRecord, UsageRecord, WatchBatch};
+use message::{InstanceRow, LeaseAsk, OrderRecord, UsageRecord};
 
 /// Why a call to the platform did not end well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,13 +45,8 @@
     /// Calls the key-value service.
     fn store(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer>;
 
-    /// Waits for changes under `prefix`, at most for `wait`.
-    fn watch(
-        &self,
-        prefix: String,
-        since: StoreVersion,
-        wait: TimeSpan,
-    ) -> LocalBoxFuture<'_, PlatformResult<WatchBatch>>;
+    /// Calls the key-value service for the configuration.
+    fn config(&self, call: ConfigCall) -> LocalBoxFuture<'_, ConfigAnswer>;
 
     /// Asks for a lease, renews it or gives it back.
     fn lease(&self, scope: ScopeId, ask: LeaseAsk) -> LocalBoxFuture<'_, LeaseReply>;
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! The process beside a backend server, the only one that talks to it.
 
 mod backend;
+mod config;
 mod meter;
 mod runner;
 mod session;
@@ -40,7 +41,6 @@
     pub(crate) slots: usize,
     pub(crate) progress_timeout: TimeSpan,
     pub(crate) drain_timeout: TimeSpan,
-    pub(crate) confirm_bound: TimeSpan,
     pub(crate) usage_window: TimeSpan,
     pub(crate) trace_share: f64,
 }
--- a/crates/daemon/src/sidecar/session.rs
+++ b/crates/daemon/src/sidecar/session.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 
 use applefold_core::config::ServingConfig;
+use applefold_core::id::Revision;
+use applefold_core::ticket::ConfigPush;
 use applefold_wire::applefold_capnp::session;
 use applefold_wire::beat::BeatMessage;
 use applefold_wire::dispatch::{DispatchMessage, EndMessage};
@@ -30,7 +32,6 @@
     ) -> Result<(), capnp::Error> {
         let beat = BeatMessage::read(params.get()?.get_beat()?)?;
         let now = self.state.now();
-        self.state.config.merge(&beat.confirmation, now);
         self.state.suspects.learn(&beat.suspects, now);
         self.state.beat().write(results.get().init_beat());
         Ok(())
@@ -45,16 +46,13 @@
         let dispatch = DispatchMessage::read(params.get_dispatch()?)?;
         let sink = params.get_sink()?;
         let id = dispatch.id.clone();
-        self.state
-            .config
-            .merge(&dispatch.confirmation, self.state.now());
         let ran = runner::run(&self.state, dispatch, sink).await;
         let end = EndMessage {
             id,
             end: ran.end,
             crashed: ran.crashed,
             load: self.state.load_note(),
-            confirmation: self.state.config.note(self.state.now()),
+            confirmation: self.state.config.confirmation(),
         };
         end.write(results.get().init_end());
         Ok(())
@@ -82,9 +80,9 @@
     ) -> Result<(), capnp::Error> {
         let update = params.get()?.get_update()?;
         let text = update.get_body()?.to_str()?;
-        let config = ServingConfig::from_json(text);
-        let config = config.map_err(|error| capnp::Error::failed(error.to_string()))?;
-        if self.state.config.apply(config) {
+        let push = ConfigPush::from_json(text);
+        let push = push.map_err(|error| capnp::Error::failed(error.to_string()))?;
+        if self.state.config.take_push(push) {
             let state = &self.state;
             let configure = |config: &ServingConfig| {
                 state.turns.configure(config, &state.settings.pool);
@@ -97,4 +95,17 @@
         results.get().set_revision(self.state.config.revision().0);
         Ok(())
     }
+
+    async fn fetch(
+        self: Rc<Self>,
+        params: session::FetchParams,
+        mut results: session::FetchResults,
+    ) -> Result<(), capnp::Error> {
+        let known = Revision(params.get()?.get_known());
+        let push = self.state.config.push_since(known);
+        let mut update = results.get().init_update();
+        update.set_revision(push.revision().unwrap_or(known).0);
+        update.set_body(&*push.to_json());
+        Ok(())
+    }
 }
--- a/crates/daemon/src/sidecar/state.rs
+++ b/crates/daemon/src/sidecar/state.rs
@@ -5,7 +5,7 @@
 
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::config::KeyLookup;
-use applefold_core::id::TeamId;
+use applefold_core::id::{Revision, TeamId};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_core::usage::MeterName;
 use applefold_wire::beat::{BeatMessage, LoadNote};
@@ -13,12 +13,12 @@
 use rand::Rng;
 
 use super::backend::BackendClient;
+use super::config::ConfigCell;
 use super::meter::MeterDesk;
 use super::suspects::SuspectDesk;
 use super::turn::TurnTable;
 use super::SidecarSettings;
 use crate::clock::MonotonicClock;
-use crate::confirm::ConfigCell;
 use crate::drain::DrainGate;
 use crate::entry::OPEN_TEAM;
 use crate::metrics::MetricSet;
@@ -49,7 +49,7 @@
         let name = MeterName::new(&settings.instance, rand::thread_rng().gen());
         Self {
             clock: MonotonicClock::start(),
-            config: ConfigCell::default(),
+            config: ConfigCell::new(),
             gate: DrainGate::default(),
             turns: Rc::new(TurnTable::new(settings.slots)),
             open_team: OPEN_TEAM.parse().expect("the name is an identifier"),
@@ -84,7 +84,7 @@
         BeatMessage {
             instance: self.settings.instance.clone(),
             domain: self.settings.domain.clone(),
-            confirmation: self.config.note(now),
+            confirmation: self.config.confirmation(),
             load: self.load_note(),
             teams: Vec::new(),
             suspects: self.suspects.news(now),
@@ -95,7 +95,7 @@
     /// Checks a request against this process's own configuration, so that an
     /// entry that is behind cannot let a withdrawn key through.
     pub(crate) fn check(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
-        self.check_confirmed(dispatch)?;
+        self.check_known(dispatch)?;
         self.config.with(|config| {
             let service = config.services().get(&dispatch.service);
             let unknown = CallRefusal::passing(ResultCode::BackendMismatch, RETRY_SOON);
@@ -123,16 +123,17 @@
         })
     }
 
-    fn check_confirmed(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
-        let note = self.config.note(self.now());
-        let behind = note.revision < dispatch.confirmation.revision;
-        let stale = note.age > self.settings.confirm_bound && !note.reach_holds;
-        if behind || stale {
-            return Err(CallRefusal::passing(
-                ResultCode::ConfigUnconfirmed,
-                RETRY_SOON,
-            ));
+    /// A process that knows no configuration, or an older one than the entry
+    /// that asks, cannot decide.
+    fn check_known(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
+        let revision = self.config.revision();
+        let known = revision > Revision::default();
+        if known && revision >= dispatch.confirmation.revision {
+            return Ok(());
         }
-        Ok(())
+        Err(CallRefusal::passing(
+            ResultCode::ConfigUnconfirmed,
+            RETRY_SOON,
+        ))
     }
 }
--- a/crates/daemon/tests/caller_keys.rs
+++ b/crates/daemon/tests/caller_keys.rs
@@ -184,3 +184,31 @@
         }
     });
 }
+#[test]
+fn platform_outage_alone_stops_no_caller() {
+    run(async {
+        let entry_settings = vec![("--confirm-bound", "2s".to_owned())];
+        let plan = ClusterPlan {
+            entries: 2,
+            entry_settings,
+            ..ClusterPlan::default()
+        };
+        let cluster = TestCluster::start(plan).await;
+        let down = PlatformFaults {
+            down: true,
+            ..PlatformFaults::default()
+        };
+        let platform = cluster.platform_client();
+        platform.set_faults(&down).await.expect("the fault is set");
+        let caller = cluster.entries[0].caller();
+        // Well past the bound, by the entry's own account of its age.
+        until(|| async {
+            let status = cluster.entries[0].status().await;
+            status["confirmed_ms_ago"].as_u64() > Some(4_000)
+        })
+        .await;
+        for _ in 0..10 {
+            assert_eq!(ask(&caller).await.status, 200, "an outage stopped a caller");
+        }
+    });
+}
--- a/crates/daemon/tests/support/cluster.rs
+++ b/crates/daemon/tests/support/cluster.rs
@@ -89,7 +89,10 @@
     pub entries: usize,
     pub engines: Vec<EngineOptions>,
     pub plain: usize,
+    /// Settings of every process.
     pub settings: Vec<(&'static str, String)>,
+    /// Settings of entries alone.
+    pub entry_settings: Vec<(&'static str, String)>,
 }
 
 impl Default for ClusterPlan {
@@ -99,6 +102,7 @@
             engines: vec![engine_options(); 2],
             plain: 0,
             settings: Vec::new(),
+            entry_settings: Vec::new(),
         }
     }
 }
@@ -195,7 +199,9 @@
             "--platform",
             &platform_relay.address.to_string(),
         ];
-        let own = own.map(str::to_owned).to_vec();
+        let mut own = own.map(str::to_owned).to_vec();
+        let settings = self.plan.entry_settings.iter();
+        own.extend(settings.flat_map(|(flag, value)| [(*flag).to_owned(), value.clone()]));
         let process = DaemonProcess::start(&[args, own].concat());
         let record = InstanceRecord {
             id: name.clone(),
--- a/crates/wire/applefold.capnp
+++ b/crates/wire/applefold.capnp
@@ -185,7 +185,7 @@
 }
 
 struct ConfigUpdate {
-  # The whole configuration at `revision`, as the core library writes it in JSON.
+  # What leads to `revision`, as the core library writes it in JSON.
   revision @0 :UInt64;
   body @1 :Text;
 }
@@ -206,4 +206,6 @@
   meter @6 (keeper :Text, taken :UInt64) -> (batch :UsageBatch, mark :UInt64);
   # All that a keeper has from a window on.
   collect @7 (fromWindow :UInt64) -> (batches :List(UsageBatch));
+  # What leads from the revision `known` to the peer's own.
+  fetch @8 (known :UInt64) -> (update :ConfigUpdate);
 }
--- a/crates/wire/src/applefold_capnp.rs
+++ b/crates/wire/src/applefold_capnp.rs
@@ -12243,6 +12243,10 @@
         ::capnp::capability::Params<crate::applefold_capnp::session::collect_params::Owned>;
     pub type CollectResults =
         ::capnp::capability::Results<crate::applefold_capnp::session::collect_results::Owned>;
+    pub type FetchParams =
+        ::capnp::capability::Params<crate::applefold_capnp::session::fetch_params::Owned>;
+    pub type FetchResults =
+        ::capnp::capability::Results<crate::applefold_capnp::session::fetch_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -12394,6 +12398,15 @@
             self.client
                 .new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
+        pub fn fetch_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::applefold_capnp::session::fetch_params::Owned,
+            crate::applefold_capnp::session::fetch_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn heartbeat(
@@ -12468,6 +12481,15 @@
                 "method session::Server::collect not implemented".to_string(),
             )))
         }
+        fn fetch(
+            self: ::capnp::capability::Rc<Self>,
+            _: FetchParams,
+            _: FetchResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method session::Server::fetch not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -12587,6 +12609,14 @@
                     )),
                     false,
                 ),
+                8 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::fetch(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -17849,4 +17879,624 @@
             pub(crate) const TYPE_ID: u64 = 0xba92_f1a1_8fd0_77bc;
         }
     }
+
+    pub mod fetch_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_known(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 1,
+                    pointers: 0,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_known(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_known(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(249, 23, 154, 189, 7, 1, 180, 174),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
+                ::capnp::word(100, 46, 99, 97, 112, 110, 112, 58),
+                ::capnp::word(83, 101, 115, 115, 105, 111, 110, 46),
+                ::capnp::word(102, 101, 116, 99, 104, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xaeb4_0107_bd9a_17f9;
+        }
+    }
+
+    pub mod fetch_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_update(
+                self,
+            ) -> ::capnp::Result<crate::applefold_capnp::config_update::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_update(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_update(
+                self,
+            ) -> ::capnp::Result<crate::applefold_capnp::config_update::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_update(
+                &mut self,
+                value: crate::applefold_capnp::config_update::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_update(self) -> crate::applefold_capnp::config_update::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_update(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {
+            pub fn get_update(&self) -> crate::applefold_capnp::config_update::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(246, 4, 31, 251, 251, 55, 202, 166),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
+                ::capnp::word(100, 46, 99, 97, 112, 110, 112, 58),
+                ::capnp::word(83, 101, 115, 115, 105, 111, 110, 46),
+                ::capnp::word(102, 101, 116, 99, 104, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(117, 112, 100, 97, 116, 101, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(212, 162, 166, 87, 15, 133, 21, 158),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::applefold_capnp::config_update::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xa6ca_37fb_fb1f_04f6;
+        }
+    }
 }
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -3,35 +3,25 @@
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::id::{BackendId, DomainId, InstanceId, Revision, TeamId};
 use applefold_core::quarantine::SuspectNews;
+use applefold_core::spread::Confirmation;
 use applefold_core::unit::{TimeSpan, TokenCount, TokenRate};
 
 use crate::applefold_capnp::{confirmation, heartbeat, load, suspect, team_use};
 use crate::error::{parse, parse_optional, MessageError};
 
-/// What a process knows of the configuration and of the platform.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ConfirmationNote {
-    /// The newest revision that the process has applied.
-    pub revision: Revision,
-    /// The time since the platform last confirmed that revision to anybody.
-    pub age: TimeSpan,
-    /// Whether enough of the fleet is reached to serve on without confirmation.
-    pub reach_holds: bool,
+/// Writes what a process knows of the configuration and of the platform.
+pub(crate) fn write_confirmation(said: &Confirmation, mut builder: confirmation::Builder<'_>) {
+    builder.set_revision(said.revision.0);
+    builder.set_age_micros(said.age.0);
+    builder.set_reach_holds(said.reach_holds);
 }
 
-impl ConfirmationNote {
-    pub(crate) fn write(&self, mut builder: confirmation::Builder<'_>) {
-        builder.set_revision(self.revision.0);
-        builder.set_age_micros(self.age.0);
-        builder.set_reach_holds(self.reach_holds);
-    }
-
-    pub(crate) fn read(reader: confirmation::Reader<'_>) -> Self {
-        Self {
-            revision: Revision(reader.get_revision()),
-            age: TimeSpan(reader.get_age_micros()),
-            reach_holds: reader.get_reach_holds(),
-        }
+/// Reads what a process knows of the configuration and of the platform.
+pub(crate) fn read_confirmation(reader: confirmation::Reader<'_>) -> Confirmation {
+    Confirmation {
+        revision: Revision(reader.get_revision()),
+        age: TimeSpan(reader.get_age_micros()),
+        reach_holds: reader.get_reach_holds(),
     }
 }
 
@@ -126,7 +116,7 @@
     /// The sender's failure domain.
     pub domain: DomainId,
     /// What the sender knows of the configuration.
-    pub confirmation: ConfirmationNote,
+    pub confirmation: Confirmation,
     /// The load of the sender's backend server; all zero from an entry.
     pub load: LoadNote,
     /// What teams have used at the sender.
@@ -142,8 +132,7 @@
     pub fn write(&self, mut builder: heartbeat::Builder<'_>) {
         builder.set_instance(self.instance.as_str());
         builder.set_domain(self.domain.as_str());
-        self.confirmation
-            .write(builder.reborrow().init_confirmation());
+        write_confirmation(&self.confirmation, builder.reborrow().init_confirmation());
         self.load.write(builder.reborrow().init_load());
         builder.set_stopping(self.stopping);
         let mut teams = builder.reborrow().init_teams(self.teams.len() as u32);
@@ -167,7 +156,7 @@
         Ok(Self {
             instance: parse(reader.get_instance()?)?,
             domain: parse(reader.get_domain()?)?,
-            confirmation: ConfirmationNote::read(reader.get_confirmation()?),
+            confirmation: read_confirmation(reader.get_confirmation()?),
             load: LoadNote::read(reader.get_load()?),
             teams: teams.collect::<Result<_, _>>()?,
             suspects: suspects.collect::<Result<_, _>>()?,
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -2,11 +2,12 @@
 
 use applefold_core::code::CallRefusal;
 use applefold_core::id::{AttemptNumber, KeyId, ModelId, RequestId, ServiceId, TeamId};
+use applefold_core::spread::Confirmation;
 use applefold_core::unit::{ByteSize, TimeSpan, TokenCount};
 use smol_str::SmolStr;
 
 use crate::applefold_capnp::{answer_end, answer_head, answer_part, dispatch, pair};
-use crate::beat::{ConfirmationNote, LoadNote};
+use crate::beat::{read_confirmation, write_confirmation, LoadNote};
 use crate::error::{parse, parse_optional, read_refusal, write_refusal, MessageError};
 
 /// One HTTP header.
@@ -67,7 +68,7 @@
     /// The model, for a model service.
     pub model: Option<ModelId>,
     /// What the entry knows of the configuration.
-    pub confirmation: ConfirmationNote,
+    pub confirmation: Confirmation,
     /// The time left until the first byte of the answer is due.
     pub deadline: TimeSpan,
     /// The trace context in the form of the W3C.
@@ -103,8 +104,7 @@
         builder.set_key(self.key.as_ref().map_or("", KeyId::as_str));
         builder.set_service(self.service.as_str());
         builder.set_model(self.model.as_ref().map_or("", ModelId::as_str));
-        self.confirmation
-            .write(builder.reborrow().init_confirmation());
+        write_confirmation(&self.confirmation, builder.reborrow().init_confirmation());
         builder.set_deadline_micros(self.deadline.0);
         builder.set_traceparent(&*self.traceparent);
         builder.set_method(&*self.method);
@@ -137,7 +137,7 @@
             key: parse_optional(reader.get_key()?)?,
             service: parse(reader.get_service()?)?,
             model: parse_optional(reader.get_model()?)?,
-            confirmation: ConfirmationNote::read(reader.get_confirmation()?),
+            confirmation: read_confirmation(reader.get_confirmation()?),
             deadline: TimeSpan(reader.get_deadline_micros()),
             traceparent: SmolStr::new(reader.get_traceparent()?.to_str()?),
             method: SmolStr::new(reader.get_method()?.to_str()?),
@@ -254,7 +254,7 @@
     /// The load of the backend server now.
     pub load: LoadNote,
     /// What the sidecar knows of the configuration.
-    pub confirmation: ConfirmationNote,
+    pub confirmation: Confirmation,
 }
 
 impl EndMessage {
@@ -263,8 +263,7 @@
         builder.set_request(self.id.request.as_str());
         builder.set_attempt(self.id.attempt.0);
         self.load.write(builder.reborrow().init_load());
-        self.confirmation
-            .write(builder.reborrow().init_confirmation());
+        write_confirmation(&self.confirmation, builder.reborrow().init_confirmation());
         builder.set_crashed(self.crashed);
         match self.end {
             AttemptEnd::Whole(size) => builder.set_whole(size.0),
@@ -294,7 +293,7 @@
             end,
             crashed: reader.get_crashed(),
             load: LoadNote::read(reader.get_load()?),
-            confirmation: ConfirmationNote::read(reader.get_confirmation()?),
+            confirmation: read_confirmation(reader.get_confirmation()?),
         })
     }
 }
