--- a/crates/daemon/tests/support/cluster.rs
+++ b/crates/daemon/tests/support/cluster.rs
@@ -120,6 +120,8 @@
     pub platform: StandinHandle,
     pub backends: Vec<BackendSlot>,
     pub entries: Vec<EntrySlot>,
+    /// How many entries were ever started.
+    started: usize,
     plan: ClusterPlan,
 }
 
@@ -131,6 +133,7 @@
             platform: platform.expect("the platform starts"),
             backends: Vec::new(),
             entries: Vec::new(),
+            started: 0,
             plan,
         };
         for options in cluster.plan.engines.clone() {
@@ -183,8 +186,9 @@
     }
 
     pub async fn add_entry(&mut self) {
-        let name = format!("e{}", self.entries.len() + 1);
-        let domain = format!("d{}", self.entries.len() % 3 + 1);
+        self.started += 1;
+        let name = format!("e{}", self.started);
+        let domain = format!("d{}", (self.started - 1) % 3 + 1);
         let platform_relay = SilentRelay::start(self.platform.address);
         let args = self.args("entry", &name, &domain);
         let own = [
@@ -221,6 +225,15 @@
         });
     }
 
+    /// Takes an entry that has ended off the platform's list.
+    pub async fn remove_entry(&mut self, index: usize) {
+        let entry = self.entries.remove(index);
+        let path = format!("/instances/{}", entry.name);
+        let client = self.platform_client();
+        let gone = client.call(Method::DELETE, &path, Bytes::new()).await;
+        assert_eq!(gone.expect("the platform answers").status, 200);
+    }
+
     fn args(&self, role: &str, name: &str, domain: &str) -> Vec<String> {
         let fixed = [
             role,
