--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -8,8 +8,10 @@
 mod options;
 mod record;
 mod shard;
+mod shelf;
 pub mod store;
 mod table;
+mod verdict;
 pub(crate) mod write;
 mod writer;
 
--- a/crates/core/src/claim/shard.rs
+++ b/crates/core/src/claim/shard.rs
@@ -1,23 +1,18 @@
 //! The machine that owns one shard of claims.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
-use super::load::{LoadState, LoadStep};
-use super::record::{
-    answer_kind, bucket_key, shard_prefix, BatchToken, BucketText, EntryKind, EntryRecord,
-};
-use super::store::{CallNumber, StoreAnswer, StoreCall, StoreReply, StoreVersion};
+use super::load::{LoadFate, LoadState};
+use super::record::{outcome_kind, BatchToken, BucketText, EntryKind, EntryRecord};
+use super::shelf::{BucketShelf, ClosedBucket, ShardClock};
+use super::store::{CallNumber, StoreAnswer, StoreReply, StoreVersion};
 use super::table::{ClaimRow, ClaimTable, EntryNumber, RowState};
-use super::writer::{BatchFate, BatchWriter, ClosedBucket, QueuedEntry};
-use super::{
-    ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimOutcome, ClaimReport, ClaimVerdict,
-};
-use crate::code::{CallRefusal, ResultCode};
+use super::verdict::{judge_repeat, refuse_unavailable, waiters_of};
+use super::writer::{BatchFate, BatchWriter, QueuedEntry};
+use super::{ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimReport, ClaimVerdict};
 use crate::id::{FencingNumber, ShardId};
 use crate::lease::HolderName;
-use crate::unit::{TimePoint, TimeSpan};
-
-const RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
+use crate::unit::TimePoint;
 
 #[derive(Debug)]
 enum ShardPhase {
@@ -26,26 +21,6 @@
     Ready(BatchWriter),
 }
 
-#[derive(Debug)]
-struct BucketDeletion {
-    call: CallNumber,
-    bucket: u64,
-    sent: TimePoint,
-}
-
-/// Time that the shard has had an owner, continued from one owner to the next.
-#[derive(Clone, Copy, Debug, Default)]
-struct ShardClock {
-    base: TimeSpan,
-    since: TimePoint,
-}
-
-impl ShardClock {
-    fn read(self, now: TimePoint) -> TimeSpan {
-        self.base + now.since(self.since)
-    }
-}
-
 /// Grants, keeps and answers the claims of one shard.
 #[derive(Debug)]
 pub struct ClaimShard {
@@ -55,8 +30,7 @@
     phase: ShardPhase,
     table: ClaimTable,
     queue: VecDeque<QueuedEntry>,
-    closed: BTreeMap<u64, ClosedBucket>,
-    deletion: Option<BucketDeletion>,
+    shelf: BucketShelf,
     clock: ShardClock,
     entries: EntryNumber,
     calls: CallNumber,
@@ -77,8 +51,7 @@
             phase: ShardPhase::Idle,
             table: ClaimTable::default(),
             queue: VecDeque::new(),
-            closed: BTreeMap::new(),
-            deletion: None,
+            shelf: BucketShelf::new(shard),
             clock: ShardClock::default(),
             entries: EntryNumber::default(),
             calls: CallNumber::default(),
@@ -108,8 +81,7 @@
     pub fn end(&mut self, _now: TimePoint) -> Vec<ClaimAction> {
         self.phase = ShardPhase::Idle;
         self.queue.clear();
-        self.closed.clear();
-        self.deletion = None;
+        self.shelf = BucketShelf::new(self.shard);
         let table = std::mem::take(&mut self.table);
         let waiters = table.rows.into_values().flat_map(waiters_of);
         waiters.map(refuse_unavailable).collect()
@@ -188,11 +160,7 @@
                 && matches!(row.state, RowState::Running | RowState::Unknown)
         });
         if taken && open {
-            let kind = match &report.outcome {
-                ClaimOutcome::Answered(answer) => answer_kind(answer, self.options.kept_limit),
-                ClaimOutcome::NotRun => EntryKind::NotRun,
-                ClaimOutcome::Unknown => EntryKind::Unknown,
-            };
+            let kind = outcome_kind(&report.outcome, self.options.kept_limit);
             let (claim, request) = (report.claim, report.request);
             self.table
                 .settle(&claim, &request, kind.clone(), &self.options);
@@ -262,26 +230,19 @@
     }
 
     fn stored(&mut self, now: TimePoint, answer: StoreAnswer, actions: &mut Vec<ClaimAction>) {
-        if let Some(deletion) = self.deletion.take() {
-            if deletion.call == answer.call {
-                if answer.reply != StoreReply::Failed {
-                    self.closed.remove(&deletion.bucket);
-                    self.table.remove_bucket(deletion.bucket);
-                }
-                return;
-            }
-            self.deletion = Some(deletion);
+        if let Some(bucket) = self.shelf.take(&answer) {
+            return self.table.remove_bucket(bucket);
         }
         let fate = match &mut self.phase {
             ShardPhase::Idle => return,
             ShardPhase::Loading(state) if state.call != Some(answer.call) => return,
-            ShardPhase::Loading(_) => return self.load(now, answer.reply),
+            ShardPhase::Loading(_) => return self.load(now, &answer.reply),
             ShardPhase::Ready(writer) => writer.take(now, &answer, &self.options),
         };
         match fate {
             BatchFate::Open => {}
             BatchFate::Durable { entries, closed } => {
-                self.closed.extend(closed);
+                self.shelf.add(closed);
                 for entry in entries {
                     self.confirm(&entry, actions);
                 }
@@ -309,45 +270,18 @@
         }
     }
 
-    fn load(&mut self, now: TimePoint, reply: StoreReply) {
+    fn load(&mut self, now: TimePoint, reply: &StoreReply) {
         let ShardPhase::Loading(state) = &mut self.phase else {
             return;
         };
-        state.call = None;
-        if state.is_outranked(self.token.fencing, &reply) {
-            self.phase = ShardPhase::Idle;
-            return;
-        }
-        let going = match (state.step, reply) {
-            (LoadStep::List, StoreReply::Listed(entries)) => {
-                let whole = entries.len() < self.options.page_limit;
-                let good = state.take_page(&entries);
-                if good && whole {
-                    let open = state.buckets.last().is_some_and(|b| !b.record.closed);
-                    state.step = if open {
-                        LoadStep::Close
-                    } else {
-                        LoadStep::Create
-                    };
-                }
-                good
-            }
-            (LoadStep::Close, StoreReply::Written(version)) => {
-                state.step = LoadStep::Create;
-                if let Some(bucket) = state.buckets.last_mut() {
-                    bucket.version = version;
-                    bucket.record.closed = true;
-                }
-                true
-            }
-            (LoadStep::Create, StoreReply::Written(version)) => {
-                return self.become_ready(now, version);
+        match state.take(self.token.fencing, reply, &self.options) {
+            LoadFate::Open => {}
+            LoadFate::Outranked => self.phase = ShardPhase::Idle,
+            LoadFate::Loaded(version) => self.become_ready(now, version),
+            LoadFate::Changed => {
+                let retry_at = now + self.options.batch_every;
+                self.phase = ShardPhase::Loading(LoadState::start(retry_at));
             }
-            _ => false,
-        };
-        if !going {
-            let retry_at = now + self.options.batch_every;
-            self.phase = ShardPhase::Loading(LoadState::start(retry_at));
         }
     }
 
@@ -363,8 +297,12 @@
         for bucket in state.buckets {
             let clock = bucket.record.clock;
             let version = bucket.version;
-            let closed = ClosedBucket { version, clock };
-            self.closed.insert(bucket.number, closed);
+            let number = bucket.number;
+            self.shelf.add(Some(ClosedBucket {
+                number,
+                version,
+                clock,
+            }));
             for entry in bucket.record.entries {
                 self.entries.0 += 1;
                 let number = self.entries;
@@ -382,12 +320,20 @@
         self.start_batch(now);
         let call = match &mut self.phase {
             ShardPhase::Idle => None,
-            ShardPhase::Loading(_) => self.load_call(now),
+            ShardPhase::Loading(state) => {
+                let (shard, token) = (self.shard, &self.token);
+                state.next_call(now, shard, token, &mut self.calls, &self.options)
+            }
             ShardPhase::Ready(writer) => writer.next_call(now, &mut self.calls, &self.options),
         };
         actions.extend(call.map(ClaimAction::Store));
-        let deletion = self.delete_call(now);
-        actions.extend(deletion.map(ClaimAction::Store));
+        if self.is_ready() {
+            let clock = self.clock.read(now);
+            let deletion = self
+                .shelf
+                .next_call(now, clock, &mut self.calls, &self.options);
+            actions.extend(deletion.map(ClaimAction::Store));
+        }
     }
 
     fn start_batch(&mut self, now: TimePoint) {
@@ -414,108 +360,4 @@
         let clock = self.clock.read(now);
         writer.start(now, clock, entries, &self.options);
     }
-
-    fn load_call(&mut self, now: TimePoint) -> Option<StoreCall> {
-        let ShardPhase::Loading(state) = &mut self.phase else {
-            return None;
-        };
-        if state.call.is_some() && now.since(state.sent) >= self.options.call_timeout {
-            *state = LoadState::start(now);
-        }
-        if state.call.is_some() || now < state.sent {
-            return None;
-        }
-        let call = self.calls.advance();
-        state.call = Some(call);
-        state.sent = now;
-        let shard = self.shard;
-        Some(match state.step {
-            LoadStep::List => StoreCall::List {
-                call,
-                prefix: shard_prefix(shard),
-                after: state.after.clone(),
-                limit: self.options.page_limit,
-            },
-            LoadStep::Close => {
-                let bucket = state.buckets.last()?;
-                let mut text = BucketText::default();
-                for entry in &bucket.record.entries {
-                    text.append(entry);
-                }
-                StoreCall::Put {
-                    call,
-                    key: bucket_key(shard, bucket.number),
-                    value: text.value(&self.token, bucket.record.clock, true),
-                    expect: bucket.version,
-                }
-            }
-            LoadStep::Create => StoreCall::Put {
-                call,
-                key: bucket_key(shard, state.next_number()),
-                value: BucketText::default().value(&self.token, TimeSpan::ZERO, false),
-                expect: StoreVersion::ABSENT,
-            },
-        })
-    }
-
-    fn delete_call(&mut self, now: TimePoint) -> Option<StoreCall> {
-        if !self.is_ready() {
-            return None;
-        }
-        if let Some(deletion) = &self.deletion {
-            if now.since(deletion.sent) < self.options.call_timeout {
-                return None;
-            }
-        }
-        let (bucket, closed) = self.closed.first_key_value()?;
-        let (bucket, closed) = (*bucket, *closed);
-        if self.clock.read(now) <= closed.clock + self.options.retention {
-            return None;
-        }
-        let call = self.calls.advance();
-        let sent = now;
-        self.deletion = Some(BucketDeletion { call, bucket, sent });
-        Some(StoreCall::Delete {
-            call,
-            key: bucket_key(self.shard, bucket),
-            expect: closed.version,
-        })
-    }
-}
-
-fn waiters_of(row: ClaimRow) -> Vec<CallNumber> {
-    match row.state {
-        RowState::Planned { waiters, .. } => waiters,
-        _ => Vec::new(),
-    }
-}
-
-fn refuse_unavailable(call: CallNumber) -> ClaimAction {
-    let refusal = CallRefusal::passing(ResultCode::ClaimUnavailable, RETRY_AFTER);
-    let verdict = ClaimVerdict::Refused(refusal);
-    ClaimAction::Reply { call, verdict }
-}
-
-fn judge_repeat(
-    row: &ClaimRow,
-    ask: &ClaimAsk,
-    clock: TimeSpan,
-    run_limit: TimeSpan,
-) -> ClaimVerdict {
-    let lasting = |code| ClaimVerdict::Refused(CallRefusal::lasting(code));
-    if row.fingerprint != ask.fingerprint {
-        return lasting(ResultCode::ClaimConflict);
-    }
-    let overdue = clock.saturating_sub(row.at) >= run_limit;
-    match &row.state {
-        RowState::Kept(answer) => ClaimVerdict::Kept(answer.clone()),
-        RowState::Ran => lasting(ResultCode::AlreadyRan),
-        RowState::Unknown => lasting(ResultCode::OutcomeUnknown),
-        RowState::Running if overdue => lasting(ResultCode::OutcomeUnknown),
-        RowState::Running if row.request == ask.request => ClaimVerdict::Granted,
-        RowState::Running | RowState::Planned { .. } => {
-            let refusal = CallRefusal::passing(ResultCode::StillRunning, RETRY_AFTER);
-            ClaimVerdict::Refused(refusal)
-        }
-    }
 }
--- a/crates/core/src/claim/writer.rs
+++ b/crates/core/src/claim/writer.rs
@@ -1,6 +1,7 @@
 //! Writing batches of entries, one at a time, and settling lost answers.
 
 use super::record::{bucket_key, BatchToken, BucketRecord, BucketText, EntryRecord};
+use super::shelf::ClosedBucket;
 use super::store::{CallNumber, StoreAnswer, StoreCall, StoreVersion};
 use super::table::EntryNumber;
 use super::write::{StoreWrite, WriteFate};
@@ -25,14 +26,6 @@
     write: StoreWrite,
 }
 
-/// A bucket that takes no more entries.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ClosedBucket {
-    pub(super) version: StoreVersion,
-    /// The shard's clock when it was closed.
-    pub(super) clock: TimeSpan,
-}
-
 /// What an answer means for the batch.
 #[derive(Debug)]
 pub(super) enum BatchFate {
@@ -41,7 +34,7 @@
     /// Its entries are durable.
     Durable {
         entries: Vec<QueuedEntry>,
-        closed: Option<(u64, ClosedBucket)>,
+        closed: Option<ClosedBucket>,
     },
     /// Another owner has written, under this number where it is known; none of
     /// the open entries may be relied on.
@@ -159,7 +152,11 @@
             let closed = None;
             return BatchFate::Durable { entries, closed };
         }
-        let closed = Some((self.bucket, ClosedBucket { version, clock }));
+        let closed = Some(ClosedBucket {
+            number: self.bucket,
+            version,
+            clock,
+        });
         self.bucket += 1;
         self.version = StoreVersion::ABSENT;
         self.opened = clock;
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -6,8 +6,10 @@
 
 mod keeper;
 mod meter;
+mod phase;
 mod record;
 mod sealer;
+mod seals;
 mod types;
 
 pub use keeper::UsageKeeper;
--- a/crates/core/src/usage/sealer.rs
+++ b/crates/core/src/usage/sealer.rs
@@ -1,57 +1,17 @@
 //! The machine that seals windows and reports what is sealed.
 
-use std::collections::{BTreeMap, VecDeque};
-
+use super::phase::SealerPhase;
 use super::record::{seal_key, seal_prefix, SealRecord, ORIGIN};
-use super::{
-    SealerAction, SealerEvent, SealerOptions, UsageFigure, UsageKeeper, UsageKey, UsageReport,
-    UsageTotals,
-};
+use super::seals::{SealFigures, SealTable};
+use super::{SealerAction, SealerEvent, SealerOptions, UsageBatch, UsageKeeper};
 use crate::claim::store::{
-    CallNumber, StoreAnswer, StoreCall, StoreEntry, StoreKey, StoreReply, StoreVersion,
+    CallNumber, StoreAnswer, StoreCall, StoreEntry, StoreReply, StoreVersion,
 };
 use crate::claim::write::{StoreWrite, WriteFate};
 use crate::id::{FencingNumber, WindowId};
 use crate::lease::{Authority, HolderName, LeaseHolder};
 use crate::unit::TimePoint;
 
-#[derive(Debug)]
-struct StoredSeal {
-    record: SealRecord,
-    version: StoreVersion,
-}
-
-#[derive(Debug)]
-enum SealerPhase {
-    Idle,
-    /// Reading what is sealed.
-    Loading {
-        call: Option<CallNumber>,
-        due: TimePoint,
-        after: Option<StoreKey>,
-    },
-    /// Waiting for a window to end.
-    Resting,
-    /// Asking the keepers.
-    Collecting {
-        call: Option<CallNumber>,
-        due: TimePoint,
-        until: TimePoint,
-        merged: UsageKeeper,
-    },
-    /// Creating the sealed record.
-    Sealing(Box<StoreWrite>, Box<SealRecord>),
-    /// Sending the reports of a sealed window.
-    Reporting {
-        window: WindowId,
-        queue: VecDeque<UsageReport>,
-        call: Option<CallNumber>,
-        due: TimePoint,
-    },
-    /// Noting that a window is reported.
-    Recording(Box<StoreWrite>, WindowId),
-}
-
 /// Seals each ended window once and reports it, under a lease.
 #[derive(Debug)]
 pub struct UsageSealer {
@@ -59,8 +19,7 @@
     options: SealerOptions,
     fencing: FencingNumber,
     phase: SealerPhase,
-    seals: BTreeMap<WindowId, StoredSeal>,
-    next: WindowId,
+    seals: SealTable,
     calls: CallNumber,
 }
 
@@ -72,8 +31,7 @@
             options,
             fencing: FencingNumber::default(),
             phase: SealerPhase::Idle,
-            seals: BTreeMap::new(),
-            next: WindowId::default(),
+            seals: SealTable::new(options.late_windows),
             calls: CallNumber::default(),
         }
     }
@@ -92,7 +50,7 @@
     /// Ends at once; what is open is left to the successor.
     pub fn end(&mut self) {
         self.phase = SealerPhase::Idle;
-        self.seals.clear();
+        self.seals = SealTable::new(self.options.late_windows);
     }
 
     /// Decides an event. `ended` is the last window that has ended.
@@ -125,7 +83,7 @@
         lease: &LeaseHolder,
     ) -> Vec<SealerAction> {
         let mut actions = Vec::new();
-        if matches!(self.phase, SealerPhase::Resting) && self.next <= ended {
+        if matches!(self.phase, SealerPhase::Resting) && self.seals.next() <= ended {
             self.phase = SealerPhase::Collecting {
                 call: None,
                 due: now,
@@ -140,7 +98,7 @@
 
     fn next_call(&mut self, now: TimePoint, lease: &LeaseHolder) -> Option<SealerAction> {
         let times = self.options.write_times();
-        let from = self.keep_from();
+        let from = self.seals.keep_from();
         match &mut self.phase {
             SealerPhase::Idle | SealerPhase::Resting => None,
             SealerPhase::Loading { call, due, after } if now >= *due => {
@@ -243,9 +201,7 @@
         let whole = entries.len() < self.options.page_limit;
         for entry in entries {
             if let Some(record) = SealRecord::parse(&entry.value) {
-                let version = entry.version;
-                self.seals
-                    .insert(record.window, StoredSeal { record, version });
+                self.seals.insert(record, entry.version);
             }
         }
         if whole {
@@ -255,15 +211,10 @@
 
     /// Goes on after the last sealed window, or seals the record that all follow.
     fn start(&mut self, now: TimePoint, ended: WindowId) {
-        let Some(last) = self.seals.last_key_value().map(|(window, _)| *window) else {
+        if !self.seals.resume() {
             let record = SealRecord::origin(ended, self.holder.clone(), self.fencing);
             return self.create(now, record);
-        };
-        // A window is sealed only after the one before it was reported, so that
-        // an earlier record without reports came too late, from a stale holder.
-        self.seals
-            .retain(|window, seal| seal.record.reported || *window == last);
-        self.next = self.seals[&last].record.next;
+        }
         self.proceed(now);
     }
 
@@ -275,12 +226,11 @@
 
     /// Turns to the oldest unreported window, or rests.
     fn proceed(&mut self, now: TimePoint) {
-        let open = self.seals.values().find(|seal| !seal.record.reported);
-        self.phase = match open {
+        self.phase = match self.seals.unreported() {
             None => SealerPhase::Resting,
-            Some(seal) => SealerPhase::Reporting {
-                window: seal.record.window,
-                queue: seal.record.reports().into(),
+            Some(record) => SealerPhase::Reporting {
+                window: record.window,
+                queue: record.reports().into(),
                 call: None,
                 due: now,
             },
@@ -292,7 +242,7 @@
         &mut self,
         now: TimePoint,
         answered: CallNumber,
-        batches: Vec<super::UsageBatch>,
+        batches: Vec<UsageBatch>,
         whole: bool,
     ) {
         let SealerPhase::Collecting {
@@ -327,8 +277,8 @@
         let SealerPhase::Collecting { merged, .. } = phase else {
             return;
         };
-        let window = self.next;
-        let (due, late) = self.figures(&merged, window);
+        let window = self.seals.next();
+        let SealFigures { due, late } = self.seals.figures(&merged);
         let record = SealRecord {
             window,
             next: window.next(),
@@ -341,36 +291,6 @@
         self.create(now, record);
     }
 
-    fn figures(
-        &self,
-        merged: &UsageKeeper,
-        window: WindowId,
-    ) -> (Vec<UsageFigure>, Vec<UsageFigure>) {
-        let billed = self.billed();
-        let sums = merged.sums(self.keep_from(), window);
-        let open = sums.into_iter().map(|(key, totals)| {
-            let before = billed.get(&key).copied().unwrap_or_default();
-            UsageFigure {
-                key,
-                totals: totals.less(before),
-            }
-        });
-        let open = open.filter(|figure| !figure.totals.is_zero());
-        open.partition(|figure| figure.key.window == window)
-    }
-
-    /// Returns what has been sealed of each key, on time or late.
-    fn billed(&self) -> BTreeMap<UsageKey, UsageTotals> {
-        let mut billed: BTreeMap<UsageKey, UsageTotals> = BTreeMap::new();
-        for seal in self.seals.values() {
-            for figure in seal.record.due.iter().chain(&seal.record.late) {
-                let sum = billed.entry(figure.key.clone()).or_default();
-                *sum = sum.plus(figure.totals);
-            }
-        }
-        billed
-    }
-
     fn adopt_entry(&mut self, now: TimePoint, entry: Option<StoreEntry>) {
         let record = entry
             .as_ref()
@@ -382,9 +302,7 @@
     }
 
     fn adopt(&mut self, now: TimePoint, record: SealRecord, version: StoreVersion) {
-        self.next = record.next;
-        let window = record.window;
-        self.seals.insert(window, StoredSeal { record, version });
+        self.seals.insert(record, version);
         self.proceed(now);
     }
 
@@ -416,7 +334,7 @@
         if !queue.is_empty() {
             return;
         }
-        let Some(seal) = self.seals.get(&window) else {
+        let Some(seal) = self.seals.get(window) else {
             return;
         };
         let record = SealRecord {
@@ -434,38 +352,17 @@
         version: StoreVersion,
         actions: &mut Vec<SealerAction>,
     ) {
-        if let Some(seal) = self.seals.get_mut(&window) {
-            seal.record.reported = true;
-            seal.version = version;
-        }
-        let keep_from = self.keep_from();
+        self.seals.mark_reported(window, version);
+        let keep_from = self.seals.keep_from();
         actions.push(SealerAction::Closed { window, keep_from });
-        self.forget_old(keep_from, actions);
-        self.proceed(now);
-    }
-
-    /// Deletes reported seals that no late usage can refer to any more.
-    fn forget_old(&mut self, keep_from: WindowId, actions: &mut Vec<SealerAction>) {
-        // One more window is kept, so that a record is gone only after its
-        // usage has been forgotten.
-        let old = |window: &WindowId| *window != ORIGIN && window.next() < keep_from;
-        let seals = self.seals.iter();
-        let seals = seals.filter(|(window, seal)| old(window) && seal.record.reported);
-        let seals: Vec<WindowId> = seals.map(|(window, _)| *window).collect();
-        for window in seals {
-            let Some(seal) = self.seals.remove(&window) else {
-                continue;
-            };
+        for seal in self.seals.forget_old() {
             actions.push(SealerAction::Store(StoreCall::Delete {
                 call: self.calls.advance(),
-                key: seal_key(window),
+                key: seal_key(seal.record.window),
                 expect: seal.version,
             }));
         }
-    }
-
-    fn keep_from(&self) -> WindowId {
-        WindowId(self.next.0.saturating_sub(self.options.late_windows))
+        self.proceed(now);
     }
 }
 
