--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,15 +5,31 @@
 //! can drive it with as many nodes as it likes in one thread. The reasons are
 //! in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
+pub mod admission;
 pub mod answer;
 pub mod claim;
 pub mod code;
+pub mod config;
 pub mod drain;
+pub mod fairness;
 pub mod fence;
+pub mod fleet;
+pub mod forecast;
+pub mod health;
 pub mod id;
 pub mod lease;
 pub mod membership;
+pub mod memory;
+pub mod naive;
 pub mod order;
 pub mod quarantine;
+pub mod rank;
+pub mod reach;
+pub mod retry;
+pub mod role;
+pub mod routing;
+pub mod spread;
+pub mod ticket;
 pub mod unit;
 pub mod usage;
+pub mod weight;
--- /dev/null
+++ b/crates/daemon/src/entry/state.rs
@@ -0,0 +1,180 @@
+//! What an entry knows.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use applefold_core::admission::TeamUse;
+use applefold_core::config::ServingConfig;
+use applefold_core::id::{InstanceId, TeamId};
+use applefold_core::lease::HolderName;
+use applefold_core::quarantine::SuspectNews;
+use applefold_core::routing::RoutePlace;
+use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_wire::beat::{BeatMessage, LoadNote, TeamNote};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
+
+use super::authority::LeaseTable;
+use super::claims::ClaimDesk;
+use super::decide::ServingDecisions;
+use super::links::{LinkTable, BEAT_PERIOD};
+use super::usage::UsageDesk;
+use super::EntrySettings;
+use crate::clock::MonotonicClock;
+use crate::confirm::ConfigCell;
+use crate::drain::DrainGate;
+use crate::link::gate::GateOptions;
+use crate::metrics::MetricSet;
+use crate::platform::http::HttpPlatform;
+use crate::platform::PlatformApi;
+use crate::trace::SpanSource;
+
+/// Calls of open routes are told apart from others by this name.
+pub(crate) const OPEN_TEAM: &str = "open:all";
+
+/// The state of an entry, shared by its tasks.
+pub(crate) struct EntryState {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) config: ConfigCell,
+    pub(crate) gate: DrainGate,
+    pub(crate) links: RefCell<LinkTable>,
+    /// The name under which this run of the process holds leases.
+    pub(crate) holder: HolderName,
+    /// The live entries of the platform's list, this one included.
+    pub(crate) entries: RefCell<BTreeSet<InstanceId>>,
+    pub(crate) leases: LeaseTable,
+    pub(crate) claims: ClaimDesk,
+    pub(crate) usage: UsageDesk,
+    /// What the teams have asked of this entry in the last period.
+    published: RefCell<Vec<TeamNote>>,
+    pub(crate) platform: Rc<dyn PlatformApi>,
+    pub(crate) metrics: MetricSet,
+    pub(crate) spans: SpanSource,
+    pub(crate) decisions: RefCell<ServingDecisions>,
+    /// Stands for callers of routes open to all.
+    pub(crate) open_team: TeamId,
+    /// Says that the next heartbeats should go out at once.
+    pub(crate) urgent: Notify,
+    request_count: Cell<u64>,
+    /// Tells this run of the process from earlier ones in request ids.
+    incarnation: u64,
+}
+
+impl EntryState {
+    pub(crate) fn new(settings: EntrySettings) -> Self {
+        let metrics = MetricSet::start();
+        let instance = settings.instance.clone();
+        let platform = HttpPlatform::new(settings.platform, instance, metrics.clone());
+        let mut rng = StdRng::from_entropy();
+        let incarnation = rng.gen();
+        let holder = HolderName::new(&settings.instance, incarnation);
+        let beat_period = TimeSpan(BEAT_PERIOD.as_micros() as u64);
+        let place = RoutePlace {
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+        };
+        Self {
+            clock: MonotonicClock::start(),
+            config: ConfigCell::default(),
+            gate: DrainGate::default(),
+            links: RefCell::new(LinkTable::default()),
+            entries: RefCell::default(),
+            leases: LeaseTable::new(&holder),
+            claims: ClaimDesk::new(&holder),
+            usage: UsageDesk::new(&holder),
+            holder,
+            published: RefCell::default(),
+            platform: Rc::new(platform),
+            metrics,
+            spans: SpanSource::start(settings.trace_share),
+            incarnation,
+            decisions: RefCell::new(ServingDecisions::new(place, beat_period, rng.gen())),
+            open_team: OPEN_TEAM.parse().expect("the name is an identifier"),
+            urgent: Notify::new(),
+            request_count: Cell::new(0),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Returns a text that no other request of any entry has.
+    pub(crate) fn fresh_request(&self) -> String {
+        let count = self.request_count.get() + 1;
+        self.request_count.set(count);
+        format!("r-{:016x}-{count:x}", self.incarnation)
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    pub(crate) fn apply(&self, config: ServingConfig) -> bool {
+        if !self.config.apply(config) {
+            return false;
+        }
+        let now = self.now();
+        let mut decisions = self.decisions.borrow_mut();
+        self.config.with(|config| decisions.configure(config, now));
+        let revision = self.config.revision();
+        self.metrics.revision.record(revision.0, &[]);
+        log::info!(revision = revision.0; "configuration is in force");
+        true
+    }
+
+    pub(crate) fn gate_options(&self) -> GateOptions {
+        GateOptions {
+            instance: self.settings.instance.to_string(),
+            secrets: self.settings.secrets.clone(),
+        }
+    }
+
+    /// Ends a heartbeat period of the teams' use.
+    pub(crate) fn publish_use(&self) {
+        let now = self.now();
+        let uses = self.decisions.borrow_mut().admission.publish(now);
+        let notes = uses.into_iter().map(|used| TeamNote {
+            team: used.team,
+            tokens: used.tokens,
+        });
+        self.published.replace(notes.collect());
+    }
+
+    /// Takes in what a peer knows of requests that crash backend servers.
+    pub(crate) fn learn(&self, news: &[SuspectNews]) {
+        let now = self.now();
+        let mut decisions = self.decisions.borrow_mut();
+        for one in news {
+            decisions.suspects.learn(now, one.clone());
+        }
+    }
+
+    /// Takes in what another entry tells.
+    pub(crate) fn hear(&self, beat: &BeatMessage) {
+        let now = self.now();
+        self.config.merge(&beat.confirmation, now);
+        let uses = beat.teams.iter().map(|note| TeamUse {
+            team: note.team.clone(),
+            tokens: note.tokens,
+        });
+        let uses: Vec<TeamUse> = uses.collect();
+        let mut decisions = self.decisions.borrow_mut();
+        decisions
+            .admission
+            .observe(beat.instance.clone(), 1, &uses, now);
+    }
+
+    pub(crate) fn beat(&self) -> BeatMessage {
+        BeatMessage {
+            instance: self.settings.instance.clone(),
+            domain: self.settings.domain.clone(),
+            confirmation: self.config.note(self.now()),
+            load: LoadNote::default(),
+            teams: self.published.borrow().clone(),
+            suspects: self.decisions.borrow().suspects.news(self.now()),
+            stopping: self.gate.is_closed(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/http.rs
@@ -0,0 +1,370 @@
+//! The platform's service over HTTP and JSON.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use applefold_core::claim::store::{
+    StoreAnswer, StoreCall, StoreEntry, StoreKey, StoreReply, StoreVersion,
+};
+use applefold_core::id::{FencingNumber, InstanceId, ScopeId};
+use applefold_core::lease::{HolderName, LeaseReply};
+use applefold_core::unit::TimeSpan;
+use awc::error::SendRequestError;
+use awc::http::{Method, StatusCode};
+use futures_util::future::LocalBoxFuture;
+use futures_util::FutureExt;
+use opentelemetry::KeyValue as Label;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::message::{
+    InstanceRow, KeyValue, LeaseAsk, LeaseAskKind, OrderRecord, UsageRecord, WatchBatch,
+};
+use super::{PlatformApi, PlatformFault, PlatformResult};
+use crate::http;
+use crate::metrics::MetricSet;
+
+/// How long a call may take beyond the wait that it asks for.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+
+/// Calls the platform on behalf of one process.
+pub(crate) struct HttpPlatform {
+    client: awc::Client,
+    base: String,
+    instance: InstanceId,
+    metrics: MetricSet,
+}
+
+#[derive(Serialize)]
+struct LeaseBody<'a> {
+    holder: &'a HolderName,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    fencing: Option<FencingNumber>,
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct GrantBody {
+    fencing: FencingNumber,
+}
+
+#[derive(Deserialize)]
+struct HeldBody {
+    #[serde(default)]
+    holder: Option<HolderName>,
+    #[serde(default)]
+    fencing: FencingNumber,
+    #[serde(default)]
+    remaining_ms: u64,
+}
+
+#[derive(Serialize)]
+struct PutBody<'a> {
+    value: &'a str,
+    expect: StoreVersion,
+}
+
+#[derive(Deserialize)]
+struct VersionBody {
+    version: StoreVersion,
+}
+
+#[derive(Deserialize)]
+struct EntriesBody {
+    entries: Vec<KeyValue>,
+}
+
+#[derive(Deserialize)]
+struct InstancesBody {
+    instances: Vec<InstanceRow>,
+}
+
+#[derive(Deserialize)]
+struct OrdersBody {
+    orders: Vec<OrderRecord>,
+}
+
+/// One call, before it is sent.
+struct CallPlan {
+    kind: &'static str,
+    method: Method,
+    path: String,
+    body: String,
+    wait: Duration,
+}
+
+/// An answer that came.
+struct CallAnswer {
+    status: StatusCode,
+    body: Vec<u8>,
+}
+
+impl CallAnswer {
+    fn parse<T>(&self) -> PlatformResult<T>
+    where
+        T: DeserializeOwned,
+    {
+        serde_json::from_slice(&self.body).map_err(|_| PlatformFault::Refused)
+    }
+
+    /// Returns the body of a call that ended well.
+    fn parse_ok<T>(&self) -> PlatformResult<T>
+    where
+        T: DeserializeOwned,
+    {
+        match self.status {
+            StatusCode::OK => self.parse(),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                Err(PlatformFault::Unavailable)
+            }
+            _ => Err(PlatformFault::Refused),
+        }
+    }
+}
+
+impl CallPlan {
+    fn new(kind: &'static str, method: Method, path: String) -> Self {
+        Self {
+            kind,
+            method,
+            path,
+            body: String::new(),
+            wait: Duration::ZERO,
+        }
+    }
+
+    fn with_body<B>(mut self, body: &B) -> Self
+    where
+        B: Serialize,
+    {
+        self.body = serde_json::to_string(body).unwrap_or_default();
+        self
+    }
+}
+
+impl HttpPlatform {
+    pub(crate) fn new(address: SocketAddr, instance: InstanceId, metrics: MetricSet) -> Self {
+        let client = awc::Client::builder().disable_redirects().finish();
+        Self {
+            client,
+            base: format!("http://{address}"),
+            instance,
+            metrics,
+        }
+    }
+
+    async fn call(&self, plan: CallPlan) -> PlatformResult<CallAnswer> {
+        let labels = [Label::new("kind", plan.kind)];
+        self.metrics.platform_calls.add(1, &labels);
+        let url = format!("{}{}", self.base, plan.path);
+        let changes = plan.method != Method::GET;
+        let request = self
+            .client
+            .request(plan.method, url)
+            .timeout(plan.wait + CALL_TIMEOUT)
+            .insert_header(("x-client", self.instance.as_str()))
+            .insert_header(("content-type", "application/json"));
+        let sent = request.send_body(plan.body).await;
+        let mut response = sent.map_err(|error| fault_of(&error, changes))?;
+        let status = response.status();
+        let body = response.body().limit(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|_| lost(changes))?.to_vec();
+        Ok(CallAnswer { status, body })
+    }
+
+    async fn call_store(&self, call: &StoreCall) -> StoreReply {
+        let answer = self.call(store_plan(call)).await;
+        let reply = answer.and_then(|answer| store_reply(call, &answer));
+        reply.unwrap_or(StoreReply::Failed)
+    }
+
+    async fn call_lease(&self, scope: &ScopeId, ask: &LeaseAsk) -> LeaseReply {
+        let answer = self.call(lease_plan(scope, ask)).await;
+        let reply = answer.and_then(|answer| lease_reply(&answer));
+        reply.unwrap_or(LeaseReply::Failed)
+    }
+}
+
+const fn lost(changes: bool) -> PlatformFault {
+    match changes {
+        true => PlatformFault::Unsettled,
+        false => PlatformFault::Unavailable,
+    }
+}
+
+/// A call that never left took no effect; any other failed change may have.
+fn fault_of(error: &SendRequestError, changes: bool) -> PlatformFault {
+    match http::never_sent(error) {
+        true => PlatformFault::Unavailable,
+        false => lost(changes),
+    }
+}
+
+fn store_plan(call: &StoreCall) -> CallPlan {
+    match call {
+        StoreCall::Put {
+            key, value, expect, ..
+        } => {
+            let body = PutBody {
+                value,
+                expect: *expect,
+            };
+            CallPlan::new("put", Method::PUT, format!("/kv/{key}")).with_body(&body)
+        }
+        StoreCall::Get { key, .. } => CallPlan::new("get", Method::GET, format!("/kv/{key}")),
+        StoreCall::List {
+            prefix,
+            after,
+            limit,
+            ..
+        } => {
+            let after = after.as_ref().map_or("", StoreKey::as_str);
+            let path = format!("/list?prefix={prefix}&after={after}&limit={limit}");
+            CallPlan::new("list", Method::GET, path)
+        }
+        StoreCall::Delete { key, expect, .. } => {
+            let path = format!("/kv/{key}?expect={expect}");
+            CallPlan::new("delete", Method::DELETE, path)
+        }
+    }
+}
+
+fn store_reply(call: &StoreCall, answer: &CallAnswer) -> PlatformResult<StoreReply> {
+    match answer.status {
+        StatusCode::NOT_FOUND => return Ok(StoreReply::Absent),
+        StatusCode::CONFLICT => {
+            let body: VersionBody = answer.parse()?;
+            return Ok(StoreReply::Conflict(body.version));
+        }
+        _ => {}
+    }
+    Ok(match call {
+        StoreCall::Put { .. } | StoreCall::Delete { .. } => {
+            let body: VersionBody = answer.parse_ok()?;
+            StoreReply::Written(body.version)
+        }
+        StoreCall::Get { .. } => StoreReply::Found(entry_of(answer.parse_ok()?)),
+        StoreCall::List { .. } => {
+            let body: EntriesBody = answer.parse_ok()?;
+            StoreReply::Listed(body.entries.into_iter().map(entry_of).collect())
+        }
+    })
+}
+
+fn entry_of(value: KeyValue) -> StoreEntry {
+    StoreEntry {
+        key: StoreKey::new(value.key),
+        value: value.value,
+        version: value.version,
+    }
+}
+
+fn lease_plan(scope: &ScopeId, ask: &LeaseAsk) -> CallPlan {
+    let holder = &ask.holder;
+    let path = format!("/leases/{scope}");
+    match ask.kind {
+        LeaseAskKind::Acquire { ttl } => {
+            let body = LeaseBody {
+                holder,
+                fencing: None,
+                ttl_ms: ttl.as_millis(),
+            };
+            CallPlan::new("acquire", Method::POST, path).with_body(&body)
+        }
+        LeaseAskKind::Renew { fencing, ttl } => {
+            let body = LeaseBody {
+                holder,
+                fencing: Some(fencing),
+                ttl_ms: ttl.as_millis(),
+            };
+            CallPlan::new("renew", Method::PUT, path).with_body(&body)
+        }
+        LeaseAskKind::Release { fencing } => {
+            let path = format!("{path}?holder={holder}&fencing={fencing}");
+            CallPlan::new("release", Method::DELETE, path)
+        }
+    }
+}
+
+fn lease_reply(answer: &CallAnswer) -> PlatformResult<LeaseReply> {
+    if answer.status == StatusCode::CONFLICT {
+        let body: HeldBody = answer.parse()?;
+        return Ok(LeaseReply::Held {
+            holder: body.holder,
+            fencing: body.fencing,
+            remaining: TimeSpan::from_millis(body.remaining_ms),
+        });
+    }
+    let body: GrantBody = answer.parse_ok()?;
+    let fencing = body.fencing;
+    Ok(LeaseReply::Granted { fencing })
+}
+
+impl PlatformApi for HttpPlatform {
+    fn store(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer> {
+        async move {
+            StoreAnswer {
+                call: call.call(),
+                reply: self.call_store(&call).await,
+            }
+        }
+        .boxed_local()
+    }
+
+    fn watch(
+        &self,
+        prefix: String,
+        since: StoreVersion,
+        wait: TimeSpan,
+    ) -> LocalBoxFuture<'_, PlatformResult<WatchBatch>> {
+        async move {
+            let millis = wait.as_millis();
+            let path = format!("/watch?prefix={prefix}&since={since}&wait_ms={millis}");
+            let mut plan = CallPlan::new("watch", Method::GET, path);
+            plan.wait = Duration::from_millis(millis);
+            self.call(plan).await?.parse_ok()
+        }
+        .boxed_local()
+    }
+
+    fn lease(&self, scope: ScopeId, ask: LeaseAsk) -> LocalBoxFuture<'_, LeaseReply> {
+        async move { self.call_lease(&scope, &ask).await }.boxed_local()
+    }
+
+    fn instances(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<InstanceRow>>> {
+        async move {
+            let plan = CallPlan::new("instances", Method::GET, "/instances".to_owned());
+            let body: InstancesBody = self.call(plan).await?.parse_ok()?;
+            Ok(body.instances)
+        }
+        .boxed_local()
+    }
+
+    fn order(&self, order: OrderRecord) -> LocalBoxFuture<'_, PlatformResult<()>> {
+        async move {
+            let plan = CallPlan::new("order", Method::POST, "/orders".to_owned());
+            let _: serde_json::Value = self.call(plan.with_body(&order)).await?.parse_ok()?;
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn orders(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<OrderRecord>>> {
+        async move {
+            let plan = CallPlan::new("orders", Method::GET, "/orders".to_owned());
+            let body: OrdersBody = self.call(plan).await?.parse_ok()?;
+            Ok(body.orders)
+        }
+        .boxed_local()
+    }
+
+    fn report(&self, usage: UsageRecord) -> LocalBoxFuture<'_, PlatformResult<()>> {
+        async move {
+            let plan = CallPlan::new("usage", Method::POST, "/usage".to_owned());
+            let _: serde_json::Value = self.call(plan.with_body(&usage)).await?.parse_ok()?;
+            Ok(())
+        }
+        .boxed_local()
+    }
+}
--- a/crates/wire/applefold.capnp
+++ b/crates/wire/applefold.capnp
@@ -44,13 +44,14 @@
   confirmation @2 :Confirmation;
   load @3 :Load;
   teams @4 :List(TeamUse);
-  # Fingerprints that have crashed backend servers, with the number of crashes.
+  # What is known of requests that were running when backend servers died.
   suspects @5 :List(Suspect);
   stopping @6 :Bool;
 }
 
 struct Suspect {
   fingerprint @0 :UInt64;
+  # Empty where the request completed whole.
   backend @1 :Text;
   ageMicros @2 :UInt64;
 }
@@ -105,6 +106,8 @@
   attempt @1 :UInt64;
   load @6 :Load;
   confirmation @7 :Confirmation;
+  # Whether the backend server died while it ran the request.
+  crashed @8 :Bool;
   union {
     # The answer is whole and this long.
     whole @2 :UInt64;
@@ -135,15 +138,14 @@
   }
 }
 
-struct ClaimRequest {
-  shard @0 :UInt64;
-  key @1 :Text;
-  team @2 :Text;
-  fingerprint @3 :UInt64;
-  request @4 :Text;
+struct ClaimAsk {
+  key @0 :Text;
+  team @1 :Text;
+  fingerprint @2 :UInt64;
+  request @3 :Text;
 }
 
-struct ClaimReply {
+struct ClaimVerdict {
   union {
     granted @0 :Void;
     refused @1 :Refusal;
@@ -156,13 +158,15 @@
   body @1 :Data;
 }
 
-struct ClaimOutcome {
-  shard @0 :UInt64;
-  key @1 :Text;
-  team @2 :Text;
-  request @3 :Text;
-  answer @4 :KeptAnswer;
-  known @5 :Bool;
+struct ClaimReport {
+  key @0 :Text;
+  team @1 :Text;
+  request @2 :Text;
+  union {
+    answered @3 :KeptAnswer;
+    notRun @4 :Void;
+    unknown @5 :Void;
+  }
 }
 
 struct UsageFigure {
@@ -196,8 +200,10 @@
   dispatch @1 (dispatch :Dispatch, sink :AnswerSink) -> (end :AnswerEnd);
   configure @2 (update :ConfigUpdate) -> (revision :UInt64);
   order @3 (order :Order) -> (reply :OrderReply);
-  claim @4 (claim :ClaimRequest) -> (reply :ClaimReply);
-  settle @5 (outcome :ClaimOutcome) -> ();
-  meter @6 (batch :UsageBatch) -> ();
-  fetchConfig @7 (known :UInt64) -> (update :ConfigUpdate);
+  claim @4 (ask :ClaimAsk) -> (verdict :ClaimVerdict);
+  settle @5 (report :ClaimReport) -> (taken :Bool);
+  # What the keeper `keeper` does not have, given the last mark that it took.
+  meter @6 (keeper :Text, taken :UInt64) -> (batch :UsageBatch, mark :UInt64);
+  # All that a keeper has from a window on.
+  collect @7 (fromWindow :UInt64) -> (batches :List(UsageBatch));
 }
