Count keepers that answer slowly

Cause: with one keeper unreachable, the others' answers came after the next call had been sent and were dropped, so that a window was sealed empty and all of its usage billed late. Change: the sealer takes the answers to all calls made since the window ended; merging them twice changes nothing.

--- a/crates/core/src/usage/phase.rs
+++ b/crates/core/src/usage/phase.rs
@@ -23,6 +23,7 @@
     Resting,
     /// Asking the keepers.
     Collecting {
+        first: CallNumber,
         call: Option<CallNumber>,
         due: TimePoint,
         until: TimePoint,
--- a/crates/core/src/usage/sealer.rs
+++ b/crates/core/src/usage/sealer.rs
@@ -85,6 +85,7 @@
         let mut actions = Vec::new();
         if matches!(self.phase, SealerPhase::Resting) && self.seals.next() <= ended {
             self.phase = SealerPhase::Collecting {
+                first: CallNumber(self.calls.0 + 1),
                 call: None,
                 due: now,
                 until: now + self.options.collect_wait,
@@ -246,16 +247,24 @@
         whole: bool,
     ) {
         let SealerPhase::Collecting {
-            call, due, merged, ..
+            first,
+            call,
+            due,
+            merged,
+            ..
         } = &mut self.phase
         else {
             return;
         };
-        if *call != Some(answered) {
+        // Answers may take longer than the time between two calls; all of
+        // them count that were asked for after the window had ended.
+        if answered < *first {
             return;
         }
-        *call = None;
-        *due = now + self.options.backoff;
+        if *call == Some(answered) {
+            *call = None;
+            *due = now + self.options.backoff;
+        }
         for batch in batches {
             merged.take(batch);
         }
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -763,6 +763,57 @@
     );
 }
 
+#[test]
+fn slow_keepers_count_although_they_were_asked_again() {
+    let mut meter = new_meter(1, 1).meter;
+    meter.add(key(FIRST, 1), totals(10));
+    let mut keeper = UsageKeeper::new();
+    keeper.take(meter.batch_for(&instance("keeper", 1)).0);
+    let Bench {
+        mut sealer,
+        lease,
+        mut store,
+        ..
+    } = Bench::new(keeper.clone());
+    let mut now = TimePoint::START;
+    sealer.begin(now, FencingNumber(1));
+    let mut collects = Vec::new();
+    let mut seals = Vec::new();
+    while now < TimePoint::START + TimeSpan::from_secs(30) {
+        now = now + TICK;
+        let mut actions = sealer.tick(now, FIRST, &lease);
+        // Each answer takes three seconds, and one keeper never answers.
+        if let Some((call, asked)) = collects.first().copied() {
+            if now.since(asked) >= TimeSpan::from_secs(3) {
+                collects.remove(0);
+                let event = SealerEvent::Collected {
+                    call,
+                    batches: keeper.batches(FIRST),
+                    whole: false,
+                };
+                actions.extend(sealer.handle(now, FIRST, &lease, event));
+            }
+        }
+        while let Some(action) = actions.pop() {
+            match action {
+                SealerAction::Collect { call, .. } => collects.push((call, now)),
+                SealerAction::Store(call) => {
+                    if let StoreCall::Put { value, .. } = &call {
+                        seals.push(value.clone());
+                    }
+                    let reply = store.apply(&call);
+                    let call = call.call();
+                    let event = SealerEvent::Stored(StoreAnswer { call, reply });
+                    actions.extend(sealer.handle(now, FIRST, &lease, event));
+                }
+                SealerAction::Report { .. } | SealerAction::Closed { .. } => {}
+            }
+        }
+    }
+    let sealed = seals.last().expect("the window is sealed");
+    assert!(sealed.contains("team-1"), "{sealed}");
+}
+
 #[test]
 fn a_seal_that_came_too_late_is_not_reported() {
     let mut keeper = UsageKeeper::new();
