Find the holders of a long prefix in one pass over sorted lists

Cause: the scale measurement showed 1,490 ns for each backend server that holds the 32 pieces of a prompt: each piece was looked up in the list of holders by search, once for the intersection and once, from the front, for each candidate. Change: the intersection walks both sorted lists once, and candidates are found by binary search.

--- a/crates/core/src/routing/prefix.rs
+++ b/crates/core/src/routing/prefix.rs
@@ -131,7 +131,7 @@
         };
         let held = |hash: &&PieceHash| {
             let slots = self.holders.get(hash);
-            slots.is_some_and(|slots| slots.contains(&row.slot))
+            slots.is_some_and(|slots| slots.binary_search(&row.slot).is_ok())
         };
         let pieces = chain.hashes().iter().take_while(held).count();
         PieceCount(pieces as u64).tokens()
@@ -144,10 +144,11 @@
             let Some(slots) = self.holders.get(hash) else {
                 break;
             };
-            let longer = match best.is_empty() {
-                true => slots.clone(),
-                false => intersect(&best, slots),
-            };
+            if best.is_empty() {
+                best.clone_from(slots);
+                continue;
+            }
+            let longer = intersect(&best, slots);
             if longer.is_empty() {
                 break;
             }
@@ -227,8 +228,15 @@
     }
 }
 
-/// Both lists are sorted, so one pass finds what they share.
+/// Both lists are sorted, so one pass over both finds what they share.
 fn intersect(left: &[HolderSlot], right: &[HolderSlot]) -> Vec<HolderSlot> {
-    let shared = left.iter().filter(|slot| right.binary_search(slot).is_ok());
-    shared.copied().collect()
+    let mut rest = right.iter().peekable();
+    let mut shared = Vec::with_capacity(left.len().min(right.len()));
+    for slot in left {
+        while rest.next_if(|other| *other < slot).is_some() {}
+        if rest.peek() == Some(&slot) {
+            shared.push(*slot);
+        }
+    }
+    shared
 }
