--- a/crates/experiment/src/scale/control.rs
+++ b/crates/experiment/src/scale/control.rs
@@ -14,7 +14,9 @@
 use crate::member::named;
 
 const KEYS: &[u64] = &[10, 100, 300, 1_000, 2_000];
-const KEYS_OF_A_TICKET: u64 = 50;
+const OBJECTS_OF_A_TICKET: usize = 50;
+const TEAM: &str = "team-of-users-001";
+const POOL: &str = "assistant";
 const ENGINES: &[u64] = &[10, 30, 50, 100, 200];
 const NOW: TimePoint = TimePoint(10_000_000);
 const HELD: OrderAuthority = OrderAuthority::Held(FencingNumber(1));
@@ -43,23 +45,30 @@
     })?;
     probe.measure(plan("apply a ticket"), config, |config, turn| {
         let number = 1_000_000 + turn;
-        let ticket = ticket(number, &[turn % 10]);
+        let ticket = ticket(number, &objects(ConfigObject::Key, &[turn % 10]));
         black_box(config.apply(&ticket).is_ok());
     })?;
     probe.measure(plan("write it as JSON"), config, |config, _| {
         black_box(config.to_json());
     })?;
-    let written = |rows| config(rows).to_json();
-    probe.measure(
-        SeriesPlan {
+    grow_text(probe)
+}
+
+/// The text is what a process that is far behind is sent, and what the store keeps.
+fn grow_text(probe: &mut ScaleProbe) -> eyre::Result<()> {
+    for object in [ConfigObject::Key, ConfigObject::Team, ConfigObject::Engine] {
+        let plan = SeriesPlan {
             table: "configuration as JSON",
-            ..plan("read it")
-        },
-        written,
-        |text, _| {
+            row: object.as_str(),
+            event: "read it",
+            sizes: KEYS,
+        };
+        let written = |rows| config_of(object, rows).to_json();
+        probe.measure(plan, written, |text, _| {
             black_box(ServingConfig::from_json(text).is_ok());
-        },
-    )
+        })?;
+    }
+    Ok(())
 }
 
 fn grow_planners(probe: &mut ScaleProbe) -> eyre::Result<()> {
@@ -87,33 +96,85 @@
     )
 }
 
-fn key_text(number: u64) -> String {
-    let digest = key_digest(&format!("secret-{number}"));
-    format!(
-        r#"{{"id":"key-of-team-{number:04}","team":"team-of-users-001","sha256":"{digest}","state":"active"}}"#
-    )
+#[derive(Clone, Copy)]
+enum ConfigObject {
+    Key,
+    Team,
+    Engine,
 }
 
-fn ticket(number: u64, keys: &[u64]) -> ChangeTicket {
-    let keys: Vec<String> = keys.iter().copied().map(key_text).collect();
-    let team = r#"{"id":"team-of-users-001","weight":1}"#;
-    let text = format!(
-        r#"{{"ticket":{number},"author":"ana","teams":[{team}],"keys":[{}]}}"#,
-        keys.join(",")
-    );
+impl ConfigObject {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Key => "key",
+            Self::Team => "team",
+            Self::Engine => "engine",
+        }
+    }
+
+    fn table(self) -> &'static str {
+        match self {
+            Self::Key => "keys",
+            Self::Team => "teams",
+            Self::Engine => "engines",
+        }
+    }
+
+    fn text(self, number: u64) -> String {
+        match self {
+            Self::Key => {
+                let digest = key_digest(&format!("secret-{number}"));
+                format!(
+                    r#"{{"id":"key-of-team-{number:04}","team":"{TEAM}","sha256":"{digest}","state":"active"}}"#
+                )
+            }
+            Self::Team => format!(
+                r#"{{"id":"team-of-users-{number:04}","weight":10,"limits":{{"tokens_per_s":20000,"running":50}}}}"#
+            ),
+            Self::Engine => format!(
+                r#"{{"id":"engine-{number:04}.eu-1a","pool":"{POOL}","state":"active","role":"both"}}"#
+            ),
+        }
+    }
+}
+
+fn ticket(number: u64, body: &str) -> ChangeTicket {
+    let text = format!(r#"{{"ticket":{number},"author":"ana",{body}}}"#);
     ChangeTicket::parse(&text).expect("the experiment's tickets can be read")
 }
 
-fn config(rows: u64) -> ServingConfig {
+fn objects(object: ConfigObject, numbers: &[u64]) -> String {
+    let texts: Vec<String> = numbers.iter().map(|number| object.text(*number)).collect();
+    format!(r#""{}":[{}]"#, object.table(), texts.join(","))
+}
+
+/// The objects that the measured ones refer to.
+fn frame() -> ChangeTicket {
+    let team = format!(r#""teams":[{{"id":"{TEAM}","weight":1}}]"#);
+    let pool = format!(
+        r#""pools":[{{"id":"{POOL}","kind":"model","min":1,"max":3000,"failure_domains":["eu-1a"]}}]"#
+    );
+    ticket(1, &format!("{team},{pool}"))
+}
+
+fn config_of(object: ConfigObject, rows: u64) -> ServingConfig {
     let mut config = ServingConfig::default();
     let numbers: Vec<u64> = (0..rows).collect();
-    for (number, keys) in (1..).zip(numbers.chunks(KEYS_OF_A_TICKET as usize)) {
-        let applied = config.apply(&ticket(number, keys));
+    let groups = numbers.chunks(OBJECTS_OF_A_TICKET);
+    let filed = (2..)
+        .zip(groups)
+        .map(|(number, group)| ticket(number, &objects(object, group)));
+    for ticket in std::iter::once(frame()).chain(filed) {
+        let applied = config.apply(&ticket);
         applied.expect("the experiment's tickets are accepted");
     }
     config
 }
 
+fn config(rows: u64) -> ServingConfig {
+    config_of(ConfigObject::Key, rows)
+}
+
 fn report(number: u64) -> EngineReport {
     let backend: BackendId = named(&format!("engine-{number:04}.eu-1a"));
     EngineReport {
