--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod prefix;
 mod queue;
+mod report;
 mod scale;
 mod score;
 mod serve;
--- /dev/null
+++ b/crates/experiment/src/report/sealed.rs
@@ -0,0 +1,116 @@
+//! A process that reports by the decisions of `lease` and `usage`.
+
+use applefold_core::claim::store::StoreAnswer;
+use applefold_core::id::WindowId;
+use applefold_core::lease::{HolderName, LeaseAction, LeaseAnswer, LeaseHolder, LeaseOptions};
+use applefold_core::unit::TimePoint;
+use applefold_core::usage::{SealerAction, SealerEvent, SealerOptions, UsageKeeper, UsageSealer};
+
+use super::platform::BillingPlatform;
+use super::{ended_window, keeper_id};
+use crate::member::named;
+
+/// A lease holder and a sealer that acts under it.
+pub(super) struct SealedReporter {
+    holder: HolderName,
+    lease: LeaseHolder,
+    sealer: UsageSealer,
+}
+
+impl SealedReporter {
+    pub(super) fn new(index: usize) -> Self {
+        let holder = HolderName::new(&keeper_id(index), 1);
+        Self {
+            lease: LeaseHolder::new(named("usage"), holder.clone(), LeaseOptions::default()),
+            sealer: UsageSealer::new(holder.clone(), SealerOptions::default()),
+            holder,
+        }
+    }
+
+    pub(super) fn step(
+        &mut self,
+        now: TimePoint,
+        platform: &mut BillingPlatform,
+        keepers: &mut [UsageKeeper],
+    ) {
+        let actions = self.lease.tick(now);
+        self.apply_lease(now, platform, actions);
+        let Some(ended) = ended_window(now) else {
+            return;
+        };
+        let mut actions = self.sealer.tick(now, ended, &self.lease);
+        while !actions.is_empty() {
+            let answers: Vec<SealerEvent> = actions
+                .into_iter()
+                .filter_map(|action| carry_out(action, platform, keepers))
+                .collect();
+            actions = Vec::new();
+            for event in answers {
+                actions.extend(self.sealer.handle(now, ended, &self.lease, event));
+            }
+        }
+    }
+
+    fn apply_lease(
+        &mut self,
+        now: TimePoint,
+        platform: &mut BillingPlatform,
+        actions: Vec<LeaseAction>,
+    ) {
+        for action in actions {
+            let (call, ttl) = match action {
+                LeaseAction::Acquire { call, ttl } | LeaseAction::Renew { call, ttl, .. } => {
+                    (call, ttl)
+                }
+                LeaseAction::Begin { fencing } => {
+                    self.sealer.begin(now, fencing);
+                    continue;
+                }
+                LeaseAction::End { .. } => {
+                    self.sealer.end();
+                    continue;
+                }
+                LeaseAction::Release { .. } => continue,
+            };
+            let reply = platform.lease(&self.holder, ttl);
+            let next = self.lease.handle(now, LeaseAnswer { call, reply });
+            self.apply_lease(now, platform, next);
+        }
+    }
+}
+
+fn carry_out(
+    action: SealerAction,
+    platform: &mut BillingPlatform,
+    keepers: &mut [UsageKeeper],
+) -> Option<SealerEvent> {
+    match action {
+        SealerAction::Store(call) => {
+            let reply = platform.store(&call);
+            let call = call.call();
+            Some(SealerEvent::Stored(StoreAnswer { call, reply }))
+        }
+        SealerAction::Collect { call, from } => {
+            let batches = keepers.iter().flat_map(|keeper| keeper.batches(from));
+            Some(SealerEvent::Collected {
+                call,
+                batches: batches.collect(),
+                whole: true,
+            })
+        }
+        SealerAction::Report { call, report, .. } => {
+            let taken = platform.bill(report);
+            Some(SealerEvent::Reported { call, taken })
+        }
+        SealerAction::Closed { keep_from, .. } => {
+            forget(keepers, keep_from);
+            None
+        }
+    }
+}
+
+fn forget(keepers: &mut [UsageKeeper], keep_from: WindowId) {
+    for keeper in keepers {
+        keeper.forget_before(keep_from);
+    }
+}
--- a/crates/experiment/src/score.rs
+++ b/crates/experiment/src/score.rs
@@ -6,6 +6,7 @@
 use applefold_core::unit::TimeSpan;
 use serde::Serialize;
 
+use crate::report::{self, ReportScore};
 use crate::workload::{PhaseSpan, TEAM_SHARES};
 use crate::world::World;
 
@@ -42,6 +43,7 @@
     /// `None` where nothing was refused.
     pub(crate) early_refusals: Option<f64>,
     pub(crate) run_twice: u64,
+    pub(crate) reports: ReportScore,
     pub(crate) phases: Vec<PhaseScore>,
 }
 
@@ -100,6 +102,7 @@
         score.early_refusals = (score.refused > 0).then(|| early as f64 / score.refused as f64);
         score.worst_team = worst_team(world);
         score.phases = phase_scores(world);
+        score.reports = report::play(world);
         score
     }
 }
--- a/crates/experiment/src/serve.rs
+++ b/crates/experiment/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::member::{named, team_id};
 use crate::score::CallOutcome;
 use crate::workload::DECODE_RATE;
-use crate::world::{World, WorldEvent};
+use crate::world::{EndedAnswer, World, WorldEvent};
 
 const NAIVE_ATTEMPTS: u64 = 3;
 /// The longest time between two tokens of an answer.
@@ -395,6 +395,13 @@
 
     /// The whole answer has come.
     pub(crate) fn finish(&mut self, request: usize) {
+        let backend = self.rows[request].backend.as_ref();
+        let engine = backend.and_then(|backend| self.engine_by_id.get(backend));
+        let at = self.now;
+        self.rows[request].ended = engine.map(|engine| EndedAnswer {
+            at,
+            engine: *engine,
+        });
         self.end_flight(request);
         let one_way = self.plan.workload.one_way;
         let end = self.now + one_way;
--- a/crates/experiment/src/table.rs
+++ b/crates/experiment/src/table.rs
@@ -40,6 +40,9 @@
     pub(crate) early_refusals: Option<SpreadFigure>,
     pub(crate) broken: SpreadFigure,
     pub(crate) run_twice: SpreadFigure,
+    pub(crate) reports: SpreadFigure,
+    pub(crate) late_reports: SpreadFigure,
+    pub(crate) differing_reports: SpreadFigure,
 }
 
 /// A figure over the seeds.
@@ -87,6 +90,9 @@
             early_refusals: spread(early, WorseEnd::Low),
             broken: of(WorseEnd::High, |run| run.broken as f64),
             run_twice: of(WorseEnd::High, |run| run.run_twice as f64),
+            reports: of(WorseEnd::Low, |run| run.reports.reports as f64),
+            late_reports: of(WorseEnd::High, |run| run.reports.late as f64),
+            differing_reports: of(WorseEnd::High, |run| run.reports.differing as f64),
         };
         Self {
             label,
@@ -128,7 +134,7 @@
     Some(SpreadFigure { median, worst })
 }
 
-const HEADINGS: [&str; 12] = [
+const HEADINGS: [&str; 14] = [
     "good/s",
     "good share",
     "x naive over",
@@ -140,7 +146,9 @@
     "early refusals",
     "broken",
     "run twice",
-    "usage reports",
+    "reports",
+    "late",
+    "differing",
 ];
 
 /// Prints the rows as a table; each figure is the median, then the worst.
@@ -172,7 +180,9 @@
         pair(summary.early_refusals, 3),
         pair(Some(summary.broken), 0),
         pair(Some(summary.run_twice), 0),
-        "not measured".to_owned(),
+        pair(Some(summary.reports), 0),
+        pair(Some(summary.late_reports), 0),
+        pair(Some(summary.differing_reports), 0),
     ]
 }
 
--- a/crates/experiment/src/world.rs
+++ b/crates/experiment/src/world.rs
@@ -146,6 +146,15 @@
     pub(crate) generated: u64,
     pub(crate) executions: u32,
     pub(crate) outcome: Option<CallOutcome>,
+    /// Where and when the answer ended, for the usage reports.
+    pub(crate) ended: Option<EndedAnswer>,
+}
+
+/// An answer that is to be billed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndedAnswer {
+    pub(crate) at: TimePoint,
+    pub(crate) engine: EngineIndex,
 }
 
 /// What a run is made of, the same for all versions.
