--- a/crates/experiment/src/report/mod.rs
+++ b/crates/experiment/src/report/mod.rs
@@ -117,9 +117,7 @@
             if pauses[index].iter().any(paused) {
                 continue;
             }
-            if step % STEPS_PER_FLUSH == 0 {
-                flush(&mut meters, index, &mut keepers[index]);
-            }
+            flush(&mut meters, step, index, &mut keepers[index]);
             process.step(now, &mut platform, &mut keepers);
         }
     }
@@ -176,9 +174,15 @@
     pauses
 }
 
-fn flush(meters: &mut [UsageMeter], keeper: usize, kept: &mut UsageKeeper) {
+/// Each meter sends once a second, at a moment of its own.
+fn flush(meters: &mut [UsageMeter], step: u64, keeper: usize, kept: &mut UsageKeeper) {
     let id = keeper_id(keeper);
-    for meter in meters {
+    let first = (step % STEPS_PER_FLUSH) as usize;
+    for meter in meters
+        .iter_mut()
+        .skip(first)
+        .step_by(STEPS_PER_FLUSH as usize)
+    {
         let (batch, mark) = meter.batch_for(&id);
         if !batch.figures.is_empty() {
             kept.take(batch);
--- a/crates/experiment/src/report/platform.rs
+++ b/crates/experiment/src/report/platform.rs
@@ -162,7 +162,8 @@
         match self.billed.get(&id) {
             None => {
                 self.score.reports += 1;
-                self.score.late += u64::from(!report.late && self.is_late(report.key.window));
+                let late = report.late || self.is_late(report.key.window);
+                self.score.late += u64::from(late);
                 self.billed.insert(id, report);
             }
             Some(first) => self.score.differing += u64::from(first.totals != report.totals),
