Seal a usage window 3 s after its end

Cause: a window was sealed at its end, before the meters' last second had come, so nearly every window was followed by an amount marked late. Ruled out: waiting in the sealer for meters, which it does not know.

--- a/crates/experiment/src/report/sealed.rs
+++ b/crates/experiment/src/report/sealed.rs
@@ -3,13 +3,16 @@
 use applefold_core::claim::store::StoreAnswer;
 use applefold_core::id::WindowId;
 use applefold_core::lease::{HolderName, LeaseAction, LeaseAnswer, LeaseHolder, LeaseOptions};
-use applefold_core::unit::TimePoint;
+use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_core::usage::{SealerAction, SealerEvent, SealerOptions, UsageKeeper, UsageSealer};
 
 use super::platform::BillingPlatform;
 use super::{ended_window, keeper_id};
 use crate::member::named;
 
+/// Meters have this long after the end of a window to send what they counted in it.
+const SEAL_GRACE: TimeSpan = TimeSpan::from_secs(3);
+
 /// A lease holder and a sealer that acts under it.
 pub(super) struct SealedReporter {
     holder: HolderName,
@@ -35,7 +38,7 @@
     ) {
         let actions = self.lease.tick(now);
         self.apply_lease(now, platform, actions);
-        let Some(ended) = ended_window(now) else {
+        let Some(ended) = ended_window(now - SEAL_GRACE) else {
             return;
         };
         let mut actions = self.sealer.tick(now, ended, &self.lease);
