--- a/crates/daemon/src/cmd/args.rs
+++ b/crates/daemon/src/cmd/args.rs
@@ -69,6 +69,10 @@
     /// length of a usage window, the same for all processes (APPLEFOLD_USAGE_WINDOW, 60s)
     #[argh(option)]
     pub(crate) usage_window: Option<String>,
+    /// time that a lost backend server has to come back before another is ordered
+    /// (APPLEFOLD_RESTART_GRACE, 30s)
+    #[argh(option)]
+    pub(crate) restart_grace: Option<String>,
     /// share of traces that are written, from 0 to 1 (APPLEFOLD_TRACE_SHARE, 1)
     #[argh(option)]
     pub(crate) trace_share: Option<String>,
--- a/crates/daemon/src/cmd/entry.rs
+++ b/crates/daemon/src/cmd/entry.rs
@@ -135,6 +135,14 @@
         },
         TimeSpan::from_secs(60),
     );
+    let restart_grace = reader.optional(
+        SettingSource {
+            flag: "--restart-grace",
+            variable: "APPLEFOLD_RESTART_GRACE",
+            given: args.restart_grace.as_deref(),
+        },
+        TimeSpan::from_secs(30),
+    );
     let trace_share = reader.optional(
         SettingSource {
             flag: "--trace-share",
@@ -201,6 +209,7 @@
         drain_timeout,
         confirm_bound,
         usage_window,
+        restart_grace,
         trace_share,
     };
     Ok(CheckedSettings {
--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -8,6 +8,8 @@
 #[derive(Debug, Default)]
 struct DrainCount {
     draining: Cell<bool>,
+    /// Set while an order says that no new work is to be taken.
+    held: Cell<bool>,
     in_flight: Cell<u64>,
     idle: Notify,
 }
@@ -37,7 +39,7 @@
 impl DrainGate {
     /// Counts new work in; `None` once the gate is closed.
     pub(crate) fn enter(&self) -> Option<FlightGuard> {
-        if self.count.draining.get() {
+        if self.is_closed() {
             return None;
         }
         Some(self.enter_anyway())
@@ -56,8 +58,13 @@
         self.count.draining.set(true);
     }
 
+    /// Lets no new work in until the hold is taken off.
+    pub(crate) fn set_held(&self, held: bool) {
+        self.count.held.set(held);
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
-        self.count.draining.get()
+        self.count.draining.get() || self.count.held.get()
     }
 
     pub(crate) fn in_flight(&self) -> u64 {
--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -102,6 +102,7 @@
     let mut span = state.spans.begin("entry.request", parent.as_ref());
     span.note("request", call.plan.request.to_string());
     span.note("service", call.plan.service.to_string());
+    state.note_demand(&call.plan);
     let (sender, receiver) = oneshot::channel();
     let hold = state.settings.hold_limit;
     let shape = match call.plan.stream {
--- a/crates/daemon/src/entry/authority.rs
+++ b/crates/daemon/src/entry/authority.rs
@@ -13,7 +13,7 @@
 use applefold_core::rank;
 
 use super::state::EntryState;
-use super::{claims, usage};
+use super::{claims, fleet, usage};
 use crate::platform::message::{LeaseAsk, LeaseAskKind};
 
 /// Several steps fit within the margin of a lease.
@@ -21,6 +21,7 @@
 /// How many entries ask for one lease.
 const CANDIDATES: usize = 3;
 const USAGE_SCOPE: &str = "usage";
+const FLEET_SCOPE: &str = "fleet";
 
 /// The work that is done under one lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,19 +30,22 @@
     Claims(ShardId),
     /// Sealing and reporting usage.
     Usage,
+    /// Ordering and releasing backend servers.
+    Fleet,
 }
 
 impl WorkScope {
     fn all() -> impl Iterator<Item = Self> {
         let shards = (0..CLAIM_SHARDS).map(|number| Self::Claims(ShardId(number)));
-        shards.chain([Self::Usage])
+        shards.chain([Self::Usage, Self::Fleet])
     }
 
     /// Returns the name of the lease.
-    fn scope_id(self) -> ScopeId {
+    pub(crate) fn scope_id(self) -> ScopeId {
         let name = match self {
             Self::Claims(shard) => format!("claims:{shard}"),
             Self::Usage => USAGE_SCOPE.to_owned(),
+            Self::Fleet => FLEET_SCOPE.to_owned(),
         };
         name.parse().expect("the name is an identifier")
     }
@@ -49,7 +53,7 @@
     fn options(self) -> LeaseOptions {
         match self {
             Self::Claims(_) => LeaseOptions::store_fenced(),
-            Self::Usage => LeaseOptions::default(),
+            Self::Usage | Self::Fleet => LeaseOptions::default(),
         }
     }
 }
@@ -227,6 +231,7 @@
     match work {
         WorkScope::Claims(shard) => claims::begin(state, shard, fencing),
         WorkScope::Usage => usage::begin(state, fencing),
+        WorkScope::Fleet => fleet::begin(state, fencing),
     }
 }
 
@@ -235,5 +240,6 @@
     match work {
         WorkScope::Claims(shard) => claims::end(state, shard),
         WorkScope::Usage => usage::end(state),
+        WorkScope::Fleet => fleet::end(state),
     }
 }
--- /dev/null
+++ b/crates/daemon/src/entry/fleet.rs
@@ -0,0 +1,387 @@
+//! The size of the pools: ordered, drained and released under a lease.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::claim::store::{CallNumber, StoreCall};
+use applefold_core::config::{PoolConfig, PoolKind, ServingConfig};
+use applefold_core::fence::{EngineOrder, OrderVerdict};
+use applefold_core::fleet::{FleetAction, FleetEvent, FleetPlanner, FleetSettings, PoolPlan};
+use applefold_core::forecast::{DemandEvent, DemandForecast, ForecastSettings};
+use applefold_core::id::{BackendId, FencingNumber, OrderId, PoolId};
+use applefold_core::lease::HolderName;
+use applefold_core::order::{
+    JournalAction, JournalEvent, JournalOptions, OrderJournal, OrderOutcome, PlatformAction,
+    PlatformOrder, PostReply,
+};
+use applefold_core::role::OrderAuthority;
+use applefold_core::unit::{TimeSpan, TokenRate};
+use applefold_wire::beat::{LoadNote, PoolNote};
+use applefold_wire::order as message;
+use eyre::{Result, WrapErr};
+use smol_str::SmolStr;
+
+use super::authority::WorkScope;
+use super::links;
+use super::state::EntryState;
+use crate::link::dial::PeerLink;
+use crate::platform::message::{InstanceRow, InstanceState, OrderRecord};
+use crate::platform::PlatformFault;
+
+const TICK_PERIOD: Duration = Duration::from_millis(500);
+/// How long a sidecar may take to carry out a drain.
+const DRAIN_ORDER_SPAN: TimeSpan = TimeSpan::from_secs(2);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The planner with its forecast, and the journal that its orders go through.
+pub(crate) struct FleetDesk {
+    planner: RefCell<FleetPlanner>,
+    forecast: RefCell<DemandForecast>,
+    journal: RefCell<OrderJournal>,
+    listed: RefCell<BTreeSet<BackendId>>,
+}
+
+impl FleetDesk {
+    pub(crate) fn new(holder: &HolderName, settings: FleetSettings) -> Self {
+        let scope = WorkScope::Fleet.scope_id();
+        let journal = OrderJournal::new(scope, holder.clone(), JournalOptions::default());
+        Self {
+            planner: RefCell::new(FleetPlanner::new(settings)),
+            forecast: RefCell::new(DemandForecast::new(ForecastSettings::default())),
+            journal: RefCell::new(journal),
+            listed: RefCell::default(),
+        }
+    }
+}
+
+/// Begins to order; what earlier holders left is settled first.
+pub(crate) fn begin(state: &Rc<EntryState>, fencing: FencingNumber) {
+    state.fleet.journal.borrow_mut().begin(state.now(), fencing);
+}
+
+/// Stops at once.
+pub(crate) fn end(state: &EntryState) {
+    state.fleet.journal.borrow_mut().end();
+}
+
+/// Counts what a pool was asked for, here or at another entry.
+pub(crate) fn note_demand(state: &EntryState, note: &PoolNote) {
+    let event = DemandEvent {
+        pool: note.pool.clone(),
+        prefill: note.prefill,
+        decode: note.decode,
+    };
+    state.fleet.forecast.borrow_mut().handle(state.now(), event);
+}
+
+/// Takes in the pools of the configuration.
+pub(crate) fn configure(state: &EntryState, config: &ServingConfig) {
+    for pool in config.pools().values() {
+        inform(state, FleetEvent::Planned(plan_of(pool)));
+    }
+}
+
+fn plan_of(pool: &PoolConfig) -> PoolPlan {
+    let rate = |rate: Option<TokenRate>| match pool.kind {
+        PoolKind::Model => rate.unwrap_or(TokenRate::ZERO),
+        PoolKind::Plain => TokenRate::ZERO,
+    };
+    PoolPlan {
+        pool: pool.id.clone(),
+        min: u32::try_from(pool.min).unwrap_or(u32::MAX),
+        max: u32::try_from(pool.max).unwrap_or(u32::MAX),
+        domains: pool.failure_domains.clone(),
+        prefill_rate: rate(pool.prefill_rate),
+        decode_rate: rate(pool.decode_rate),
+    }
+}
+
+/// Takes in a row of the platform's list.
+pub(crate) fn note_listed(state: &EntryState, instance: &InstanceRow, pool: &PoolId) {
+    let backend = links::backend_of(&instance.id);
+    state.fleet.listed.borrow_mut().insert(backend.clone());
+    let event = FleetEvent::Listed {
+        backend,
+        pool: pool.clone(),
+        domain: instance.domain.clone(),
+        leaving: instance.state == InstanceState::Leaving,
+    };
+    inform(state, event);
+}
+
+/// Forgets what the platform's list no longer shows.
+pub(crate) fn retain_listed(state: &EntryState, listed: &BTreeSet<BackendId>) {
+    let known = std::mem::take(&mut *state.fleet.listed.borrow_mut());
+    for backend in known.difference(listed) {
+        inform(state, FleetEvent::Unlisted(backend.clone()));
+    }
+    state.fleet.listed.replace(listed.clone());
+}
+
+/// Takes in what a sidecar tells of its backend server.
+pub(crate) fn note_load(state: &Rc<EntryState>, backend: &BackendId, load: &LoadNote) {
+    let idle = load.running == 0 && load.waiting == 0;
+    let actions = if !load.healthy {
+        inform(state, FleetEvent::Lost(backend.clone()))
+    } else if load.draining && idle {
+        inform(state, FleetEvent::Drained(backend.clone()))
+    } else {
+        Vec::new()
+    };
+    perform(state, actions);
+}
+
+fn inform(state: &EntryState, event: FleetEvent) -> Vec<FleetAction> {
+    let authority = authority(state);
+    let mut planner = state.fleet.planner.borrow_mut();
+    planner.handle(state.now(), authority, event)
+}
+
+/// Authority to plan; the journal asks again in the step that sends.
+fn authority(state: &EntryState) -> OrderAuthority {
+    if !state.fleet.journal.borrow().is_open() {
+        return OrderAuthority::Absent;
+    }
+    let held = state
+        .leases
+        .with(WorkScope::Fleet, |lease| lease.authority(state.now()));
+    match held.flatten() {
+        Some(authority) => OrderAuthority::Held(authority.fencing()),
+        None => OrderAuthority::Absent,
+    }
+}
+
+/// Does what is timed.
+pub(crate) async fn follow(state: Rc<EntryState>) {
+    loop {
+        actix_rt::time::sleep(TICK_PERIOD).await;
+        decide(&state, None);
+        let now = state.now();
+        let authority = authority(&state);
+        let actions = {
+            let mut forecast = state.fleet.forecast.borrow_mut();
+            forecast.tick(now);
+            state
+                .fleet
+                .planner
+                .borrow_mut()
+                .tick(now, authority, &forecast)
+        };
+        perform(&state, actions);
+    }
+}
+
+fn perform(state: &Rc<EntryState>, actions: Vec<FleetAction>) {
+    for action in actions {
+        match action {
+            FleetAction::Order { order, decision } => {
+                log::info!(pool = decision.pool.as_str(), domain = decision.domain.as_str(),
+                    order = order.as_str(); "backend server is ordered: {:?}", decision.figures);
+                plan(
+                    state,
+                    PlatformOrder {
+                        id: order,
+                        action: PlatformAction::Start,
+                        pool: decision.pool,
+                        domain: decision.domain,
+                        instance: None,
+                    },
+                );
+            }
+            FleetAction::Drain { backend, decision } => {
+                log::info!(pool = decision.pool.as_str(), backend = backend.as_str();
+                    "backend server is drained: {:?}", decision.figures);
+                spawn_drain(state, backend, DrainKind::Drain);
+            }
+            FleetAction::Undrain { backend } => spawn_drain(state, backend, DrainKind::Undrain),
+            FleetAction::Release { order, backend } => release(state, order, &backend),
+        }
+    }
+}
+
+fn release(state: &Rc<EntryState>, order: OrderId, backend: &BackendId) {
+    let row = state
+        .decisions
+        .borrow()
+        .backends
+        .get(backend)
+        .map(|row| row.spec.clone());
+    let (Some(spec), Ok(instance)) = (row, backend.as_str().parse()) else {
+        return;
+    };
+    log::info!(backend = backend.as_str(); "backend server is released");
+    plan(
+        state,
+        PlatformOrder {
+            id: order,
+            action: PlatformAction::Release,
+            pool: spec.pool,
+            domain: spec.domain,
+            instance: Some(instance),
+        },
+    );
+}
+
+fn plan(state: &Rc<EntryState>, order: PlatformOrder) {
+    decide(state, Some(JournalEvent::Plan(order)));
+}
+
+/// Decides and sends in one step, so that authority holds when an order leaves.
+fn decide(state: &Rc<EntryState>, event: Option<JournalEvent>) {
+    let now = state.now();
+    let actions = state.leases.with(WorkScope::Fleet, |lease| {
+        let mut journal = state.fleet.journal.borrow_mut();
+        match event {
+            Some(event) => journal.handle(now, lease, event),
+            None => journal.tick(now, lease),
+        }
+    });
+    for action in actions.unwrap_or_default() {
+        perform_journal(state, action);
+    }
+}
+
+fn perform_journal(state: &Rc<EntryState>, action: JournalAction) {
+    match action {
+        JournalAction::Store(call) => spawn_store(state, call),
+        JournalAction::Post {
+            call,
+            order,
+            holder,
+            fencing,
+        } => spawn_post(state, call, record_of(order, holder, fencing)),
+        JournalAction::ReadOrders { call } => spawn_read(state, call),
+        JournalAction::Finished { order, outcome } => finish(state, &order, outcome),
+    }
+}
+
+fn finish(state: &Rc<EntryState>, order: &PlatformOrder, outcome: OrderOutcome) {
+    log::info!(order = order.id.as_str(); "order to the platform has ended: {outcome:?}");
+    if outcome != OrderOutcome::Done {
+        inform(state, FleetEvent::OrderRefused(order.id.clone()));
+        return;
+    }
+    if order.action == PlatformAction::Start {
+        inform(
+            state,
+            FleetEvent::OrderFound {
+                order: order.id.clone(),
+                pool: order.pool.clone(),
+                domain: order.domain.clone(),
+                age: TimeSpan::ZERO,
+            },
+        );
+    }
+}
+
+fn record_of(order: PlatformOrder, holder: HolderName, fencing: FencingNumber) -> OrderRecord {
+    OrderRecord {
+        order_id: order.id,
+        holder,
+        fencing,
+        action: order.action,
+        pool: order.pool,
+        domain: order.domain,
+        instance: order.instance,
+    }
+}
+
+fn spawn_store(state: &Rc<EntryState>, call: StoreCall) {
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let answer = state.platform.store(call).await;
+        decide(&state, Some(JournalEvent::Stored(answer)));
+    });
+}
+
+fn spawn_post(state: &Rc<EntryState>, call: CallNumber, record: OrderRecord) {
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let reply = match state.platform.order(record).await {
+            Ok(()) => PostReply::Accepted,
+            Err(PlatformFault::Refused) => PostReply::Refused,
+            Err(PlatformFault::Unavailable | PlatformFault::Unsettled) => PostReply::Failed,
+        };
+        decide(&state, Some(JournalEvent::Posted { call, reply }));
+    });
+}
+
+fn spawn_read(state: &Rc<EntryState>, call: CallNumber) {
+    let state = state.clone();
+    actix_rt::spawn(async move {
+        let orders = state.platform.orders().await.ok();
+        let orders = orders.map(|rows| rows.into_iter().map(|row| row.order_id).collect());
+        decide(&state, Some(JournalEvent::OrdersRead { call, orders }));
+    });
+}
+
+#[derive(Clone, Copy, Debug)]
+enum DrainKind {
+    Drain,
+    Undrain,
+}
+
+impl DrainKind {
+    /// Returns the order as sidecars read it.
+    const fn body(self) -> &'static str {
+        match self {
+            Self::Drain => r#"{"kind":"drain"}"#,
+            Self::Undrain => r#"{"kind":"undrain"}"#,
+        }
+    }
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Drain => "drain",
+            Self::Undrain => "undrain",
+        }
+    }
+}
+
+fn spawn_drain(state: &Rc<EntryState>, backend: BackendId, kind: DrainKind) {
+    let Some(link) = state.links.borrow().link_to(&backend) else {
+        return;
+    };
+    let Some(order) = drain_order(state, &backend, kind) else {
+        return;
+    };
+    actix_rt::spawn(async move {
+        match send_order(&link.link, &order).await {
+            Ok(OrderVerdict::Done) => {}
+            Ok(OrderVerdict::Refused(refusal)) => {
+                log::warn!(code = refusal.code.number(), backend = backend.as_str();
+                    "the sidecar refused an order");
+            }
+            Err(error) => log::warn!(backend = backend.as_str(); "an order failed: {error:#}"),
+        }
+    });
+}
+
+/// Orders of one holder are numbered by time, so that none is taken for another.
+fn drain_order(state: &EntryState, backend: &BackendId, kind: DrainKind) -> Option<EngineOrder> {
+    let now = state.now();
+    let authority = state
+        .leases
+        .with(WorkScope::Fleet, |lease| lease.authority(now))??;
+    let fencing = authority.fencing();
+    let id = format!("{}-{fencing}-{}-{backend}", kind.label(), now.0);
+    let id = id.get(..id.len().min(applefold_core::id::MAX_ID_BYTES))?;
+    Some(EngineOrder {
+        id: id.parse().ok()?,
+        scope: authority.scope().clone(),
+        holder: authority.holder().clone(),
+        fencing,
+        span: DRAIN_ORDER_SPAN,
+        body: SmolStr::new_static(kind.body()),
+    })
+}
+
+async fn send_order(link: &PeerLink, order: &EngineOrder) -> Result<OrderVerdict> {
+    let mut request = link.session.order_request();
+    message::write_order(order, request.get().init_order());
+    let reply = actix_rt::time::timeout(ORDER_TIMEOUT, request.send().promise).await;
+    let reply = reply.wrap_err("the sidecar did not answer in time")??;
+    Ok(message::read_verdict(reply.get()?.get_reply()?)?)
+}
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -17,6 +17,7 @@
 
 use super::config;
 use super::decide::ListedBackend;
+use super::fleet;
 use super::state::EntryState;
 use super::usage;
 use crate::link::dial::{dial, PeerLink};
@@ -100,7 +101,7 @@
 }
 
 /// Takes in the load that a sidecar told just now.
-pub(crate) fn note_load(state: &EntryState, instance: &InstanceId, load: &LoadNote) {
+pub(crate) fn note_load(state: &Rc<EntryState>, instance: &InstanceId, load: &LoadNote) {
     let now = state.now();
     if let Some(row) = state.links.borrow_mut().rows.get_mut(instance) {
         row.load = *load;
@@ -108,6 +109,7 @@
     let backend = backend_of(instance);
     state.decisions.borrow_mut().note_load(&backend, load, now);
     note_standing(state, instance);
+    fleet::note_load(state, &backend, load);
 }
 
 fn note_standing(state: &EntryState, instance: &InstanceId) {
@@ -124,6 +126,11 @@
 /// Brings the tables in step with the platform's list.
 pub(crate) fn follow_list(state: &Rc<EntryState>, listed: Vec<InstanceRow>) {
     let ids: BTreeSet<InstanceId> = listed.iter().map(|row| row.id.clone()).collect();
+    let backends = listed
+        .iter()
+        .filter(|row| row.kind == InstanceKind::Backend);
+    let backends = backends.map(|row| backend_of(&row.id)).collect();
+    fleet::retain_listed(state, &backends);
     forget_gone(state, &ids);
     let entries = live_entries(&listed);
     state
@@ -166,6 +173,7 @@
         return;
     };
     note_listed(state, instance, &pool);
+    fleet::note_listed(state, instance, &pool);
     keep_row(state, instance, Some(pool));
     note_standing(state, &instance.id);
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod decide;
 mod driver;
 mod filing;
+mod fleet;
 mod links;
 mod operator;
 mod peers;
@@ -54,6 +55,7 @@
     pub(crate) drain_timeout: TimeSpan,
     pub(crate) confirm_bound: TimeSpan,
     pub(crate) usage_window: TimeSpan,
+    pub(crate) restart_grace: TimeSpan,
     pub(crate) trace_share: f64,
 }
 
@@ -99,6 +101,7 @@
     actix_rt::spawn(authority::follow(state.clone()));
     actix_rt::spawn(claims::follow(state.clone()));
     actix_rt::spawn(usage::follow(state.clone()));
+    actix_rt::spawn(fleet::follow(state.clone()));
     actix_rt::spawn(config::follow(state.clone()));
     actix_rt::spawn(config::compact(state.clone()));
     actix_rt::spawn(control::follow_instances(state.clone()));
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -1,17 +1,18 @@
 //! What an entry knows.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use applefold_core::admission::TeamUse;
-use applefold_core::id::{InstanceId, TeamId};
+use applefold_core::fleet::FleetSettings;
+use applefold_core::id::{InstanceId, PoolId, TeamId};
 use applefold_core::lease::HolderName;
 use applefold_core::quarantine::SuspectNews;
 use applefold_core::routing::RoutePlace;
 use applefold_core::spread::{ConfigKeeper, SpreadSettings};
 use applefold_core::unit::{TimePoint, TimeSpan};
-use applefold_wire::beat::{BeatMessage, LoadNote, TeamNote};
+use applefold_wire::beat::{BeatMessage, LoadNote, PoolNote, TeamNote};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,7 +22,9 @@
 use super::claims::ClaimDesk;
 use super::config::ConfigDesk;
 use super::decide::ServingDecisions;
+use super::fleet::{self, FleetDesk};
 use super::links::{LinkTable, BEAT_PERIOD};
+use super::plan::RequestPlan;
 use super::usage::UsageDesk;
 use super::EntrySettings;
 use crate::clock::MonotonicClock;
@@ -49,8 +52,12 @@
     pub(crate) leases: LeaseTable,
     pub(crate) claims: ClaimDesk,
     pub(crate) usage: UsageDesk,
+    pub(crate) fleet: FleetDesk,
     /// What the teams have asked of this entry in the last period.
     published: RefCell<Vec<TeamNote>>,
+    /// What the pools are being asked for here, and what they were in the last period.
+    demand: RefCell<BTreeMap<PoolId, PoolNote>>,
+    published_pools: RefCell<Vec<PoolNote>>,
     pub(crate) platform: Rc<dyn PlatformApi>,
     pub(crate) metrics: MetricSet,
     pub(crate) spans: SpanSource,
@@ -82,6 +89,10 @@
             spread,
             Pcg64Mcg::new(rng.gen()),
         );
+        let fleet = FleetSettings {
+            restart_grace: settings.restart_grace,
+            ..FleetSettings::default()
+        };
         let beat_period = TimeSpan(BEAT_PERIOD.as_micros() as u64);
         let place = RoutePlace {
             domain: settings.domain.clone(),
@@ -96,8 +107,11 @@
             leases: LeaseTable::new(&holder),
             claims: ClaimDesk::new(&holder),
             usage: UsageDesk::new(&holder),
+            fleet: FleetDesk::new(&holder, fleet),
             holder,
             published: RefCell::default(),
+            demand: RefCell::default(),
+            published_pools: RefCell::default(),
             platform: Rc::new(platform),
             metrics,
             spans: SpanSource::start(settings.trace_share),
@@ -125,7 +139,10 @@
     pub(crate) fn follow_config(&self) {
         let now = self.now();
         let mut decisions = self.decisions.borrow_mut();
-        self.config.with(|config| decisions.configure(config, now));
+        self.config.with(|config| {
+            decisions.configure(config, now);
+            fleet::configure(self, config);
+        });
         let revision = self.config.revision();
         self.metrics.revision.record(revision.0, &[]);
         log::info!(revision = revision.0; "configuration is in force");
@@ -147,6 +164,8 @@
             tokens: used.tokens,
         });
         self.published.replace(notes.collect());
+        let pools = std::mem::take(&mut *self.demand.borrow_mut());
+        self.published_pools.replace(pools.into_values().collect());
     }
 
     /// Takes in what a peer knows of requests that crash backend servers.
@@ -158,10 +177,33 @@
         }
     }
 
+    /// Counts what a request asks of its pool, whether or not it is taken in.
+    pub(crate) fn note_demand(&self, plan: &RequestPlan) {
+        let note = PoolNote {
+            pool: plan.pool.clone(),
+            prefill: plan.prompt_tokens,
+            decode: plan.answer_tokens,
+        };
+        fleet::note_demand(self, &note);
+        let mut demand = self.demand.borrow_mut();
+        match demand.get_mut(&note.pool) {
+            Some(total) => {
+                total.prefill += note.prefill;
+                total.decode += note.decode;
+            }
+            None => {
+                demand.insert(note.pool.clone(), note);
+            }
+        }
+    }
+
     /// Takes in what another entry tells.
     pub(crate) fn hear(&self, beat: &BeatMessage) {
         let now = self.now();
         self.config.overhear(&beat.instance, &beat.confirmation);
+        for note in &beat.pools {
+            fleet::note_demand(self, note);
+        }
         let uses = beat.teams.iter().map(|note| TeamUse {
             team: note.team.clone(),
             tokens: note.tokens,
@@ -180,6 +222,7 @@
             confirmation: self.config.confirmation(self.now()),
             load: LoadNote::default(),
             teams: self.published.borrow().clone(),
+            pools: self.published_pools.borrow().clone(),
             suspects: self.decisions.borrow().suspects.news(self.now()),
             stopping: self.gate.is_closed(),
         }
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -6,6 +6,7 @@
 use applefold_core::claim::store::{
     StoreAnswer, StoreCall, StoreEntry, StoreKey, StoreReply, StoreVersion,
 };
+use applefold_core::fence::LeaseReading;
 use applefold_core::id::{FencingNumber, InstanceId, ScopeId};
 use applefold_core::lease::{HolderName, LeaseReply};
 use applefold_core::ticket::{StoreAnswer as ConfigAnswer, StoreCall as ConfigCall};
@@ -301,6 +302,18 @@
     Ok(LeaseReply::Granted { fencing })
 }
 
+fn lease_reading(answer: &CallAnswer) -> PlatformResult<LeaseReading> {
+    if answer.status == StatusCode::NOT_FOUND {
+        return Ok(LeaseReading::Free);
+    }
+    let body: HeldBody = answer.parse_ok()?;
+    let fencing = body.fencing;
+    Ok(match body.holder {
+        Some(holder) => LeaseReading::Held { holder, fencing },
+        None => LeaseReading::Free,
+    })
+}
+
 impl PlatformApi for HttpPlatform {
     fn store(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer> {
         async move {
@@ -324,6 +337,16 @@
         async move { self.call_lease(&scope, &ask).await }.boxed_local()
     }
 
+    fn read_lease(&self, scope: ScopeId) -> LocalBoxFuture<'_, LeaseReading> {
+        async move {
+            let plan = CallPlan::new("lease", Method::GET, format!("/leases/{scope}"));
+            let answer = self.call(plan).await;
+            let reading = answer.and_then(|answer| lease_reading(&answer));
+            reading.unwrap_or(LeaseReading::Failed)
+        }
+        .boxed_local()
+    }
+
     fn instances(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<InstanceRow>>> {
         async move {
             let plan = CallPlan::new("instances", Method::GET, "/instances".to_owned());
--- a/crates/daemon/src/platform/message.rs
+++ b/crates/daemon/src/platform/message.rs
@@ -7,6 +7,7 @@
     DomainId, FencingNumber, InstanceId, OrderId, PoolId, RegionId, ServiceId, TeamId, WindowId,
 };
 use applefold_core::lease::HolderName;
+use applefold_core::order::PlatformAction;
 use applefold_core::unit::{TimeSpan, TokenCount};
 use applefold_core::usage::ReportId;
 use serde::{Deserialize, Serialize};
@@ -77,21 +78,13 @@
     pub(crate) state: InstanceState,
 }
 
-/// What an order asks of the platform.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum OrderAction {
-    Start,
-    Release,
-}
-
 /// An order of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OrderRecord {
     pub(crate) order_id: OrderId,
     pub(crate) holder: HolderName,
     pub(crate) fencing: FencingNumber,
-    pub(crate) action: OrderAction,
+    pub(crate) action: PlatformAction,
     pub(crate) pool: PoolId,
     pub(crate) domain: DomainId,
     pub(crate) instance: Option<InstanceId>,
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod message;
 
 use applefold_core::claim::store::{StoreAnswer, StoreCall};
+use applefold_core::fence::LeaseReading;
 use applefold_core::id::ScopeId;
 use applefold_core::lease::LeaseReply;
 use applefold_core::ticket::{StoreAnswer as ConfigAnswer, StoreCall as ConfigCall};
@@ -51,6 +52,9 @@
     /// Asks for a lease, renews it or gives it back.
     fn lease(&self, scope: ScopeId, ask: LeaseAsk) -> LocalBoxFuture<'_, LeaseReply>;
 
+    /// Reads who holds a lease.
+    fn read_lease(&self, scope: ScopeId) -> LocalBoxFuture<'_, LeaseReading>;
+
     /// Reads the lagging list of instances.
     fn instances(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<InstanceRow>>>;
 
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod config;
 mod meter;
+mod orders;
 mod runner;
 mod session;
 mod state;
@@ -62,6 +63,7 @@
     let session: session_capnp::Client = capnp_rpc::new_client(SidecarSession::new(state.clone()));
     actix_rt::spawn(gate::serve(listener, options, session));
     actix_rt::spawn(watch::follow_load(state.clone()));
+    actix_rt::spawn(orders::follow(state.clone()));
     let clock = state.clock;
     actix_rt::spawn(turn::follow(state.turns.clone(), move || clock.now()));
     log::info!(instance = state.settings.instance.as_str(),
--- a/crates/daemon/src/sidecar/session.rs
+++ b/crates/daemon/src/sidecar/session.rs
@@ -8,8 +8,9 @@
 use applefold_wire::applefold_capnp::session;
 use applefold_wire::beat::BeatMessage;
 use applefold_wire::dispatch::{DispatchMessage, EndMessage};
-use applefold_wire::usage;
+use applefold_wire::{order, usage};
 
+use super::orders;
 use super::runner;
 use super::state::SidecarState;
 
@@ -58,6 +59,17 @@
         Ok(())
     }
 
+    async fn order(
+        self: Rc<Self>,
+        params: session::OrderParams,
+        mut results: session::OrderResults,
+    ) -> Result<(), capnp::Error> {
+        let order = order::read_order(params.get()?.get_order()?)?;
+        let verdict = orders::carry_out(&self.state, order).await;
+        order::write_verdict(&verdict, results.get().init_reply());
+        Ok(())
+    }
+
     async fn meter(
         self: Rc<Self>,
         params: session::MeterParams,
--- a/crates/daemon/src/sidecar/state.rs
+++ b/crates/daemon/src/sidecar/state.rs
@@ -15,6 +15,7 @@
 use super::backend::BackendClient;
 use super::config::ConfigCell;
 use super::meter::MeterDesk;
+use super::orders::OrderDesk;
 use super::suspects::SuspectDesk;
 use super::turn::TurnTable;
 use super::SidecarSettings;
@@ -22,6 +23,8 @@
 use crate::drain::DrainGate;
 use crate::entry::OPEN_TEAM;
 use crate::metrics::MetricSet;
+use crate::platform::http::HttpPlatform;
+use crate::platform::PlatformApi;
 use crate::trace::SpanSource;
 
 /// When a caller may try again after a refusal that another instance can turn.
@@ -39,6 +42,8 @@
     pub(crate) backend: BackendClient,
     pub(crate) load: Cell<LoadNote>,
     pub(crate) meter: MeterDesk,
+    pub(crate) orders: OrderDesk,
+    pub(crate) platform: Rc<dyn PlatformApi>,
     pub(crate) suspects: SuspectDesk,
     pub(crate) metrics: MetricSet,
     pub(crate) spans: SpanSource,
@@ -47,8 +52,14 @@
 impl SidecarState {
     pub(crate) fn new(settings: SidecarSettings) -> Self {
         let name = MeterName::new(&settings.instance, rand::thread_rng().gen());
+        let clock = MonotonicClock::start();
+        let metrics = MetricSet::start();
+        let instance = settings.instance.clone();
+        let platform = HttpPlatform::new(settings.platform, instance, metrics.clone());
         Self {
-            clock: MonotonicClock::start(),
+            clock,
+            orders: OrderDesk::new(clock.now()),
+            platform: Rc::new(platform),
             config: ConfigCell::new(),
             gate: DrainGate::default(),
             turns: Rc::new(TurnTable::new(settings.slots)),
@@ -57,7 +68,7 @@
             load: Cell::new(LoadNote::default()),
             suspects: SuspectDesk::new(&settings.instance),
             meter: MeterDesk::new(name, settings.usage_window),
-            metrics: MetricSet::start(),
+            metrics,
             spans: SpanSource::start(settings.trace_share),
             settings,
         }
@@ -87,6 +98,7 @@
             confirmation: self.config.confirmation(),
             load: self.load_note(),
             teams: Vec::new(),
+            pools: Vec::new(),
             suspects: self.suspects.news(now),
             stopping: self.gate.is_closed(),
         }
--- a/crates/daemon/tests/support/cluster.rs
+++ b/crates/daemon/tests/support/cluster.rs
@@ -304,8 +304,8 @@
     }
 }
 
-/// The leases of claims and of usage.
-const LEASES: usize = 9;
+/// The leases of claims, of usage and of the fleet.
+const LEASES: usize = 10;
 
 /// A chat of `tokens` tokens whose answer is known.
 pub fn chat(prompt: &str, tokens: u64) -> ChatCall {
--- a/crates/wire/applefold.capnp
+++ b/crates/wire/applefold.capnp
@@ -27,6 +27,12 @@
   tokens @1 :UInt64;
 }
 
+struct PoolUse {
+  pool @0 :Text;
+  prefillTokens @1 :UInt64;
+  decodeTokens @2 :UInt64;
+}
+
 struct Load {
   running @0 :UInt32;
   waiting @1 :UInt32;
@@ -47,6 +53,8 @@
   # What is known of requests that were running when backend servers died.
   suspects @5 :List(Suspect);
   stopping @6 :Bool;
+  # What the pools were asked for at the sender in the last period.
+  pools @7 :List(PoolUse);
 }
 
 struct Suspect {
--- a/crates/wire/src/applefold_capnp.rs
+++ b/crates/wire/src/applefold_capnp.rs
@@ -1350,6 +1350,369 @@
     }
 }
 
+pub mod pool_use {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_pool(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_prefill_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_decode_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 1,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_pool(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_pool(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_pool(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_prefill_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_prefill_tokens(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_decode_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_decode_tokens(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(43, 77, 86, 161, 21, 20, 214, 145),
+            ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(55, 154, 78, 12, 184, 166, 242, 209),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
+            ::capnp::word(100, 46, 99, 97, 112, 110, 112, 58),
+            ::capnp::word(80, 111, 111, 108, 85, 115, 101, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 102, 105, 108, 108, 84),
+            ::capnp::word(111, 107, 101, 110, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 99, 111, 100, 101, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0x91d6_1415_a156_4d2b;
+    }
+}
+
 pub mod load {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2015,6 +2378,21 @@
         pub fn get_stopping(self) -> bool {
             self.reader.get_bool_field(0)
         }
+        #[inline]
+        pub fn get_pools(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::applefold_capnp::pool_use::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_pools(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -2024,7 +2402,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 1,
-                pointers: 6,
+                pointers: 7,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -2294,6 +2672,42 @@
         pub fn set_stopping(&mut self, value: bool) {
             self.builder.set_bool_field(0, value);
         }
+        #[inline]
+        pub fn get_pools(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::applefold_capnp::pool_use::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_pools(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::applefold_capnp::pool_use::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(6),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_pools(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::applefold_capnp::pool_use::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(6),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_pools(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline {
@@ -2315,17 +2729,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 135] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(118, 8, 108, 41, 73, 45, 137, 249),
             ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(55, 154, 78, 12, 184, 166, 242, 209),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
@@ -2333,56 +2747,63 @@
             ::capnp::word(72, 101, 97, 114, 116, 98, 101, 97),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -2451,6 +2872,18 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 111, 108, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(43, 77, 86, 161, 21, 20, 214, 145),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2461,6 +2894,7 @@
                 4 => <::capnp::struct_list::Owned<crate::applefold_capnp::team_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::applefold_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::applefold_capnp::pool_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2479,9 +2913,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0, 3, 6, 5, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0, 3, 7, 6, 5, 4];
         pub(crate) const TYPE_ID: u64 = 0xf989_2d49_296c_0876;
     }
 }
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -1,12 +1,12 @@
 //! Heartbeats and what they carry: confirmation, load, use and suspects.
 
 use applefold_core::claim::RequestFingerprint;
-use applefold_core::id::{BackendId, DomainId, InstanceId, Revision, TeamId};
+use applefold_core::id::{BackendId, DomainId, InstanceId, PoolId, Revision, TeamId};
 use applefold_core::quarantine::SuspectNews;
 use applefold_core::spread::Confirmation;
 use applefold_core::unit::{TimeSpan, TokenCount, TokenRate};
 
-use crate::applefold_capnp::{confirmation, heartbeat, load, suspect, team_use};
+use crate::applefold_capnp::{confirmation, heartbeat, load, pool_use, suspect, team_use};
 use crate::error::{parse, parse_optional, MessageError};
 
 /// Writes what a process knows of the configuration and of the platform.
@@ -94,6 +94,33 @@
     }
 }
 
+/// Work that a pool was asked for in the last heartbeat period.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolNote {
+    /// The pool.
+    pub pool: PoolId,
+    /// Prompt tokens to be computed.
+    pub prefill: TokenCount,
+    /// Answer tokens expected.
+    pub decode: TokenCount,
+}
+
+impl PoolNote {
+    fn write(&self, mut builder: pool_use::Builder<'_>) {
+        builder.set_pool(self.pool.as_str());
+        builder.set_prefill_tokens(self.prefill.0);
+        builder.set_decode_tokens(self.decode.0);
+    }
+
+    fn read(reader: pool_use::Reader<'_>) -> Result<Self, MessageError> {
+        Ok(Self {
+            pool: parse(reader.get_pool()?)?,
+            prefill: TokenCount(reader.get_prefill_tokens()),
+            decode: TokenCount(reader.get_decode_tokens()),
+        })
+    }
+}
+
 fn write_news(news: &SuspectNews, mut builder: suspect::Builder<'_>) {
     builder.set_fingerprint(news.fingerprint.0);
     builder.set_backend(news.backend.as_ref().map_or("", BackendId::as_str));
@@ -121,6 +148,8 @@
     pub load: LoadNote,
     /// What teams have used at the sender.
     pub teams: Vec<TeamNote>,
+    /// What the pools were asked for at the sender.
+    pub pools: Vec<PoolNote>,
     /// Requests that have crashed backend servers.
     pub suspects: Vec<SuspectNews>,
     /// Whether the sender is stopping.
@@ -139,6 +168,10 @@
         for (index, team) in self.teams.iter().enumerate() {
             team.write(teams.reborrow().get(index as u32));
         }
+        let mut pools = builder.reborrow().init_pools(self.pools.len() as u32);
+        for (index, pool) in self.pools.iter().enumerate() {
+            pool.write(pools.reborrow().get(index as u32));
+        }
         let mut suspects = builder.init_suspects(self.suspects.len() as u32);
         for (index, suspect) in self.suspects.iter().enumerate() {
             write_news(suspect, suspects.reborrow().get(index as u32));
@@ -152,6 +185,7 @@
     /// Returns [`MessageError`] where a field does not hold what its type promises.
     pub fn read(reader: heartbeat::Reader<'_>) -> Result<Self, MessageError> {
         let teams = reader.get_teams()?.iter().map(TeamNote::read);
+        let pools = reader.get_pools()?.iter().map(PoolNote::read);
         let suspects = reader.get_suspects()?.iter().map(read_news);
         Ok(Self {
             instance: parse(reader.get_instance()?)?,
@@ -159,6 +193,7 @@
             confirmation: read_confirmation(reader.get_confirmation()?),
             load: LoadNote::read(reader.get_load()?),
             teams: teams.collect::<Result<_, _>>()?,
+            pools: pools.collect::<Result<_, _>>()?,
             suspects: suspects.collect::<Result<_, _>>()?,
             stopping: reader.get_stopping(),
         })
--- a/crates/wire/tests/message_sizes.rs
+++ b/crates/wire/tests/message_sizes.rs
@@ -2,10 +2,11 @@
 
 use applefold_core::claim::{ClaimAsk, ClaimKey, RequestFingerprint};
 use applefold_core::id::{Revision, WindowId};
+use applefold_core::spread::Confirmation;
 use applefold_core::unit::{ByteSize, TimeSpan, TokenCount, TokenRate};
 use applefold_core::usage::{MeterName, UsageBatch, UsageFigure, UsageKey, UsageTotals};
 use applefold_wire::applefold_capnp::{answer_end, claim_ask, heartbeat, usage_batch};
-use applefold_wire::beat::{BeatMessage, ConfirmationNote, LoadNote, TeamNote};
+use applefold_wire::beat::{BeatMessage, LoadNote, TeamNote};
 use applefold_wire::claim::write_ask;
 use applefold_wire::dispatch::{AttemptEnd, AttemptId, EndMessage};
 use applefold_wire::usage::write_batch;
@@ -31,8 +32,8 @@
     }
 }
 
-fn confirmation() -> ConfirmationNote {
-    ConfirmationNote {
+fn confirmation() -> Confirmation {
+    Confirmation {
         revision: Revision(912_345),
         age: TimeSpan::from_millis(900),
         reach_holds: true,
@@ -50,6 +51,7 @@
         confirmation: confirmation(),
         load: load(),
         teams: (0..teams).map(team).collect(),
+        pools: Vec::new(),
         suspects: Vec::new(),
         stopping: false,
     };
@@ -64,6 +66,7 @@
             request: "entry-001:0000000000012345".parse().unwrap(),
             attempt: "1".parse().unwrap(),
         },
+        crashed: false,
         end: AttemptEnd::Whole(ByteSize(4_000)),
         load: load(),
         confirmation: confirmation(),
