Spread revisions from few watchers, and serve without the platform by reach

Cause: a waiting watch costs a call, and a process that cannot reach the platform cannot tell an outage from a partition in which a key is withdrawn.

Change: spread keeps a process's configuration current: two watchers per failure domain, replies of peers with the age of the platform's confirmation, and the rule for serving without it; reach counts the fleet by instances or, at size, by the heads of failure domains. A ticket is acknowledged only when clearly more than half of the fleet runs it.

--- /dev/null
+++ b/crates/core/tests/spread_history.rs
@@ -0,0 +1,208 @@
+//! Histories of kills, pauses, partitions and outages over many processes: a
+//! withdrawn key dies within the bound, and no acknowledged ticket is lost.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use applefold_core::spread::{SpreadSettings, StandingRule};
+use applefold_core::ticket::FilingOutcome;
+use applefold_core::unit::TimeSpan;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::support::cluster::{Cluster, PlannedSplit};
+use crate::support::key_ticket;
+
+const WARM_UP: TimeSpan = TimeSpan::from_secs(6);
+const FILING_TIME: TimeSpan = TimeSpan::from_secs(8);
+/// The bound of docs/design/spreading.md, with the drift of the clocks and a step.
+const KEY_BOUND: TimeSpan = TimeSpan::from_millis(5_250);
+const FIRST_QUIET: TimeSpan = TimeSpan::from_secs(8);
+const WATCHED_TIME: TimeSpan = TimeSpan::from_secs(24);
+
+fn settings(rule: StandingRule, counted_instances: usize) -> SpreadSettings {
+    SpreadSettings {
+        rule,
+        counted_instances,
+        ..SpreadSettings::default()
+    }
+}
+
+struct History {
+    seed: u64,
+    rule: StandingRule,
+    counted_instances: usize,
+}
+
+fn accepted(outcome: &FilingOutcome) -> bool {
+    matches!(outcome, FilingOutcome::Accepted { .. })
+}
+
+fn draw_sides(cluster: &Cluster, rng: &mut Pcg64Mcg) -> BTreeMap<usize, u32> {
+    let domains = rng.gen_range(0..8_u32);
+    let torn = rng.gen_ratio(1, 3);
+    let sides = (0..cluster.nodes.len()).map(|node| {
+        let side = match torn {
+            true => u32::from(rng.gen_ratio(1, 2)),
+            false => domains >> (node % 4) & 1,
+        };
+        (node, side)
+    });
+    sides.collect()
+}
+
+fn disturb(cluster: &mut Cluster, rng: &mut Pcg64Mcg, names: &mut u64) {
+    let at = rng.gen_range(0..cluster.nodes.len());
+    match rng.gen_range(0..7) {
+        0 => cluster.store_down = !cluster.store_down,
+        1 | 2 => cluster.sides = draw_sides(cluster, rng),
+        3 => cluster.sides.clear(),
+        4 => {
+            let span = TimeSpan::from_millis(rng.gen_range(100..9_000));
+            cluster.nodes[at].paused_until = cluster.now + span;
+        }
+        5 => {
+            *names += 1;
+            cluster.replace(at, &format!("r{names}"));
+        }
+        _ => cluster.loss_percent = rng.gen_range(0..30),
+    }
+}
+
+/// Returns how long after its acknowledged withdrawal the key was served last, or nothing
+/// if the withdrawal was not acknowledged.
+fn run(history: &History) -> Result<Option<TimeSpan>, String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(history.seed);
+    let settings = settings(history.rule, history.counted_instances);
+    let mut cluster = Cluster::new(4, 4, settings, history.seed);
+    cluster.naive = history.rule == StandingRule::ServeOn;
+    let mut names = 0;
+    cluster.run(WARM_UP);
+    let given = cluster.file(0, &key_ticket(1, "active"), FILING_TIME);
+    if !accepted(&given) {
+        return Err(format!("a calm cluster does not take a ticket: {given:?}"));
+    }
+    cluster.run(TimeSpan::from_secs(3));
+    if rng.gen_ratio(1, 4) {
+        disturb(&mut cluster, &mut rng, &mut names);
+        cluster.run(TimeSpan::from_millis(rng.gen_range(0..3_000)));
+    }
+    let at = rng.gen_range(0..cluster.nodes.len());
+    cluster.planned = Some(PlannedSplit {
+        at: cluster.now + TimeSpan::from_millis(rng.gen_range(0..700)),
+        sides: draw_sides(&cluster, &mut rng),
+    });
+    let withdrawn = cluster.file(at, &key_ticket(2, "withdrawn"), FILING_TIME);
+    let since = cluster.now;
+    let mut last = TimeSpan::ZERO;
+    let mut next = cluster.now + FIRST_QUIET;
+    while cluster.now.since(since) < WATCHED_TIME {
+        if cluster.now >= next {
+            disturb(&mut cluster, &mut rng, &mut names);
+            next = cluster.now + TimeSpan::from_millis(rng.gen_range(0..8_000));
+        }
+        cluster.step();
+        if accepted(&withdrawn) && !cluster.key_servers().is_empty() {
+            last = cluster.now.since(since);
+        }
+    }
+    heal(&mut cluster);
+    if accepted(&withdrawn) && !cluster.key_servers().is_empty() {
+        return Err("an acknowledged withdrawal is lost".to_owned());
+    }
+    if cluster.refusing() > 0 {
+        return Err(format!(
+            "{} refuse after all was mended",
+            cluster.refusing()
+        ));
+    }
+    Ok(accepted(&withdrawn).then_some(last))
+}
+
+fn heal(cluster: &mut Cluster) {
+    cluster.store_down = false;
+    cluster.sides.clear();
+    cluster.loss_percent = 0;
+    for node in &mut cluster.nodes {
+        node.paused_until = cluster.now;
+    }
+    cluster.run(TimeSpan::from_secs(14));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 40,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn withdrawn_key_dies_within_the_bound(seed: u64, by_domain: bool) {
+        let counted_instances = if by_domain { 0 } else { 64 };
+        let rule = StandingRule::SplitByReach;
+        let last = run(&History { seed, rule, counted_instances });
+        prop_assert!(last.is_ok(), "{last:?}");
+        prop_assert!(last <= Ok(Some(KEY_BOUND)), "{last:?}");
+    }
+}
+
+/// The naive reference serves on, and acknowledges what stands in the log.
+#[test]
+fn the_checker_finds_fault_with_serving_on() {
+    let outcomes = |rule: StandingRule| {
+        let runs = (0..25).map(move |seed| {
+            run(&History {
+                seed,
+                rule,
+                counted_instances: 64,
+            })
+        });
+        runs.collect::<Vec<_>>()
+    };
+    let naive = outcomes(StandingRule::ServeOn);
+    let late = naive
+        .iter()
+        .filter(|last| **last > Ok(Some(KEY_BOUND)))
+        .count();
+    let split = outcomes(StandingRule::SplitByReach);
+    let acknowledged = split
+        .iter()
+        .filter(|last| matches!(last, Ok(Some(_))))
+        .count();
+    println!("of 25 histories {acknowledged} acknowledged; serving on is late in {late}");
+    assert!(late > 0, "{late}");
+    assert!(acknowledged >= 8, "{acknowledged}");
+}
+
+#[test]
+fn a_process_back_after_an_hour_catches_up() {
+    let mut cluster = Cluster::new(3, 3, settings(StandingRule::SplitByReach, 64), 5);
+    cluster.run(WARM_UP);
+    let given = cluster.file(0, &key_ticket(1, "active"), FILING_TIME);
+    assert!(accepted(&given), "{given:?}");
+    cluster.run(TimeSpan::from_secs(3));
+    cluster.nodes[4].paused_until = cluster.now + TimeSpan::from_secs(60);
+    cluster.run(TimeSpan::from_secs(5));
+    let withdrawn = cluster.file(0, &key_ticket(2, "withdrawn"), FILING_TIME);
+    assert!(accepted(&withdrawn), "{withdrawn:?}");
+    cluster.run(TimeSpan::from_secs(5));
+    let hour = TimeSpan::from_secs(3_600);
+    cluster.now = cluster.now + hour;
+    cluster.nodes[4].paused_until = cluster.now;
+    for _ in 0..200 {
+        assert!(
+            !cluster.key_servers().contains(&4),
+            "it serves what it knew an hour ago"
+        );
+        cluster.step();
+    }
+    assert_eq!(
+        cluster.nodes[4].keeper.config(),
+        cluster.nodes[0].keeper.config()
+    );
+    assert!(cluster.serves(4));
+}
--- /dev/null
+++ b/crates/core/tests/spread_rules.rs
@@ -0,0 +1,181 @@
+//! What each rule for processes without confirmation costs, and what it keeps.
+//!
+//! The table that this prints is the one of docs/design/spreading.md.
+
+mod support;
+
+use applefold_core::spread::{SpreadSettings, StandingRule};
+use applefold_core::ticket::FilingOutcome;
+use applefold_core::unit::TimeSpan;
+
+use crate::support::cluster::Cluster;
+use crate::support::key_ticket;
+
+const REGIONS: usize = 8;
+const WARM_UP: TimeSpan = TimeSpan::from_secs(8);
+const FILING_TIME: TimeSpan = TimeSpan::from_secs(8);
+const FAULT_TIME: TimeSpan = TimeSpan::from_secs(24);
+const KEY_BOUND: TimeSpan = TimeSpan::from_millis(5_250);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    Outage,
+    RegionCut,
+    DomainCut,
+    DomainLost,
+    HalvesCut,
+}
+
+#[derive(Debug)]
+struct RuleCost {
+    /// Keyed requests refused while the fault lasts, in parts of 1,000.
+    refused_per_mille: u64,
+    withdrawal: &'static str,
+    key_life: TimeSpan,
+}
+
+fn cluster_for(fault: Fault, rule: StandingRule) -> Cluster {
+    let settings = SpreadSettings {
+        rule,
+        ..SpreadSettings::default()
+    };
+    match fault {
+        Fault::Outage | Fault::RegionCut => Cluster::new(19, 4, settings, 11),
+        Fault::DomainCut | Fault::DomainLost => Cluster::new(3, 6, settings, 12),
+        Fault::HalvesCut => Cluster::new(4, 5, settings, 13),
+    }
+}
+
+fn strike(cluster: &mut Cluster, fault: Fault) {
+    let nodes = 0..cluster.nodes.len();
+    match fault {
+        Fault::Outage => cluster.store_down = true,
+        Fault::RegionCut => {
+            let region = nodes.filter(|node| node % 19 % REGIONS == 1);
+            cluster.sides = region.map(|node| (node, 1)).collect();
+        }
+        Fault::DomainCut => {
+            cluster.sides = nodes
+                .filter(|node| node % 3 == 1)
+                .map(|node| (node, 1))
+                .collect();
+        }
+        Fault::DomainLost => {
+            for node in nodes.filter(|node| node % 3 == 1) {
+                cluster.nodes[node].alive = false;
+            }
+        }
+        Fault::HalvesCut => {
+            cluster.sides = nodes
+                .filter(|node| node % 2 == 1)
+                .map(|node| (node, 1))
+                .collect();
+        }
+    }
+}
+
+fn measure(fault: Fault, rule: StandingRule) -> RuleCost {
+    let mut cluster = cluster_for(fault, rule);
+    cluster.run(WARM_UP);
+    let given = cluster.file(0, &key_ticket(1, "active"), FILING_TIME);
+    assert!(matches!(given, FilingOutcome::Accepted { .. }), "{given:?}");
+    cluster.run(TimeSpan::from_secs(3));
+    strike(&mut cluster, fault);
+    let alive = cluster.nodes.iter().filter(|node| node.alive).count();
+    // Without the gate on acknowledgement, as the rule to serve on has no use for it.
+    cluster.naive = rule != StandingRule::SplitByReach;
+    if fault == Fault::HalvesCut {
+        cluster.run(TimeSpan::from_secs(3));
+    }
+    let start = cluster.now;
+    let withdrawn = cluster.file(0, &key_ticket(2, "withdrawn"), FILING_TIME);
+    let told = cluster.now;
+    let mut key_life = TimeSpan::ZERO;
+    let (mut samples, mut refused) = (0, 0);
+    while cluster.now.since(start) < FAULT_TIME {
+        cluster.step();
+        samples += alive;
+        refused += cluster.refusing();
+        if !cluster.key_servers().is_empty() {
+            key_life = cluster.now.since(told);
+        }
+    }
+    RuleCost {
+        refused_per_mille: (refused * 1_000 / samples) as u64,
+        withdrawal: match withdrawn {
+            FilingOutcome::Accepted { .. } => "accepted",
+            FilingOutcome::Refused(_) => "refused",
+            FilingOutcome::Unsettled => "unsettled",
+        },
+        key_life,
+    }
+}
+
+fn report(fault: Fault, rule: StandingRule) -> RuleCost {
+    let cost = measure(fault, rule);
+    println!(
+        "| {fault:?} | {rule:?} | {} per mille | {} | {} ms |",
+        cost.refused_per_mille,
+        cost.withdrawal,
+        cost.key_life.as_millis()
+    );
+    cost
+}
+
+#[test]
+fn serving_on_refuses_nobody_and_keeps_withdrawn_keys_alive() {
+    let cost = report(Fault::Outage, StandingRule::ServeOn);
+    assert_eq!(cost.refused_per_mille, 0);
+    for fault in [Fault::RegionCut, Fault::DomainCut, Fault::HalvesCut] {
+        let cost = report(fault, StandingRule::ServeOn);
+        assert_eq!(cost.refused_per_mille, 0);
+        assert_eq!(cost.withdrawal, "accepted");
+        assert!(
+            cost.key_life > TimeSpan::from_secs(15),
+            "{fault:?} {cost:?}"
+        );
+    }
+}
+
+#[test]
+fn refusing_without_confirmation_stops_all_in_an_outage() {
+    let cost = report(Fault::Outage, StandingRule::RefuseUnconfirmed);
+    assert!(cost.refused_per_mille > 750, "{cost:?}");
+    for fault in [Fault::RegionCut, Fault::DomainCut, Fault::HalvesCut] {
+        let cost = report(fault, StandingRule::RefuseUnconfirmed);
+        assert_eq!(cost.withdrawal, "accepted");
+        assert!(cost.key_life <= KEY_BOUND, "{fault:?} {cost:?}");
+    }
+}
+
+#[test]
+fn splitting_by_reach_serves_in_an_outage_and_keeps_the_bound() {
+    let outage = report(Fault::Outage, StandingRule::SplitByReach);
+    assert_eq!(outage.refused_per_mille, 0);
+    assert_eq!(outage.withdrawal, "refused");
+    for fault in [Fault::RegionCut, Fault::DomainCut] {
+        let cost = report(fault, StandingRule::SplitByReach);
+        assert_eq!(cost.withdrawal, "accepted");
+        assert!(cost.key_life <= KEY_BOUND, "{fault:?} {cost:?}");
+    }
+    let lost = report(Fault::DomainLost, StandingRule::SplitByReach);
+    assert_eq!(lost.refused_per_mille, 0);
+    assert_eq!(lost.withdrawal, "accepted");
+    let halves = report(Fault::HalvesCut, StandingRule::SplitByReach);
+    assert_eq!(halves.refused_per_mille, 0);
+    assert_eq!(halves.withdrawal, "refused");
+}
+
+#[test]
+fn calls_to_the_store_do_not_grow_with_the_fleet() {
+    let calls = |per_domain: usize| {
+        let mut cluster = Cluster::new(4, per_domain, SpreadSettings::default(), 14);
+        cluster.run(WARM_UP);
+        let before = cluster.store_calls;
+        cluster.run(TimeSpan::from_secs(20));
+        cluster.store_calls - before
+    };
+    let (few, many) = (calls(4), calls(24));
+    println!("calls in 20 s: 16 processes {few}, 96 processes {many}");
+    assert!(many <= few + few / 10, "{few} {many}");
+}
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -1,1 +1,433 @@
+//! Many processes in one thread, on a network and a store that fail as a test says.
 
+use std::collections::{BTreeMap, BTreeSet};
+
+use applefold_core::config::{key_digest, KeyLookup, ServingConfig};
+use applefold_core::id::{DomainId, InstanceId, Revision};
+use applefold_core::reach::ListedInstance;
+use applefold_core::spread::{
+    CallNumber, ConfigKeeper, Confirmation, SpreadAction, SpreadSettings,
+};
+use applefold_core::ticket::{
+    ChangeTicket, ConfigPush, FilingOutcome, FilingStep, StoreAnswer, StoreCall, TicketFiling,
+};
+use applefold_core::unit::{TimePoint, TimeSpan};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::support::store::MemoryStore;
+
+pub(crate) const STEP: TimeSpan = TimeSpan::from_millis(50);
+const WATCH_WAIT: TimeSpan = TimeSpan::from_secs(1);
+const CLOCK_OFFSET: TimeSpan = TimeSpan::from_secs(100_000);
+const MAX_DRIFT_PER_MILLE: u64 = 4;
+
+/// A clock with a start of its own that runs a little too fast.
+#[derive(Clone, Copy)]
+struct SkewedClock {
+    offset: TimeSpan,
+    drift_per_mille: u64,
+}
+
+impl SkewedClock {
+    fn read(self, now: TimePoint) -> TimePoint {
+        TimePoint(now.0 + now.0 * self.drift_per_mille / 1_000) + self.offset
+    }
+}
+
+enum Message {
+    Ask {
+        asked_at: TimePoint,
+        said: Confirmation,
+    },
+    Reply {
+        asked_at: TimePoint,
+        said: Confirmation,
+    },
+    Fetch {
+        known: Revision,
+    },
+    Push {
+        push: ConfigPush,
+    },
+    Answer {
+        number: CallNumber,
+        asked_at: TimePoint,
+        answer: StoreAnswer,
+    },
+}
+
+struct Envelope {
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+struct OpenWatch {
+    node: usize,
+    number: CallNumber,
+    asked_at: TimePoint,
+    call: StoreCall,
+    ends_at: TimePoint,
+}
+
+pub(crate) struct Node {
+    pub(crate) id: InstanceId,
+    domain: DomainId,
+    pub(crate) keeper: ConfigKeeper,
+    clock: SkewedClock,
+    pub(crate) paused_until: TimePoint,
+    pub(crate) alive: bool,
+    inbox: Vec<Envelope>,
+    last_revision: Revision,
+}
+
+pub(crate) struct PlannedSplit {
+    pub(crate) at: TimePoint,
+    pub(crate) sides: BTreeMap<usize, u32>,
+}
+
+pub(crate) struct Cluster {
+    pub(crate) now: TimePoint,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) store: MemoryStore,
+    pub(crate) store_down: bool,
+    /// The side of the partition that each node and the store is on.
+    pub(crate) sides: BTreeMap<usize, u32>,
+    pub(crate) store_side: u32,
+    pub(crate) loss_percent: u32,
+    /// A partition to come, also in the midst of a filing.
+    pub(crate) planned: Option<PlannedSplit>,
+    /// Whether a ticket is acknowledged as soon as it stands in the log.
+    pub(crate) naive: bool,
+    settings: SpreadSettings,
+    mail: BTreeMap<(TimePoint, u64), Envelope>,
+    sent: u64,
+    watches: Vec<OpenWatch>,
+    pub(crate) store_calls: u64,
+    rng: Pcg64Mcg,
+}
+
+impl Cluster {
+    pub(crate) fn new(
+        domains: usize,
+        per_domain: usize,
+        settings: SpreadSettings,
+        seed: u64,
+    ) -> Self {
+        let mut cluster = Self {
+            now: TimePoint::START,
+            nodes: Vec::new(),
+            store: MemoryStore::default(),
+            store_down: false,
+            sides: BTreeMap::new(),
+            store_side: 0,
+            loss_percent: 0,
+            planned: None,
+            naive: false,
+            settings,
+            mail: BTreeMap::new(),
+            sent: 0,
+            watches: Vec::new(),
+            store_calls: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        };
+        for at in 0..domains * per_domain {
+            let domain: DomainId = format!("d{}", at % domains).parse().expect("an id");
+            let id: InstanceId = format!("i{at}").parse().expect("an id");
+            let node = cluster.node(id, domain);
+            cluster.nodes.push(node);
+        }
+        cluster.list_all();
+        cluster
+    }
+
+    fn node(&mut self, id: InstanceId, domain: DomainId) -> Node {
+        let clock = SkewedClock {
+            offset: TimeSpan(CLOCK_OFFSET.0 + self.rng.gen_range(0..CLOCK_OFFSET.0)),
+            drift_per_mille: self.rng.gen_range(0..=MAX_DRIFT_PER_MILLE),
+        };
+        let rng = Pcg64Mcg::seed_from_u64(self.rng.gen());
+        Node {
+            keeper: ConfigKeeper::new(id.clone(), domain.clone(), self.settings, rng),
+            id,
+            domain,
+            clock,
+            paused_until: TimePoint::START,
+            alive: true,
+            inbox: Vec::new(),
+            last_revision: Revision::default(),
+        }
+    }
+
+    /// Gives every node the platform's list.
+    pub(crate) fn list_all(&mut self) {
+        let rows = self.nodes.iter().map(|node| ListedInstance {
+            id: node.id.clone(),
+            domain: node.domain.clone(),
+        });
+        let list: Vec<ListedInstance> = rows.collect();
+        for node in &mut self.nodes {
+            node.keeper.update_fleet(&list);
+        }
+    }
+
+    /// Replaces a node by a new process that knows nothing.
+    pub(crate) fn replace(&mut self, at: usize, name: &str) {
+        let domain = self.nodes[at].domain.clone();
+        self.nodes[at] = self.node(name.parse().expect("an id"), domain);
+        self.mail
+            .retain(|_, envelope| envelope.to != at && envelope.from != at);
+        self.watches.retain(|watch| watch.node != at);
+        self.list_all();
+    }
+
+    fn side(&self, at: usize) -> u32 {
+        self.sides.get(&at).copied().unwrap_or_default()
+    }
+
+    fn store_reached(&self, at: usize) -> bool {
+        !self.store_down && self.side(at) == self.store_side
+    }
+
+    fn running(&self, at: usize) -> bool {
+        self.nodes[at].alive && self.nodes[at].paused_until <= self.now
+    }
+
+    pub(crate) fn local(&self, at: usize) -> TimePoint {
+        self.nodes[at].clock.read(self.now)
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        if self.rng.gen_range(0..100) < self.loss_percent {
+            return;
+        }
+        let slow = self.rng.gen_ratio(1, 50);
+        let delay = self.rng.gen_range(1..if slow { 4_000 } else { 30 });
+        self.sent += 1;
+        let at = self.now + TimeSpan::from_millis(delay);
+        self.mail
+            .insert((at, self.sent), Envelope { from, to, message });
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.now = self.now + STEP;
+        if let Some(split) = self.planned.take_if(|split| split.at <= self.now) {
+            self.sides = split.sides;
+        }
+        self.answer_watches();
+        let later = self.mail.split_off(&(self.now, u64::MAX));
+        for envelope in std::mem::replace(&mut self.mail, later).into_values() {
+            if self.side(envelope.from) == self.side(envelope.to) {
+                self.nodes[envelope.to].inbox.push(envelope);
+            }
+        }
+        for at in 0..self.nodes.len() {
+            if self.running(at) {
+                self.run_node(at);
+            }
+        }
+    }
+
+    fn run_node(&mut self, at: usize) {
+        for envelope in std::mem::take(&mut self.nodes[at].inbox) {
+            self.deliver(envelope);
+        }
+        let now = self.local(at);
+        for action in self.nodes[at].keeper.tick(now) {
+            self.act(at, action, now);
+        }
+        let node = &mut self.nodes[at];
+        let revision = node.keeper.config().revision;
+        assert!(revision >= node.last_revision, "{} went back", node.id);
+        node.last_revision = revision;
+    }
+
+    fn act(&mut self, at: usize, action: SpreadAction, now: TimePoint) {
+        match action {
+            SpreadAction::Ask { peer } => {
+                let said = self.nodes[at].keeper.confirmation(now);
+                let message = Message::Ask {
+                    asked_at: now,
+                    said,
+                };
+                self.send_to(at, &peer, message);
+            }
+            SpreadAction::Fetch { peer, known } => {
+                self.send_to(at, &peer, Message::Fetch { known });
+            }
+            SpreadAction::Call { number, call } => self.call(at, number, call, now),
+        }
+    }
+
+    fn send_to(&mut self, from: usize, peer: &InstanceId, message: Message) {
+        if let Some(to) = self.nodes.iter().position(|node| node.id == *peer) {
+            self.send(from, to, message);
+        }
+    }
+
+    fn call(&mut self, at: usize, number: CallNumber, call: StoreCall, asked_at: TimePoint) {
+        self.store_calls += 1;
+        if matches!(call, StoreCall::Watch { .. }) && self.store_reached(at) {
+            let ends_at = self.now + WATCH_WAIT;
+            self.watches.push(OpenWatch {
+                node: at,
+                number,
+                asked_at,
+                call,
+                ends_at,
+            });
+            return;
+        }
+        let answer = match self.store_reached(at) {
+            true => self.store.call(&call),
+            false => StoreAnswer::Unavailable,
+        };
+        self.send(
+            at,
+            at,
+            Message::Answer {
+                number,
+                asked_at,
+                answer,
+            },
+        );
+    }
+
+    fn answer_watches(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            if !self.store_reached(watch.node) {
+                continue;
+            }
+            let answer = self.store.call(&watch.call);
+            let changed =
+                matches!(&answer, StoreAnswer::Watched { entries, .. } if !entries.is_empty());
+            if changed || watch.ends_at <= self.now {
+                let OpenWatch {
+                    node,
+                    number,
+                    asked_at,
+                    ..
+                } = watch;
+                self.send(
+                    node,
+                    node,
+                    Message::Answer {
+                        number,
+                        asked_at,
+                        answer,
+                    },
+                );
+            } else {
+                self.watches.push(watch);
+            }
+        }
+    }
+
+    fn deliver(&mut self, envelope: Envelope) {
+        let Envelope { from, to, message } = envelope;
+        let now = self.local(to);
+        let peer = self.nodes[from].id.clone();
+        let keeper = &mut self.nodes[to].keeper;
+        match message {
+            Message::Ask { asked_at, said } => {
+                keeper.overhear(&peer, &said);
+                let said = keeper.confirmation(now);
+                self.send(to, from, Message::Reply { asked_at, said });
+            }
+            Message::Reply { asked_at, said } => keeper.hear_reply(&peer, said, asked_at),
+            Message::Fetch { known } => {
+                let push = keeper.push_since(known);
+                self.send(to, from, Message::Push { push });
+            }
+            Message::Push { push } => keeper.take_push(push),
+            Message::Answer {
+                number,
+                asked_at,
+                answer,
+            } => {
+                keeper.take_answer(number, answer, asked_at, now);
+            }
+        }
+    }
+
+    pub(crate) fn run(&mut self, span: TimeSpan) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Files from node `at` and acknowledges once enough of the fleet runs the revision.
+    pub(crate) fn file(
+        &mut self,
+        at: usize,
+        ticket: &ChangeTicket,
+        time: TimeSpan,
+    ) -> FilingOutcome {
+        let deadline = self.now + time;
+        let local = self.local(at);
+        self.nodes[at].keeper.begin_filing(local);
+        let config: ServingConfig = self.nodes[at].keeper.config().clone();
+        let mut filing = TicketFiling::new(ticket.clone(), config, deadline);
+        loop {
+            self.step();
+            let may_file = self.nodes[at].keeper.may_file(self.local(at)).is_ok();
+            if !self.naive && !may_file && self.now < deadline {
+                continue;
+            }
+            match filing.step(self.now) {
+                FilingStep::Call(call) => {
+                    let answer = match self.store_reached(at) {
+                        true => self.store.call(&call),
+                        false => StoreAnswer::Unavailable,
+                    };
+                    filing.absorb(answer, self.now, self.now);
+                }
+                FilingStep::Wait(_) => {}
+                FilingStep::Done(FilingOutcome::Accepted { revision, repeat }) => {
+                    return self.acknowledge(at, revision, repeat, deadline);
+                }
+                FilingStep::Done(outcome) => return outcome,
+            }
+        }
+    }
+
+    fn acknowledge(
+        &mut self,
+        at: usize,
+        revision: Revision,
+        repeat: bool,
+        deadline: TimePoint,
+    ) -> FilingOutcome {
+        while self.now < deadline {
+            if self.naive || self.nodes[at].keeper.may_acknowledge(revision) {
+                return FilingOutcome::Accepted { revision, repeat };
+            }
+            self.step();
+        }
+        FilingOutcome::Unsettled
+    }
+
+    /// The nodes that would run a request with the key `k` now.
+    pub(crate) fn key_servers(&self) -> BTreeSet<usize> {
+        let digest = key_digest("secret of k");
+        let serves = |at: &usize| {
+            let keeper = &self.nodes[*at].keeper;
+            let active = matches!(keeper.config().find_key(&digest), KeyLookup::Active(_));
+            active && self.serves(*at)
+        };
+        (0..self.nodes.len()).filter(serves).collect()
+    }
+
+    /// Whether a node that runs serves keyed requests.
+    pub(crate) fn serves(&self, at: usize) -> bool {
+        self.running(at) && self.nodes[at].keeper.serves_keyed(self.local(at)).is_ok()
+    }
+
+    /// The nodes that run and refuse keyed requests.
+    pub(crate) fn refusing(&self) -> usize {
+        let refuses = |at: &usize| self.running(*at) && !self.serves(*at);
+        (0..self.nodes.len()).filter(refuses).count()
+    }
+}
