--- a/crates/core/tests/answer.rs
+++ b/crates/core/tests/answer.rs
@@ -1,5 +1,8 @@
 //! Whole answers over streams that break at any byte, and the plan of attempts.
 
+#[path = "claim_support/history.rs"]
+mod history;
+
 use applefold_core::answer::{
     AnswerAssembler, AnswerProgress, AnswerShape, AttemptEnd, AttemptOptions, AttemptPlan,
     CloseVerdict, HeadVerdict, NextStep, PartVerdict, HOLD_LIMIT,
@@ -7,8 +10,9 @@
 use applefold_core::code::{CallRefusal, ResultCode, RunState};
 use applefold_core::id::{AttemptNumber, RequestId};
 use applefold_core::unit::{ByteSize, TimePoint, TimeSpan, TokenCount};
+use history::check_histories;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
+use proptest::test_runner::RngSeed;
 
 const WORDS: [&str; 6] = ["alarm ", "déjà ", "\\n ", "[DONE] ", "data: ", "火 "];
 
@@ -223,19 +227,11 @@
 where
     J: Joiner,
 {
-    let config = ProptestConfig {
-        cases: 3_000,
-        rng_seed: RngSeed::Fixed(31),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let mut runner = TestRunner::new(config);
     let ending = prop_oneof![Just("\n"), Just("\r\n")];
-    let result = runner.run(
-        &(0..12usize, breaks(), ending),
-        |(tokens, breaks, ending)| joins::<J>(tokens, &breaks, ending).map_err(TestCaseError::fail),
-    );
-    result.map_err(|error| error.to_string())
+    let histories = (0..12usize, breaks(), ending);
+    check_histories(31, 3_000, histories, |(tokens, breaks, ending)| {
+        joins::<J>(tokens, &breaks, ending)
+    })
 }
 
 #[test]
--- a/crates/core/tests/claim.rs
+++ b/crates/core/tests/claim.rs
@@ -1,6 +1,8 @@
 //! Claims under lost, late and repeated messages and changing owners.
 
 mod claim_support;
+#[path = "claim_support/history.rs"]
+mod history;
 
 use std::collections::BTreeMap;
 
@@ -14,8 +16,8 @@
 use applefold_core::lease::HolderName;
 use applefold_core::unit::{ByteSize, TimePoint, TimeSpan};
 use claim_support::FakeStore;
+use history::check_histories;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
 
 const KEYS: u64 = 4;
 const OWNERS: usize = 3;
@@ -417,25 +419,11 @@
     world.finish()
 }
 
-fn config(seed: u64, cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 200,
-        ..ProptestConfig::default()
-    }
-}
-
 fn runs_once<O>(seed: u64, cases: u32) -> Result<(), String>
 where
     O: ClaimOwner,
 {
-    let mut runner = TestRunner::new(config(seed, cases));
-    let result = runner.run(&steps(), |steps| {
-        run::<O>(steps).map_err(TestCaseError::fail)
-    });
-    result.map_err(|error| error.to_string())
+    check_histories(seed, cases, steps(), run::<O>)
 }
 
 #[test]
--- /dev/null
+++ b/crates/core/tests/claim_support/history.rs
@@ -0,0 +1,31 @@
+//! Random histories, the same ones on every run.
+
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+
+/// How far a failing history is shortened.
+const SHRINK_STEPS: u32 = 200;
+
+/// Runs `check` over `cases` histories; the error holds a short failing one.
+pub(crate) fn check_histories<S, F>(
+    seed: u64,
+    cases: u32,
+    histories: S,
+    check: F,
+) -> Result<(), String>
+where
+    S: Strategy,
+    F: Fn(S::Value) -> Result<(), String>,
+{
+    let mut runner = TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: SHRINK_STEPS,
+        ..ProptestConfig::default()
+    });
+    let result = runner.run(&histories, |history| {
+        check(history).map_err(TestCaseError::fail)
+    });
+    result.map_err(|error| error.to_string())
+}
--- a/crates/core/tests/fence.rs
+++ b/crates/core/tests/fence.rs
@@ -1,5 +1,8 @@
 //! The fence of a backend server under changing holders, crashes and restarts.
 
+#[path = "claim_support/history.rs"]
+mod history;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use applefold_core::claim::store::CallNumber;
@@ -11,8 +14,8 @@
 use applefold_core::id::{FencingNumber, InstanceId, OrderId};
 use applefold_core::lease::HolderName;
 use applefold_core::unit::{TimePoint, TimeSpan};
+use history::check_histories;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
 
 fn holder(fencing: u64) -> HolderName {
     let instance: InstanceId = format!("entry-{fencing}").parse().unwrap();
@@ -363,25 +366,13 @@
 where
     F: Fence,
 {
-    let config = ProptestConfig {
-        cases: 4_000,
-        rng_seed: RngSeed::Fixed(41),
-        failure_persistence: None,
-        max_shrink_iters: 500,
-        ..ProptestConfig::default()
-    };
-    let mut runner = TestRunner::new(config);
-    let result = runner.run(&(any::<bool>(), steps()), |(checks, steps)| {
+    check_histories(41, 4_000, (any::<bool>(), steps()), |(checks, steps)| {
         let mut world = World::<F>::new(checks);
-        let run = move || -> Result<(), String> {
-            for step in steps {
-                world.step(step)?;
-            }
-            world.settle()
-        };
-        run().map_err(TestCaseError::fail)
-    });
-    result.map_err(|error| error.to_string())
+        for step in steps {
+            world.step(step)?;
+        }
+        world.settle()
+    })
 }
 
 #[test]
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -1,5 +1,7 @@
 //! Authority under pauses, drifting clocks, late and lost messages.
 
+#[path = "claim_support/history.rs"]
+mod history;
 mod lease_support;
 
 use std::collections::BTreeMap;
@@ -10,9 +12,9 @@
     LeaseAction, LeaseAnswer, LeaseHolder, LeaseOptions, LeaseReply, ORDER_IN_FLIGHT,
 };
 use applefold_core::unit::{TimePoint, TimeSpan};
+use history::check_histories;
 use lease_support::{name, FakeLease};
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
 
 const NODES: usize = 3;
 const STEP: TimeSpan = TimeSpan::from_millis(100);
@@ -384,26 +386,14 @@
 where
     H: Holder,
 {
-    let config = ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 200,
-        ..ProptestConfig::default()
-    };
-    let mut runner = TestRunner::new(config);
-    let history = (clocks(), any::<bool>(), steps());
-    let result = runner.run(&history, |(clocks, renews_lapsed, steps)| {
+    let histories = (clocks(), any::<bool>(), steps());
+    check_histories(seed, cases, histories, |(clocks, renews_lapsed, steps)| {
         let mut world = World::<H>::new(clocks, renews_lapsed);
-        let run = move || -> Result<(), String> {
-            for step in steps {
-                world.step(step)?;
-            }
-            world.finish()
-        };
-        run().map_err(TestCaseError::fail)
-    });
-    result.map_err(|error| error.to_string())
+        for step in steps {
+            world.step(step)?;
+        }
+        world.finish()
+    })
 }
 
 #[test]
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -1,5 +1,8 @@
 //! Membership by late, lost and reordered heartbeats and a lagging list.
 
+#[path = "claim_support/history.rs"]
+mod history;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use applefold_core::id::InstanceId;
@@ -8,8 +11,8 @@
     PeerTable, RunNumber,
 };
 use applefold_core::unit::{TimePoint, TimeSpan};
+use history::check_histories;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
 
 const PEERS: usize = 4;
 const LAG_STEPS: usize = 10;
@@ -291,24 +294,13 @@
 where
     T: Table,
 {
-    let config = ProptestConfig {
-        cases: 800,
-        rng_seed: RngSeed::Fixed(82),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let mut runner = TestRunner::new(config);
-    let result = runner.run(&steps(), |steps| {
+    check_histories(82, 800, steps(), |steps| {
         let mut world = World::<T>::new();
-        let run = move || -> Result<(), String> {
-            for step in steps {
-                world.step(step)?;
-            }
-            world.settle()
-        };
-        run().map_err(TestCaseError::fail)
-    });
-    result.map_err(|error| error.to_string())
+        for step in steps {
+            world.step(step)?;
+        }
+        world.settle()
+    })
 }
 
 #[test]
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -2,6 +2,8 @@
 
 #[path = "claim_support/mod.rs"]
 mod claim_support;
+#[path = "claim_support/history.rs"]
+mod history;
 mod lease_support;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,9 +19,9 @@
 };
 use applefold_core::unit::{TimePoint, TimeSpan};
 use claim_support::FakeStore;
+use history::check_histories;
 use lease_support::{name, FakeLease};
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
 
 const NODES: usize = 2;
 const STEP: TimeSpan = TimeSpan::from_millis(100);
@@ -493,26 +495,14 @@
 where
     J: Journal,
 {
-    let config = ProptestConfig {
-        cases: 2_000,
-        rng_seed: RngSeed::Fixed(71),
-        failure_persistence: None,
-        max_shrink_iters: 200,
-        ..ProptestConfig::default()
-    };
-    let mut runner = TestRunner::new(config);
-    let result = runner.run(&steps(), |steps| {
+    check_histories(71, 2_000, steps(), |steps| {
         let mut world = World::<J>::new();
-        let run = move || -> Result<(), String> {
-            world.run_quietly(110, u8::MAX)?;
-            for step in steps {
-                world.step(step)?;
-            }
-            world.settle()
-        };
-        run().map_err(TestCaseError::fail)
-    });
-    result.map_err(|error| error.to_string())
+        world.run_quietly(110, u8::MAX)?;
+        for step in steps {
+            world.step(step)?;
+        }
+        world.settle()
+    })
 }
 
 #[test]
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -2,6 +2,8 @@
 
 #[path = "claim_support/mod.rs"]
 mod claim_support;
+#[path = "claim_support/history.rs"]
+mod history;
 
 use std::collections::BTreeMap;
 
@@ -16,8 +18,8 @@
     UsageKey, UsageMeter, UsageReport, UsageSealer, UsageTotals,
 };
 use claim_support::FakeStore;
+use history::check_histories;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
 
 const METERS: usize = 3;
 const KEEPERS: usize = 2;
@@ -598,25 +600,13 @@
 where
     S: Sealer,
 {
-    let config = ProptestConfig {
-        cases: 1_500,
-        rng_seed: RngSeed::Fixed(51),
-        failure_persistence: None,
-        max_shrink_iters: 200,
-        ..ProptestConfig::default()
-    };
-    let mut runner = TestRunner::new(config);
-    let result = runner.run(&steps(), |steps| {
+    check_histories(51, 1_500, steps(), |steps| {
         let mut world = World::<S>::new();
-        let run = move || -> Result<(), String> {
-            for step in steps {
-                world.step(step)?;
-            }
-            world.settle()
-        };
-        run().map_err(TestCaseError::fail)
-    });
-    result.map_err(|error| error.to_string())
+        for step in steps {
+            world.step(step)?;
+        }
+        world.settle()
+    })
 }
 
 #[test]
