Multiply the measured slopes out to the size to design for

Each table and each decision is given the rows and the rate that a process has at that size, and the report adds them up for an entry and a sidecar. Sizes of the configuration as text are its length now; the resident set, tried first, counted what the growing text had left behind (270 to 316 B a key between two runs).

--- a/crates/experiment/src/scale/control.rs
+++ b/crates/experiment/src/scale/control.rs
@@ -13,7 +13,7 @@
 use super::probe::{ScaleProbe, SeriesPlan};
 use crate::member::named;
 
-const KEYS: &[u64] = &[10, 100, 300, 1_000, 2_000];
+const KEYS: &[u64] = &[10, 100, 300, 1_000, 3_000];
 const OBJECTS_OF_A_TICKET: usize = 50;
 const TEAM: &str = "team-of-users-001";
 const POOL: &str = "assistant";
@@ -51,11 +51,12 @@
     probe.measure(plan("write it as JSON"), config, |config, _| {
         black_box(config.to_json());
     })?;
-    grow_text(probe)
+    grow_text(probe);
+    Ok(())
 }
 
 /// The text is what a process that is far behind is sent, and what the store keeps.
-fn grow_text(probe: &mut ScaleProbe) -> eyre::Result<()> {
+fn grow_text(probe: &mut ScaleProbe) {
     for object in [ConfigObject::Key, ConfigObject::Team, ConfigObject::Engine] {
         let plan = SeriesPlan {
             table: "configuration as JSON",
@@ -64,11 +65,10 @@
             sizes: KEYS,
         };
         let written = |rows| config_of(object, rows).to_json();
-        probe.measure(plan, written, |text, _| {
+        probe.measure_text(plan, written, |text, _| {
             black_box(ServingConfig::from_json(text).is_ok());
-        })?;
+        });
     }
-    Ok(())
 }
 
 fn grow_planners(probe: &mut ScaleProbe) -> eyre::Result<()> {
--- a/crates/experiment/src/scale/fit.rs
+++ b/crates/experiment/src/scale/fit.rs
@@ -42,6 +42,15 @@
         }
     }
 
+    /// Returns what the line says of `rows`.
+    pub(crate) fn at(&self, rows: u64) -> f64 {
+        let x = match self.shape {
+            GrowthShape::Linear => rows as f64,
+            GrowthShape::Logarithmic => (rows as f64).ln(),
+        };
+        self.start + self.slope * x
+    }
+
     fn over(points: &[GrowthPoint], shape: GrowthShape) -> Self {
         let abscissa = |point: &GrowthPoint| match shape {
             GrowthShape::Linear => point.rows as f64,
--- a/crates/experiment/src/scale/mod.rs
+++ b/crates/experiment/src/scale/mod.rs
@@ -5,6 +5,7 @@
 //! it, and asked for the decision that it exists for.
 
 mod admitting;
+mod capacity;
 mod control;
 mod fit;
 mod probe;
--- a/crates/experiment/src/scale/probe.rs
+++ b/crates/experiment/src/scale/probe.rs
@@ -43,6 +43,21 @@
         GrowthFit::linear(&self.bytes)
     }
 
+    /// Returns the time between the measured points, or on the fitted line beyond them.
+    pub(crate) fn nanos_at(&self, rows: u64) -> f64 {
+        let above = self.nanos.iter().position(|point| point.rows >= rows);
+        let Some(above) = above else {
+            return self.nanos_fit().at(rows);
+        };
+        let high = self.nanos[above];
+        let low = self.nanos[above.saturating_sub(1)];
+        if high.rows == low.rows {
+            return high.value;
+        }
+        let part = rows.saturating_sub(low.rows) as f64 / (high.rows - low.rows) as f64;
+        low.value + part * (high.value - low.value)
+    }
+
     pub(crate) fn nanos_fit(&self) -> GrowthFit {
         GrowthFit::best(&self.nanos)
     }
@@ -90,22 +105,43 @@
     where
         B: Fn(u64) -> T,
         D: Fn(&mut T, u64),
+    {
+        match self.turn {
+            ProbeTurn::Bytes => self.push(plan, bytes_of(plan.sizes, build)?),
+            ProbeTurn::Time => self.note_time(nanos_of(plan.sizes, build, decide)),
+        }
+        Ok(())
+    }
+
+    /// Measures a text, whose size is its length.
+    pub(crate) fn measure_text<B, D>(&mut self, plan: SeriesPlan, build: B, decide: D)
+    where
+        B: Fn(u64) -> String,
+        D: Fn(&mut String, u64),
     {
         match self.turn {
             ProbeTurn::Bytes => {
-                let bytes = bytes_of(plan.sizes, build)?;
-                self.series.push(ScaleSeries {
-                    plan,
-                    bytes,
-                    nanos: Vec::new(),
+                let points = plan.sizes.iter().map(|&rows| GrowthPoint {
+                    rows,
+                    value: build(rows).len() as f64,
                 });
+                self.push(plan, points.collect());
             }
-            ProbeTurn::Time => {
-                self.series[self.next].nanos = nanos_of(plan.sizes, build, decide);
-                self.next += 1;
-            }
+            ProbeTurn::Time => self.note_time(nanos_of(plan.sizes, build, decide)),
         }
-        Ok(())
+    }
+
+    fn push(&mut self, plan: SeriesPlan, bytes: Vec<GrowthPoint>) {
+        self.series.push(ScaleSeries {
+            plan,
+            bytes,
+            nanos: Vec::new(),
+        });
+    }
+
+    fn note_time(&mut self, nanos: Vec<GrowthPoint>) {
+        self.series[self.next].nanos = nanos;
+        self.next += 1;
     }
 }
 
--- a/crates/experiment/src/scale/report.rs
+++ b/crates/experiment/src/scale/report.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use super::capacity::CapacityModel;
 use super::fit::{GrowthFit, GrowthPoint, GrowthShape};
 use super::probe::ScaleSeries;
 
@@ -9,6 +10,7 @@
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct ScaleReport {
     series: Vec<ScaleLine>,
+    capacity: CapacityModel,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -21,6 +23,7 @@
 
 impl ScaleReport {
     pub(crate) fn new(series: Vec<ScaleSeries>) -> Self {
+        let capacity = CapacityModel::new(&series);
         let lines = series.into_iter().map(|series| ScaleLine {
             bytes_fit: series.bytes_fit(),
             nanos_fit: series.nanos_fit(),
@@ -28,6 +31,7 @@
         });
         Self {
             series: lines.collect(),
+            capacity,
         }
     }
 }
@@ -54,7 +58,7 @@
                 line.nanos_fit.r_squared,
             )?;
         }
-        Ok(())
+        write!(f, "\n{}", self.capacity)
     }
 }
 
