Stop by the drain decisions, with usage kept and leases handed on at once

Cause: the daemon counted work in flight by code of its own beside the core's; a sidecar that stopped took unfetched usage with it; a killed reporter let sealing fall behind, because it waited 20 s for the missing keeper at each 2 s window (the test took 60 to 86 s). Ruled out: sealing at once without a keeper, which makes figures late. Change: the gate wraps the drain decisions; a sidecar ends once two keepers have its figures; leases go back when draining begins; the wait is at most half a window.

--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -1,84 +1,75 @@
-//! Counts what is in flight, so that a process stops without cutting it.
+//! Stops a process without cutting what it has in flight.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
-use tokio::sync::Notify;
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::drain::{DrainAction, DrainOptions, DrainState, WorkGuard};
+use applefold_core::unit::TimeSpan;
 
-#[derive(Debug, Default)]
-struct DrainCount {
-    draining: Cell<bool>,
-    /// Set while an order says that no new work is to be taken.
-    held: Cell<bool>,
-    in_flight: Cell<u64>,
-    idle: Notify,
-}
-
-/// The door that work comes in by; it can be closed once.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct DrainGate {
-    count: Rc<DrainCount>,
-}
+use crate::clock::MonotonicClock;
 
-/// Work in flight; dropping it says that the work has ended.
-#[derive(Debug)]
-pub(crate) struct FlightGuard {
-    count: Rc<DrainCount>,
-}
+const STEP_PERIOD: Duration = Duration::from_millis(50);
+const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
 
-impl Drop for FlightGuard {
-    fn drop(&mut self) {
-        let left = self.count.in_flight.get() - 1;
-        self.count.in_flight.set(left);
-        if left == 0 {
-            self.count.idle.notify_waiters();
-        }
-    }
+/// The door that work comes in by.
+#[derive(Clone)]
+pub(crate) struct DrainGate {
+    state: Rc<RefCell<DrainState>>,
+    /// Set while an order says that no new work is to be taken.
+    held: Rc<Cell<bool>>,
 }
 
 impl DrainGate {
-    /// Counts new work in; `None` once the gate is closed.
-    pub(crate) fn enter(&self) -> Option<FlightGuard> {
-        if self.is_closed() {
-            return None;
+    pub(crate) fn new(options: DrainOptions) -> Self {
+        Self {
+            state: Rc::new(RefCell::new(DrainState::new(options))),
+            held: Rc::default(),
         }
-        Some(self.enter_anyway())
-    }
-
-    /// Counts work in that has to be served even while draining.
-    pub(crate) fn enter_anyway(&self) -> FlightGuard {
-        let in_flight = &self.count.in_flight;
-        in_flight.set(in_flight.get() + 1);
-        let count = self.count.clone();
-        FlightGuard { count }
     }
 
-    /// Lets no new work in from now on.
-    pub(crate) fn close(&self) {
-        self.count.draining.set(true);
+    /// Counts new work in, or refuses it as not run.
+    pub(crate) fn admit(&self) -> Result<WorkGuard, CallRefusal> {
+        if self.held.get() {
+            return Err(CallRefusal::passing(
+                ResultCode::ServiceShutting,
+                RETRY_SOON,
+            ));
+        }
+        self.state.borrow().admit()
     }
 
     /// Lets no new work in until the hold is taken off.
     pub(crate) fn set_held(&self, held: bool) {
-        self.count.held.set(held);
+        self.held.set(held);
+    }
+
+    /// Returns whether peers and the balancer should send no more work.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.held.get() || self.state.borrow().is_stopping()
     }
 
-    pub(crate) fn is_closed(&self) -> bool {
-        self.count.draining.get() || self.count.held.get()
+    pub(crate) fn in_flight(&self) -> usize {
+        self.state.borrow().running()
     }
 
-    pub(crate) fn in_flight(&self) -> u64 {
-        self.count.in_flight.get()
+    /// Begins to stop.
+    pub(crate) fn begin(&self, clock: &MonotonicClock) {
+        self.state.borrow_mut().begin(clock.now());
     }
 
-    /// Returns when nothing is in flight.
-    pub(crate) async fn wait_idle(&self) {
+    /// Waits until nothing is in flight and nothing is kept for others.
+    pub(crate) async fn finish<S>(&self, clock: &MonotonicClock, settled: S)
+    where
+        S: Fn() -> bool,
+    {
         loop {
-            let notified = self.count.idle.notified();
-            if self.in_flight() == 0 {
+            let actions = self.state.borrow_mut().tick(clock.now(), settled());
+            if actions.contains(&DrainAction::Exit) {
                 return;
             }
-            notified.await;
+            actix_rt::time::sleep(STEP_PERIOD).await;
         }
     }
 }
--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -59,8 +59,11 @@
         return Ok(operator::handle(&state, request).await);
     }
     let request_id = state.fresh_request();
-    let closing = state.gate.is_closed();
-    let guard = state.gate.enter_anyway();
+    let closing = state.gate.is_closing();
+    let guard = match state.gate.admit() {
+        Ok(guard) => guard,
+        Err(refusal) => return Ok(closing_response(refusal)),
+    };
     let start = match admit(&state, request, &request_id).await {
         Ok(Admitted::Direct(response)) => return Ok(response),
         Ok(Admitted::Planned(plan)) => run(&state, *plan).await,
@@ -73,6 +76,15 @@
     Ok(respond(start, note, guard))
 }
 
+/// Refuses a call on a connection that is not to be used again.
+fn closing_response(refusal: CallRefusal) -> Response<BoxBody> {
+    let mut response = refusal_response(refusal);
+    response
+        .head_mut()
+        .set_connection_type(actix_http::ConnectionType::Close);
+    response
+}
+
 /// What becomes of a call that is not refused.
 enum Admitted {
     /// The entry answers itself.
@@ -88,7 +100,7 @@
 
 /// Tells the balancer to send no more callers once the instance is stopping.
 fn health(state: &EntryState) -> Response<BoxBody> {
-    if state.gate.is_closed() {
+    if state.gate.is_closing() {
         return refusal_response(CallRefusal::passing(
             ResultCode::InstanceDraining,
             RETRY_SOON,
--- a/crates/daemon/src/entry/authority.rs
+++ b/crates/daemon/src/entry/authority.rs
@@ -113,7 +113,7 @@
 /// Keeps the leases until the process ends.
 pub(crate) async fn follow(state: Rc<EntryState>) {
     loop {
-        if !state.gate.is_closed() {
+        if !state.gate.is_closing() {
             let wanted = WorkScope::all().filter(|work| is_candidate(&state, *work));
             for work in wanted {
                 let actions = step(&state, work, LeaseHolder::tick);
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -114,19 +114,17 @@
     Ok(())
 }
 
-/// Tells peers and the balancer first, then lets what runs come to its end.
+/// Tells peers and the balancer, hands leases to others at once, then lets what
+/// runs come to its end.
 async fn stop(state: &Rc<EntryState>) {
     log::info!(in_flight = state.gate.in_flight(); "entry is draining");
-    state.gate.close();
-    actix_rt::time::sleep(std::time::Duration::from_micros(
-        state.settings.drain_delay.0,
-    ))
-    .await;
-    let drained = signal::within(state.settings.drain_timeout, state.gate.wait_idle()).await;
+    state.gate.begin(&state.clock);
+    authority::release_all(state).await;
+    let drained = state.gate.finish(&state.clock, || true);
+    let drained = signal::within(state.settings.drain_timeout, drained).await;
     if !drained {
         log::warn!(in_flight = state.gate.in_flight(); "drain timeout passed, work is cut");
     }
-    authority::release_all(state).await;
     signal::linger().await;
     log::info!("entry has stopped");
 }
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -8,6 +8,7 @@
 };
 use applefold_core::claim::KeptAnswer;
 use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::drain::WorkGuard;
 use applefold_core::id::AttemptNumber;
 use applefold_core::unit::{ByteSize, TimePoint};
 use applefold_wire::dispatch::{AttemptId, HeadMessage, HeaderPair, PartMessage};
@@ -19,7 +20,6 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::attempt::AnswerPiece;
-use crate::drain::FlightGuard;
 
 const EVENT_STREAM: &str = "text/event-stream";
 const CODE_HEADER: &str = "x-applefold-code";
@@ -273,7 +273,7 @@
 /// Holds the request in flight until its body has left.
 struct GuardedBody {
     body: BoxBody,
-    _guard: FlightGuard,
+    _guard: WorkGuard,
 }
 
 impl MessageBody for GuardedBody {
@@ -298,7 +298,7 @@
 }
 
 /// Makes the HTTP response of an answer.
-pub(crate) fn respond(start: ReplyStart, note: ReplyNote, guard: FlightGuard) -> Response<BoxBody> {
+pub(crate) fn respond(start: ReplyStart, note: ReplyNote, guard: WorkGuard) -> Response<BoxBody> {
     let response = match start {
         ReplyStart::Whole { head, body } => {
             with_head(head.status, &head.headers, BoxBody::new(body))
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use applefold_core::admission::TeamUse;
+use applefold_core::drain::DrainOptions;
 use applefold_core::fleet::FleetSettings;
 use applefold_core::id::{InstanceId, PoolId, TeamId};
 use applefold_core::lease::HolderName;
@@ -93,6 +94,10 @@
             restart_grace: settings.restart_grace,
             ..FleetSettings::default()
         };
+        let drain = DrainOptions {
+            lame_duck: settings.drain_delay,
+            ..DrainOptions::entry()
+        };
         let beat_period = TimeSpan(BEAT_PERIOD.as_micros() as u64);
         let place = RoutePlace {
             domain: settings.domain.clone(),
@@ -101,12 +106,12 @@
         Self {
             clock: MonotonicClock::start(),
             config: ConfigDesk::new(keeper),
-            gate: DrainGate::default(),
+            gate: DrainGate::new(drain),
             links: RefCell::new(LinkTable::default()),
             entries: RefCell::default(),
             leases: LeaseTable::new(&holder),
             claims: ClaimDesk::new(&holder),
-            usage: UsageDesk::new(&holder),
+            usage: UsageDesk::new(&holder, settings.usage_window),
             fleet: FleetDesk::new(&holder, fleet),
             holder,
             published: RefCell::default(),
@@ -224,7 +229,7 @@
             teams: self.published.borrow().clone(),
             pools: self.published_pools.borrow().clone(),
             suspects: self.decisions.borrow().suspects.news(self.now()),
-            stopping: self.gate.is_closed(),
+            stopping: self.gate.is_closing(),
         }
     }
 }
--- a/crates/daemon/src/entry/usage.rs
+++ b/crates/daemon/src/entry/usage.rs
@@ -34,8 +34,15 @@
 }
 
 impl UsageDesk {
-    pub(crate) fn new(holder: &HolderName) -> Self {
-        let sealer = UsageSealer::new(holder.clone(), SealerOptions::default());
+    pub(crate) fn new(holder: &HolderName, window: TimeSpan) -> Self {
+        let options = SealerOptions::default();
+        // A wait longer than a window would let sealing fall behind for good.
+        let collect_wait = options.collect_wait.min(TimeSpan(window.0 / 2));
+        let options = SealerOptions {
+            collect_wait,
+            ..options
+        };
+        let sealer = UsageSealer::new(holder.clone(), options);
         Self {
             keeper: RefCell::new(UsageKeeper::new()),
             sealer: RefCell::new(sealer),
--- a/crates/daemon/src/sidecar/meter.rs
+++ b/crates/daemon/src/sidecar/meter.rs
@@ -9,6 +9,8 @@
 
 use crate::window;
 
+/// How many keepers have a figure before it counts as safe.
+const KEPT_COPIES: usize = 2;
 /// Windows that are kept although they may have been sealed.
 const KEPT_WINDOWS: u64 = 48;
 
@@ -64,6 +66,12 @@
         meter.forget_before(WindowId(oldest));
     }
 
+    /// Returns whether two keepers, or all there are, have everything.
+    pub(crate) fn is_kept(&self) -> bool {
+        let copies = self.marks.borrow().len().min(KEPT_COPIES);
+        self.meter.borrow().is_kept(copies)
+    }
+
     /// Returns what `keeper` does not have; `taken` is the serial that it took last.
     pub(crate) fn batch_for(&self, keeper: &InstanceId, taken: u64) -> (UsageBatch, u64) {
         let mut meter = self.meter.borrow_mut();
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -73,10 +73,13 @@
     Ok(())
 }
 
+/// Figures of usage are kept by others before the process ends.
 async fn stop(state: &SidecarState) {
     log::info!(in_flight = state.gate.in_flight(); "sidecar is draining");
-    state.gate.close();
-    let drained = signal::within(state.settings.drain_timeout, state.gate.wait_idle()).await;
+    state.gate.begin(&state.clock);
+    let settled = || state.meter.is_kept();
+    let drained = state.gate.finish(&state.clock, settled);
+    let drained = signal::within(state.settings.drain_timeout, drained).await;
     if !drained {
         log::warn!(in_flight = state.gate.in_flight(); "drain timeout passed, work is cut");
     }
--- a/crates/daemon/src/sidecar/runner.rs
+++ b/crates/daemon/src/sidecar/runner.rs
@@ -91,9 +91,9 @@
     if let Err(refusal) = state.check(dispatch) {
         return RanAttempt::not_run(refusal);
     }
-    let Some(_flight) = state.gate.enter() else {
-        let refusal = CallRefusal::passing(ResultCode::ServiceShutting, RETRY_SOON);
-        return RanAttempt::not_run(refusal);
+    let _work = match state.gate.admit() {
+        Ok(work) => work,
+        Err(refusal) => return RanAttempt::not_run(refusal),
     };
     let turn = match wait_turn(state, dispatch).await {
         Ok(turn) => turn,
--- a/crates/daemon/src/sidecar/state.rs
+++ b/crates/daemon/src/sidecar/state.rs
@@ -5,6 +5,7 @@
 
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::config::KeyLookup;
+use applefold_core::drain::DrainOptions;
 use applefold_core::id::{Revision, TeamId};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_core::usage::MeterName;
@@ -61,7 +62,7 @@
             orders: OrderDesk::new(clock.now()),
             platform: Rc::new(platform),
             config: ConfigCell::new(),
-            gate: DrainGate::default(),
+            gate: DrainGate::new(DrainOptions::sidecar()),
             turns: Rc::new(TurnTable::new(settings.slots)),
             open_team: OPEN_TEAM.parse().expect("the name is an identifier"),
             backend: BackendClient::new(settings.backend),
@@ -85,7 +86,7 @@
             running: self.turns.running() as u32,
             waiting: self.turns.waiting() as u32,
             waiting_tokens: load.waiting_tokens.max(self.turns.ahead()),
-            draining: self.gate.is_closed(),
+            draining: self.gate.is_closing(),
             ..load
         }
     }
@@ -100,7 +101,7 @@
             teams: Vec::new(),
             pools: Vec::new(),
             suspects: self.suspects.news(now),
-            stopping: self.gate.is_closed(),
+            stopping: self.gate.is_closing(),
         }
     }
 
--- a/crates/daemon/tests/usage_reports.rs
+++ b/crates/daemon/tests/usage_reports.rs
@@ -94,3 +94,18 @@
         assert!(view.violations.is_empty(), "{:?}", view.violations);
     });
 }
+
+#[test]
+fn sidecar_that_stops_leaves_its_figures_with_keepers() {
+    run(async {
+        let cluster = TestCluster::start(plan()).await;
+        cluster.wait_authority().await;
+        use_some(&cluster).await;
+        for slot in &cluster.backends {
+            slot.sidecar.terminate();
+        }
+        let view = wait_reported(&cluster).await;
+        assert_eq!(answer_tokens(&view), TOKENS * CHATS);
+        assert!(view.violations.is_empty(), "{:?}", view.violations);
+    });
+}
