Report to operators, bound the connections, and split large files

Ruled out: a report summed over all entries by one of them, which costs a round of calls for what each entry can be asked. Change: /operator/report, alarms in the status, at most 32 connections per pool in the own region and 4 elsewhere by even subsets; listing, drain orders and report in modules of their own.

--- a/crates/daemon/src/entry/config.rs
+++ b/crates/daemon/src/entry/config.rs
@@ -78,6 +78,11 @@
         self.keeper.borrow().may_acknowledge(revision)
     }
 
+    /// Returns how many entries of the log could not be read.
+    pub(crate) fn refused_entries(&self) -> u64 {
+        self.keeper.borrow().reader().refused_entries()
+    }
+
     /// Takes over the list of entries.
     pub(crate) fn update_fleet(&self, entries: &[ListedInstance]) {
         self.keeper.borrow_mut().update_fleet(entries);
--- a/crates/daemon/src/entry/control.rs
+++ b/crates/daemon/src/entry/control.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::links;
+use super::listing;
 use super::state::EntryState;
 
 const LIST_PERIOD: Duration = Duration::from_secs(1);
@@ -19,7 +19,7 @@
 pub(crate) async fn follow_instances(state: Rc<EntryState>) {
     loop {
         match state.platform.instances().await {
-            Ok(rows) => links::follow_list(&state, rows),
+            Ok(rows) => listing::follow_list(&state, rows),
             Err(fault) => log::debug!("could not read the list of instances: {fault}"),
         }
         state.publish_use();
--- /dev/null
+++ b/crates/daemon/src/entry/drain.rs
@@ -0,0 +1,90 @@
+//! Orders to sidecars to take no more work, and to take it again.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::fence::{EngineOrder, OrderVerdict};
+use applefold_core::id::BackendId;
+use applefold_core::unit::TimeSpan;
+use applefold_wire::order as message;
+use eyre::{Result, WrapErr};
+use smol_str::SmolStr;
+
+use super::authority::WorkScope;
+use super::state::EntryState;
+use crate::link::dial::PeerLink;
+
+/// How long a sidecar may take to carry out a drain.
+const DRAIN_ORDER_SPAN: TimeSpan = TimeSpan::from_secs(2);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Whether work is to stop or to go on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum DrainKind {
+    Drain,
+    Undrain,
+}
+
+impl DrainKind {
+    /// Returns the order as sidecars read it.
+    const fn body(self) -> &'static str {
+        match self {
+            Self::Drain => r#"{"kind":"drain"}"#,
+            Self::Undrain => r#"{"kind":"undrain"}"#,
+        }
+    }
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Drain => "drain",
+            Self::Undrain => "undrain",
+        }
+    }
+}
+
+/// Has a sidecar carry out a drain, or the end of one.
+pub(crate) fn spawn(state: &Rc<EntryState>, backend: BackendId, kind: DrainKind) {
+    let Some(link) = state.links.borrow().link_to(&backend) else {
+        return;
+    };
+    let Some(order) = drain_order(state, &backend, kind) else {
+        return;
+    };
+    actix_rt::spawn(async move {
+        match send_order(&link.link, &order).await {
+            Ok(OrderVerdict::Done) => {}
+            Ok(OrderVerdict::Refused(refusal)) => {
+                log::warn!(code = refusal.code.number(), backend = backend.as_str();
+                    "the sidecar refused an order");
+            }
+            Err(error) => log::warn!(backend = backend.as_str(); "an order failed: {error:#}"),
+        }
+    });
+}
+
+/// Orders of one holder are numbered by time, so that none is taken for another.
+fn drain_order(state: &EntryState, backend: &BackendId, kind: DrainKind) -> Option<EngineOrder> {
+    let now = state.now();
+    let authority = state
+        .leases
+        .with(WorkScope::Fleet, |lease| lease.authority(now))??;
+    let fencing = authority.fencing();
+    let id = format!("{}-{fencing}-{}-{backend}", kind.label(), now.0);
+    let id = id.get(..id.len().min(applefold_core::id::MAX_ID_BYTES))?;
+    Some(EngineOrder {
+        id: id.parse().ok()?,
+        scope: authority.scope().clone(),
+        holder: authority.holder().clone(),
+        fencing,
+        span: DRAIN_ORDER_SPAN,
+        body: SmolStr::new_static(kind.body()),
+    })
+}
+
+async fn send_order(link: &PeerLink, order: &EngineOrder) -> Result<OrderVerdict> {
+    let mut request = link.session.order_request();
+    message::write_order(order, request.get().init_order());
+    let reply = actix_rt::time::timeout(ORDER_TIMEOUT, request.send().promise).await;
+    let reply = reply.wrap_err("the sidecar did not answer in time")??;
+    Ok(message::read_verdict(reply.get()?.get_reply()?)?)
+}
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -42,6 +42,9 @@
         driver.writer.refuse(refusal).await;
     }
     span.note("code", i64::from(code));
+    if let Some(caller) = &plan.caller {
+        state.report.note_request(&caller.team, refusal);
+    }
     let labels = [
         KeyValue::new("service", plan.service.to_string()),
         KeyValue::new("code", i64::from(code)),
--- a/crates/daemon/src/entry/fleet.rs
+++ b/crates/daemon/src/entry/fleet.rs
@@ -7,8 +7,9 @@
 
 use applefold_core::claim::store::{CallNumber, StoreCall};
 use applefold_core::config::{PoolConfig, PoolKind, ServingConfig};
-use applefold_core::fence::{EngineOrder, OrderVerdict};
-use applefold_core::fleet::{FleetAction, FleetEvent, FleetPlanner, FleetSettings, PoolPlan};
+use applefold_core::fleet::{
+    FleetAction, FleetDecision, FleetEvent, FleetPlanner, FleetSettings, PoolPlan,
+};
 use applefold_core::forecast::{DemandEvent, DemandForecast, ForecastSettings};
 use applefold_core::id::{BackendId, FencingNumber, OrderId, PoolId};
 use applefold_core::lease::HolderName;
@@ -19,21 +20,16 @@
 use applefold_core::role::OrderAuthority;
 use applefold_core::unit::{TimeSpan, TokenRate};
 use applefold_wire::beat::{LoadNote, PoolNote};
-use applefold_wire::order as message;
-use eyre::{Result, WrapErr};
-use smol_str::SmolStr;
 
 use super::authority::WorkScope;
+use super::drain::{self, DrainKind};
 use super::links;
 use super::state::EntryState;
-use crate::link::dial::PeerLink;
 use crate::platform::message::{InstanceRow, InstanceState, OrderRecord};
 use crate::platform::PlatformFault;
 
+const FLEET_SYSTEM: &str = "fleet";
 const TICK_PERIOD: Duration = Duration::from_millis(500);
-/// How long a sidecar may take to carry out a drain.
-const DRAIN_ORDER_SPAN: TimeSpan = TimeSpan::from_secs(2);
-const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The planner with its forecast, and the journal that its orders go through.
 pub(crate) struct FleetDesk {
@@ -177,8 +173,7 @@
     for action in actions {
         match action {
             FleetAction::Order { order, decision } => {
-                log::info!(pool = decision.pool.as_str(), domain = decision.domain.as_str(),
-                    order = order.as_str(); "backend server is ordered: {:?}", decision.figures);
+                note_decision(state, &decision, "a backend server is ordered");
                 plan(
                     state,
                     PlatformOrder {
@@ -191,16 +186,26 @@
                 );
             }
             FleetAction::Drain { backend, decision } => {
-                log::info!(pool = decision.pool.as_str(), backend = backend.as_str();
-                    "backend server is drained: {:?}", decision.figures);
-                spawn_drain(state, backend, DrainKind::Drain);
+                note_decision(state, &decision, "a backend server is drained");
+                drain::spawn(state, backend, DrainKind::Drain);
             }
-            FleetAction::Undrain { backend } => spawn_drain(state, backend, DrainKind::Undrain),
+            FleetAction::Undrain { backend } => drain::spawn(state, backend, DrainKind::Undrain),
             FleetAction::Release { order, backend } => release(state, order, &backend),
         }
     }
 }
 
+fn note_decision(state: &EntryState, decision: &FleetDecision, what: &str) {
+    let FleetDecision {
+        pool,
+        domain,
+        figures,
+    } = decision;
+    let text = format!("{what} in pool {pool}, failure domain {domain}: {figures:?}");
+    log::info!("{text}");
+    state.report.note_decision(state.now(), FLEET_SYSTEM, text);
+}
+
 fn release(state: &Rc<EntryState>, order: OrderId, backend: &BackendId) {
     let row = state
         .decisions
@@ -316,72 +321,3 @@
         decide(&state, Some(JournalEvent::OrdersRead { call, orders }));
     });
 }
-
-#[derive(Clone, Copy, Debug)]
-enum DrainKind {
-    Drain,
-    Undrain,
-}
-
-impl DrainKind {
-    /// Returns the order as sidecars read it.
-    const fn body(self) -> &'static str {
-        match self {
-            Self::Drain => r#"{"kind":"drain"}"#,
-            Self::Undrain => r#"{"kind":"undrain"}"#,
-        }
-    }
-
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Drain => "drain",
-            Self::Undrain => "undrain",
-        }
-    }
-}
-
-fn spawn_drain(state: &Rc<EntryState>, backend: BackendId, kind: DrainKind) {
-    let Some(link) = state.links.borrow().link_to(&backend) else {
-        return;
-    };
-    let Some(order) = drain_order(state, &backend, kind) else {
-        return;
-    };
-    actix_rt::spawn(async move {
-        match send_order(&link.link, &order).await {
-            Ok(OrderVerdict::Done) => {}
-            Ok(OrderVerdict::Refused(refusal)) => {
-                log::warn!(code = refusal.code.number(), backend = backend.as_str();
-                    "the sidecar refused an order");
-            }
-            Err(error) => log::warn!(backend = backend.as_str(); "an order failed: {error:#}"),
-        }
-    });
-}
-
-/// Orders of one holder are numbered by time, so that none is taken for another.
-fn drain_order(state: &EntryState, backend: &BackendId, kind: DrainKind) -> Option<EngineOrder> {
-    let now = state.now();
-    let authority = state
-        .leases
-        .with(WorkScope::Fleet, |lease| lease.authority(now))??;
-    let fencing = authority.fencing();
-    let id = format!("{}-{fencing}-{}-{backend}", kind.label(), now.0);
-    let id = id.get(..id.len().min(applefold_core::id::MAX_ID_BYTES))?;
-    Some(EngineOrder {
-        id: id.parse().ok()?,
-        scope: authority.scope().clone(),
-        holder: authority.holder().clone(),
-        fencing,
-        span: DRAIN_ORDER_SPAN,
-        body: SmolStr::new_static(kind.body()),
-    })
-}
-
-async fn send_order(link: &PeerLink, order: &EngineOrder) -> Result<OrderVerdict> {
-    let mut request = link.session.order_request();
-    message::write_order(order, request.get().init_order());
-    let reply = actix_rt::time::timeout(ORDER_TIMEOUT, request.send().promise).await;
-    let reply = reply.wrap_err("the sidecar did not answer in time")??;
-    Ok(message::read_verdict(reply.get()?.get_reply()?)?)
-}
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -1,14 +1,11 @@
 //! The connections to sidecars, and the heartbeats on them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::config::ObjectState;
 use applefold_core::id::{BackendId, DomainId, InstanceId, PoolId, Revision};
-use applefold_core::reach::ListedInstance;
-use applefold_core::routing::RoutePlace;
 use applefold_core::unit::TimePoint;
 use applefold_wire::applefold_capnp::session;
 use applefold_wire::beat::{BeatMessage, LoadNote};
@@ -16,12 +13,11 @@
 use tokio::sync::Notify;
 
 use super::config;
-use super::decide::ListedBackend;
 use super::fleet;
 use super::state::EntryState;
 use super::usage;
 use crate::link::dial::{dial, PeerLink};
-use crate::platform::message::{InstanceKind, InstanceRow, InstanceState};
+use crate::platform::message::{InstanceKind, InstanceRow};
 
 pub(crate) const BEAT_PERIOD: Duration = Duration::from_secs(1);
 /// A connection that has not answered for this long is replaced.
@@ -43,12 +39,32 @@
     task: actix_rt::task::JoinHandle<()>,
 }
 
+impl LinkRow {
+    /// Returns the word that the status shows.
+    pub(crate) fn state_word(&self) -> &'static str {
+        match (&self.link, self.leaving) {
+            (None, _) => "unreached",
+            (Some(_), true) => "leaving",
+            (Some(_), false) => "live",
+        }
+    }
+}
+
 impl Drop for LinkRow {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
+/// What a connection is kept for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LinkDuty {
+    /// The pool of a backend server; `None` for another entry.
+    pub(crate) pool: Option<PoolId>,
+    /// Whether the peer is to get no new work.
+    pub(crate) leaving: bool,
+}
+
 /// Every peer that this entry keeps a connection to.
 #[derive(Default)]
 pub(crate) struct LinkTable {
@@ -112,7 +128,7 @@
     fleet::note_load(state, &backend, load);
 }
 
-fn note_standing(state: &EntryState, instance: &InstanceId) {
+pub(crate) fn note_standing(state: &EntryState, instance: &InstanceId) {
     let links = state.links.borrow();
     let Some(row) = links.rows.get(instance) else {
         return;
@@ -123,113 +139,9 @@
     decisions.set_standing(&backend, row.link.is_some(), draining);
 }
 
-/// Brings the tables in step with the platform's list.
-pub(crate) fn follow_list(state: &Rc<EntryState>, listed: Vec<InstanceRow>) {
-    let ids: BTreeSet<InstanceId> = listed.iter().map(|row| row.id.clone()).collect();
-    let backends = listed
-        .iter()
-        .filter(|row| row.kind == InstanceKind::Backend);
-    let backends = backends.map(|row| backend_of(&row.id)).collect();
-    fleet::retain_listed(state, &backends);
-    forget_gone(state, &ids);
-    let entries = live_entries(&listed);
-    state
-        .decisions
-        .borrow_mut()
-        .admission
-        .set_listed(entries.len() as u32);
-    let listed_entries = listed_entries(&listed);
-    state.config.update_fleet(&listed_entries);
-    state.entries.replace(entries);
-    for instance in listed {
-        match instance.kind {
-            InstanceKind::Entry if instance.id == state.settings.instance => {}
-            InstanceKind::Entry => keep_row(state, &instance, None),
-            InstanceKind::Backend => follow_backend(state, &instance),
-        }
-    }
-    let now = state.now();
-    state.decisions.borrow_mut().tick(now);
-}
-
-fn live_entries(listed: &[InstanceRow]) -> BTreeSet<InstanceId> {
-    let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
-    let live = entries.filter(|row| row.state == InstanceState::Live);
-    live.map(|row| row.id.clone()).collect()
-}
-
-fn listed_entries(listed: &[InstanceRow]) -> Vec<ListedInstance> {
-    let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
-    let live = entries.filter(|row| row.state == InstanceState::Live);
-    let rows = live.map(|row| ListedInstance {
-        id: row.id.clone(),
-        domain: row.domain.clone(),
-    });
-    rows.collect()
-}
-
-fn follow_backend(state: &Rc<EntryState>, instance: &InstanceRow) {
-    let Some(pool) = usable_pool(state, instance) else {
-        return;
-    };
-    note_listed(state, instance, &pool);
-    fleet::note_listed(state, instance, &pool);
-    keep_row(state, instance, Some(pool));
-    note_standing(state, &instance.id);
-}
-
-fn forget_gone(state: &Rc<EntryState>, ids: &BTreeSet<InstanceId>) {
-    let mut table = state.links.borrow_mut();
-    let mut decisions = state.decisions.borrow_mut();
-    table.rows.retain(|id, _| {
-        let backend = backend_of(id);
-        let busy = decisions
-            .backends
-            .get(&backend)
-            .is_some_and(|row| row.in_flight() > 0);
-        let kept = ids.contains(id) || busy;
-        if !kept {
-            decisions.remove(&backend);
-        }
-        kept
-    });
-}
-
-/// Returns the pool that operators or else the list put a backend server in.
-fn usable_pool(state: &Rc<EntryState>, instance: &InstanceRow) -> Option<PoolId> {
-    let backend = backend_of(&instance.id);
-    state.config.with(|config| {
-        let engine = config.engine_named(&backend, instance.pool.as_ref())?;
-        Some(engine.pool)
-    })
-}
-
-fn is_withdrawn(state: &Rc<EntryState>, instance: &InstanceRow) -> bool {
-    let backend = backend_of(&instance.id);
-    state.config.with(|config| {
-        let engine = config.engine_named(&backend, instance.pool.as_ref());
-        engine.is_some_and(|engine| engine.state == ObjectState::Withdrawn)
-    })
-}
-
-fn note_listed(state: &Rc<EntryState>, instance: &InstanceRow, pool: &PoolId) {
-    let listed = ListedBackend {
-        id: backend_of(&instance.id),
-        pool: pool.clone(),
-        place: RoutePlace {
-            domain: instance.domain.clone(),
-            region: instance.region.clone(),
-        },
-    };
-    let now = state.now();
-    let mut decisions = state.decisions.borrow_mut();
-    state
-        .config
-        .with(|config| decisions.upsert(listed, config, now));
-}
-
-fn keep_row(state: &Rc<EntryState>, instance: &InstanceRow, pool: Option<PoolId>) {
-    let leaving = instance.state == InstanceState::Leaving || is_withdrawn(state, instance);
+/// Adds a connection, or changes what is said of its peer.
+pub(crate) fn keep_row(state: &Rc<EntryState>, instance: &InstanceRow, duty: LinkDuty) {
+    let LinkDuty { pool, leaving } = duty;
     let mut table = state.links.borrow_mut();
     let known = table.rows.get_mut(&instance.id);
     if let Some(row) = known.filter(|row| row.address == instance.address) {
--- /dev/null
+++ b/crates/daemon/src/entry/listing.rs
@@ -0,0 +1,176 @@
+//! Follows the platform's list of instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use applefold_core::config::ObjectState;
+use applefold_core::id::{BackendId, InstanceId, PoolId};
+use applefold_core::reach::ListedInstance;
+use applefold_core::routing::{BackendSubset, RoutePlace};
+
+use super::decide::ListedBackend;
+use super::fleet;
+use super::links::{self, LinkDuty};
+use super::state::EntryState;
+use crate::platform::message::{InstanceKind, InstanceRow, InstanceState};
+
+/// Backend servers of one pool in this region that an entry is connected to.
+const NEAR_LINKS: usize = 32;
+/// Backend servers of one pool in each other region, for when the own has none on time.
+const FAR_LINKS: usize = 4;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct BackendGroup {
+    pool: PoolId,
+    near: bool,
+}
+
+/// Brings the tables in step with the platform's list.
+pub(crate) fn follow_list(state: &Rc<EntryState>, listed: Vec<InstanceRow>) {
+    let chosen = choose_backends(state, &listed);
+    let kept = listed.iter().filter(|row| {
+        row.kind == InstanceKind::Entry || chosen.contains(&links::backend_of(&row.id))
+    });
+    let ids: BTreeSet<InstanceId> = kept.map(|row| row.id.clone()).collect();
+    let backends = listed
+        .iter()
+        .filter(|row| row.kind == InstanceKind::Backend);
+    let backends = backends.map(|row| links::backend_of(&row.id)).collect();
+    fleet::retain_listed(state, &backends);
+    forget_gone(state, &ids);
+    let entries = live_entries(&listed);
+    state
+        .decisions
+        .borrow_mut()
+        .admission
+        .set_listed(entries.len() as u32);
+    let listed_entries = listed_entries(&listed);
+    state.config.update_fleet(&listed_entries);
+    state.entries.replace(entries);
+    for instance in &listed {
+        match instance.kind {
+            InstanceKind::Entry if instance.id == state.settings.instance => {}
+            InstanceKind::Entry => follow_entry(state, instance),
+            InstanceKind::Backend => follow_backend(state, instance, &chosen),
+        }
+    }
+    let now = state.now();
+    state.decisions.borrow_mut().tick(now);
+}
+
+fn live_entries(listed: &[InstanceRow]) -> BTreeSet<InstanceId> {
+    let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
+    let live = entries.filter(|row| row.state == InstanceState::Live);
+    live.map(|row| row.id.clone()).collect()
+}
+
+fn listed_entries(listed: &[InstanceRow]) -> Vec<ListedInstance> {
+    let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
+    let live = entries.filter(|row| row.state == InstanceState::Live);
+    let rows = live.map(|row| ListedInstance {
+        id: row.id.clone(),
+        domain: row.domain.clone(),
+    });
+    rows.collect()
+}
+
+fn follow_entry(state: &Rc<EntryState>, instance: &InstanceRow) {
+    let leaving = instance.state == InstanceState::Leaving;
+    let pool = None;
+    links::keep_row(state, instance, LinkDuty { pool, leaving });
+}
+
+fn follow_backend(state: &Rc<EntryState>, instance: &InstanceRow, chosen: &BTreeSet<BackendId>) {
+    let Some(pool) = usable_pool(state, instance) else {
+        return;
+    };
+    fleet::note_listed(state, instance, &pool);
+    if !chosen.contains(&links::backend_of(&instance.id)) {
+        return;
+    }
+    note_listed(state, instance, &pool);
+    let leaving = instance.state == InstanceState::Leaving || is_withdrawn(state, instance);
+    let pool = Some(pool);
+    links::keep_row(state, instance, LinkDuty { pool, leaving });
+    links::note_standing(state, &instance.id);
+}
+
+/// What an entry hears has to stay bounded, however many backend servers there are.
+fn choose_backends(state: &Rc<EntryState>, listed: &[InstanceRow]) -> BTreeSet<BackendId> {
+    let mut groups: BTreeMap<BackendGroup, BTreeSet<BackendId>> = BTreeMap::new();
+    for instance in listed {
+        if let Some(pool) = usable_pool(state, instance) {
+            let near = instance.region == state.settings.region;
+            let group = groups.entry(BackendGroup { pool, near }).or_default();
+            group.insert(links::backend_of(&instance.id));
+        }
+    }
+    let entries = region_entries(state, listed);
+    let mut chosen = BTreeSet::new();
+    for (group, backends) in groups {
+        let size = if group.near { NEAR_LINKS } else { FAR_LINKS };
+        let own = &state.settings.instance;
+        let subset = BackendSubset::pick(own, &entries, &backends, size);
+        chosen.extend(subset.backends().iter().cloned());
+    }
+    chosen
+}
+
+/// The entries of this region, this one included even where the list lags.
+fn region_entries(state: &EntryState, listed: &[InstanceRow]) -> BTreeSet<InstanceId> {
+    let region = &state.settings.region;
+    let entries = listed.iter().filter(|row| row.kind == InstanceKind::Entry);
+    let near = entries.filter(|row| row.region == *region);
+    let ids = near.map(|row| row.id.clone());
+    ids.chain([state.settings.instance.clone()]).collect()
+}
+
+fn forget_gone(state: &Rc<EntryState>, ids: &BTreeSet<InstanceId>) {
+    let mut table = state.links.borrow_mut();
+    let mut decisions = state.decisions.borrow_mut();
+    table.rows.retain(|id, _| {
+        let backend = links::backend_of(id);
+        let busy = decisions
+            .backends
+            .get(&backend)
+            .is_some_and(|row| row.in_flight() > 0);
+        let kept = ids.contains(id) || busy;
+        if !kept {
+            decisions.remove(&backend);
+        }
+        kept
+    });
+}
+
+/// Returns the pool that operators or else the list put a backend server in.
+fn usable_pool(state: &Rc<EntryState>, instance: &InstanceRow) -> Option<PoolId> {
+    let backend = links::backend_of(&instance.id);
+    state.config.with(|config| {
+        let engine = config.engine_named(&backend, instance.pool.as_ref())?;
+        Some(engine.pool)
+    })
+}
+
+fn is_withdrawn(state: &Rc<EntryState>, instance: &InstanceRow) -> bool {
+    let backend = links::backend_of(&instance.id);
+    state.config.with(|config| {
+        let engine = config.engine_named(&backend, instance.pool.as_ref());
+        engine.is_some_and(|engine| engine.state == ObjectState::Withdrawn)
+    })
+}
+
+fn note_listed(state: &Rc<EntryState>, instance: &InstanceRow, pool: &PoolId) {
+    let listed = ListedBackend {
+        id: links::backend_of(&instance.id),
+        pool: pool.clone(),
+        place: RoutePlace {
+            domain: instance.domain.clone(),
+            region: instance.region.clone(),
+        },
+    };
+    let now = state.now();
+    let mut decisions = state.decisions.borrow_mut();
+    state
+        .config
+        .with(|config| decisions.upsert(listed, config, now));
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -8,14 +8,17 @@
 mod config;
 mod control;
 mod decide;
+mod drain;
 mod driver;
 mod filing;
 mod fleet;
 mod links;
+mod listing;
 mod operator;
 mod peers;
 mod plan;
 mod reply;
+mod report;
 mod state;
 mod usage;
 
--- a/crates/daemon/src/entry/operator.rs
+++ b/crates/daemon/src/entry/operator.rs
@@ -13,6 +13,7 @@
 use super::api::{bearer_of, read_body};
 use super::filing::{self, FilingFault};
 use super::reply::refusal_response;
+use super::report;
 use super::state::EntryState;
 
 const TICKET_PREFIX: &str = "/operator/tickets/";
@@ -32,7 +33,8 @@
     match (&method, request.path()) {
         (&Method::POST, "/operator/tickets") => file(state, &body).await,
         (&Method::POST, "/operator/tickets/check") => check(state, &body),
-        (&Method::GET, "/operator/status") => json_response(status(state)),
+        (&Method::GET, "/operator/status") => json_response(report::status(state)),
+        (&Method::GET, "/operator/report") => json_response(report::report(state)),
         (&Method::GET, path) if path.starts_with(TICKET_PREFIX) => {
             show(state, &path[TICKET_PREFIX.len()..]).await
         }
@@ -110,40 +112,3 @@
     };
     json_response(json!({"ticket": number, "revision": record.revision, "body": body}))
 }
-
-fn status(state: &Rc<EntryState>) -> Value {
-    let now = state.now();
-    let note = state.config.confirmation(now);
-    let reach = state.config.reach(now);
-    let serves = state.config.serves_keyed(now).is_ok();
-    let table = state.links.borrow();
-    let instances = table.rows.iter().map(|(id, row)| {
-        json!({
-            "id": id,
-            "kind": if row.pool.is_some() { "backend" } else { "entry" },
-            "domain": row.domain,
-            "revision": row.revision,
-            "age_ms": now.since(row.last_beat).as_millis(),
-            "state": if row.link.is_some() { "live" } else { "unreached" },
-        })
-    });
-    let notes = state.leases.notes(state);
-    let leases = notes.iter().map(|note| {
-        json!({
-            "scope": note.scope,
-            "holder": note.owner,
-            "fencing": note.fencing,
-            "held_here": note.fencing.is_some(),
-        })
-    });
-    json!({
-        "instance": state.settings.instance,
-        "revision": note.revision,
-        "confirmed_ms_ago": note.age.as_millis(),
-        "reach": {"reached": reach.reached, "listed": reach.listed, "holds": reach.may_serve()},
-        "serves_keyed": serves,
-        "instances": instances.collect::<Vec<_>>(),
-        "leases": leases.collect::<Vec<_>>(),
-        "alarms": [],
-    })
-}
--- /dev/null
+++ b/crates/daemon/src/entry/report.rs
@@ -0,0 +1,208 @@
+//! What operators are told of this entry's work.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+
+use applefold_core::code::{CallRefusal, ResultCode, RunState};
+use applefold_core::id::{TeamId, WindowId};
+use applefold_core::spread::Confirmation;
+use applefold_core::unit::TimePoint;
+use serde_json::{json, Value};
+use smol_str::SmolStr;
+
+use super::state::EntryState;
+
+/// How many decisions are remembered.
+const DECISION_LIMIT: usize = 200;
+const FIRST_WINDOW: WindowId = WindowId(0);
+const LAST_WINDOW: WindowId = WindowId(u64::MAX);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct TeamCounts {
+    requests: u64,
+    refused: u64,
+    broken: u64,
+}
+
+/// A decision that changed the fleet, with the figures it was taken on.
+#[derive(Clone, Debug)]
+struct DecisionNote {
+    at: TimePoint,
+    system: &'static str,
+    text: String,
+}
+
+/// What this entry has done since it started.
+#[derive(Default)]
+pub(crate) struct ReportDesk {
+    teams: RefCell<BTreeMap<TeamId, TeamCounts>>,
+    decisions: RefCell<VecDeque<DecisionNote>>,
+}
+
+impl ReportDesk {
+    /// Counts a request that has ended.
+    pub(crate) fn note_request(&self, team: &TeamId, refusal: Option<CallRefusal>) {
+        let mut teams = self.teams.borrow_mut();
+        if !teams.contains_key(team) {
+            teams.insert(team.clone(), TeamCounts::default());
+        }
+        let Some(counts) = teams.get_mut(team) else {
+            return;
+        };
+        counts.requests += 1;
+        match refusal.map(|refusal| refusal.code.run_state()) {
+            None => {}
+            Some(RunState::NotRun) => counts.refused += 1,
+            Some(RunState::Ran | RunState::Unknown) => counts.broken += 1,
+        }
+    }
+
+    /// Remembers a decision.
+    pub(crate) fn note_decision(&self, at: TimePoint, system: &'static str, text: String) {
+        let mut decisions = self.decisions.borrow_mut();
+        decisions.push_back(DecisionNote { at, system, text });
+        if decisions.len() > DECISION_LIMIT {
+            decisions.pop_front();
+        }
+    }
+}
+
+/// Returns the report of this entry; usage is that of every meter it hears.
+pub(crate) fn report(state: &EntryState) -> Value {
+    let keeper = state.usage.keeper.borrow();
+    let sums = keeper.sums(FIRST_WINDOW, LAST_WINDOW);
+    let windows = sums.iter().map(|(key, totals)| {
+        json!({
+            "window": key.window,
+            "team": key.team,
+            "service": key.service,
+            "prompt_tokens": totals.prompt_tokens,
+            "answer_tokens": totals.answer_tokens,
+            "requests": totals.requests,
+        })
+    });
+    let counts = state.report.teams.borrow();
+    let teams = counts.iter().map(|(team, counts)| {
+        let own = sums.iter().filter(|(key, _)| key.team == *team);
+        let used = own.fold((0, 0), |(prompt, answer), (_, totals)| {
+            (
+                prompt + totals.prompt_tokens.0,
+                answer + totals.answer_tokens.0,
+            )
+        });
+        json!({
+            "team": team,
+            "requests": counts.requests,
+            "refused": counts.refused,
+            "broken": counts.broken,
+            "prompt_tokens": used.0,
+            "answer_tokens": used.1,
+        })
+    });
+    let decisions = state.report.decisions.borrow();
+    let decisions = decisions
+        .iter()
+        .map(|note| json!({"at_ms": note.at.0 / 1_000, "system": note.system, "text": note.text}));
+    json!({
+        "instance": state.settings.instance,
+        "teams": teams.collect::<Vec<_>>(),
+        "usage_windows": windows.collect::<Vec<_>>(),
+        "decisions": decisions.collect::<Vec<_>>(),
+    })
+}
+
+/// One thing that wants an operator's eye.
+struct AlarmNote {
+    code: ResultCode,
+    text: SmolStr,
+}
+
+/// Returns what the status tells of this entry and of those it hears.
+pub(crate) fn status(state: &EntryState) -> Value {
+    let now = state.now();
+    let said = state.config.confirmation(now);
+    let reach = state.config.reach(now);
+    let serves = state.config.serves_keyed(now).is_ok();
+    let age = (said.age != Confirmation::NEVER).then(|| said.age.as_millis());
+    let table = state.links.borrow();
+    let instances = table.rows.iter().map(|(id, row)| {
+        json!({
+            "id": id,
+            "kind": if row.pool.is_some() { "backend" } else { "entry" },
+            "domain": row.domain,
+            "revision": row.revision,
+            "age_ms": now.since(row.last_beat).as_millis(),
+            "state": row.state_word(),
+        })
+    });
+    let notes = state.leases.notes(state);
+    let leases = notes.iter().map(|note| {
+        json!({
+            "scope": note.scope,
+            "holder": note.owner,
+            "fencing": note.fencing,
+            "held_here": note.fencing.is_some(),
+        })
+    });
+    let alarms = alarms(state, now);
+    let alarms = alarms.iter();
+    let alarms = alarms.map(|alarm| json!({"code": alarm.code, "text": alarm.text}));
+    json!({
+        "instance": state.settings.instance,
+        "revision": said.revision,
+        "confirmed_ms_ago": age,
+        "reach": {"reached": reach.reached, "listed": reach.listed, "holds": reach.may_serve()},
+        "serves_keyed": serves,
+        "instances": instances.collect::<Vec<_>>(),
+        "leases": leases.collect::<Vec<_>>(),
+        "alarms": alarms.collect::<Vec<_>>(),
+    })
+}
+
+fn alarms(state: &EntryState, now: TimePoint) -> Vec<AlarmNote> {
+    let mut alarms = Vec::new();
+    if state.config.serves_keyed(now).is_err() {
+        alarms.push(AlarmNote {
+            code: ResultCode::ConfigUnconfirmed,
+            text: SmolStr::new_static("calls with a key are refused here"),
+        });
+    }
+    if state.config.confirmation(now).age > state.settings.confirm_bound {
+        alarms.push(AlarmNote {
+            code: ResultCode::PlatformUnavailable,
+            text: SmolStr::new_static("the platform has confirmed nothing for too long"),
+        });
+    }
+    if state.config.may_file(now).is_err() {
+        alarms.push(AlarmNote {
+            code: ResultCode::ReachTooSmall,
+            text: SmolStr::new_static("too few entries are heard to accept a ticket"),
+        });
+    }
+    let refused = state.config.refused_entries();
+    if refused > 0 {
+        alarms.push(AlarmNote {
+            code: ResultCode::TicketMalformed,
+            text: smol_str::format_smolstr!("{refused} entries of the log cannot be read"),
+        });
+    }
+    alarms.extend(unreached(state));
+    alarms
+}
+
+/// Pools that have backend servers on the list and none that is reached.
+fn unreached(state: &EntryState) -> Vec<AlarmNote> {
+    let table = state.links.borrow();
+    let mut pools: BTreeMap<&str, bool> = BTreeMap::new();
+    for row in table.rows.values() {
+        if let Some(pool) = &row.pool {
+            *pools.entry(pool.as_str()).or_default() |= row.link.is_some();
+        }
+    }
+    let lost = pools.iter().filter(|(_, reached)| !**reached);
+    lost.map(|(pool, _)| AlarmNote {
+        code: ResultCode::BackendMissing,
+        text: smol_str::format_smolstr!("no backend server of the pool {pool} is reached"),
+    })
+    .collect()
+}
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -26,6 +26,7 @@
 use super::fleet::{self, FleetDesk};
 use super::links::{LinkTable, BEAT_PERIOD};
 use super::plan::RequestPlan;
+use super::report::ReportDesk;
 use super::usage::UsageDesk;
 use super::EntrySettings;
 use crate::clock::MonotonicClock;
@@ -54,6 +55,7 @@
     pub(crate) claims: ClaimDesk,
     pub(crate) usage: UsageDesk,
     pub(crate) fleet: FleetDesk,
+    pub(crate) report: ReportDesk,
     /// What the teams have asked of this entry in the last period.
     published: RefCell<Vec<TeamNote>>,
     /// What the pools are being asked for here, and what they were in the last period.
@@ -112,6 +114,7 @@
             leases: LeaseTable::new(&holder),
             claims: ClaimDesk::new(&holder),
             usage: UsageDesk::new(&holder, settings.usage_window),
+            report: ReportDesk::default(),
             fleet: FleetDesk::new(&holder, fleet),
             holder,
             published: RefCell::default(),
