Add applefoldctl, which speaks only of outcomes that it knows

Cause: operators need to file tickets through entries that can die in the call.

Change: ticket check, file, show and wait, status, report, key hash; several entries tried in turn; exit codes 0 done, 1 refused, 2 usage, 3 unknown. After a lost answer the log is read back before the ticket is sent again; a ticket that stands there is called accepted only once all live instances run it.

Ruled out: trying the next entry after every failed connect. The HTTP client reports a connection that ended after the call was written as a failed connect too ('connector has been disconnected'), so a lost answer looked like a call that was never sent; only a refused connection and an unresolved name count.

Seen to fail: without the read-back, another_content_in_the_log_is_a_conflict and a_lost_answer_is_settled_by_reading_back_and_not_by_filing_again.

--- /dev/null
+++ b/crates/ctl/src/cmd/report.rs
@@ -0,0 +1,44 @@
+//! `report`.
+
+use crate::answer::UsageReport;
+use crate::cmd::args::{ReportArgs, SettingArgs};
+use crate::cmd::connect;
+use crate::exit::ExitStatus;
+
+impl ReportArgs {
+    pub(crate) async fn run(self, settings: &SettingArgs) -> eyre::Result<ExitStatus> {
+        let client = connect(settings)?;
+        let answer = match client.get("/operator/report").await {
+            Ok(answer) => answer,
+            Err(fault) => return Ok(fault.report(self.json)),
+        };
+        if self.json {
+            println!("{}", answer.text);
+            return Ok(ExitStatus::Done);
+        }
+        match answer.read::<UsageReport>() {
+            Ok(report) => print_report(&report),
+            Err(fault) => return Ok(fault.report(self.json)),
+        }
+        Ok(ExitStatus::Done)
+    }
+}
+
+fn print_report(report: &UsageReport) {
+    println!(
+        "{:<24} {:>10} {:>14} {:>14} {:>8} {:>7}",
+        "team", "requests", "prompt tokens", "answer tokens", "refused", "broken"
+    );
+    for row in &report.teams {
+        println!(
+            "{:<24} {:>10} {:>14} {:>14} {:>8} {:>7}",
+            row.team, row.requests, row.prompt_tokens, row.answer_tokens, row.refused, row.broken
+        );
+    }
+    for decision in &report.decisions {
+        println!(
+            "{:>12} ms {}: {}",
+            decision.at_ms, decision.system, decision.text
+        );
+    }
+}
