--- a/crates/core/src/spread/keeper.rs
+++ b/crates/core/src/spread/keeper.rs
@@ -4,10 +4,9 @@
 
 use rand_pcg::Pcg64Mcg;
 
-use crate::code::{CallRefusal, ResultCode};
 use crate::config::ServingConfig;
 use crate::id::{DomainId, InstanceId, Revision};
-use crate::reach::{FleetList, ListedInstance, PeerTable, ReachShare, ReachUnit};
+use crate::reach::{FleetList, ListedInstance, PeerTable, ReachUnit};
 use crate::spread::duty::WatchDuty;
 use crate::spread::standing::{Confirmation, ServingStanding, SpreadSettings};
 use crate::ticket::{ConfigPush, ConfigReader, ReadProgress, StoreAnswer, StoreCall};
@@ -15,8 +14,6 @@
 
 const FETCH_TIMEOUT: TimeSpan = TimeSpan::from_secs(1);
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
-const FILING_SPAN: TimeSpan = TimeSpan::from_secs(10);
-const REACH_RETRY: TimeSpan = TimeSpan::from_secs(2);
 
 /// Tells the answers to a process's calls apart, so that a late one is not taken for another's.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,18 +52,18 @@
 /// The configuration of one process.
 #[derive(Clone, Debug)]
 pub struct ConfigKeeper {
-    me: InstanceId,
+    pub(super) me: InstanceId,
     domain: DomainId,
-    settings: SpreadSettings,
-    fleet: FleetList,
-    peers: PeerTable,
+    pub(super) settings: SpreadSettings,
+    pub(super) fleet: FleetList,
+    pub(super) peers: PeerTable,
     reader: ConfigReader,
-    standing: ServingStanding,
+    pub(super) standing: ServingStanding,
     duty: WatchDuty,
     call: Option<OpenCall>,
     calls: CallNumber,
     fetch_at: Option<TimePoint>,
-    filing_until: Option<TimePoint>,
+    pub(super) filing_until: Option<TimePoint>,
     rng: Pcg64Mcg,
 }
 
@@ -170,7 +167,7 @@
         targets
     }
 
-    fn is_counting(&self, now: TimePoint) -> bool {
+    pub(super) fn is_counting(&self, now: TimePoint) -> bool {
         match self.unit() {
             ReachUnit::Instance => true,
             ReachUnit::Domain => {
@@ -283,77 +280,4 @@
             reach_holds: self.count_holds(now),
         }
     }
-
-    /// Returns the share of the fleet that is heard; a process without standing may have
-    /// forgotten what it acknowledged, and does not count.
-    pub fn reach(&self, now: TimePoint) -> ReachShare {
-        let timeout = self.settings.peer_timeout;
-        self.peers.share(&self.fleet, self.unit(), |id| {
-            let standing = || {
-                self.peers
-                    .row(id)
-                    .is_some_and(|row| row.said.has_standing())
-            };
-            match *id == self.me {
-                true => self.standing.is_founded(),
-                false => self.peers.is_heard(id, timeout, now) && standing(),
-            }
-        })
-    }
-
-    /// Returns the share of the fleet that is known to run `revision` or a later one.
-    pub fn holders(&self, revision: Revision) -> ReachShare {
-        self.peers.share(&self.fleet, self.unit(), |id| {
-            let own = || self.config().revision >= revision;
-            let runs = || {
-                self.peers
-                    .row(id)
-                    .is_some_and(|row| row.revision >= revision)
-            };
-            if *id == self.me {
-                own()
-            } else {
-                runs()
-            }
-        })
-    }
-
-    /// A count holds if enough is heard and nobody heard is ahead.
-    fn count_holds(&self, now: TimePoint) -> bool {
-        let own = self.config().revision;
-        let ahead = self.peers.rows().values().any(|row| row.revision > own);
-        self.is_counting(now) && !ahead && self.reach(now).may_serve()
-    }
-
-    fn count_vouch(&mut self, now: TimePoint) {
-        if self.count_holds(now) {
-            self.standing.vouch(now);
-        }
-    }
-
-    /// Decides whether to serve a request that carries a key.
-    pub fn serves_keyed(&self, now: TimePoint) -> Result<(), CallRefusal> {
-        let counted = self.count_holds(now);
-        self.standing
-            .check(&self.settings, self.config().revision, counted, now)
-    }
-
-    /// Starts to count, ahead of a ticket.
-    pub fn begin_filing(&mut self, now: TimePoint) {
-        self.filing_until = Some(now + FILING_SPAN);
-    }
-
-    /// Decides whether a ticket may be filed from here.
-    pub fn may_file(&self, now: TimePoint) -> Result<(), CallRefusal> {
-        match self.reach(now).may_accept() {
-            true => Ok(()),
-            false => Err(CallRefusal::passing(ResultCode::ReachTooSmall, REACH_RETRY)),
-        }
-    }
-
-    /// Decides whether a ticket in the log may be acknowledged: enough of the fleet runs it
-    /// that no other part of the fleet can serve on without it.
-    pub fn may_acknowledge(&self, revision: Revision) -> bool {
-        self.holders(revision).may_accept()
-    }
 }
--- a/crates/core/src/spread/mod.rs
+++ b/crates/core/src/spread/mod.rs
@@ -3,6 +3,7 @@
 //! The ways weighed, the bound on withdrawn keys and its proof are in
 //! [docs/design/spreading.md](../../../../docs/design/spreading.md).
 
+mod count;
 mod duty;
 mod keeper;
 mod standing;
--- a/crates/core/tests/ticket_files.rs
+++ b/crates/core/tests/ticket_files.rs
@@ -32,6 +32,11 @@
 
 fn file(config: &mut ServingConfig, ticket: &Value) -> Result<(), TicketRefusal> {
     let ticket = ChangeTicket::parse(&text_of(ticket))?;
+    assert_eq!(
+        ChangeTicket::parse(&ticket.to_json())?,
+        ticket,
+        "the log gives back what was filed"
+    );
     config.apply(&ticket).map(|_| ())
 }
 
