Close claim buckets after eight batches, and decide heartbeats alone

Ruled out: small buckets by size alone, which cost a deletion every other batch under load. Change: a bucket closes after 8 batches; a heartbeat looks at its own row, and what is timed is left to the tick.

--- a/crates/core/src/claim/options.rs
+++ b/crates/core/src/claim/options.rs
@@ -28,6 +28,8 @@
     pub batch_every: TimeSpan,
     /// The most bytes of entries in one batch.
     pub batch_limit: ByteSize,
+    /// The most batches in one bucket; each of them writes the bucket anew.
+    pub bucket_batches: u64,
     /// The size at which a bucket takes no more entries.
     pub bucket_limit: ByteSize,
     /// The age at which a bucket takes no more entries.
@@ -64,6 +66,7 @@
         Self {
             batch_every: CLAIM_BATCH_SPAN,
             batch_limit: ByteSize(256 * 1_024),
+            bucket_batches: 8,
             bucket_limit: ByteSize(64 * 1_024),
             bucket_span: TimeSpan::from_secs(300),
             wait: CLAIM_WAIT,
@@ -73,7 +76,7 @@
             kept_limit: KEPT_ANSWER_LIMIT,
             kept_total: ByteSize(1_024 * 1_024),
             row_limit: 20_000,
-            page_limit: 16,
+            page_limit: 32,
         }
     }
 }
--- a/crates/core/src/claim/writer.rs
+++ b/crates/core/src/claim/writer.rs
@@ -48,6 +48,7 @@
     pub(super) bucket: u64,
     version: StoreVersion,
     opened: TimeSpan,
+    batches: u64,
     text: BucketText,
     token: BatchToken,
     pub(super) flight: Option<BatchFlight>,
@@ -67,6 +68,7 @@
             bucket,
             version,
             opened,
+            batches: 0,
             text: BucketText::default(),
             token,
             flight: None,
@@ -91,7 +93,9 @@
         for entry in &entries {
             text.append(&entry.record);
         }
-        let full = text.size() >= options.bucket_limit;
+        self.batches += 1;
+        let many = self.batches >= options.bucket_batches;
+        let full = many || text.size() >= options.bucket_limit;
         let closed = full || clock.saturating_sub(self.opened) >= options.bucket_span;
         self.token.batch += 1;
         let key = bucket_key(self.shard, self.bucket);
@@ -160,6 +164,7 @@
         self.bucket += 1;
         self.version = StoreVersion::ABSENT;
         self.opened = clock;
+        self.batches = 0;
         self.text = BucketText::default();
         BatchFate::Durable { entries, closed }
     }
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -81,14 +81,16 @@
     pub fn handle(&mut self, now: TimePoint, event: PeerEvent) -> Vec<PeerAction> {
         let mut actions = Vec::new();
         match event {
-            PeerEvent::Listed(list) => self.listed(now, list, &mut actions),
+            PeerEvent::Listed(list) => {
+                self.listed(now, list, &mut actions);
+                actions.extend(self.tick(now));
+            }
             PeerEvent::Heard {
                 instance,
                 run,
                 stopping,
             } => self.heard(now, instance, run, stopping, &mut actions),
         }
-        actions.extend(self.tick(now));
         actions
     }
 
