Give a claim shard room for 50,000 claims

Cause: 20,000 rows and a retention of an hour bound a shard to 5 claims a second. Ruled out: forgetting early, which lets a request run again.

--- a/crates/core/src/claim/options.rs
+++ b/crates/core/src/claim/options.rs
@@ -75,7 +75,7 @@
             run_limit: CLAIM_RUN_LIMIT,
             kept_limit: KEPT_ANSWER_LIMIT,
             kept_total: ByteSize(1_024 * 1_024),
-            row_limit: 20_000,
+            row_limit: 50_000,
             page_limit: 32,
         }
     }
