--- a/crates/daemon/src/cmd/args.rs
+++ b/crates/daemon/src/cmd/args.rs
@@ -63,12 +63,16 @@
     /// time for requests to end when stopping (APPLEFOLD_DRAIN_TIMEOUT, 120s)
     #[argh(option)]
     pub(crate) drain_timeout: Option<String>,
-    /// longest time to serve on an unconfirmed configuration (APPLEFOLD_CONFIRM_BOUND, 6s)
+    /// longest time to serve on an unconfirmed configuration (APPLEFOLD_CONFIRM_BOUND, 5s)
     #[argh(option)]
     pub(crate) confirm_bound: Option<String>,
     /// length of a usage window, the same for all processes (APPLEFOLD_USAGE_WINDOW, 60s)
     #[argh(option)]
     pub(crate) usage_window: Option<String>,
+    /// time that a lost backend server has to come back before another is ordered
+    /// (APPLEFOLD_RESTART_GRACE, 30s)
+    #[argh(option)]
+    pub(crate) restart_grace: Option<String>,
     /// share of traces that are written, from 0 to 1 (APPLEFOLD_TRACE_SHARE, 1)
     #[argh(option)]
     pub(crate) trace_share: Option<String>,
@@ -120,9 +124,6 @@
     /// time for requests to end when stopping (APPLEFOLD_DRAIN_TIMEOUT, 120s)
     #[argh(option)]
     pub(crate) drain_timeout: Option<String>,
-    /// longest time to serve on an unconfirmed configuration (APPLEFOLD_CONFIRM_BOUND, 6s)
-    #[argh(option)]
-    pub(crate) confirm_bound: Option<String>,
     /// length of a usage window, the same for all processes (APPLEFOLD_USAGE_WINDOW, 60s)
     #[argh(option)]
     pub(crate) usage_window: Option<String>,
--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -102,6 +102,7 @@
     let mut span = state.spans.begin("entry.request", parent.as_ref());
     span.note("request", call.plan.request.to_string());
     span.note("service", call.plan.service.to_string());
+    state.note_demand(&call.plan);
     let (sender, receiver) = oneshot::channel();
     let hold = state.settings.hold_limit;
     let shape = match call.plan.stream {
@@ -121,7 +122,6 @@
     request_id: &str,
 ) -> Result<Admitted, CallRefusal> {
     let arrived = state.now();
-    check_confirmed(state)?;
     let bearer = bearer_of(request.headers());
     if request.path() == MODELS_PATH {
         return models(state, bearer.as_deref()).map(Admitted::Direct);
@@ -138,6 +138,9 @@
             return Err(CallRefusal::lasting(ResultCode::RequestTooLarge));
         }
         let caller = find_caller(config, service, bearer.as_deref())?;
+        if caller.is_some() {
+            state.config.serves_keyed(arrived)?;
+        }
         let caller_team = caller.as_ref().map(|caller| &caller.team);
         let internal = CallRefusal::lasting(ResultCode::RequestMalformed);
         let id: RequestId = request_id.parse().map_err(|_| internal)?;
@@ -174,18 +177,6 @@
     })))
 }
 
-/// Refuses every call while the configuration may have changed unseen.
-fn check_confirmed(state: &EntryState) -> Result<(), CallRefusal> {
-    let note = state.config.note(state.now());
-    if note.age <= state.settings.confirm_bound || note.reach_holds {
-        return Ok(());
-    }
-    Err(CallRefusal::passing(
-        ResultCode::ConfigUnconfirmed,
-        RETRY_SOON,
-    ))
-}
-
 fn find_service<'a>(
     config: &'a ServingConfig,
     path: &str,
@@ -226,6 +217,7 @@
 }
 
 fn models(state: &EntryState, bearer: Option<&str>) -> Result<Response<BoxBody>, CallRefusal> {
+    state.config.serves_keyed(state.now())?;
     let models = state.config.with(|config| {
         let caller = known_caller(config, bearer)?;
         let models = config.models_for(&caller.team).into_iter().cloned();
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -5,9 +5,12 @@
 mod authority;
 mod chat;
 mod claims;
+mod config;
 mod control;
 mod decide;
 mod driver;
+mod filing;
+mod fleet;
 mod links;
 mod operator;
 mod peers;
@@ -52,6 +55,7 @@
     pub(crate) drain_timeout: TimeSpan,
     pub(crate) confirm_bound: TimeSpan,
     pub(crate) usage_window: TimeSpan,
+    pub(crate) restart_grace: TimeSpan,
     pub(crate) trace_share: f64,
 }
 
@@ -97,7 +101,9 @@
     actix_rt::spawn(authority::follow(state.clone()));
     actix_rt::spawn(claims::follow(state.clone()));
     actix_rt::spawn(usage::follow(state.clone()));
-    actix_rt::spawn(control::follow_config(state.clone()));
+    actix_rt::spawn(fleet::follow(state.clone()));
+    actix_rt::spawn(config::follow(state.clone()));
+    actix_rt::spawn(config::compact(state.clone()));
     actix_rt::spawn(control::follow_instances(state.clone()));
     let server = api::serve(state.clone()).await?;
     log::info!(instance = state.settings.instance.as_str(),
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -1,7 +1,9 @@
 //! The process beside a backend server, the only one that talks to it.
 
 mod backend;
+mod config;
 mod meter;
+mod orders;
 mod runner;
 mod session;
 mod state;
@@ -40,7 +42,6 @@
     pub(crate) slots: usize,
     pub(crate) progress_timeout: TimeSpan,
     pub(crate) drain_timeout: TimeSpan,
-    pub(crate) confirm_bound: TimeSpan,
     pub(crate) usage_window: TimeSpan,
     pub(crate) trace_share: f64,
 }
@@ -62,6 +63,7 @@
     let session: session_capnp::Client = capnp_rpc::new_client(SidecarSession::new(state.clone()));
     actix_rt::spawn(gate::serve(listener, options, session));
     actix_rt::spawn(watch::follow_load(state.clone()));
+    actix_rt::spawn(orders::follow(state.clone()));
     let clock = state.clock;
     actix_rt::spawn(turn::follow(state.turns.clone(), move || clock.now()));
     log::info!(instance = state.settings.instance.as_str(),
