Let shares of limits rise only after three heartbeat periods

Cause: the bound on the shares was proved with all entries sending in step. With shifted phases and delays below a period six entries came to 1.007 of a limit at worst (3 of 1,770,000 moments), and to 1.24 with 2 in 100 heartbeats lost. Ruled out: less weight on reported demand, which keeps a team that comes through one entry from using its limit. Change: a share rises after three periods instead of two.

--- a/crates/core/src/admission/share.rs
+++ b/crates/core/src/admission/share.rs
@@ -5,7 +5,7 @@
 
 /// The part of a limit that is spread evenly, so that no entry starts from nothing.
 const EVEN_PART: f64 = 0.1;
-const SETTLE_PERIODS: u64 = 2;
+const SETTLE_PERIODS: u64 = 3;
 const LIFETIME_PERIODS: u64 = 4;
 
 /// What an entry was asked for by a team in the last heartbeat period, refused work included.
@@ -81,7 +81,7 @@
 /// This entry's share of each team's limits.
 ///
 /// Shares follow reported demand. A share falls as soon as a report says so and
-/// rises only after it has been due for two heartbeat periods, by which time
+/// rises only after it has been due for three heartbeat periods, by which time
 /// every peer has heard why; so the shares of all entries add up to at most the
 /// limit while heartbeats arrive.
 #[derive(Clone, Debug)]
