--- a/crates/daemon/src/sidecar/state.rs
+++ b/crates/daemon/src/sidecar/state.rs
@@ -5,7 +5,7 @@
 
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::config::KeyLookup;
-use applefold_core::id::TeamId;
+use applefold_core::id::{Revision, TeamId};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_core::usage::MeterName;
 use applefold_wire::beat::{BeatMessage, LoadNote};
@@ -13,21 +13,23 @@
 use rand::Rng;
 
 use super::backend::BackendClient;
+use super::config::ConfigCell;
 use super::meter::MeterDesk;
+use super::orders::OrderDesk;
+use super::suspects::SuspectDesk;
 use super::turn::TurnTable;
 use super::SidecarSettings;
 use crate::clock::MonotonicClock;
-use crate::confirm::ConfigCell;
 use crate::drain::DrainGate;
+use crate::entry::OPEN_TEAM;
 use crate::metrics::MetricSet;
+use crate::platform::http::HttpPlatform;
+use crate::platform::PlatformApi;
 use crate::trace::SpanSource;
 
 /// When a caller may try again after a refusal that another instance can turn.
 const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
 
-/// The team that calls of open routes are counted for.
-const OPEN_TEAM: &str = "open:all";
-
 /// The state of a sidecar, shared by its tasks.
 pub(crate) struct SidecarState {
     pub(crate) settings: SidecarSettings,
@@ -40,6 +42,9 @@
     pub(crate) backend: BackendClient,
     pub(crate) load: Cell<LoadNote>,
     pub(crate) meter: MeterDesk,
+    pub(crate) orders: OrderDesk,
+    pub(crate) platform: Rc<dyn PlatformApi>,
+    pub(crate) suspects: SuspectDesk,
     pub(crate) metrics: MetricSet,
     pub(crate) spans: SpanSource,
 }
@@ -47,16 +52,23 @@
 impl SidecarState {
     pub(crate) fn new(settings: SidecarSettings) -> Self {
         let name = MeterName::new(&settings.instance, rand::thread_rng().gen());
+        let clock = MonotonicClock::start();
+        let metrics = MetricSet::start();
+        let instance = settings.instance.clone();
+        let platform = HttpPlatform::new(settings.platform, instance, metrics.clone());
         Self {
-            clock: MonotonicClock::start(),
-            config: ConfigCell::default(),
+            clock,
+            orders: OrderDesk::new(clock.now()),
+            platform: Rc::new(platform),
+            config: ConfigCell::new(),
             gate: DrainGate::default(),
             turns: Rc::new(TurnTable::new(settings.slots)),
             open_team: OPEN_TEAM.parse().expect("the name is an identifier"),
             backend: BackendClient::new(settings.backend),
             load: Cell::new(LoadNote::default()),
+            suspects: SuspectDesk::new(&settings.instance),
             meter: MeterDesk::new(name, settings.usage_window),
-            metrics: MetricSet::start(),
+            metrics,
             spans: SpanSource::start(settings.trace_share),
             settings,
         }
@@ -83,10 +95,11 @@
         BeatMessage {
             instance: self.settings.instance.clone(),
             domain: self.settings.domain.clone(),
-            confirmation: self.config.note(now),
+            confirmation: self.config.confirmation(),
             load: self.load_note(),
             teams: Vec::new(),
-            suspects: Vec::new(),
+            pools: Vec::new(),
+            suspects: self.suspects.news(now),
             stopping: self.gate.is_closed(),
         }
     }
@@ -94,7 +107,7 @@
     /// Checks a request against this process's own configuration, so that an
     /// entry that is behind cannot let a withdrawn key through.
     pub(crate) fn check(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
-        self.check_confirmed(dispatch)?;
+        self.check_known(dispatch)?;
         self.config.with(|config| {
             let service = config.services().get(&dispatch.service);
             let unknown = CallRefusal::passing(ResultCode::BackendMismatch, RETRY_SOON);
@@ -122,16 +135,17 @@
         })
     }
 
-    fn check_confirmed(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
-        let note = self.config.note(self.now());
-        let behind = note.revision < dispatch.confirmation.revision;
-        let stale = note.age > self.settings.confirm_bound && !note.reach_holds;
-        if behind || stale {
-            return Err(CallRefusal::passing(
-                ResultCode::ConfigUnconfirmed,
-                RETRY_SOON,
-            ));
+    /// A process that knows no configuration, or an older one than the entry
+    /// that asks, cannot decide.
+    fn check_known(&self, dispatch: &DispatchMessage) -> Result<(), CallRefusal> {
+        let revision = self.config.revision();
+        let known = revision > Revision::default();
+        if known && revision >= dispatch.confirmation.revision {
+            return Ok(());
         }
-        Ok(())
+        Err(CallRefusal::passing(
+            ResultCode::ConfigUnconfirmed,
+            RETRY_SOON,
+        ))
     }
 }
--- a/crates/daemon/tests/support/cluster.rs
+++ b/crates/daemon/tests/support/cluster.rs
@@ -89,7 +89,10 @@
     pub entries: usize,
     pub engines: Vec<EngineOptions>,
     pub plain: usize,
+    /// Settings of every process.
     pub settings: Vec<(&'static str, String)>,
+    /// Settings of entries alone.
+    pub entry_settings: Vec<(&'static str, String)>,
 }
 
 impl Default for ClusterPlan {
@@ -99,6 +102,7 @@
             engines: vec![engine_options(); 2],
             plain: 0,
             settings: Vec::new(),
+            entry_settings: Vec::new(),
         }
     }
 }
@@ -116,6 +120,8 @@
     pub platform: StandinHandle,
     pub backends: Vec<BackendSlot>,
     pub entries: Vec<EntrySlot>,
+    /// How many entries were ever started.
+    started: usize,
     plan: ClusterPlan,
 }
 
@@ -127,6 +133,7 @@
             platform: platform.expect("the platform starts"),
             backends: Vec::new(),
             entries: Vec::new(),
+            started: 0,
             plan,
         };
         for options in cluster.plan.engines.clone() {
@@ -179,8 +186,9 @@
     }
 
     pub async fn add_entry(&mut self) {
-        let name = format!("e{}", self.entries.len() + 1);
-        let domain = format!("d{}", self.entries.len() % 3 + 1);
+        self.started += 1;
+        let name = format!("e{}", self.started);
+        let domain = format!("d{}", (self.started - 1) % 3 + 1);
         let platform_relay = SilentRelay::start(self.platform.address);
         let args = self.args("entry", &name, &domain);
         let own = [
@@ -195,7 +203,9 @@
             "--platform",
             &platform_relay.address.to_string(),
         ];
-        let own = own.map(str::to_owned).to_vec();
+        let mut own = own.map(str::to_owned).to_vec();
+        let settings = self.plan.entry_settings.iter();
+        own.extend(settings.flat_map(|(flag, value)| [(*flag).to_owned(), value.clone()]));
         let process = DaemonProcess::start(&[args, own].concat());
         let record = InstanceRecord {
             id: name.clone(),
@@ -215,6 +225,15 @@
         });
     }
 
+    /// Takes an entry that has ended off the platform's list.
+    pub async fn remove_entry(&mut self, index: usize) {
+        let entry = self.entries.remove(index);
+        let path = format!("/instances/{}", entry.name);
+        let client = self.platform_client();
+        let gone = client.call(Method::DELETE, &path, Bytes::new()).await;
+        assert_eq!(gone.expect("the platform answers").status, 200);
+    }
+
     fn args(&self, role: &str, name: &str, domain: &str) -> Vec<String> {
         let fixed = [
             role,
@@ -285,8 +304,8 @@
     }
 }
 
-/// The leases of claims and of usage.
-const LEASES: usize = 9;
+/// The leases of claims, of usage and of the fleet.
+const LEASES: usize = 10;
 
 /// A chat of `tokens` tokens whose answer is known.
 pub fn chat(prompt: &str, tokens: u64) -> ChatCall {
--- a/crates/wire/applefold.capnp
+++ b/crates/wire/applefold.capnp
@@ -27,6 +27,12 @@
   tokens @1 :UInt64;
 }
 
+struct PoolUse {
+  pool @0 :Text;
+  prefillTokens @1 :UInt64;
+  decodeTokens @2 :UInt64;
+}
+
 struct Load {
   running @0 :UInt32;
   waiting @1 :UInt32;
@@ -44,13 +50,16 @@
   confirmation @2 :Confirmation;
   load @3 :Load;
   teams @4 :List(TeamUse);
-  # Fingerprints that have crashed backend servers, with the number of crashes.
+  # What is known of requests that were running when backend servers died.
   suspects @5 :List(Suspect);
   stopping @6 :Bool;
+  # What the pools were asked for at the sender in the last period.
+  pools @7 :List(PoolUse);
 }
 
 struct Suspect {
   fingerprint @0 :UInt64;
+  # Empty where the request completed whole.
   backend @1 :Text;
   ageMicros @2 :UInt64;
 }
@@ -105,6 +114,8 @@
   attempt @1 :UInt64;
   load @6 :Load;
   confirmation @7 :Confirmation;
+  # Whether the backend server died while it ran the request.
+  crashed @8 :Bool;
   union {
     # The answer is whole and this long.
     whole @2 :UInt64;
@@ -182,7 +193,7 @@
 }
 
 struct ConfigUpdate {
-  # The whole configuration at `revision`, as the core library writes it in JSON.
+  # What leads to `revision`, as the core library writes it in JSON.
   revision @0 :UInt64;
   body @1 :Text;
 }
@@ -203,4 +214,6 @@
   meter @6 (keeper :Text, taken :UInt64) -> (batch :UsageBatch, mark :UInt64);
   # All that a keeper has from a window on.
   collect @7 (fromWindow :UInt64) -> (batches :List(UsageBatch));
+  # What leads from the revision `known` to the peer's own.
+  fetch @8 (known :UInt64) -> (update :ConfigUpdate);
 }
