--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -7,7 +7,7 @@
 declare -A pids=() address=()
 
 # Prints the value of a text field of the first JSON line that has it.
-field() { sed -n "s/.*\"$1\":\"\([^\"]*\)\".*/\1/p" "$2" | head -n 1; }
+field() { sed -n "s/.*\"$1\":\"\([^\"]*\)\".*/\1/p" "$2" 2>/dev/null | head -n 1; }
 
 # wait_for SECONDS COMMAND..: repeats the command until it succeeds.
 wait_for() {
