--- a/bench/processes.py
+++ b/bench/processes.py
@@ -95,10 +95,10 @@
     """The growth of each figure for one sidecar more, by least squares."""
     names = [name for name in rows[0] if name not in ("sidecars", "seconds")]
     sizes = [row["sidecars"] for row in rows]
-    result = {}
+    result = []
     for name in names:
         slope, start = statistics.linear_regression(sizes, [row[name] for row in rows])
-        result[name] = {"per_sidecar": round(slope, 3), "at_none": round(start, 2)}
+        result.append({"figure": name, "per_sidecar": round(slope, 4), "at_none": round(start, 2)})
     return result
 
 
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -3,5 +3,6 @@
 # platform calls. `--json` prints JSON, `--quick` a shorter run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+export PYTHONDONTWRITEBYTECODE=1
 cargo build --release --locked -p applefoldd -p applefold-standins >&2
 exec python3 bench/processes.py "$@"
