Take only a dead backend server for a crash

Cause: a broken connection counted as a crash, so a request whose connection broke at two living engines was stopped as one that crashes them; the test that cuts streams at each token failed. Ruled out: more crashes before a request is stopped, which costs engines. Change: after a break the sidecar asks whether the backend server still answers. Conclusion: a cut connection is resumed, a crash is counted.

--- a/crates/daemon/src/sidecar/runner.rs
+++ b/crates/daemon/src/sidecar/runner.rs
@@ -141,7 +141,7 @@
         }
         Ok(Err(BackendFault::NoAnswer)) => RanAttempt {
             end: AttemptEnd::Unknown(CallRefusal::lasting(ResultCode::OutcomeUnknown)),
-            crashed: true,
+            crashed: has_died(state).await,
         },
         Err(_) => RanAttempt {
             end: AttemptEnd::Unknown(CallRefusal::lasting(ResultCode::PeerSilent)),
@@ -176,6 +176,11 @@
     state.turns.wait(request, now).await
 }
 
+/// A connection can break while the backend server lives; a dead one answers nothing.
+async fn has_died(state: &SidecarState) -> bool {
+    state.backend.load().await.is_none()
+}
+
 async fn relay(
     state: &Rc<SidecarState>,
     dispatch: &DispatchMessage,
@@ -196,7 +201,7 @@
     let mut crashed = false;
     while let Ok(piece) = actix_rt::time::timeout(limit, answer.next()).await {
         let Some(piece) = piece else {
-            crashed = !answer.check.is_whole();
+            crashed = !answer.check.is_whole() && has_died(state).await;
             break;
         };
         let offset = answer.check.seen();
