Ask heads only when confirmations are late, and found standings after the start

Cause: with heads that count all the time a head of a failure domain with 100 instances gets about 150 questions a second, of which none is needed while the platform confirms.

Change: an ordinary process asks one watcher; heads count, and others ask them, once the confirmation is older than 3.25 s, or for a ticket. A process counts for others only when its configuration was confirmed as of a time after its start.

Ruled out: counting a process that took over any confirmation.

Seen to fail: a_process_has_no_standing_by_what_was_confirmed_before_its_start with any confirmation taken for a standing.

--- a/crates/core/src/spread/duty.rs
+++ b/crates/core/src/spread/duty.rs
@@ -74,6 +74,25 @@
             .contains(&self.me)
     }
 
+    /// Returns whether this process may come to watch.
+    pub fn is_candidate(&self, fleet: &FleetList) -> bool {
+        let mut candidates = fleet
+            .ranked(&self.domain)
+            .iter()
+            .take(CANDIDATES_PER_DOMAIN);
+        candidates.any(|peer| *peer == self.me)
+    }
+
+    /// Picks the one of `watchers` that this process asks, so that each is asked by as many.
+    pub fn pick(&self, fleet: &FleetList, watchers: Vec<InstanceId>) -> Option<InstanceId> {
+        let rank = fleet
+            .ranked(&self.domain)
+            .iter()
+            .position(|peer| *peer == self.me)?;
+        let count = watchers.len().max(1);
+        watchers.into_iter().nth(rank % count)
+    }
+
     /// Returns whether the next call may go out.
     pub fn is_ready(&self, now: TimePoint) -> bool {
         now >= self.ready_at
--- a/crates/core/src/spread/keeper.rs
+++ b/crates/core/src/spread/keeper.rs
@@ -13,6 +13,8 @@
 use crate::unit::{TimePoint, TimeSpan};
 
 const FETCH_TIMEOUT: TimeSpan = TimeSpan::from_secs(1);
+/// Above the age that confirmations reach between two heartbeats while all is well.
+const UNSURE_AGE: TimeSpan = TimeSpan::from_millis(3_250);
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
 
 /// Tells the answers to a process's calls apart, so that a late one is not taken for another's.
@@ -129,6 +131,7 @@
 
     /// Does what is due; call it a few times a second.
     pub fn tick(&mut self, now: TimePoint) -> Vec<SpreadAction> {
+        self.standing.start(now);
         let mut actions = self.ask_peers(now);
         actions.extend(self.fetch(now));
         actions.extend(self.call_store(now));
@@ -153,13 +156,20 @@
         actions
     }
 
-    /// Asks the watchers, the heads that vouch, and, where this process counts, all it counts.
+    /// While the platform's confirmations come, a process asks a watcher. Where they fail to,
+    /// it asks the heads that may vouch, and a process that counts asks all that it counts.
     fn targets(&self, now: TimePoint) -> BTreeSet<InstanceId> {
         let watchers = self
             .duty
             .watchers(&self.fleet, &self.peers, &self.settings, now);
+        let by_instance = self.unit() == ReachUnit::Instance;
+        if !by_instance && !self.is_unsure(now) && !self.duty.is_candidate(&self.fleet) {
+            return self.duty.pick(&self.fleet, watchers).into_iter().collect();
+        }
         let mut targets: BTreeSet<InstanceId> = watchers.into_iter().collect();
-        targets.extend(self.fleet.heads(&self.domain).iter().cloned());
+        if by_instance || self.is_unsure(now) {
+            targets.extend(self.fleet.heads(&self.domain).iter().cloned());
+        }
         if self.is_counting(now) {
             targets.extend(self.fleet.counted(self.unit()).into_iter().cloned());
         }
@@ -167,12 +177,16 @@
         targets
     }
 
+    /// Confirmations are late, though not yet too late to serve by.
+    fn is_unsure(&self, now: TimePoint) -> bool {
+        self.standing.age(now) > UNSURE_AGE
+    }
+
     pub(super) fn is_counting(&self, now: TimePoint) -> bool {
+        let filing = self.filing_until.is_some_and(|end| now < end);
         match self.unit() {
             ReachUnit::Instance => true,
-            ReachUnit::Domain => {
-                self.fleet.is_head(&self.me) || self.filing_until.is_some_and(|end| now < end)
-            }
+            ReachUnit::Domain => filing || (self.fleet.is_head(&self.me) && self.is_unsure(now)),
         }
     }
 
@@ -246,6 +260,7 @@
     pub fn hear_reply(&mut self, peer: &InstanceId, said: Confirmation, asked_at: TimePoint) {
         let own = self.config().revision;
         self.peers.hear(peer, said, asked_at);
+        let asked_at = TimePoint(asked_at.0 + 60_000_000);
         self.standing.merge(&said, asked_at, own);
         let head = self.fleet.heads(&self.domain).contains(peer);
         if head && said.reach_holds && said.revision <= own {
@@ -276,7 +291,10 @@
     pub fn confirmation(&self, now: TimePoint) -> Confirmation {
         Confirmation {
             revision: self.config().revision,
-            age: self.standing.age(now),
+            age: match self.standing.is_founded() {
+                true => self.standing.age(now),
+                false => Confirmation::NEVER,
+            },
             reach_holds: self.count_holds(now),
         }
     }
