--- a/crates/core/src/spread/keeper.rs
+++ b/crates/core/src/spread/keeper.rs
@@ -260,7 +260,6 @@
     pub fn hear_reply(&mut self, peer: &InstanceId, said: Confirmation, asked_at: TimePoint) {
         let own = self.config().revision;
         self.peers.hear(peer, said, asked_at);
-        let asked_at = TimePoint(asked_at.0 + 60_000_000);
         self.standing.merge(&said, asked_at, own);
         let head = self.fleet.heads(&self.domain).contains(peer);
         if head && said.reach_holds && said.revision <= own {
