Ask of a role change ten times the seconds lost

Cause: role changes for each true swing were 4.0 (foundation) and 5.5 (mtkvari) for a target of 2; the gain is counted over the whole pool and a horizon of 60 s, so small ones passed.

--- a/crates/core/src/role/mod.rs
+++ b/crates/core/src/role/mod.rs
@@ -158,7 +158,7 @@
             drain_limit: TimeSpan::from_secs(60),
             order_limit: TimeSpan::from_secs(15),
             usable_share: 0.85,
-            payback_factor: 2.0,
+            payback_factor: 10.0,
             token_bytes: ByteSize(128 * 1024),
             link_rate: ByteSize(10_000_000_000),
         }
