Count usage windows from an epoch, and show what was not billed

Cause: the sealer keeps its first record under window 0, which the run's first window was; after that change runs without an outage sent no report at all (0 reports, all answers unbilled). A test now asks for reports as well as for none that differ.

--- a/crates/experiment/src/report/mod.rs
+++ b/crates/experiment/src/report/mod.rs
@@ -23,6 +23,8 @@
 use crate::world::World;
 
 const WINDOW: TimeSpan = TimeSpan::from_secs(60);
+/// Windows are counted from the epoch; the run begins with this one.
+const FIRST_WINDOW: WindowId = WindowId(1_000_000);
 const STEP: TimeSpan = TimeSpan::from_millis(200);
 const STEPS_PER_FLUSH: u64 = 5;
 const PAUSE_EVERY_SECS: f64 = 300.0;
@@ -68,13 +70,13 @@
     }
 }
 
-/// The last window that has ended, none before the first has.
-fn ended_window(now: TimePoint) -> Option<WindowId> {
-    (now.0 / WINDOW.0).checked_sub(1).map(WindowId)
+/// The last window that has ended.
+fn ended_window(now: TimePoint) -> WindowId {
+    WindowId(window_of(now).0 - 1)
 }
 
 fn window_of(at: TimePoint) -> WindowId {
-    WindowId(at.0 / WINDOW.0)
+    WindowId(FIRST_WINDOW.0 + at.0 / WINDOW.0)
 }
 
 fn keeper_id(index: usize) -> InstanceId {
--- a/crates/experiment/src/report/naive.rs
+++ b/crates/experiment/src/report/naive.rs
@@ -7,7 +7,7 @@
 use applefold_core::usage::{UsageKeeper, UsageReport};
 
 use super::platform::BillingPlatform;
-use super::{ended_window, keeper_id};
+use super::{ended_window, keeper_id, FIRST_WINDOW};
 
 const RENEW_EVERY: TimeSpan = TimeSpan::from_secs(2);
 const LAST_REPORTED: &str = "last-reported";
@@ -54,9 +54,10 @@
                 LeaseReply::Granted { .. } | LeaseReply::Failed => {}
             }
         }
-        let (Some(_), Some(ended)) = (self.held, ended_window(now)) else {
+        if self.held.is_none() {
             return;
-        };
+        }
+        let ended = ended_window(now);
         if self.next.is_none() && !self.read_next(platform) {
             return;
         }
@@ -84,7 +85,7 @@
                 true
             }
             StoreReply::Absent => {
-                self.next = Some(WindowId(0));
+                self.next = Some(FIRST_WINDOW);
                 true
             }
             _ => false,
--- a/crates/experiment/src/report/platform.rs
+++ b/crates/experiment/src/report/platform.rs
@@ -11,7 +11,7 @@
 
 use crate::control::OutageSpan;
 
-use super::{loses, ReportScore, WINDOW};
+use super::{loses, window_of, ReportScore};
 
 #[derive(Clone, Debug)]
 struct LeaseRow {
@@ -173,7 +173,7 @@
 
     /// A report is due until the window after its own has ended.
     fn is_late(&self, window: WindowId) -> bool {
-        self.now.0 > (window.0 + 2) * WINDOW.0
+        window_of(self.now).0 >= window.0 + 2
     }
 
     /// Compares what was billed with what was due.
--- a/crates/experiment/src/report/sealed.rs
+++ b/crates/experiment/src/report/sealed.rs
@@ -38,9 +38,7 @@
     ) {
         let actions = self.lease.tick(now);
         self.apply_lease(now, platform, actions);
-        let Some(ended) = ended_window(now - SEAL_GRACE) else {
-            return;
-        };
+        let ended = ended_window(now - SEAL_GRACE);
         let mut actions = self.sealer.tick(now, ended, &self.lease);
         while !actions.is_empty() {
             let answers: Vec<SealerEvent> = actions
--- a/crates/experiment/src/table.rs
+++ b/crates/experiment/src/table.rs
@@ -43,6 +43,7 @@
     pub(crate) reports: SpreadFigure,
     pub(crate) late_reports: SpreadFigure,
     pub(crate) differing_reports: SpreadFigure,
+    pub(crate) miscounted: SpreadFigure,
 }
 
 /// A figure over the seeds.
@@ -92,6 +93,7 @@
             run_twice: of(WorseEnd::High, |run| run.run_twice as f64),
             reports: of(WorseEnd::Low, |run| run.reports.reports as f64),
             late_reports: of(WorseEnd::High, |run| run.reports.late as f64),
+            miscounted: of(WorseEnd::High, |run| run.reports.miscounted as f64),
             differing_reports: of(WorseEnd::High, |run| run.reports.differing as f64),
         };
         Self {
@@ -134,7 +136,7 @@
     Some(SpreadFigure { median, worst })
 }
 
-const HEADINGS: [&str; 14] = [
+const HEADINGS: [&str; 15] = [
     "good/s",
     "good share",
     "x naive over",
@@ -149,6 +151,7 @@
     "reports",
     "late",
     "differing",
+    "miscounted",
 ];
 
 /// Prints the rows as a table; each figure is the median, then the worst.
@@ -183,6 +186,7 @@
         pair(Some(summary.reports), 0),
         pair(Some(summary.late_reports), 0),
         pair(Some(summary.differing_reports), 0),
+        pair(Some(summary.miscounted), 0),
     ]
 }
 
--- a/crates/experiment/tests/run.rs
+++ b/crates/experiment/tests/run.rs
@@ -48,3 +48,27 @@
         assert_eq!(offered(row, 1), offered(&rows[0], 1), "{}", row["label"]);
     }
 }
+
+#[test]
+fn sealed_reports_never_differ_and_bill_every_answer() {
+    let rows = rows(&[
+        "--workload",
+        "foundation",
+        "--seeds",
+        "2",
+        "--minutes",
+        "10",
+        "--json",
+    ]);
+    let sum = |version: usize, figure: &str| -> u64 {
+        let runs = rows[version]["runs"].as_array().unwrap();
+        let figures = runs.iter().map(|run| run["reports"][figure].as_u64());
+        figures.map(Option::unwrap).sum()
+    };
+    let (naive, applefold) = (0, 1);
+    assert!(sum(applefold, "reports") > 100);
+    assert_eq!(sum(applefold, "differing"), 0);
+    assert_eq!(sum(applefold, "miscounted"), 0);
+    assert!(sum(naive, "differing") > 0, "no contrast");
+    assert!(sum(naive, "miscounted") > 0, "no contrast");
+}
