--- a/crates/experiment/src/control.rs
+++ b/crates/experiment/src/control.rs
@@ -2,13 +2,12 @@
 
 use applefold_core::fleet::{FleetAction, FleetEvent, FleetPlanner, FleetSettings, PoolPlan};
 use applefold_core::forecast::{DemandEvent, DemandForecast, ForecastSettings};
-use applefold_core::health::{HealthAction, HealthSample};
 use applefold_core::id::{BackendId, FencingNumber};
 use applefold_core::role::{
     EngineReport, EngineRole, EngineState, OrderAuthority, RoleAction, RoleEvent, RolePlanner,
     RoleSettings,
 };
-use applefold_core::routing::{BackendStanding, LoadReport};
+use applefold_core::routing::BackendStanding;
 use applefold_core::unit::{TimePoint, TimeSpan, TokenCount, TokenRate};
 
 use crate::engine::{EngineIndex, EngineLife};
@@ -20,9 +19,6 @@
 use crate::world::{World, WorldEvent};
 
 const CONTROL_EVERY: TimeSpan = TimeSpan::from_secs(1);
-const SAMPLE_EVERY: TimeSpan = TimeSpan::from_millis(500);
-const REPORT_LAG: TimeSpan = TimeSpan::from_millis(500);
-const LATE_REPORT_LAG: TimeSpan = TimeSpan::from_secs(5);
 const ROLE_CHANGE: TimeSpan = TimeSpan::from_secs(4);
 /// How long authority outlasts the start of an outage: the rest of the lease.
 const LEASE_LEFT: TimeSpan = TimeSpan::from_secs(10);
@@ -134,53 +130,6 @@
         }
     }
 
-    /// Heartbeats of the sidecars, and what health follows from their absence.
-    fn beat(&mut self) {
-        if !self.has(Mechanism::Routing) {
-            return;
-        }
-        let engines = self.engines.iter().filter(|engine| engine.is_up());
-        let plains = self.plains.iter().filter(|plain| plain.up);
-        let ids = engines.map(|engine| &engine.id);
-        let alive: Vec<BackendId> = ids.chain(plains.map(|plain| &plain.id)).cloned().collect();
-        for id in alive {
-            let action = self.entry.health.record(&id, HealthSample::Alive, self.now);
-            self.apply_health(action);
-        }
-        for action in self.entry.health.tick(self.now) {
-            self.apply_health(Some(action));
-        }
-    }
-
-    pub(crate) fn apply_health(&mut self, action: Option<HealthAction>) {
-        match action {
-            None => {}
-            Some(HealthAction::LeaveOut(id, _)) => {
-                self.entry.table.set_standing(&id, BackendStanding::LeftOut);
-            }
-            Some(HealthAction::Probe(id)) => {
-                let engine = self.engine_by_id.get(&id);
-                let up = match engine {
-                    Some(engine) => self.engines[*engine].is_up(),
-                    None => self.plains.iter().any(|plain| plain.id == id && plain.up),
-                };
-                let sample = match up {
-                    true => HealthSample::Alive,
-                    false => HealthSample::Failed,
-                };
-                let next = self.entry.health.record(&id, sample, self.now);
-                self.apply_health(next);
-            }
-            Some(HealthAction::TakeBack(id)) => match self.engine_by_id.get(&id) {
-                Some(engine) => self.sync_engine(*engine),
-                None => {
-                    let serving = BackendStanding::Serving;
-                    self.entry.table.set_standing(&id, serving);
-                }
-            },
-        }
-    }
-
     /// Tells the entry and the planners what an engine's sidecar says.
     fn report_state(&mut self, engine: EngineIndex) {
         let fake = &self.engines[engine];
@@ -360,27 +309,4 @@
         self.control.roles.handle(self.now, authority, event);
         self.tell_fleet(FleetEvent::Unlisted(backend));
     }
-
-    /// Takes the load of each engine; the entry hears of it later.
-    pub(crate) fn on_sampled(&mut self) {
-        self.plan_in(SAMPLE_EVERY, WorldEvent::Sampled);
-        let lag = match self.now < self.control.late_until {
-            true => LATE_REPORT_LAG,
-            false => REPORT_LAG,
-        };
-        let engines = self.engines.iter().filter(|engine| engine.is_up());
-        let plains = self.plains.iter().filter(|plain| plain.up);
-        let loads = engines.map(|engine| (engine.id.clone(), engine.load()));
-        let plain_loads = plains.map(|plain| (plain.id.clone(), plain.load()));
-        let all: Vec<(BackendId, LoadReport)> = loads.chain(plain_loads).collect();
-        let measured_at = self.now;
-        for (backend, load) in all {
-            let reported = WorldEvent::Reported {
-                backend,
-                load,
-                measured_at,
-            };
-            self.plan_in(lag, reported);
-        }
-    }
 }
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -3,6 +3,8 @@
 //! The workloads, measures and targets are in
 //! [docs/design/experiment.md](../../../docs/design/experiment.md).
 
+mod answer;
+mod beat;
 mod cmd;
 mod control;
 mod engine;
--- a/crates/experiment/src/serve.rs
+++ b/crates/experiment/src/serve.rs
@@ -1,36 +1,32 @@
-//! The way of a request: admission, dispatch, prompt, hand-over, answer, end.
+//! The first half of a request: admission, dispatch, prompt and retries.
 
 use std::collections::BTreeSet;
 
 use applefold_core::admission::{AdmissionDeadlines, AdmissionRequest};
 use applefold_core::code::{CallRefusal, ResultCode, RunState};
-use applefold_core::fairness::{CallClass, CallId, QueuePace, QueuedCall};
+use applefold_core::fairness::{CallClass, CallId, QueuedCall};
 use applefold_core::health::HealthSample;
 use applefold_core::id::ServiceId;
 use applefold_core::retry::RetryDecision;
 use applefold_core::role::EngineState;
 use applefold_core::routing::{BackendRole, CacheChange, CacheEvent, RouteChoice, RoutePhase};
-use applefold_core::unit::{TimePoint, TimeSpan, TokenCount, TokenRate};
+use applefold_core::unit::{TimePoint, TimeSpan, TokenCount};
 use rand::Rng;
 
-use crate::engine::{AnswerRun, EngineIndex, PrefillJob};
+use crate::engine::{EngineIndex, PrefillJob};
 use crate::entry::{piece_hashes, route_request};
 use crate::mechanism::Mechanism;
 use crate::member::{named, team_id};
 use crate::score::CallOutcome;
-use crate::workload::DECODE_RATE;
-use crate::world::{EndedAnswer, World, WorldEvent};
+use crate::world::{World, WorldEvent};
 
 const NAIVE_ATTEMPTS: u64 = 3;
 /// The longest time between two tokens of an answer.
 const BETWEEN_TOKENS: TimeSpan = TimeSpan::from_millis(69);
-const KV_TOKEN_BYTES: u64 = 128 * 1024;
-const LINK_BYTES_PER_SEC: f64 = 1e10;
-const PLACE_AGAIN: TimeSpan = TimeSpan::from_millis(100);
 const CACHE_EVENT_LAG: TimeSpan = TimeSpan::from_millis(500);
 const CACHE_EVENTS_LOST: f64 = 0.02;
-const NO_DEADLINE: TimeSpan = TimeSpan::from_secs(3_600);
-const BUSY_SPAN: TimeSpan = TimeSpan::from_secs(1);
+pub(crate) const NO_DEADLINE: TimeSpan = TimeSpan::from_secs(3_600);
+pub(crate) const BUSY_SPAN: TimeSpan = TimeSpan::from_secs(1);
 
 impl World<'_> {
     pub(crate) fn service(&self, request: usize) -> ServiceId {
@@ -40,11 +36,11 @@
         }
     }
 
-    fn first_due(&self, request: usize) -> TimePoint {
+    pub(crate) fn first_due(&self, request: usize) -> TimePoint {
         self.offered(request).at + self.class(request).first_within
     }
 
-    fn whole_due(&self, request: usize) -> TimePoint {
+    pub(crate) fn whole_due(&self, request: usize) -> TimePoint {
         self.offered(request).at + self.class(request).whole_within
     }
 
@@ -88,7 +84,7 @@
         self.plan_in(self.plan.workload.one_way, delivered);
     }
 
-    fn choose(&mut self, request: usize, phase: RoutePhase) -> RouteChoice {
+    pub(crate) fn choose(&mut self, request: usize, phase: RoutePhase) -> RouteChoice {
         let role = match phase {
             RoutePhase::Decode => BackendRole::Decode,
             _ if self.class(request).is_plain() => BackendRole::Plain,
@@ -279,158 +275,6 @@
         }
     }
 
-    /// Hands the KV cache over to a decode engine; `queued` is what the link does before it.
-    pub(crate) fn place_answer(&mut self, request: usize, queued: TimeSpan) -> TimeSpan {
-        if self.rows[request].outcome.is_some() {
-            return queued;
-        }
-        let choice = self.choose(request, RoutePhase::Decode);
-        let Some(best) = choice.best() else {
-            match self.now > self.whole_due(request) {
-                true => self.end(request, CallOutcome::Broken),
-                false => self.plan_in(PLACE_AGAIN, WorldEvent::AnswerPlaced { request }),
-            }
-            return queued;
-        };
-        let backend = best.backend.clone();
-        let engine = self.engine_by_id[&backend];
-        let tokens = self.offered(request).prompt + self.rows[request].generated;
-        let bytes = (tokens * KV_TOKEN_BYTES) as f64;
-        let moved = queued + TimeSpan::from_secs_f64(bytes / LINK_BYTES_PER_SEC);
-        let row = &mut self.rows[request];
-        row.flight = self.entry.table.begin(&backend, TokenCount::ZERO, self.now);
-        row.backend = Some(backend);
-        let attempt = row.attempt;
-        let arrived = WorldEvent::AnswerMoved {
-            request,
-            attempt,
-            engine,
-        };
-        self.plan_in(moved + self.plan.workload.one_way, arrived);
-        moved
-    }
-
-    pub(crate) fn on_answer_moved(&mut self, request: usize, attempt: u64, engine: EngineIndex) {
-        if !self.is_current(request, attempt) {
-            return;
-        }
-        let fake = &self.engines[engine];
-        if !fake.is_up() || fake.state != EngineState::Serving || fake.switching {
-            self.end_flight(request);
-            return self.plan_in(PLACE_AGAIN, WorldEvent::AnswerPlaced { request });
-        }
-        let offered = self.offered(request);
-        let left = offered.answer.saturating_sub(self.rows[request].generated);
-        let call = QueuedCall {
-            id: CallId(request as u64),
-            team: team_id(offered.team),
-            class: call_class(self.class(request).urgent),
-            prompt_tokens: TokenCount(left),
-            answer_tokens: TokenCount(left),
-            deadline: self.now + NO_DEADLINE,
-        };
-        let pace = QueuePace {
-            prefill_rate: TokenRate(DECODE_RATE),
-            ahead: TokenCount::ZERO,
-        };
-        match self.engines[engine].answer_queue.push(call, pace, self.now) {
-            Err(refusal) => self.fail(request, refusal),
-            Ok(Some(dropped)) => self.fail(dropped.id.0 as usize, dropped.refusal),
-            Ok(None) => {}
-        }
-        self.fill_batch(engine);
-    }
-
-    /// Starts waiting answers while slots and memory last.
-    pub(crate) fn fill_batch(&mut self, engine: EngineIndex) {
-        let now = self.now;
-        self.engines[engine].advance(now);
-        while self.engines[engine].has_slot() && self.begin_answer(engine) {}
-        let fake = &mut self.engines[engine];
-        fake.answer_epoch += 1;
-        let epoch = fake.answer_epoch;
-        if let Some(at) = fake.next_end() {
-            self.plan_at(at, WorldEvent::AnswerDue { engine, epoch });
-        }
-    }
-
-    fn begin_answer(&mut self, engine: EngineIndex) -> bool {
-        let fake = &mut self.engines[engine];
-        let next = fake.next_answer.take();
-        let Some(call) = next.or_else(|| fake.answer_queue.pop()) else {
-            return false;
-        };
-        let request = call.id.0 as usize;
-        let offered = &self.plan.requests[request];
-        let prompt = TokenCount(offered.prompt);
-        let answer = TokenCount(offered.answer);
-        match fake.memory.reserve(prompt, answer, BUSY_SPAN) {
-            Err(_) => {
-                fake.next_answer = Some(call);
-                false
-            }
-            Ok(memory) => {
-                let left = call.answer_tokens.0 as f64;
-                fake.answers.push(AnswerRun {
-                    request,
-                    left,
-                    _memory: memory,
-                });
-                true
-            }
-        }
-    }
-
-    pub(crate) fn on_answer_due(&mut self, engine: EngineIndex, epoch: u64) {
-        if self.engines[engine].answer_epoch != epoch {
-            return;
-        }
-        let now = self.now;
-        self.engines[engine].advance(now);
-        for request in self.engines[engine].take_ended() {
-            self.finish(request);
-        }
-        self.fill_batch(engine);
-    }
-
-    /// The whole answer has come.
-    pub(crate) fn finish(&mut self, request: usize) {
-        let backend = self.rows[request].backend.as_ref();
-        let engine = backend.and_then(|backend| self.engine_by_id.get(backend));
-        let at = self.now;
-        self.rows[request].ended = engine.map(|engine| EndedAnswer {
-            at,
-            engine: *engine,
-        });
-        self.end_flight(request);
-        let one_way = self.plan.workload.one_way;
-        let end = self.now + one_way;
-        let first_at = self.rows[request].first_at.unwrap_or(end);
-        let on_time = first_at <= self.first_due(request) && end <= self.whole_due(request);
-        let outcome = match on_time {
-            true => CallOutcome::Good,
-            false => CallOutcome::Late,
-        };
-        self.end(request, outcome);
-    }
-
-    pub(crate) fn end(&mut self, request: usize, outcome: CallOutcome) {
-        self.end_flight(request);
-        let offered = self.offered(request);
-        let used = TokenCount(offered.prompt + offered.answer);
-        let row = &mut self.rows[request];
-        row.outcome = Some(outcome);
-        if let Some(ticket) = row.ticket.take() {
-            ticket.settle(used);
-        }
-    }
-
-    pub(crate) fn end_flight(&mut self, request: usize) {
-        if let Some(flight) = self.rows[request].flight.take() {
-            self.entry.table.finish(flight, self.now);
-        }
-    }
-
     fn refuse(&mut self, request: usize, refusal: CallRefusal) {
         debug_assert_eq!(refusal.code.run_state(), RunState::NotRun);
         let after = self.now.since(self.offered(request).at);
@@ -475,70 +319,7 @@
         }
     }
 
-    fn attempt_plain(&mut self, request: usize) {
-        let choice = self.choose(request, RoutePhase::Whole);
-        let Some(best) = choice.best() else {
-            let missing = CallRefusal::passing(ResultCode::BackendMissing, BUSY_SPAN);
-            return self.fail(request, missing);
-        };
-        let backend = best.backend.clone();
-        let server = self.plains.iter().position(|plain| plain.id == backend);
-        let row = &mut self.rows[request];
-        row.flight = self.entry.table.begin(&backend, TokenCount::ZERO, self.now);
-        row.backend = Some(backend);
-        row.sent_at = self.now;
-        let attempt = row.attempt;
-        if let Some(server) = server {
-            let delivered = WorldEvent::PlainDelivered {
-                request,
-                attempt,
-                server,
-            };
-            self.plan_in(self.plan.workload.one_way, delivered);
-        }
-    }
-
-    pub(crate) fn on_plain_delivered(&mut self, request: usize, attempt: u64, server: usize) {
-        if !self.is_current(request, attempt) {
-            return;
-        }
-        if !self.plains[server].up {
-            self.record_health(request, HealthSample::Failed);
-            let missing = CallRefusal::passing(ResultCode::BackendMissing, BUSY_SPAN);
-            return self.fail(request, missing);
-        }
-        self.plains[server].waiting.push_back(request);
-        self.begin_plain(server);
-    }
-
-    fn begin_plain(&mut self, server: usize) {
-        let plain = &mut self.plains[server];
-        if plain.running.is_some() {
-            return;
-        }
-        plain.running = plain.waiting.pop_front();
-        if let Some(request) = plain.running {
-            let epoch = plain.epoch;
-            self.rows[request].executions += 1;
-            let work = self.plan.workload.plain_work;
-            self.plan_in(work, WorldEvent::PlainDone { server, epoch });
-        }
-    }
-
-    pub(crate) fn on_plain_done(&mut self, server: usize, epoch: u64) {
-        let plain = &mut self.plains[server];
-        if plain.epoch != epoch {
-            return;
-        }
-        if let Some(request) = plain.running.take() {
-            let span = self.now.since(self.rows[request].sent_at);
-            self.record_health(request, HealthSample::Answered(span));
-            self.finish(request);
-        }
-        self.begin_plain(server);
-    }
-
-    fn record_health(&mut self, request: usize, sample: HealthSample) {
+    pub(crate) fn record_health(&mut self, request: usize, sample: HealthSample) {
         if !self.has(Mechanism::Routing) {
             return;
         }
@@ -549,7 +330,7 @@
     }
 }
 
-fn call_class(urgent: bool) -> CallClass {
+pub(crate) fn call_class(urgent: bool) -> CallClass {
     match urgent {
         true => CallClass::Interactive,
         false => CallClass::Batch,
