File the demo's ticket by applefoldctl

Change: the demo checks, files and waits for its ticket with applefoldctl, and prints the status with it. Seen: bash demo/run.sh ends with exit code 0.

--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -56,6 +56,11 @@
 # call NAME FLAGS..: an HTTP call to a process.
 call() { "$bin/applefold-standin" call --address "${address[$1]}" "${@:2}"; }
 
+# ctl FLAGS..: what an operator runs.
+ctl() {
+  "$bin/applefoldctl" --entry "${address[e1]},${address[e2]}" --credential "$operator" "$@"
+}
+
 # stop NAME: asks a process to stop and waits for its end.
 stop() {
   local pid=${pids[$1]:-}
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -49,11 +49,13 @@
 echo "entries: http://${address[e1]} http://${address[e2]}"
 
 step "File a ticket"
-digest=$(printf %s demo-caller-key | sha256sum | cut -d' ' -f1)
+digest=$(printf %s demo-caller-key | ctl key hash)
 sed "s/KEY_SHA256/$digest/" demo/ticket.json >"$run/ticket.json"
-call e1 --path /operator/tickets --bearer "$operator" --body "$(cat "$run/ticket.json")"
+ctl ticket check "$run/ticket.json"
+ctl ticket file "$run/ticket.json"
 wait_for 10 in_force e1
 wait_for 10 in_force e2
+ctl ticket wait 1
 echo "revision 1 is in force in every process"
 
 step "Stream a chat"
@@ -86,7 +88,7 @@
 echo "the whole answer of 160 tokens arrived"
 
 step "Status"
-call e1 --path /operator/status --bearer "$operator"
+ctl status
 
 step "Stop"
 for name in e1 e2 b1 b2 b3; do stop "$name" || fail "$name did not stop well"; done
