--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -87,7 +87,7 @@
 
     def __init__(self, size, counted=False):
         self.size = size
-        self.processes = []
+        self.processes, self.engines, self.sidecars = [], [], []
         self.relays = RelayLoop() if counted else None
         self.peer_relays, self.platform_relays = {}, {}
 
@@ -101,13 +101,13 @@
         return self
 
     def __exit__(self, *_):
-        for process in reversed(self.processes):
+        # Sidecars first, while the entry can still take what they have counted.
+        for process in self.sidecars + self.processes[::-1]:
             process.stop()
 
     def _start(self):
         self.platform = self._spawn("platform", ["applefold-standin", "platform", "--listen", "127.0.0.1:0"])
         self.registry = Caller(self.platform.ready["listening"])
-        self.engines, self.sidecars = [], []
         for index in range(self.size):
             self._add_backend(index)
         own = ["--listen", "127.0.0.1:0", "--region", "r1", "--operator-credential", OPERATOR]
@@ -156,7 +156,7 @@
         ticket = {
             "ticket": 1, "author": "bench", "teams": [{"id": "brigada", "weight": 10}],
             "keys": [{"id": "k1", "team": "brigada", "sha256": digest, "state": "active"}],
-            "pools": [{"id": "chat", "kind": "model", "min": 1, "max": 64, "failure_domains": DOMAINS}],
+            "pools": [{"id": "chat", "kind": "model", "min": self.size, "max": 64, "failure_domains": DOMAINS}],
             "services": [{"id": "assistant", "kind": "model", "pool": "chat", "models": [MODEL], "open": False,
                           "teams": ["*"], "repeatable": True, "deadline_ms": 10_000, "max_body_bytes": 1_000_000,
                           "priority": "interactive"}],
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -91,6 +91,6 @@
 ctl status
 
 step "Stop"
-for name in e1 e2 b1 b2 b3; do stop "$name" || fail "$name did not stop well"; done
+for name in b1 b2 b3 e1 e2; do stop "$name" || fail "$name did not stop well"; done
 stop_all
 echo "every step showed what it should"
