Send nothing to a backend server that is not known to live

Cause: attempts sent to an engine that had died already, and dropped its connections while it was down, were counted as crashes of their own; innocent requests were stopped with the crashing one. Ruled out: the retry budget and the limit of attempts, which were not reached. Change: from a break on, until it answers again, a sidecar refuses as not run.

--- a/crates/daemon/src/sidecar/runner.rs
+++ b/crates/daemon/src/sidecar/runner.rs
@@ -105,6 +105,10 @@
     if let Err(refusal) = state.check(dispatch) {
         return RanAttempt::not_run(refusal);
     }
+    if !state.load.get().healthy {
+        let refusal = CallRefusal::passing(ResultCode::BackendMissing, RETRY_SOON);
+        return RanAttempt::not_run(refusal);
+    }
     let fingerprint = fingerprint_of(state, dispatch);
     state.suspects.learn(&dispatch.suspects, state.now());
     let running = match state.suspects.admit(fingerprint, state.now()) {
@@ -181,8 +185,12 @@
 
 /// A connection can break while the backend server lives; a dead one answers nothing.
 async fn has_died(state: &SidecarState) -> bool {
+    // What comes while this is not known would be counted as one more crash.
+    state.note_answering(false);
     actix_rt::time::sleep(DEATH_PAUSE).await;
-    state.backend.load().await.is_none()
+    let alive = state.backend.load().await.is_some();
+    state.note_answering(alive);
+    !alive
 }
 
 async fn relay(
--- a/crates/daemon/src/sidecar/state.rs
+++ b/crates/daemon/src/sidecar/state.rs
@@ -79,6 +79,12 @@
         self.clock.now()
     }
 
+    /// Notes whether the backend server answers.
+    pub(crate) fn note_answering(&self, healthy: bool) {
+        let load = self.load.get();
+        self.load.set(LoadNote { healthy, ..load });
+    }
+
     /// Returns the load as entries should see it.
     pub(crate) fn load_note(&self) -> LoadNote {
         let load = self.load.get();
