Let suspects wait their turn, and let claims of a dead entry end

Cause: 24 streams of a crashed engine wait for each other on the one that is left (1 of 8 runs together), longer than 12 attempts lasted; a charge whose entry was killed was told 2004 for 600 s, so a test hung whenever the surviving entry owned its claim; a claim refused after a lost answer stayed taken. Ruled out: running all 24 together at once, which lets one of them take the last engine with all the others. Change: waiting apart is bounded by 64 attempts of 250 ms, attempts that may have run by 6; a claim without a report counts as unknown after 30 s; a claim that was refused unheard is given back.

--- a/crates/daemon/src/entry/claims.rs
+++ b/crates/daemon/src/entry/claims.rs
@@ -7,8 +7,8 @@
 
 use applefold_core::claim::store::{CallNumber, StoreCall};
 use applefold_core::claim::{
-    ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimReport, ClaimShard, ClaimVerdict,
-    CLAIM_SHARDS, CLAIM_WAIT,
+    ClaimAction, ClaimAsk, ClaimEvent, ClaimOptions, ClaimOutcome, ClaimReport, ClaimShard,
+    ClaimVerdict, CLAIM_SHARDS, CLAIM_WAIT,
 };
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::id::{FencingNumber, ShardId};
@@ -24,6 +24,9 @@
 
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
+/// After this time without a report, a request's outcome counts as unknown: the
+/// entry that ran it may have died.
+const RUN_LIMIT: TimeSpan = TimeSpan::from_secs(30);
 /// How often the report of an outcome is repeated until its owner takes it.
 const REPORT_TRIES: u32 = 20;
 const REPORT_PAUSE: Duration = Duration::from_millis(500);
@@ -39,7 +42,11 @@
 impl ClaimDesk {
     pub(crate) fn new(holder: &HolderName) -> Self {
         let shards = (0..CLAIM_SHARDS).map(ShardId).map(|shard| {
-            let row = ClaimShard::new(shard, holder.clone(), ClaimOptions::default());
+            let options = ClaimOptions {
+                run_limit: RUN_LIMIT,
+                ..ClaimOptions::default()
+            };
+            let row = ClaimShard::new(shard, holder.clone(), options);
             (shard, row)
         });
         Self {
@@ -132,6 +139,13 @@
     let asked = ask_there(&link, &ask).await;
     asked.unwrap_or_else(|error| {
         log::warn!(code = refusal.code.number(); "claim was not answered: {error:#}");
+        // It may have been granted; as nothing is sent, the key has to be free again.
+        let unused = ClaimReport {
+            claim: ask.claim,
+            request: ask.request,
+            outcome: ClaimOutcome::NotRun,
+        };
+        actix_rt::spawn(report(state.clone(), unused));
         ClaimVerdict::Refused(refusal)
     })
 }
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -27,9 +27,11 @@
 /// When a caller may try again after a refusal that passes.
 const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
 /// The most attempts at a request, those included that a sidecar did not run.
-const ATTEMPT_LIMIT: u64 = 12;
+const ATTEMPT_LIMIT: u64 = 64;
+/// The most attempts that may have run.
+const RUN_LIMIT: u32 = 6;
 /// How long a request that is kept apart waits before it asks again.
-const APART_PAUSE: Duration = Duration::from_millis(500);
+const APART_PAUSE: Duration = Duration::from_millis(250);
 /// The first server error among HTTP statuses.
 const SERVER_ERROR: u16 = 500;
 
@@ -108,8 +110,8 @@
     budgeted: Option<RequestAttempts>,
     excluded: BTreeSet<BackendId>,
     ticket: Option<AdmissionTicket>,
-    /// Whether an attempt may have been run, so that "not run" would not be true.
-    may_have_run: bool,
+    /// How many attempts may have been run; after one, "not run" would not be true.
+    ran: u32,
     /// Whether the last attempt was refused to keep it apart from others.
     waits_apart: bool,
     /// The whole answer, for the claim to keep.
@@ -131,7 +133,7 @@
             budgeted: None,
             excluded: BTreeSet::new(),
             ticket: None,
-            may_have_run: false,
+            ran: 0,
             waits_apart: false,
             answer: None,
         }
@@ -337,7 +339,9 @@
             AttemptEnd::Whole if failed && !self.writer.progress().forwarded => AttemptEnd::Broken,
             end => end,
         };
-        self.may_have_run |= !matches!(end, AttemptEnd::NotRun(_));
+        if !matches!(end, AttemptEnd::NotRun(_)) {
+            self.ran += 1;
+        }
         self.waits_apart = self.is_kept_apart(end);
         let step = self.attempts.end(number, end, self.writer.progress());
         match step.unwrap_or(NextStep::Refuse(unknown())) {
@@ -364,6 +368,9 @@
     /// reads already: crashes and answers bound these retries, and one crash
     /// breaks off more streams at once than the budget holds.
     fn spend_retry(&mut self, attempt: AttemptNumber, end: AttemptEnd) -> RetryDecision {
+        if self.ran >= RUN_LIMIT {
+            return RetryDecision::GiveUp(unknown());
+        }
         if self.writer.progress().forwarded {
             return RetryDecision::Again(attempt.next());
         }
@@ -398,7 +405,7 @@
         if self.writer.progress().forwarded {
             return CallRefusal::lasting(ResultCode::AnswerBroken);
         }
-        if self.may_have_run && refusal.code.run_state() == RunState::NotRun {
+        if self.ran > 0 && refusal.code.run_state() == RunState::NotRun {
             let code = ResultCode::OutcomeUnknown;
             let retry_after = refusal.retry_after;
             return CallRefusal { code, retry_after };
