--- a/crates/core/src/ticket/parse.rs
+++ b/crates/core/src/ticket/parse.rs
@@ -24,7 +24,7 @@
 const POSITIVE: RangeInclusive<u64> = 1..=MAX_EXACT_NUMBER;
 const WEIGHTS: RangeInclusive<u64> = TeamWeight::MIN.0 as u64..=TeamWeight::MAX.0 as u64;
 const DEADLINE_MILLIS: RangeInclusive<u64> = 1..=3_600_000;
-const BODY_BYTES: RangeInclusive<u64> = 1..=64 * 1_024 * 1_024;
+const BODY_BYTES: RangeInclusive<u64> = 1..=8 * 1_024 * 1_024;
 const POOL_SIZES: RangeInclusive<u64> = 0..=100_000;
 const MAX_NOTE_BYTES: usize = 4_096;
 const RESERVED_PREFIXES: [&str; 2] = ["/v1/", "/operator/"];
--- a/crates/daemon/src/entry/authority.rs
+++ b/crates/daemon/src/entry/authority.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use applefold_core::claim::CLAIM_SHARDS;
+use applefold_core::fence::LeaseReading;
 use applefold_core::id::{FencingNumber, InstanceId, ScopeId, ShardId};
 use applefold_core::lease::{
     HolderName, LeaseAction, LeaseAnswer, LeaseHolder, LeaseOptions, LeaseReply,
 };
 use applefold_core::rank;
+use applefold_core::unit::{TimePoint, TimeSpan};
 
 use super::state::EntryState;
 use super::{claims, fleet, usage};
@@ -20,6 +22,8 @@
 const STEP_PERIOD: Duration = Duration::from_millis(200);
 /// How many entries ask for one lease.
 const CANDIDATES: usize = 3;
+/// For how long an owner that was read is taken for granted.
+const OWNER_AGE: TimeSpan = TimeSpan::from_secs(2);
 const USAGE_SCOPE: &str = "usage";
 const FLEET_SCOPE: &str = "fleet";
 
@@ -62,6 +66,8 @@
     lease: LeaseHolder,
     /// Who held the lease when the platform last said so.
     owner: Option<InstanceId>,
+    /// When the platform was last asked.
+    asked_at: TimePoint,
 }
 
 /// The leases that this entry holds or wants.
@@ -80,7 +86,12 @@
     pub(crate) fn new(holder: &HolderName) -> Self {
         let rows = WorkScope::all().map(|work| {
             let lease = LeaseHolder::new(work.scope_id(), holder.clone(), work.options());
-            (work, ScopeRow { lease, owner: None })
+            let row = ScopeRow {
+                lease,
+                owner: None,
+                asked_at: TimePoint::START,
+            };
+            (work, row)
         });
         let rows = RefCell::new(rows.collect());
         Self { rows }
@@ -160,7 +171,7 @@
 
 fn step<F>(state: &EntryState, work: WorkScope, decide: F) -> Vec<LeaseAction>
 where
-    F: FnOnce(&mut LeaseHolder, applefold_core::unit::TimePoint) -> Vec<LeaseAction>,
+    F: FnOnce(&mut LeaseHolder, TimePoint) -> Vec<LeaseAction>,
 {
     let mut rows = state.leases.rows.borrow_mut();
     let row = rows.get_mut(&work);
@@ -215,9 +226,7 @@
         LeaseReply::Held { holder, .. } => holder.as_ref().and_then(instance_of),
         LeaseReply::Failed => return,
     };
-    if let Some(row) = state.leases.rows.borrow_mut().get_mut(&work) {
-        row.owner = owner;
-    }
+    set_owner(state, work, owner);
 }
 
 /// The name of a holder is that of its instance with the number of its run.
@@ -226,6 +235,33 @@
     instance.parse().ok()
 }
 
+/// Reads who holds a lease, unless that was read a moment ago.
+///
+/// Entries that do not ask for the lease themselves learn of its owner here.
+pub(crate) async fn learn_owner(state: &Rc<EntryState>, work: WorkScope) {
+    let now = state.now();
+    let fresh = |row: &ScopeRow| now.since(row.asked_at) < OWNER_AGE;
+    let known = state.leases.rows.borrow().get(&work).is_some_and(fresh);
+    if known {
+        return;
+    }
+    let reading = state.platform.read_lease(work.scope_id()).await;
+    let owner = match reading {
+        LeaseReading::Held { holder, .. } => instance_of(&holder),
+        LeaseReading::Free => None,
+        LeaseReading::Failed => return,
+    };
+    set_owner(state, work, owner);
+}
+
+fn set_owner(state: &EntryState, work: WorkScope, owner: Option<InstanceId>) {
+    let now = state.now();
+    if let Some(row) = state.leases.rows.borrow_mut().get_mut(&work) {
+        row.owner = owner;
+        row.asked_at = now;
+    }
+}
+
 fn begin_work(state: &Rc<EntryState>, work: WorkScope, fencing: FencingNumber) {
     log::info!(scope = work.scope_id().as_str(), fencing = fencing.0; "authority has begun");
     match work {
--- a/crates/daemon/src/entry/claims.rs
+++ b/crates/daemon/src/entry/claims.rs
@@ -18,7 +18,7 @@
 use eyre::{Result, WrapErr};
 use tokio::sync::oneshot;
 
-use super::authority::WorkScope;
+use super::authority::{self, WorkScope};
 use super::state::EntryState;
 use crate::link::dial::PeerLink;
 
@@ -133,7 +133,7 @@
     if is_owned(state, shard) {
         return ask_here(state, ask).await;
     }
-    let Some(link) = owner_link(state, shard) else {
+    let Some(link) = owner_link(state, shard).await else {
         return ClaimVerdict::Refused(refusal);
     };
     let asked = ask_there(&link, &ask).await;
@@ -189,7 +189,7 @@
     if is_owned(state, shard) {
         return report_here(state, report.clone()).await;
     }
-    let Some(link) = owner_link(state, shard) else {
+    let Some(link) = owner_link(state, shard).await else {
         return false;
     };
     report_there(&link, report).await.unwrap_or(false)
@@ -222,7 +222,9 @@
     shards.get(&shard).is_some_and(ClaimShard::is_ready)
 }
 
-fn owner_link(state: &EntryState, shard: ShardId) -> Option<PeerLink> {
-    let owner = state.leases.owner(WorkScope::Claims(shard))?;
+async fn owner_link(state: &Rc<EntryState>, shard: ShardId) -> Option<PeerLink> {
+    let work = WorkScope::Claims(shard);
+    authority::learn_owner(state, work).await;
+    let owner = state.leases.owner(work)?;
     state.links.borrow().peer(&owner)
 }
--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -251,6 +251,7 @@
             confirmation: self.state.config.confirmation(now),
             traceparent: span.traceparent(),
             resume_tokens: self.writer.progress().resume_tokens,
+            least_deadline: self.least_deadline(),
             suspects: self.own_news(now),
         });
         let note_first = || flight.note_first_token();
@@ -392,6 +393,13 @@
         decisions.retries.decide(attempts, refusal, time_left)
     }
 
+    fn least_deadline(&self) -> TimeSpan {
+        match self.writer.progress().forwarded {
+            true => self.state.settings.progress_timeout,
+            false => TimeSpan::ZERO,
+        }
+    }
+
     /// A caller that already reads the answer has been met in time.
     fn time_left(&self) -> TimeSpan {
         match self.writer.progress().forwarded {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -108,6 +108,7 @@
     actix_rt::spawn(config::follow(state.clone()));
     actix_rt::spawn(config::compact(state.clone()));
     actix_rt::spawn(control::follow_instances(state.clone()));
+    actix_rt::spawn(control::publish_use(state.clone()));
     let server = api::serve(state.clone()).await?;
     log::info!(instance = state.settings.instance.as_str(),
         callers = server.address.to_string(), peers = peers.to_string(); "entry is serving");
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -6,7 +6,7 @@
 use applefold_core::quarantine::SuspectNews;
 use applefold_core::routing::PieceChain;
 use applefold_core::spread::Confirmation;
-use applefold_core::unit::{TimePoint, TokenCount};
+use applefold_core::unit::{TimePoint, TimeSpan, TokenCount};
 use applefold_wire::dispatch::{AttemptId, DispatchMessage, HeaderPair};
 use smol_str::SmolStr;
 
@@ -70,6 +70,8 @@
     pub(crate) confirmation: Confirmation,
     pub(crate) traceparent: SmolStr,
     pub(crate) resume_tokens: TokenCount,
+    /// An answer that its caller reads already is due whenever it comes.
+    pub(crate) least_deadline: TimeSpan,
     pub(crate) suspects: Vec<SuspectNews>,
 }
 
@@ -86,7 +88,7 @@
             service: self.service.clone(),
             model: self.model.clone(),
             confirmation: input.confirmation,
-            deadline: self.deadline.since(input.now),
+            deadline: self.deadline.since(input.now).max(input.least_deadline),
             traceparent: input.traceparent,
             method: self.method.clone(),
             path: self.path.clone(),
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -61,6 +61,9 @@
     /// What the pools are being asked for here, and what they were in the last period.
     demand: RefCell<BTreeMap<PoolId, PoolNote>>,
     published_pools: RefCell<Vec<PoolNote>>,
+    period: Cell<u64>,
+    /// The last period that each peer was heard to speak of.
+    heard_periods: RefCell<BTreeMap<InstanceId, u64>>,
     pub(crate) platform: Rc<dyn PlatformApi>,
     pub(crate) metrics: MetricSet,
     pub(crate) spans: SpanSource,
@@ -120,6 +123,8 @@
             published: RefCell::default(),
             demand: RefCell::default(),
             published_pools: RefCell::default(),
+            period: Cell::new(0),
+            heard_periods: RefCell::default(),
             platform: Rc::new(platform),
             metrics,
             spans: SpanSource::start(settings.trace_share),
@@ -174,6 +179,7 @@
         self.published.replace(notes.collect());
         let pools = std::mem::take(&mut *self.demand.borrow_mut());
         self.published_pools.replace(pools.into_values().collect());
+        self.period.set(self.period.get() + 1);
     }
 
     /// Takes in what a peer knows of requests that crash backend servers.
@@ -205,10 +211,20 @@
         }
     }
 
+    /// Both ends ask each other, so that a period is heard of several times.
+    fn is_new_period(&self, beat: &BeatMessage) -> bool {
+        let mut heard = self.heard_periods.borrow_mut();
+        let last = heard.insert(beat.instance.clone(), beat.period);
+        last != Some(beat.period)
+    }
+
     /// Takes in what another entry tells.
     pub(crate) fn hear(&self, beat: &BeatMessage) {
         let now = self.now();
         self.config.overhear(&beat.instance, &beat.confirmation);
+        if !self.is_new_period(beat) {
+            return;
+        }
         for note in &beat.pools {
             fleet::note_demand(self, note);
         }
@@ -231,6 +247,7 @@
             load: LoadNote::default(),
             teams: self.published.borrow().clone(),
             pools: self.published_pools.borrow().clone(),
+            period: self.period.get(),
             suspects: self.decisions.borrow().suspects.news(self.now()),
             stopping: self.gate.is_closing(),
         }
--- a/crates/daemon/src/link/dial.rs
+++ b/crates/daemon/src/link/dial.rs
@@ -48,10 +48,6 @@
         self.inner.task.abort();
     }
 
-    pub(crate) fn is_closed(&self) -> bool {
-        *self.inner.closed.borrow()
-    }
-
     /// Returns when the connection has been closed by either side.
     pub(crate) async fn wait_closed(&self) {
         let mut closed = self.inner.closed.clone();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,8 +4,6 @@
 //! beside one backend server and is the only process that talks to it. The
 //! way of a request is in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
-#![allow(dead_code)]
-
 mod clock;
 mod cmd;
 mod drain;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -68,8 +68,6 @@
     pub(crate) in_flight: Gauge<u64>,
     /// Calls to the platform by kind.
     pub(crate) platform_calls: Counter<u64>,
-    /// Bytes of control messages sent.
-    pub(crate) control_bytes: Counter<u64>,
     /// The configuration revision in force.
     pub(crate) revision: Gauge<u64>,
 }
@@ -90,7 +88,6 @@
                 .build(),
             in_flight: meter.u64_gauge("applefold_in_flight").build(),
             platform_calls: meter.u64_counter("applefold_platform_calls").build(),
-            control_bytes: meter.u64_counter("applefold_control_bytes").build(),
             revision: meter.u64_gauge("applefold_revision").build(),
             exporter,
             provider,
--- a/crates/daemon/src/sidecar/backend.rs
+++ b/crates/daemon/src/sidecar/backend.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 const ORDER_GRACE: Duration = Duration::from_millis(100);
+/// Statuses of answers without a body, whatever their headers say.
+const BODILESS: [u16; 2] = [204, 304];
 /// Headers that end at this hop.
 const HOP_HEADERS: [&str; 6] = [
     "connection",
@@ -122,7 +124,11 @@
         let response = sent.map_err(|error| fault_of(&error))?;
         let status = response.status().as_u16();
         let headers = kept_headers(response.headers());
-        let check = check_for(response.headers());
+        let bodiless = dispatch.method == "HEAD" || BODILESS.contains(&status);
+        let check = match bodiless {
+            true => WholeCheck::sized(ByteSize::ZERO),
+            false => check_for(response.headers()),
+        };
         Ok(BackendAnswer {
             status,
             headers,
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -28,6 +28,9 @@
 use session::SidecarSession;
 use state::SidecarState;
 
+/// How long a stopping sidecar waits for keepers to take its figures.
+const KEEP_LIMIT: TimeSpan = TimeSpan::from_secs(10);
+
 /// The checked settings of a sidecar.
 #[derive(Clone, Debug)]
 pub(crate) struct SidecarSettings {
@@ -77,7 +80,8 @@
 async fn stop(state: &SidecarState) {
     log::info!(in_flight = state.gate.in_flight(); "sidecar is draining");
     state.gate.begin(&state.clock);
-    let settled = || state.meter.is_kept();
+    let until = state.now() + KEEP_LIMIT;
+    let settled = || state.meter.is_kept() || state.now() >= until;
     let drained = state.gate.finish(&state.clock, settled);
     let drained = signal::within(state.settings.drain_timeout, drained).await;
     if !drained {
--- a/crates/daemon/src/sidecar/state.rs
+++ b/crates/daemon/src/sidecar/state.rs
@@ -106,6 +106,7 @@
             load: self.load_note(),
             teams: Vec::new(),
             pools: Vec::new(),
+            period: 0,
             suspects: self.suspects.news(now),
             stopping: self.gate.is_closing(),
         }
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -67,6 +67,26 @@
     });
 }
 
+#[test]
+fn every_entry_of_many_finds_the_owner_of_a_claim() {
+    run(async {
+        let many = ClusterPlan {
+            entries: 5,
+            ..plan()
+        };
+        let cluster = TestCluster::start(many).await;
+        cluster.wait_authority().await;
+        for entry in 0..5 {
+            for number in 0..4 {
+                let key = format!("key-{entry}-{number}");
+                let answer = charge_until_answered(&cluster, entry, &key).await;
+                assert_eq!(answer.status, 200, "{}", answer.text());
+            }
+        }
+        assert_eq!(executions(&cluster).await.len(), 20);
+    });
+}
+
 #[test]
 fn repeat_while_the_first_entry_is_paused_runs_once() {
     run(async {
--- a/crates/daemon/tests/whole_answers.rs
+++ b/crates/daemon/tests/whole_answers.rs
@@ -4,7 +4,7 @@
 
 use applefold_standins::EngineFaults;
 use bytes::Bytes;
-use support::cluster::{chat, ClusterPlan, TestCluster};
+use support::cluster::{chat, first_ticket, ClusterPlan, TestCluster};
 use support::run;
 
 const TOKENS: u64 = 60;
@@ -162,6 +162,27 @@
     });
 }
 
+#[test]
+fn stream_that_breaks_after_its_deadline_is_whole() {
+    run(async {
+        let cluster = TestCluster::start(ClusterPlan::default()).await;
+        let mut ticket = first_ticket();
+        ticket["ticket"] = 2.into();
+        ticket["services"][0]["deadline_ms"] = 300.into();
+        let filed = cluster.entries[0].file(&ticket).await;
+        assert_eq!(filed.status, 200, "{}", filed.text());
+        let (mut stream, mut text, running) = begin(&cluster, "late").await;
+        for _ in 0..SEEN_TOKENS * 3 {
+            let part = stream.next_text().await.expect("the stream goes on");
+            text.push_str(&part.expect("the stream has not ended"));
+        }
+        let engine = cluster.backends[running].client();
+        engine.crash().await.expect("the engine crashes");
+        text.push_str(&stream.read_to_end().await.expect("the stream is whole"));
+        assert_eq!(text, chat("late", TOKENS).expected_text());
+    });
+}
+
 #[test]
 fn every_stream_of_a_crashed_engine_is_whole() {
     run(async {
--- a/crates/wire/applefold.capnp
+++ b/crates/wire/applefold.capnp
@@ -55,6 +55,8 @@
   stopping @6 :Bool;
   # What the pools were asked for at the sender in the last period.
   pools @7 :List(PoolUse);
+  # Numbers the period that `teams` and `pools` speak of.
+  period @8 :UInt64;
 }
 
 struct Suspect {
--- a/crates/wire/src/applefold_capnp.rs
+++ b/crates/wire/src/applefold_capnp.rs
@@ -2393,6 +2393,10 @@
         pub fn has_pools(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_period(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> {
@@ -2401,7 +2405,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
+                data: 2,
                 pointers: 7,
             };
     }
@@ -2708,6 +2712,14 @@
         pub fn has_pools(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_period(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_period(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline {
@@ -2729,17 +2741,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 169] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(118, 8, 108, 41, 73, 45, 137, 249),
-            ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(55, 154, 78, 12, 184, 166, 242, 209),
             ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 112, 112, 108, 101, 102, 111, 108),
@@ -2747,63 +2759,70 @@
             ::capnp::word(72, 101, 97, 114, 116, 98, 101, 97),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -2884,6 +2903,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 105, 111, 100, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2895,6 +2922,7 @@
                 5 => <::capnp::struct_list::Owned<crate::applefold_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::applefold_capnp::pool_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2913,9 +2941,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0, 3, 7, 6, 5, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0, 3, 8, 7, 6, 5, 4];
         pub(crate) const TYPE_ID: u64 = 0xf989_2d49_296c_0876;
     }
 }
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -165,6 +165,8 @@
     pub load: LoadNote,
     /// What teams have used at the sender.
     pub teams: Vec<TeamNote>,
+    /// The number of the period that `teams` and `pools` speak of.
+    pub period: u64,
     /// What the pools were asked for at the sender.
     pub pools: Vec<PoolNote>,
     /// Requests that have crashed backend servers.
@@ -181,6 +183,7 @@
         write_confirmation(&self.confirmation, builder.reborrow().init_confirmation());
         self.load.write(builder.reborrow().init_load());
         builder.set_stopping(self.stopping);
+        builder.set_period(self.period);
         let mut teams = builder.reborrow().init_teams(self.teams.len() as u32);
         for (index, team) in self.teams.iter().enumerate() {
             team.write(teams.reborrow().get(index as u32));
@@ -210,6 +213,7 @@
             pools: pools.collect::<Result<_, _>>()?,
             suspects: read_all_news(reader.get_suspects()?)?,
             stopping: reader.get_stopping(),
+            period: reader.get_period(),
         })
     }
 }
--- a/crates/wire/tests/message_sizes.rs
+++ b/crates/wire/tests/message_sizes.rs
@@ -52,6 +52,7 @@
         load: load(),
         teams: (0..teams).map(team).collect(),
         pools: Vec::new(),
+        period: 100,
         suspects: Vec::new(),
         stopping: false,
     };
