Name each setting in one line, and forget teams that are gone

Cause: the two setting readers repeated a block of six lines for each setting; limits of removed teams stayed. Change: a macro names a setting; configuring forgets what the tables lack.

--- a/crates/daemon/src/cmd/entry.rs
+++ b/crates/daemon/src/cmd/entry.rs
@@ -13,7 +13,7 @@
 use crate::entry::{self, EntrySettings};
 use crate::link::secret::SecretRing;
 use crate::logging;
-use crate::settings::{SettingReader, SettingSource};
+use crate::settings::{setting, SettingReader};
 
 const MIN_CONFIRM_BOUND: TimeSpan = TimeSpan::from_secs(2);
 const MISSING: &str = "a required setting is missing";
@@ -37,143 +37,103 @@
 
 fn read_settings(args: &EntryArgs, variables: BTreeMap<String, String>) -> Result<CheckedSettings> {
     let mut reader = SettingReader::new(variables);
-    let listen = reader.required(SettingSource {
-        flag: "--listen",
-        variable: "APPLEFOLD_LISTEN",
-        given: args.listen.as_deref(),
-    });
-    let peer_listen = reader.required(SettingSource {
-        flag: "--peer-listen",
-        variable: "APPLEFOLD_PEER_LISTEN",
-        given: args.peer_listen.as_deref(),
-    });
-    let metrics_listen = reader.maybe(SettingSource {
-        flag: "--metrics-listen",
-        variable: "APPLEFOLD_METRICS_LISTEN",
-        given: args.metrics_listen.as_deref(),
-    });
-    let platform = reader.required(SettingSource {
-        flag: "--platform",
-        variable: "APPLEFOLD_PLATFORM",
-        given: args.platform.as_deref(),
-    });
-    let instance = reader.required(SettingSource {
-        flag: "--instance",
-        variable: "APPLEFOLD_INSTANCE",
-        given: args.instance.as_deref(),
-    });
-    let domain = reader.required(SettingSource {
-        flag: "--domain",
-        variable: "APPLEFOLD_DOMAIN",
-        given: args.domain.as_deref(),
-    });
-    let region = reader.required(SettingSource {
-        flag: "--region",
-        variable: "APPLEFOLD_REGION",
-        given: args.region.as_deref(),
-    });
-    let cluster_secret = reader.required(SettingSource {
-        flag: "--cluster-secret",
-        variable: "APPLEFOLD_CLUSTER_SECRET",
-        given: args.cluster_secret.as_deref(),
-    });
-    let other_secret = reader.maybe(SettingSource {
-        flag: "--other-secret",
-        variable: "APPLEFOLD_OTHER_SECRET",
-        given: args.other_secret.as_deref(),
-    });
-    let operator_credential = reader.required(SettingSource {
-        flag: "--operator-credential",
-        variable: "APPLEFOLD_OPERATOR_CREDENTIAL",
-        given: args.operator_credential.as_deref(),
-    });
+    let listen = reader.required(setting!(args.listen, "--listen", "APPLEFOLD_LISTEN"));
+    let peer_listen = reader.required(setting!(
+        args.peer_listen,
+        "--peer-listen",
+        "APPLEFOLD_PEER_LISTEN"
+    ));
+    let metrics_listen = reader.maybe(setting!(
+        args.metrics_listen,
+        "--metrics-listen",
+        "APPLEFOLD_METRICS_LISTEN"
+    ));
+    let platform = reader.required(setting!(args.platform, "--platform", "APPLEFOLD_PLATFORM"));
+    let instance = reader.required(setting!(args.instance, "--instance", "APPLEFOLD_INSTANCE"));
+    let domain = reader.required(setting!(args.domain, "--domain", "APPLEFOLD_DOMAIN"));
+    let region = reader.required(setting!(args.region, "--region", "APPLEFOLD_REGION"));
+    let cluster_secret = reader.required(setting!(
+        args.cluster_secret,
+        "--cluster-secret",
+        "APPLEFOLD_CLUSTER_SECRET"
+    ));
+    let other_secret = reader.maybe(setting!(
+        args.other_secret,
+        "--other-secret",
+        "APPLEFOLD_OTHER_SECRET"
+    ));
+    let operator_credential = reader.required(setting!(
+        args.operator_credential,
+        "--operator-credential",
+        "APPLEFOLD_OPERATOR_CREDENTIAL"
+    ));
     let hold_limit = reader.optional(
-        SettingSource {
-            flag: "--hold-limit",
-            variable: "APPLEFOLD_HOLD_LIMIT",
-            given: args.hold_limit.as_deref(),
-        },
+        setting!(args.hold_limit, "--hold-limit", "APPLEFOLD_HOLD_LIMIT"),
         HOLD_LIMIT,
     );
     let progress_timeout = reader.optional(
-        SettingSource {
-            flag: "--progress-timeout",
-            variable: "APPLEFOLD_PROGRESS_TIMEOUT",
-            given: args.progress_timeout.as_deref(),
-        },
+        setting!(
+            args.progress_timeout,
+            "--progress-timeout",
+            "APPLEFOLD_PROGRESS_TIMEOUT"
+        ),
         TimeSpan::from_secs(5),
     );
     let drain_delay = reader.optional(
-        SettingSource {
-            flag: "--drain-delay",
-            variable: "APPLEFOLD_DRAIN_DELAY",
-            given: args.drain_delay.as_deref(),
-        },
+        setting!(args.drain_delay, "--drain-delay", "APPLEFOLD_DRAIN_DELAY"),
         TimeSpan::from_secs(1),
     );
     let drain_timeout = reader.optional(
-        SettingSource {
-            flag: "--drain-timeout",
-            variable: "APPLEFOLD_DRAIN_TIMEOUT",
-            given: args.drain_timeout.as_deref(),
-        },
+        setting!(
+            args.drain_timeout,
+            "--drain-timeout",
+            "APPLEFOLD_DRAIN_TIMEOUT"
+        ),
         TimeSpan::from_secs(120),
     );
     let confirm_bound = reader.optional(
-        SettingSource {
-            flag: "--confirm-bound",
-            variable: "APPLEFOLD_CONFIRM_BOUND",
-            given: args.confirm_bound.as_deref(),
-        },
+        setting!(
+            args.confirm_bound,
+            "--confirm-bound",
+            "APPLEFOLD_CONFIRM_BOUND"
+        ),
         TimeSpan::from_secs(5),
     );
     let usage_window = reader.optional(
-        SettingSource {
-            flag: "--usage-window",
-            variable: "APPLEFOLD_USAGE_WINDOW",
-            given: args.usage_window.as_deref(),
-        },
+        setting!(
+            args.usage_window,
+            "--usage-window",
+            "APPLEFOLD_USAGE_WINDOW"
+        ),
         TimeSpan::from_secs(60),
     );
     let restart_grace = reader.optional(
-        SettingSource {
-            flag: "--restart-grace",
-            variable: "APPLEFOLD_RESTART_GRACE",
-            given: args.restart_grace.as_deref(),
-        },
+        setting!(
+            args.restart_grace,
+            "--restart-grace",
+            "APPLEFOLD_RESTART_GRACE"
+        ),
         TimeSpan::from_secs(30),
     );
     let trace_share = reader.optional(
-        SettingSource {
-            flag: "--trace-share",
-            variable: "APPLEFOLD_TRACE_SHARE",
-            given: args.trace_share.as_deref(),
-        },
+        setting!(args.trace_share, "--trace-share", "APPLEFOLD_TRACE_SHARE"),
         1.0,
     );
     let log_level = reader.optional(
-        SettingSource {
-            flag: "--log-level",
-            variable: "APPLEFOLD_LOG_LEVEL",
-            given: args.log_level.as_deref(),
-        },
+        setting!(args.log_level, "--log-level", "APPLEFOLD_LOG_LEVEL"),
         LevelFilter::Info,
     );
-    let share = SettingSource {
-        flag: "--trace-share",
-        variable: "APPLEFOLD_TRACE_SHARE",
-        given: args.trace_share.as_deref(),
-    };
+    let share = setting!(args.trace_share, "--trace-share", "APPLEFOLD_TRACE_SHARE");
     reader.check(
         (0.0..=1.0).contains(&trace_share),
         share,
         "a number from 0 to 1",
     );
-    let bound = SettingSource {
-        flag: "--confirm-bound",
-        variable: "APPLEFOLD_CONFIRM_BOUND",
-        given: args.confirm_bound.as_deref(),
-    };
+    let bound = setting!(
+        args.confirm_bound,
+        "--confirm-bound",
+        "APPLEFOLD_CONFIRM_BOUND"
+    );
     reader.check(
         confirm_bound >= MIN_CONFIRM_BOUND,
         bound,
@@ -181,11 +141,7 @@
     );
     reader.check_pair(
         listen.is_none_or(|address: SocketAddr| address.port() == 0) || listen != peer_listen,
-        SettingSource {
-            flag: "--peer-listen",
-            variable: "APPLEFOLD_PEER_LISTEN",
-            given: args.peer_listen.as_deref(),
-        },
+        setting!(args.peer_listen, "--peer-listen", "APPLEFOLD_PEER_LISTEN"),
         "another address than --listen",
     );
     reader.finish()?;
--- a/crates/daemon/src/cmd/sidecar.rs
+++ b/crates/daemon/src/cmd/sidecar.rs
@@ -10,7 +10,7 @@
 use super::block_on;
 use crate::link::secret::SecretRing;
 use crate::logging;
-use crate::settings::{SettingReader, SettingSource};
+use crate::settings::{setting, SettingReader};
 use crate::sidecar::{self, SidecarSettings};
 
 const DEFAULT_SLOTS: usize = 32;
@@ -39,104 +39,68 @@
     variables: BTreeMap<String, String>,
 ) -> Result<CheckedSettings> {
     let mut reader = SettingReader::new(variables);
-    let peer_listen = reader.required(SettingSource {
-        flag: "--peer-listen",
-        variable: "APPLEFOLD_PEER_LISTEN",
-        given: args.peer_listen.as_deref(),
-    });
-    let metrics_listen = reader.maybe(SettingSource {
-        flag: "--metrics-listen",
-        variable: "APPLEFOLD_METRICS_LISTEN",
-        given: args.metrics_listen.as_deref(),
-    });
-    let platform = reader.required(SettingSource {
-        flag: "--platform",
-        variable: "APPLEFOLD_PLATFORM",
-        given: args.platform.as_deref(),
-    });
-    let backend = reader.required(SettingSource {
-        flag: "--backend",
-        variable: "APPLEFOLD_BACKEND",
-        given: args.backend.as_deref(),
-    });
-    let instance = reader.required(SettingSource {
-        flag: "--instance",
-        variable: "APPLEFOLD_INSTANCE",
-        given: args.instance.as_deref(),
-    });
-    let domain = reader.required(SettingSource {
-        flag: "--domain",
-        variable: "APPLEFOLD_DOMAIN",
-        given: args.domain.as_deref(),
-    });
-    let pool = reader.required(SettingSource {
-        flag: "--pool",
-        variable: "APPLEFOLD_POOL",
-        given: args.pool.as_deref(),
-    });
-    let cluster_secret = reader.required(SettingSource {
-        flag: "--cluster-secret",
-        variable: "APPLEFOLD_CLUSTER_SECRET",
-        given: args.cluster_secret.as_deref(),
-    });
-    let other_secret = reader.maybe(SettingSource {
-        flag: "--other-secret",
-        variable: "APPLEFOLD_OTHER_SECRET",
-        given: args.other_secret.as_deref(),
-    });
+    let peer_listen = reader.required(setting!(
+        args.peer_listen,
+        "--peer-listen",
+        "APPLEFOLD_PEER_LISTEN"
+    ));
+    let metrics_listen = reader.maybe(setting!(
+        args.metrics_listen,
+        "--metrics-listen",
+        "APPLEFOLD_METRICS_LISTEN"
+    ));
+    let platform = reader.required(setting!(args.platform, "--platform", "APPLEFOLD_PLATFORM"));
+    let backend = reader.required(setting!(args.backend, "--backend", "APPLEFOLD_BACKEND"));
+    let instance = reader.required(setting!(args.instance, "--instance", "APPLEFOLD_INSTANCE"));
+    let domain = reader.required(setting!(args.domain, "--domain", "APPLEFOLD_DOMAIN"));
+    let pool = reader.required(setting!(args.pool, "--pool", "APPLEFOLD_POOL"));
+    let cluster_secret = reader.required(setting!(
+        args.cluster_secret,
+        "--cluster-secret",
+        "APPLEFOLD_CLUSTER_SECRET"
+    ));
+    let other_secret = reader.maybe(setting!(
+        args.other_secret,
+        "--other-secret",
+        "APPLEFOLD_OTHER_SECRET"
+    ));
     let slots = reader.optional(
-        SettingSource {
-            flag: "--slots",
-            variable: "APPLEFOLD_SLOTS",
-            given: args.slots.as_deref(),
-        },
+        setting!(args.slots, "--slots", "APPLEFOLD_SLOTS"),
         DEFAULT_SLOTS,
     );
     let progress_timeout = reader.optional(
-        SettingSource {
-            flag: "--progress-timeout",
-            variable: "APPLEFOLD_PROGRESS_TIMEOUT",
-            given: args.progress_timeout.as_deref(),
-        },
+        setting!(
+            args.progress_timeout,
+            "--progress-timeout",
+            "APPLEFOLD_PROGRESS_TIMEOUT"
+        ),
         TimeSpan::from_secs(5),
     );
     let drain_timeout = reader.optional(
-        SettingSource {
-            flag: "--drain-timeout",
-            variable: "APPLEFOLD_DRAIN_TIMEOUT",
-            given: args.drain_timeout.as_deref(),
-        },
+        setting!(
+            args.drain_timeout,
+            "--drain-timeout",
+            "APPLEFOLD_DRAIN_TIMEOUT"
+        ),
         TimeSpan::from_secs(120),
     );
     let usage_window = reader.optional(
-        SettingSource {
-            flag: "--usage-window",
-            variable: "APPLEFOLD_USAGE_WINDOW",
-            given: args.usage_window.as_deref(),
-        },
+        setting!(
+            args.usage_window,
+            "--usage-window",
+            "APPLEFOLD_USAGE_WINDOW"
+        ),
         TimeSpan::from_secs(60),
     );
     let trace_share = reader.optional(
-        SettingSource {
-            flag: "--trace-share",
-            variable: "APPLEFOLD_TRACE_SHARE",
-            given: args.trace_share.as_deref(),
-        },
+        setting!(args.trace_share, "--trace-share", "APPLEFOLD_TRACE_SHARE"),
         1.0,
     );
     let log_level = reader.optional(
-        SettingSource {
-            flag: "--log-level",
-            variable: "APPLEFOLD_LOG_LEVEL",
-            given: args.log_level.as_deref(),
-        },
+        setting!(args.log_level, "--log-level", "APPLEFOLD_LOG_LEVEL"),
         LevelFilter::Info,
     );
-    let share = SettingSource {
-        flag: "--trace-share",
-        variable: "APPLEFOLD_TRACE_SHARE",
-        given: args.trace_share.as_deref(),
-    };
+    let share = setting!(args.trace_share, "--trace-share", "APPLEFOLD_TRACE_SHARE");
     reader.check(
         (0.0..=1.0).contains(&trace_share),
         share,
@@ -144,20 +108,12 @@
     );
     reader.check(
         (1..=MAX_SLOTS).contains(&slots),
-        SettingSource {
-            flag: "--slots",
-            variable: "APPLEFOLD_SLOTS",
-            given: args.slots.as_deref(),
-        },
+        setting!(args.slots, "--slots", "APPLEFOLD_SLOTS"),
         "a whole number from 1 to 4096",
     );
     reader.check_pair(
         backend.is_none() || backend != peer_listen,
-        SettingSource {
-            flag: "--backend",
-            variable: "APPLEFOLD_BACKEND",
-            given: args.backend.as_deref(),
-        },
+        setting!(args.backend, "--backend", "APPLEFOLD_BACKEND"),
         "another address than --peer-listen",
     );
     reader.finish()?;
--- a/crates/daemon/src/entry/decide.rs
+++ b/crates/daemon/src/entry/decide.rs
@@ -8,7 +8,7 @@
 use applefold_core::code::CallRefusal;
 use applefold_core::config::{PoolKind, ServiceRoute, ServingConfig};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
-use applefold_core::id::{BackendId, ModelId, PoolId};
+use applefold_core::id::{BackendId, ModelId, PoolId, TeamId};
 use applefold_core::quarantine::{CrashLedger, LedgerOptions};
 use applefold_core::retry::{RetryLedger, RetryPolicy};
 use applefold_core::routing::{
@@ -32,6 +32,8 @@
     health: HealthTracker,
     planner: RoutePlanner,
     rng: Pcg64Mcg,
+    /// The teams that the configuration has.
+    teams: BTreeSet<TeamId>,
     /// How many prompts each backend server has been noted to hold.
     noted: BTreeMap<BackendId, u64>,
 }
@@ -54,6 +56,7 @@
             health: HealthTracker::new(HealthPolicy::default()),
             planner: RoutePlanner::new(place, RoutePolicy::default()),
             rng: Pcg64Mcg::new(seed),
+            teams: BTreeSet::new(),
             noted: BTreeMap::new(),
         }
     }
@@ -68,6 +71,11 @@
             };
             self.admission.set_limit(team.id.clone(), limit, now);
         }
+        let teams: BTreeSet<TeamId> = config.teams().keys().cloned().collect();
+        for gone in self.teams.difference(&teams) {
+            self.admission.remove_team(gone);
+        }
+        self.teams = teams;
     }
 
     /// Adds a backend server, or changes what is said of it.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -20,6 +20,19 @@
     pub(crate) given: Option<&'a str>,
 }
 
+/// Names a setting: the field of the arguments, the flag and the variable.
+macro_rules! setting {
+    ($args:ident.$field:ident, $flag:literal, $variable:literal) => {
+        $crate::settings::SettingSource {
+            flag: $flag,
+            variable: $variable,
+            given: $args.$field.as_deref(),
+        }
+    };
+}
+
+pub(crate) use setting;
+
 /// A setting that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct SettingFault {
