Leave lateness to the queues that know whose turn it is

Cause: the entry refused by a predicted queue that is the same for all teams, so small teams were refused as often as the large ones that filled the queues, and the fair queues never came to decide. Change: an entry refuses only what no queue could mend.

--- a/crates/core/src/admission/control.rs
+++ b/crates/core/src/admission/control.rs
@@ -164,18 +164,17 @@
     Never,
 }
 
-/// A queue that takes nothing more shrinks by its lateness in exactly that time.
+/// Only what no queue could mend counts here: whose turn it is, and so who is late,
+/// is known at the sidecar alone, and its queue refuses at once what is late there.
 fn lateness(request: &AdmissionRequest, one: &RouteCandidate) -> Lateness {
     let due = request.deadlines.first_token;
     if one.unqueued > due {
         return Lateness::Never;
     }
-    let late = one.first_token.saturating_sub(due);
-    let crowd = crowding(request, one);
-    match (late, crowd) {
-        (_, None) => Lateness::Never,
-        (TimeSpan::ZERO, Some(TimeSpan::ZERO)) => Lateness::OnTime,
-        (late, Some(crowd)) => Lateness::After(late.max(crowd)),
+    match crowding(request, one) {
+        None => Lateness::Never,
+        Some(TimeSpan::ZERO) => Lateness::OnTime,
+        Some(crowd) => Lateness::After(crowd),
     }
 }
 
