--- a/crates/daemon/src/entry/driver.rs
+++ b/crates/daemon/src/entry/driver.rs
@@ -1,23 +1,25 @@
 //! Runs a request to its final answer, in as many attempts as that may take.
 
+mod claimed;
+mod retry;
+mod suspect;
+
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use applefold_core::admission::AdmissionTicket;
 use applefold_core::answer::{AttemptEnd, AttemptOptions, AttemptPlan, NextStep};
-use applefold_core::claim::{ClaimOutcome, ClaimReport, ClaimVerdict, KeptAnswer};
-use applefold_core::code::{CallRefusal, ResultCode, RunState};
+use applefold_core::claim::KeptAnswer;
+use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::health::HealthSample;
-use applefold_core::id::{AttemptNumber, BackendId};
-use applefold_core::quarantine::SuspectNews;
-use applefold_core::retry::{RequestAttempts, RetryDecision};
+use applefold_core::id::BackendId;
+use applefold_core::retry::RequestAttempts;
 use applefold_core::routing::{FlightId, RouteCandidate, RouteChoice};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
 
 use super::attempt::{self, AttemptResult};
-use super::claims;
 use super::links::LinkChoice;
 use super::plan::{AttemptInput, RequestPlan};
 use super::reply::ReplyWriter;
@@ -139,40 +141,6 @@
         }
     }
 
-    /// Runs the request under its claim, if it needs one.
-    async fn run_claimed(&mut self, span: &HopSpan) -> Result<(), CallRefusal> {
-        let Some(ask) = &self.plan.claim else {
-            return self.run(span).await;
-        };
-        match claims::ask(self.state, ask.clone()).await {
-            ClaimVerdict::Granted => {}
-            ClaimVerdict::Refused(refusal) => return Err(refusal),
-            ClaimVerdict::Kept(answer) => {
-                self.writer.repeat(answer);
-                return Ok(());
-            }
-        }
-        let ran = self.run(span).await;
-        let report = ClaimReport {
-            claim: ask.claim.clone(),
-            request: ask.request.clone(),
-            outcome: self.claim_outcome(ran),
-        };
-        actix_rt::spawn(claims::report(self.state.clone(), report));
-        ran
-    }
-
-    fn claim_outcome(&mut self, ran: Result<(), CallRefusal>) -> ClaimOutcome {
-        match ran {
-            Ok(()) => {
-                let answer = self.answer.take();
-                answer.map_or(ClaimOutcome::Unknown, ClaimOutcome::Answered)
-            }
-            Err(refusal) if refusal.code.run_state() == RunState::NotRun => ClaimOutcome::NotRun,
-            Err(_) => ClaimOutcome::Unknown,
-        }
-    }
-
     async fn run(&mut self, span: &HopSpan) -> Result<(), CallRefusal> {
         let now = self.state.now();
         let mut choice = self.choose(now);
@@ -271,38 +239,6 @@
         self.next_step(number, end).await
     }
 
-    /// Every peer hears at once of a request that a backend server died of.
-    fn note_crash(&self, backend: &BackendId) {
-        let now = self.state.now();
-        let mut decisions = self.state.decisions.borrow_mut();
-        decisions
-            .suspects
-            .note_crash(now, backend, &[self.plan.fingerprint]);
-        self.state.urgent.send_modify(|count| *count += 1);
-    }
-
-    /// What a sidecar has to know of this request before it lets it run beside others.
-    fn own_news(&self, now: TimePoint) -> Vec<SuspectNews> {
-        let decisions = self.state.decisions.borrow();
-        let news = decisions.suspects.news(now).into_iter();
-        news.filter(|one| one.fingerprint == self.plan.fingerprint)
-            .collect()
-    }
-
-    /// A request that ran where a backend server died waits until no other such one
-    /// runs beside it.
-    fn is_kept_apart(&self, end: AttemptEnd) -> bool {
-        let busy = |refusal: CallRefusal| refusal.code == ResultCode::BackendBusy;
-        let refused = matches!(end, AttemptEnd::NotRun(refusal) if busy(refusal));
-        refused && !self.own_news(self.state.now()).is_empty()
-    }
-
-    /// Refuses what has crashed too many backend servers.
-    fn check_suspect(&self) -> Result<(), CallRefusal> {
-        let decisions = self.state.decisions.borrow();
-        decisions.suspects.admit(self.plan.fingerprint, &[])
-    }
-
     fn begin_flight(&self, chosen: &ChosenBackend, now: TimePoint) -> FlightGuard<'a> {
         let computed = self
             .plan
@@ -334,93 +270,6 @@
         }
     }
 
-    async fn next_step(&mut self, number: AttemptNumber, end: AttemptEnd) -> NextStep {
-        let failed = self.plan.repeatable && self.writer.status() >= SERVER_ERROR;
-        let end = match end {
-            AttemptEnd::Whole if failed && !self.writer.progress().forwarded => AttemptEnd::Broken,
-            end => end,
-        };
-        if !matches!(end, AttemptEnd::NotRun(_)) {
-            self.ran += 1;
-        }
-        self.waits_apart = self.is_kept_apart(end);
-        let step = self.attempts.end(number, end, self.writer.progress());
-        match step.unwrap_or(NextStep::Refuse(unknown())) {
-            NextStep::Finish => {
-                self.answer = self
-                    .plan
-                    .claim
-                    .as_ref()
-                    .and_then(|_| self.writer.held_answer());
-                self.writer.finish().await;
-                NextStep::Finish
-            }
-            NextStep::Refuse(refusal) => NextStep::Refuse(refusal),
-            NextStep::Dispatch { resume_tokens } => match self.spend_retry(number, end) {
-                RetryDecision::Again(_) => NextStep::Dispatch { resume_tokens },
-                RetryDecision::GiveUp(refusal) => NextStep::Refuse(refusal),
-            },
-        }
-    }
-
-    /// Keeps retries a bounded share of the requests where load causes them.
-    ///
-    /// What a crash broke off is always moved, and so is an answer that its caller
-    /// reads already: crashes and answers bound these retries, and one crash
-    /// breaks off more streams at once than the budget holds.
-    fn spend_retry(&mut self, attempt: AttemptNumber, end: AttemptEnd) -> RetryDecision {
-        if self.ran >= RUN_LIMIT {
-            return RetryDecision::GiveUp(unknown());
-        }
-        if self.writer.progress().forwarded {
-            return RetryDecision::Again(attempt.next());
-        }
-        let refusal = match end {
-            AttemptEnd::NotRun(_) if self.waits_apart => {
-                return RetryDecision::Again(attempt.next());
-            }
-            AttemptEnd::NotRun(refusal) => refusal,
-            AttemptEnd::Silent => unknown(),
-            AttemptEnd::Whole | AttemptEnd::Broken | AttemptEnd::Unknown => {
-                return RetryDecision::Again(attempt.next());
-            }
-        };
-        let time_left = self.time_left();
-        let Some(attempts) = &mut self.budgeted else {
-            return RetryDecision::GiveUp(refusal);
-        };
-        let mut decisions = self.state.decisions.borrow_mut();
-        decisions.retries.decide(attempts, refusal, time_left)
-    }
-
-    fn least_deadline(&self) -> TimeSpan {
-        match self.writer.progress().forwarded {
-            true => self.state.settings.progress_timeout,
-            false => TimeSpan::ZERO,
-        }
-    }
-
-    /// A caller that already reads the answer has been met in time.
-    fn time_left(&self) -> TimeSpan {
-        match self.writer.progress().forwarded {
-            true => self.state.settings.progress_timeout,
-            false => self.plan.deadline.since(self.state.now()),
-        }
-    }
-
-    /// Makes a refusal say what is true of all attempts together.
-    fn truthful(&self, refusal: CallRefusal) -> CallRefusal {
-        if self.writer.progress().forwarded {
-            return CallRefusal::lasting(ResultCode::AnswerBroken);
-        }
-        if self.ran > 0 && refusal.code.run_state() == RunState::NotRun {
-            let code = ResultCode::OutcomeUnknown;
-            let retry_after = refusal.retry_after;
-            return CallRefusal { code, retry_after };
-        }
-        refusal
-    }
-
     fn settle(&mut self) {
         let used = self.plan.prompt_tokens + self.writer.progress().resume_tokens;
         if let Some(ticket) = self.ticket.take() {
--- /dev/null
+++ b/crates/daemon/src/entry/driver/suspect.rs
@@ -0,0 +1,43 @@
+//! Requests that were running when a backend server died.
+
+use applefold_core::answer::AttemptEnd;
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::id::BackendId;
+use applefold_core::quarantine::SuspectNews;
+use applefold_core::unit::TimePoint;
+
+use super::RequestDriver;
+
+impl RequestDriver<'_> {
+    /// Every peer hears at once of a request that a backend server died of.
+    pub(super) fn note_crash(&self, backend: &BackendId) {
+        let now = self.state.now();
+        let mut decisions = self.state.decisions.borrow_mut();
+        decisions
+            .suspects
+            .note_crash(now, backend, &[self.plan.fingerprint]);
+        self.state.urgent.send_modify(|count| *count += 1);
+    }
+
+    /// What a sidecar has to know of this request before it lets it run beside others.
+    pub(super) fn own_news(&self, now: TimePoint) -> Vec<SuspectNews> {
+        let decisions = self.state.decisions.borrow();
+        let news = decisions.suspects.news(now).into_iter();
+        news.filter(|one| one.fingerprint == self.plan.fingerprint)
+            .collect()
+    }
+
+    /// A request that ran where a backend server died waits until no other such one
+    /// runs beside it.
+    pub(super) fn is_kept_apart(&self, end: AttemptEnd) -> bool {
+        let busy = |refusal: CallRefusal| refusal.code == ResultCode::BackendBusy;
+        let refused = matches!(end, AttemptEnd::NotRun(refusal) if busy(refusal));
+        refused && !self.own_news(self.state.now()).is_empty()
+    }
+
+    /// Refuses what has crashed too many backend servers.
+    pub(super) fn check_suspect(&self) -> Result<(), CallRefusal> {
+        let decisions = self.state.decisions.borrow();
+        decisions.suspects.admit(self.plan.fingerprint, &[])
+    }
+}
