--- a/crates/wire/applefold.capnp
+++ b/crates/wire/applefold.capnp
@@ -18,7 +18,7 @@
   revision @0 :UInt64;
   # Time since the platform last confirmed that revision to anybody.
   ageMicros @1 :UInt64;
-  # Whether the sender, or who told it, reaches enough of the fleet to serve on.
+  # Whether the sender's own count of the entries lets it serve on; never passed on for another.
   reachHolds @2 :Bool;
 }
 
