--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -42,8 +42,13 @@
 impl RequestFingerprint {
     /// Digests a request's method, path and body, with the team it runs for.
     pub fn of(team: &TeamId, method: &str, path: &str, body: &[u8]) -> Self {
+        Self::digest(team.as_str(), method, path, body)
+    }
+
+    /// Digests the same of a request whose team may have no name.
+    pub fn digest(team: &str, method: &str, path: &str, body: &[u8]) -> Self {
         let mut hash = Sha256::new();
-        for part in [team.as_str(), method, path] {
+        for part in [team, method, path] {
             hash.update(part);
             hash.update([0]);
         }
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -97,6 +97,7 @@
     BackendMismatch = 1018, 503, NotRun, "The backend server does not serve this request.";
     MemoryExceeded = 1019, 413, NotRun, "The request needs more memory than a backend server has.";
     ServiceShutting = 1020, 503, NotRun, "The backend server is leaving and takes no new work.";
+    ConfigMissing = 1021, 503, NotRun, "The instance has no configuration yet.";
     OutcomeUnknown = 2001, 504, Unknown, "Whether the request was run cannot be known.";
     AnswerBroken = 2002, 502, Ran, "The answer broke off and is not whole.";
     AlreadyRan = 2003, 409, Ran, "The request ran before and its answer is no longer kept.";
--- /dev/null
+++ b/crates/core/src/direct/mod.rs
@@ -0,0 +1,27 @@
+//! Serving where entries send straight to backend servers.
+//!
+//! On a platform that publishes routes and a list of backend servers, an entry
+//! relays a request itself, without a sidecar in between. What it decides then
+//! stands here: which route a request takes, where it is placed, what follows
+//! a failed attempt, and how requests are counted. See
+//! [docs/design/platform.md](../../../../docs/design/platform.md).
+
+mod attempt;
+mod count;
+mod instance;
+mod placement;
+mod prompt;
+mod rule;
+mod seal;
+
+pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
+pub use count::{RunCounter, WindowCounts};
+pub use instance::{
+    FlightId, FlightNote, InstanceChange, InstanceRow, InstanceSpec, InstanceTable, LoadSample,
+};
+pub use placement::{Placement, PlacementPolicy, PlacementRequest};
+pub use prompt::{PromptPart, PromptShape};
+pub use rule::{
+    CallerLimits, RepeatRule, RouteRule, RuleSet, ServiceRule, ServiceShare, TeamRule,
+};
+pub use seal::{SealStep, WindowSealer};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod code;
 pub mod config;
+pub mod direct;
 pub mod drain;
 pub mod fairness;
 pub mod fence;
--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -23,6 +23,11 @@
         word.copy_from_slice(&digest[..8]);
         Self(u64::from_be_bytes(word))
     }
+
+    /// Returns the rank as an evenly spread number.
+    pub const fn value(self) -> u64 {
+        self.0
+    }
 }
 
 /// Returns the `count` highest ranked of `names` for `thing`.
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -24,3 +24,19 @@
         TimePoint(elapsed) + CLOCK_BASE
     }
 }
+
+/// The clock of what others may take over while this machine is suspended.
+///
+/// It goes on while the machine sleeps, so that a lease that ran out meanwhile
+/// is seen to have run out.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SuspendClock;
+
+impl SuspendClock {
+    pub(crate) fn now(&self) -> TimePoint {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+        let micros = u64::try_from(time.tv_nsec).unwrap_or_default() / 1_000;
+        TimePoint(TimeSpan::from_secs(secs).0 + micros) + CLOCK_BASE
+    }
+}
--- a/crates/daemon/src/cmd/args.rs
+++ b/crates/daemon/src/cmd/args.rs
@@ -14,6 +14,7 @@
 #[argh(subcommand)]
 pub(crate) enum DaemonCommand {
     Entry(EntryArgs),
+    Gateway(GatewayArgs),
     Sidecar(SidecarArgs),
 }
 
@@ -137,3 +138,18 @@
     #[argh(switch)]
     pub(crate) check_settings: bool,
 }
+
+/// Serves callers on a platform that hands over a settings file.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub(crate) struct GatewayArgs {
+    /// path of the platform's settings file (the platform's variable, or its usual path)
+    #[argh(option)]
+    pub(crate) settings: Option<String>,
+    /// the least level of log lines (APPLEFOLD_LOG_LEVEL, info)
+    #[argh(option)]
+    pub(crate) log_level: Option<String>,
+    /// check the settings and exit
+    #[argh(switch)]
+    pub(crate) check_settings: bool,
+}
--- a/crates/daemon/src/cmd/mod.rs
+++ b/crates/daemon/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod entry;
+mod gateway;
 mod sidecar;
 
 use eyre::{Result, WrapErr};
@@ -13,6 +14,7 @@
 pub(crate) fn run(args: DaemonArgs) -> Result<()> {
     match args.command {
         DaemonCommand::Entry(args) => entry::run(&args),
+        DaemonCommand::Gateway(args) => gateway::run(&args),
         DaemonCommand::Sidecar(args) => sidecar::run(&args),
     }
 }
--- /dev/null
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -0,0 +1,223 @@
+//! One attempt at one backend server.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::direct::{AttemptEnd, Placement, RouteRule};
+use applefold_core::health::HealthSample;
+use applefold_core::id::TeamId;
+use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_h1::{BodyDecoder, ResponseHead};
+use applefold_platform::{render_attempt, AttemptFields, BackendAnswer, CallerRequest};
+use smol_str::SmolStr;
+
+use super::accept::ReceivedRequest;
+use super::backend::FlightGuard;
+use super::connection::{ClientConnection, ConnectionFault};
+use super::state::GatewayState;
+
+/// How long a connection to a backend server may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How often its objective a request that may be repeated waits for a silent backend server.
+const SILENT_OBJECTIVES: u64 = 3;
+/// Answers to earlier requests that are passed over before the connection is given up.
+const MAX_STRAY_ANSWERS: usize = 4;
+
+/// An answer that goes on: a stream whose head has come.
+pub(crate) struct OpenStream {
+    pub(crate) connection: ClientConnection,
+    pub(crate) head: ResponseHead,
+    pub(crate) decoder: BodyDecoder,
+    pub(crate) flight: FlightGuard,
+}
+
+/// What an attempt gave.
+pub(crate) enum AttemptResult {
+    /// A whole answer to pass on.
+    Whole(ResponseHead, Vec<u8>),
+    /// A stream that has begun.
+    Stream(Box<OpenStream>),
+    /// A whole answer that says that the backend server failed.
+    Failed(ResponseHead, Vec<u8>),
+    /// No answer, and why.
+    Ended(AttemptEnd, SmolStr),
+}
+
+/// What is sent, and where.
+pub(crate) struct Attempt<'a> {
+    pub(crate) state: &'a Rc<GatewayState>,
+    pub(crate) request: &'a ReceivedRequest,
+    pub(crate) caller: &'a CallerRequest,
+    pub(crate) route: &'a RouteRule,
+    pub(crate) team: Option<&'a TeamId>,
+    pub(crate) urgency: u8,
+    pub(crate) placement: &'a Placement,
+    pub(crate) deadline: TimePoint,
+    /// Whether another backend server may still be asked.
+    pub(crate) others_left: bool,
+    /// The last event that the caller was sent.
+    pub(crate) last_event: Option<&'a str>,
+}
+
+impl Attempt<'_> {
+    /// Sends the request and waits for its answer, until the deadline at most.
+    pub(crate) async fn run(&self) -> AttemptResult {
+        let sent = Cell::new(false);
+        let left = self.deadline.since(self.state.now());
+        let limit = self.answer_limit(left);
+        let exchange = self.exchange(&sent);
+        let result = tokio::time::timeout(Duration::from_micros(limit.0), exchange).await;
+        let result = result.unwrap_or_else(|_| {
+            let end = match (sent.get(), limit < left) {
+                (false, _) => AttemptEnd::NotSent,
+                (true, true) => AttemptEnd::Broken,
+                (true, false) => AttemptEnd::TimedOut,
+            };
+            AttemptResult::Ended(end, SmolStr::new_static("no answer in time"))
+        });
+        self.note_health(&result);
+        result
+    }
+
+    /// A backend server that says nothing is left for another one where that is allowed.
+    fn answer_limit(&self, left: TimeSpan) -> TimeSpan {
+        let movable = self.route.repeat.allows_repeat() && !self.route.repeat.is_stream();
+        if !movable || !self.others_left {
+            return left;
+        }
+        left.min(TimeSpan(self.route.objective.0 * SILENT_OBJECTIVES))
+    }
+
+    async fn exchange(&self, sent: &Cell<bool>) -> AttemptResult {
+        let flight = FlightGuard::begin(self.state, self.placement);
+        let mut connection = match self.connect().await {
+            Ok(connection) => connection,
+            Err(error) => return ended(AttemptEnd::NotSent, error.to_string()),
+        };
+        let bytes = render_attempt(&self.request.head, &self.request.body, &self.fields());
+        sent.set(true);
+        if let Err(fault) = connection.send(&bytes).await {
+            return fault_end(&fault);
+        }
+        let (head, answer) = match self.read_answer(&mut connection).await {
+            Ok(read) => read,
+            Err(fault) => return fault_end(&fault),
+        };
+        if let Some(load) = answer.load {
+            let now = self.state.now();
+            let mut table = self.state.table.borrow_mut();
+            table.note_load(&self.placement.backend, load, now);
+        }
+        if self.route.repeat.is_stream() && head.status == 200 && answer.stamped {
+            let decoder = BodyDecoder::new(head.framing);
+            return AttemptResult::Stream(Box::new(OpenStream {
+                connection,
+                head,
+                decoder,
+                flight,
+            }));
+        }
+        self.take_whole(connection, head, &answer, flight).await
+    }
+
+    async fn take_whole(
+        &self,
+        mut connection: ClientConnection,
+        head: ResponseHead,
+        answer: &BackendAnswer,
+        mut flight: FlightGuard,
+    ) -> AttemptResult {
+        let body = match connection.read_whole(&head).await {
+            Ok(body) => body,
+            Err(fault) if !answer.not_run => return fault_end(&fault),
+            Err(_) => Vec::new(),
+        };
+        let now = self.state.now();
+        self.state.pool.keep(&self.placement.backend, connection, &head, now);
+        if answer.not_run {
+            let end = AttemptEnd::NotRun {
+                misdirected: answer.misdirected,
+            };
+            return ended(end, format!("refused with status {}", head.status));
+        }
+        let whole = answer.stamped && !answer.encoded;
+        match head.status {
+            200..=299 if whole => {
+                flight.answered();
+                AttemptResult::Whole(head, body)
+            }
+            200..=299 => ended(AttemptEnd::Broken, "an answer without proof".to_owned()),
+            500..=599 => AttemptResult::Failed(head, body),
+            _ => AttemptResult::Whole(head, body),
+        }
+    }
+
+    async fn connect(&self) -> io::Result<ClientConnection> {
+        let id = &self.placement.backend;
+        if let Some(connection) = self.state.pool.take(id, self.state.now()) {
+            return Ok(connection);
+        }
+        let address = {
+            let table = self.state.table.borrow();
+            table.get(id).map(|row| row.spec.address)
+        };
+        let gone = || io::Error::new(io::ErrorKind::NotFound, "the backend server is gone");
+        ClientConnection::open(address.ok_or_else(gone)?, CONNECT_TIMEOUT).await
+    }
+
+    fn fields(&self) -> AttemptFields<'_> {
+        AttemptFields {
+            backend: &self.placement.backend,
+            team: self.team,
+            time_left: self.deadline.since(self.state.now()),
+            urgency: self.caller.prompt.as_ref().map(|_| self.urgency),
+            last_event: self.last_event,
+        }
+    }
+
+    /// Reads the head of the answer to this request; late answers to others are passed over.
+    async fn read_answer(
+        &self,
+        connection: &mut ClientConnection,
+    ) -> Result<(ResponseHead, BackendAnswer), ConnectionFault> {
+        for _ in 0..MAX_STRAY_ANSWERS {
+            let head = connection.read_head().await?;
+            let answer = BackendAnswer::read(&head);
+            let stray = answer.request.as_ref();
+            if stray.is_none_or(|name| *name == self.caller.name) {
+                return Ok((head, answer));
+            }
+            log::info!(request = self.caller.name.as_str(),
+                backend = self.placement.backend.as_str(),
+                stray = stray.map_or("", SmolStr::as_str); "stray answer passed over");
+            connection.read_whole(&head).await?;
+        }
+        let error = io::Error::new(io::ErrorKind::InvalidData, "answers to other requests only");
+        Err(ConnectionFault::Broken(error))
+    }
+
+    fn note_health(&self, result: &AttemptResult) {
+        let sample = match result {
+            AttemptResult::Whole(..) | AttemptResult::Stream(_) => {
+                HealthSample::Answered(self.route.objective)
+            }
+            AttemptResult::Ended(AttemptEnd::NotRun { .. }, _) => HealthSample::Alive,
+            AttemptResult::Failed(..) | AttemptResult::Ended(..) => HealthSample::Failed,
+        };
+        self.state.note_health(&self.placement.backend, sample);
+    }
+}
+
+fn ended(end: AttemptEnd, reason: String) -> AttemptResult {
+    AttemptResult::Ended(end, reason.into())
+}
+
+fn fault_end(fault: &ConnectionFault) -> AttemptResult {
+    let end = match fault {
+        ConnectionFault::NotSent(_) => AttemptEnd::NotSent,
+        ConnectionFault::Broken(_) | ConnectionFault::Garbled(_) => AttemptEnd::Broken,
+    };
+    ended(end, fault.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/connection.rs
@@ -0,0 +1,184 @@
+//! One connection, with what is known of the bytes that crossed it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use applefold_h1::{parse_response, BodyDecoder, HeadError, ResponseHead};
+use bytes::BytesMut;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncReadExt, Interest};
+use tokio::net::TcpStream;
+
+/// The largest head of an answer.
+const MAX_HEAD_BYTES: usize = 65_536;
+/// The largest body of an answer that is held until it is whole.
+const MAX_BODY_BYTES: usize = 16 << 20;
+/// How long a peer may leave sent bytes or probes unacknowledged.
+const PEER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// After how much silence the peer is asked for a sign of life, and how often.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+const READ_BYTES: usize = 16_384;
+
+/// Why a connection gave no whole answer.
+#[derive(Debug)]
+pub(crate) enum ConnectionFault {
+    /// No byte of the request left.
+    NotSent(io::Error),
+    /// The request left, and the connection ended or broke.
+    Broken(io::Error),
+    /// The peer sent something else than an answer.
+    Garbled(HeadError),
+}
+
+impl std::fmt::Display for ConnectionFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotSent(error) => write!(f, "nothing was sent: {error}"),
+            Self::Broken(error) => write!(f, "the connection broke: {error}"),
+            Self::Garbled(error) => write!(f, "no answer: {error}"),
+        }
+    }
+}
+
+/// Sets what finds a peer that has silently gone.
+pub(crate) fn guard_stream(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD)
+        .with_retries(2);
+    let set = socket
+        .set_tcp_keepalive(&probes)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(PEER_TIMEOUT)))
+        .and_then(|()| stream.set_nodelay(true));
+    if let Err(error) = set {
+        log::warn!(error = error.to_string(); "could not set the options of a connection");
+    }
+}
+
+/// A connection to a server, on which one exchange runs at a time.
+#[derive(Debug)]
+pub(crate) struct ClientConnection {
+    stream: TcpStream,
+    input: BytesMut,
+    /// Whether an answer began before its request had left.
+    early: bool,
+}
+
+impl ClientConnection {
+    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let connect = TcpStream::connect(address);
+        let stream = tokio::time::timeout(limit, connect).await??;
+        guard_stream(&stream);
+        Ok(Self {
+            stream,
+            input: BytesMut::with_capacity(READ_BYTES),
+            early: false,
+        })
+    }
+
+    /// Returns whether nothing has come since the last exchange.
+    pub(crate) fn is_quiet(&mut self) -> bool {
+        if self.early || !self.input.is_empty() {
+            return false;
+        }
+        let read = self.stream.try_read_buf(&mut self.input);
+        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a whole request; an answer that begins earlier ends the sending.
+    pub(crate) async fn send(&mut self, bytes: &[u8]) -> Result<(), ConnectionFault> {
+        let mut sent = 0;
+        while sent < bytes.len() {
+            let fault = |error| match sent {
+                0 => ConnectionFault::NotSent(error),
+                _ => ConnectionFault::Broken(error),
+            };
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            let ready = self.stream.ready(interest).await.map_err(fault)?;
+            if ready.is_readable() {
+                match self.stream.try_read_buf(&mut self.input) {
+                    Ok(0) => return Err(fault(io::ErrorKind::UnexpectedEof.into())),
+                    Ok(_) => {
+                        self.early = true;
+                        return Ok(());
+                    }
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(fault(error)),
+                }
+            }
+            match self.stream.try_write(&bytes[sent..]) {
+                Ok(count) => sent += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(fault(error)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the head of the next final answer.
+    pub(crate) async fn read_head(&mut self) -> Result<ResponseHead, ConnectionFault> {
+        loop {
+            let parsed = parse_response(&self.input, MAX_HEAD_BYTES);
+            match parsed.map_err(ConnectionFault::Garbled)? {
+                Some((head, used)) => {
+                    let _ = self.input.split_to(used);
+                    if head.status >= 200 {
+                        return Ok(head);
+                    }
+                }
+                None => {
+                    if self.fill().await? == 0 {
+                        return Err(ConnectionFault::Broken(io::ErrorKind::UnexpectedEof.into()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads more of a body into `output`; returns whether the body is whole.
+    pub(crate) async fn read_body(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        output: &mut Vec<u8>,
+    ) -> Result<bool, ConnectionFault> {
+        let before = output.len();
+        loop {
+            let done = decoder.decode(&mut self.input, output);
+            if done.map_err(ConnectionFault::Garbled)? {
+                return Ok(true);
+            }
+            if output.len() > before {
+                return Ok(false);
+            }
+            if self.fill().await? == 0 {
+                return match decoder.ends_with_connection() {
+                    true => Ok(true),
+                    false => Err(ConnectionFault::Broken(io::ErrorKind::UnexpectedEof.into())),
+                };
+            }
+        }
+    }
+
+    /// Reads a whole body.
+    pub(crate) async fn read_whole(
+        &mut self,
+        head: &ResponseHead,
+    ) -> Result<Vec<u8>, ConnectionFault> {
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut body = Vec::new();
+        while !self.read_body(&mut decoder, &mut body).await? {
+            if body.len() > MAX_BODY_BYTES {
+                return Err(ConnectionFault::Garbled(HeadError::TooLarge));
+            }
+        }
+        Ok(body)
+    }
+
+    async fn fill(&mut self) -> Result<usize, ConnectionFault> {
+        self.input.reserve(READ_BYTES);
+        let read = self.stream.read_buf(&mut self.input).await;
+        read.map_err(ConnectionFault::Broken)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/duty.rs
@@ -0,0 +1,268 @@
+//! Holds the lease under which one entry works for the platform, and lists the entries.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::id::{FencingNumber, ScopeId};
+use applefold_core::lease::{
+    HolderName, LeaseAction, LeaseAnswer, LeaseHolder, LeaseOptions, LeaseReply,
+};
+use applefold_core::unit::TimeSpan;
+use applefold_platform::{
+    StoreCall, StoreChange, StoreItem, StoreLease, StoreReply, StoreRevision, OWN_PREFIX,
+};
+use serde::{Deserialize, Serialize};
+
+use super::state::GatewayState;
+
+const SCOPE: &str = "usage";
+/// Several steps fit within the margin of a lease.
+const STEP_PERIOD: Duration = Duration::from_millis(150);
+/// How long before its lease ends a holder stops acting.
+const LEASE_MARGIN: TimeSpan = TimeSpan::from_millis(700);
+/// How long the lease of another holder is taken to last before it is looked at again.
+const LOOK_AGAIN: TimeSpan = TimeSpan::from_secs(1);
+/// How long an entry's own line in the list of entries outlives it.
+const PRESENCE_TTL: TimeSpan = TimeSpan::from_secs(10);
+const PRESENCE_PERIOD: Duration = Duration::from_secs(3);
+
+/// What stands under the key of the lease.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct HolderRecord {
+    holder: HolderName,
+    fencing: FencingNumber,
+}
+
+/// The lease of the work for the platform.
+pub(crate) struct DutyLease {
+    holder: RefCell<LeaseHolder>,
+    lease: Cell<Option<StoreLease>>,
+}
+
+impl DutyLease {
+    pub(crate) fn new(holder: HolderName, ttl: TimeSpan) -> Self {
+        let scope: ScopeId = SCOPE.parse().expect("the name is an identifier");
+        let options = LeaseOptions::new(ttl, LEASE_MARGIN);
+        Self {
+            holder: RefCell::new(LeaseHolder::new(scope, holder, options)),
+            lease: Cell::new(None),
+        }
+    }
+
+    /// Returns the number to act under, in the step that sends.
+    pub(crate) fn authority(&self, state: &GatewayState) -> Option<FencingNumber> {
+        let held = self.holder.borrow().authority(state.now());
+        held.map(|authority| authority.fencing())
+    }
+
+    /// Forgets a number that the platform has refused.
+    pub(crate) fn give_back(&self, state: &GatewayState) -> Vec<LeaseAction> {
+        self.holder.borrow_mut().release(state.now())
+    }
+}
+
+fn lease_key() -> String {
+    format!("{OWN_PREFIX}duty/holder")
+}
+
+fn fencing_key() -> String {
+    format!("{OWN_PREFIX}duty/fencing")
+}
+
+fn presence_prefix() -> String {
+    format!("{OWN_PREFIX}entries/")
+}
+
+/// Pursues the lease for as long as the process runs.
+pub(crate) async fn follow(state: Rc<GatewayState>) {
+    actix_rt::spawn(keep_presence(Rc::clone(&state)));
+    loop {
+        let actions = state.duty.holder.borrow_mut().tick(state.now());
+        perform(&state, actions).await;
+        actix_rt::time::sleep(STEP_PERIOD).await;
+    }
+}
+
+/// Ends authority and gives the lease back, so that another entry goes on at once.
+pub(crate) async fn release(state: &GatewayState) {
+    let actions = state.duty.give_back(state);
+    perform(state, actions).await;
+}
+
+async fn perform(state: &GatewayState, actions: Vec<LeaseAction>) {
+    let mut queue = std::collections::VecDeque::from(actions);
+    while let Some(action) = queue.pop_front() {
+        let answer = match action {
+            LeaseAction::Acquire { call, ttl } => {
+                let reply = acquire(state, ttl).await;
+                Some(LeaseAnswer { call, reply })
+            }
+            LeaseAction::Renew { call, fencing, .. } => {
+                let reply = renew(state, fencing).await;
+                Some(LeaseAnswer { call, reply })
+            }
+            LeaseAction::Release { fencing } => {
+                if let Some(lease) = state.duty.lease.take() {
+                    let ended = state.store.call(&StoreCall::End(lease)).await;
+                    log::info!(fencing = fencing.0, ended = ended.is_ok(); "lease given back");
+                }
+                None
+            }
+            LeaseAction::Begin { fencing } => {
+                log::info!(scope = SCOPE, fencing = fencing.0; "authority begins");
+                None
+            }
+            LeaseAction::End { fencing } => {
+                log::info!(scope = SCOPE, fencing = fencing.0; "authority ends");
+                state.sealer.borrow_mut().reset();
+                None
+            }
+        };
+        if let Some(answer) = answer {
+            let follow = state.duty.holder.borrow_mut().handle(state.now(), answer);
+            queue.extend(follow);
+        }
+    }
+}
+
+async fn acquire(state: &GatewayState, ttl: TimeSpan) -> LeaseReply {
+    match try_acquire(state, ttl).await {
+        Some(reply) => reply,
+        None => LeaseReply::Failed,
+    }
+}
+
+/// Takes the lease unless somebody holds it; `None` where the store did not say.
+async fn try_acquire(state: &GatewayState, ttl: TimeSpan) -> Option<LeaseReply> {
+    let present = get(state, lease_key()).await?;
+    if let Some(item) = present {
+        return Some(held_by(&item));
+    }
+    let last = get(state, fencing_key()).await?;
+    let fencing = last.as_ref().map_or(FencingNumber(0), read_fencing).next();
+    let lease = match state.store.call(&StoreCall::Grant(ttl)).await.ok()? {
+        StoreReply::Leased(Some(lease), _) => lease,
+        _ => return None,
+    };
+    let holder = state.duty.holder.borrow().holder().clone();
+    let record = HolderRecord { holder, fencing };
+    let record = serde_json::to_vec(&record).ok()?;
+    let revision = last.map_or(StoreRevision(0), |item| item.revision);
+    let change = StoreChange {
+        expected: vec![(lease_key(), StoreRevision(0)), (fencing_key(), revision)],
+        puts: vec![
+            (lease_key(), record, Some(lease)),
+            (fencing_key(), fencing.to_string().into_bytes(), None),
+        ],
+        removed: Vec::new(),
+    };
+    match state.store.call(&StoreCall::Change(change)).await {
+        Ok(StoreReply::Changed(_)) => {
+            state.duty.lease.set(Some(lease));
+            Some(LeaseReply::Granted { fencing })
+        }
+        Ok(_) => {
+            let ended = state.store.call(&StoreCall::End(lease)).await;
+            log::debug!(ended = ended.is_ok(); "lease lost to another entry");
+            None
+        }
+        Err(_) => {
+            state.duty.lease.set(Some(lease));
+            None
+        }
+    }
+}
+
+async fn renew(state: &GatewayState, fencing: FencingNumber) -> LeaseReply {
+    let lost = LeaseReply::Held {
+        holder: None,
+        fencing,
+        remaining: TimeSpan::ZERO,
+    };
+    let Some(lease) = state.duty.lease.get() else {
+        return lost;
+    };
+    match state.store.call(&StoreCall::Renew(lease)).await {
+        Ok(StoreReply::Leased(..)) => LeaseReply::Granted { fencing },
+        Ok(_) => {
+            state.duty.lease.set(None);
+            lost
+        }
+        Err(_) => LeaseReply::Failed,
+    }
+}
+
+async fn get(state: &GatewayState, key: String) -> Option<Option<StoreItem>> {
+    match state.store.call(&StoreCall::Get(key)).await.ok()? {
+        StoreReply::Item(item) => Some(item),
+        _ => None,
+    }
+}
+
+fn held_by(item: &StoreItem) -> LeaseReply {
+    let record: Option<HolderRecord> = serde_json::from_slice(&item.value).ok();
+    if record.is_none() {
+        log::warn!(key = item.key.as_str(); "the holder's record cannot be read");
+    }
+    let fencing = record.as_ref().map_or(FencingNumber(0), |record| record.fencing);
+    LeaseReply::Held {
+        holder: record.map(|record| record.holder),
+        fencing,
+        remaining: LOOK_AGAIN,
+    }
+}
+
+fn read_fencing(item: &StoreItem) -> FencingNumber {
+    let text = std::str::from_utf8(&item.value).ok();
+    let number = text.and_then(|text| text.parse().ok());
+    number.unwrap_or_else(|| {
+        log::warn!(key = item.key.as_str(), revision = item.revision.0;
+            "the fencing number cannot be read; the item's revision takes its place");
+        FencingNumber(item.revision.0)
+    })
+}
+
+/// Keeps a line in the list of entries, and counts the others'.
+async fn keep_presence(state: Rc<GatewayState>) {
+    let mut lease = None;
+    loop {
+        lease = match lease {
+            Some(held) => renew_presence(&state, held).await,
+            None => enter(&state).await,
+        };
+        count_entries(&state).await;
+        actix_rt::time::sleep(PRESENCE_PERIOD).await;
+    }
+}
+
+async fn enter(state: &GatewayState) -> Option<StoreLease> {
+    let granted = state.store.call(&StoreCall::Grant(PRESENCE_TTL)).await;
+    let Ok(StoreReply::Leased(Some(lease), _)) = granted else {
+        return None;
+    };
+    let key = format!("{}{}", presence_prefix(), state.settings.instance);
+    let change = StoreChange {
+        puts: vec![(key, state.run.to_string().into_bytes(), Some(lease))],
+        ..StoreChange::default()
+    };
+    let entered = state.store.call(&StoreCall::Change(change)).await;
+    matches!(entered, Ok(StoreReply::Changed(_))).then_some(lease)
+}
+
+async fn renew_presence(state: &GatewayState, lease: StoreLease) -> Option<StoreLease> {
+    match state.store.call(&StoreCall::Renew(lease)).await {
+        Ok(StoreReply::LeaseGone) => None,
+        Ok(_) | Err(_) => Some(lease),
+    }
+}
+
+async fn count_entries(state: &GatewayState) {
+    let call = StoreCall::Range {
+        prefix: presence_prefix(),
+        after: None,
+    };
+    if let Ok(StoreReply::Page(page)) = state.store.call(&call).await {
+        state.set_entries(page.items.len() as u64);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,45 @@
+//! An entry on the users' platform.
+//!
+//! It learns routes and backend servers from the platform's store, sends
+//! requests straight to backend servers and relays their answers. What it
+//! decides stands in `applefold_core::direct`, what the platform's names mean
+//! in `applefold_platform`. See
+//! [docs/design/platform.md](../../../../docs/design/platform.md).
+
+mod accept;
+mod attempt;
+mod backend;
+mod connection;
+mod duty;
+mod instances;
+mod pool;
+mod ready;
+mod relay;
+mod request;
+mod rules;
+mod state;
+mod stop;
+mod store;
+mod usage;
+
+use std::rc::Rc;
+
+use applefold_platform::PlatformSettings;
+use eyre::Result;
+
+use state::GatewayState;
+
+/// Runs until the process is told to stop and nothing is in flight.
+pub(crate) async fn run(settings: PlatformSettings) -> Result<()> {
+    let state = Rc::new(GatewayState::new(settings));
+    ready::serve(&state).await?;
+    accept::serve(&state).await?;
+    actix_rt::spawn(rules::follow(Rc::clone(&state)));
+    actix_rt::spawn(instances::follow(Rc::clone(&state)));
+    actix_rt::spawn(duty::follow(Rc::clone(&state)));
+    actix_rt::spawn(usage::follow(Rc::clone(&state)));
+    log::info!(instance = state.settings.instance.as_str(),
+        domain = state.settings.domain.as_str(), run = state.run,
+        store = state.settings.store.to_string(); "entry started");
+    stop::wait(&state).await
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/ready.rs
@@ -0,0 +1,30 @@
+//! Answers whether callers should be sent here, and serves the metrics.
+
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{Response, StatusCode};
+use eyre::Result;
+
+use super::state::GatewayState;
+use crate::http;
+
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves on the balancer's address for as long as the process runs.
+pub(crate) async fn serve(state: &Rc<GatewayState>) -> Result<()> {
+    let Some(address) = state.settings.ready_listen else {
+        return Ok(());
+    };
+    let state = Rc::clone(state);
+    let server = http::serve(address, move |request| {
+        let response = match request.path() {
+            METRICS_PATH => Response::ok().set_body(BoxBody::new(state.metrics.render())),
+            _ if state.is_ready() => Response::ok().map_into_boxed_body(),
+            _ => Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body(),
+        };
+        async move { Ok(response) }
+    });
+    std::mem::forget(server.await?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/request.rs
@@ -0,0 +1,453 @@
+//! Drives one request from its arrival to its final answer.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use applefold_core::claim::RequestFingerprint;
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::direct::{
+    AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, RequestProgress, RouteRule,
+    RuleSet,
+};
+use applefold_core::drain::WorkGuard;
+use applefold_core::id::{BackendId, ServiceId, TeamId};
+use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_h1::{encode_chunk, ResponseHead, CHUNK_END};
+use applefold_platform::{render_answer_head, render_refusal, AnswerFraming, CallerRequest};
+use opentelemetry::KeyValue;
+use smol_str::SmolStr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use super::accept::{CallerReader, ConnectionFate, ReceivedRequest};
+use super::attempt::{Attempt, AttemptResult, OpenStream};
+use super::relay::EventCutter;
+use super::state::GatewayState;
+
+/// Attempts at one request, those that did not run included.
+const MAX_SENDS: u32 = 4;
+/// Less time than this is of no use for another attempt.
+const MIN_ATTEMPT_TIME: TimeSpan = TimeSpan::from_millis(30);
+/// When callers may return after backend servers were busy or missing.
+const BUSY_RETRY: TimeSpan = TimeSpan::from_millis(400);
+/// When callers may return to an entry that knows no configuration yet.
+const START_RETRY: TimeSpan = TimeSpan::from_millis(500);
+
+/// Serves one request; returns whether the connection may be used again.
+pub(crate) async fn serve(
+    state: &Rc<GatewayState>,
+    request: &ReceivedRequest,
+    reader: &mut CallerReader,
+    writer: &mut OwnedWriteHalf,
+) -> ConnectionFate {
+    let prepared = match PreparedRequest::new(state, request) {
+        Ok(prepared) => prepared,
+        Err(refused) => return refused.answer(state, request, writer).await,
+    };
+    let mut driver = RequestDriver {
+        state,
+        request,
+        prepared: &prepared,
+        progress: RequestProgress::default(),
+        excluded: BTreeSet::new(),
+        failure: None,
+        begun: false,
+        counted: false,
+        first: None,
+        cutter: EventCutter::default(),
+        last_backend: None,
+    };
+    tokio::select! {
+        biased;
+        fate = driver.run(writer) => fate,
+        () = reader.gone() => {
+            driver.log_end(499, "the caller left");
+            ConnectionFate::Close
+        }
+    }
+}
+
+/// A request that is refused before anything is decided about backend servers.
+struct EarlyRefusal {
+    name: Option<SmolStr>,
+    refusal: CallRefusal,
+}
+
+impl EarlyRefusal {
+    async fn answer(
+        self,
+        state: &GatewayState,
+        request: &ReceivedRequest,
+        writer: &mut OwnedWriteHalf,
+    ) -> ConnectionFate {
+        let name = self.name.as_deref();
+        log::info!(request = name.unwrap_or(""), code = self.refusal.code.number(),
+            path = request.head.target.as_str(), revision = state.revision().0;
+            "request refused: {}", self.refusal.code.meaning());
+        let keep = keeps_open(state, request);
+        let mut bytes = Vec::new();
+        render_refusal(&self.refusal, name, keep, &mut bytes);
+        count_request(state, self.refusal.code.status());
+        write(writer, &bytes, keep).await
+    }
+}
+
+fn keeps_open(state: &GatewayState, request: &ReceivedRequest) -> bool {
+    request.head.keep_alive && !state.drain.borrow().is_stopping()
+}
+
+fn count_request(state: &GatewayState, status: u16) {
+    let status = KeyValue::new("status", i64::from(status));
+    state.metrics.requests.add(1, &[status]);
+}
+
+async fn write(writer: &mut OwnedWriteHalf, bytes: &[u8], keep: bool) -> ConnectionFate {
+    match (writer.write_all(bytes).await, keep) {
+        (Ok(()), true) => ConnectionFate::Keep,
+        (Ok(()), false) | (Err(_), _) => ConnectionFate::Close,
+    }
+}
+
+/// A request whose route and team are known.
+struct PreparedRequest {
+    caller: CallerRequest,
+    rules: Rc<RuleSet>,
+    route: RouteRule,
+    service: ServiceId,
+    team: Option<TeamId>,
+    urgency: u8,
+    fingerprint: RequestFingerprint,
+    deadline: TimePoint,
+    _work: WorkGuard,
+}
+
+impl PreparedRequest {
+    fn new(state: &GatewayState, request: &ReceivedRequest) -> Result<Self, EarlyRefusal> {
+        let caller = CallerRequest::read(&request.head);
+        let caller = caller.map_err(|refusal| EarlyRefusal {
+            name: None,
+            refusal,
+        })?;
+        let refuse = |refusal| EarlyRefusal {
+            name: Some(caller.name.clone()),
+            refusal,
+        };
+        let work = state.drain.borrow().admit().map_err(refuse)?;
+        let starting = CallRefusal::passing(ResultCode::ConfigMissing, START_RETRY);
+        let rules = state.rules().ok_or_else(|| refuse(starting))?;
+        let route = rules.route(&caller.host, &caller.path).map_err(refuse)?;
+        let team = rules.team(route, caller.key.as_deref()).map_err(refuse)?;
+        let missing = CallRefusal::passing(ResultCode::BackendMissing, BUSY_RETRY);
+        let service = route.service_of(&caller.name);
+        let service = service.ok_or_else(|| refuse(missing))?;
+        let head = &request.head;
+        let owner = team.map_or("", TeamId::as_str);
+        let fingerprint = RequestFingerprint::digest(owner, &head.method, &head.target, &request.body);
+        let admitted = state.suspects.borrow().admit(fingerprint, &[]);
+        admitted.map_err(refuse)?;
+        let patience = caller.patience.unwrap_or(route.timeout);
+        Ok(Self {
+            service: service.clone(),
+            team: team.cloned(),
+            urgency: rules.urgency(route, team),
+            route: route.clone(),
+            fingerprint,
+            deadline: request.arrived + patience.min(route.timeout),
+            rules: Rc::clone(&rules),
+            _work: work,
+            caller,
+        })
+    }
+}
+
+/// A request on its way.
+struct RequestDriver<'a> {
+    state: &'a Rc<GatewayState>,
+    request: &'a ReceivedRequest,
+    prepared: &'a PreparedRequest,
+    progress: RequestProgress,
+    excluded: BTreeSet<BackendId>,
+    /// The failure that a backend server answered with, kept in case nothing better comes.
+    failure: Option<(ResponseHead, Vec<u8>)>,
+    /// Whether the caller was sent the head of an answer.
+    begun: bool,
+    counted: bool,
+    first: Option<TimeSpan>,
+    cutter: EventCutter,
+    last_backend: Option<BackendId>,
+}
+
+impl RequestDriver<'_> {
+    async fn run(&mut self, writer: &mut OwnedWriteHalf) -> ConnectionFate {
+        let service = &self.prepared.service;
+        self.state.with_budget(service, |budget| budget.earn());
+        loop {
+            let placement = match self.place() {
+                Ok(placement) => placement,
+                Err(refusal) => return self.give_up(refusal, writer).await,
+            };
+            self.progress.begin();
+            self.last_backend = Some(placement.backend.clone());
+            let begun = self.state.now();
+            let result = self.attempt(&placement).await;
+            let end = match result {
+                AttemptResult::Whole(head, body) => {
+                    self.log_attempt(&placement, begun, "answered");
+                    return self.deliver(&head, &body, writer).await;
+                }
+                AttemptResult::Stream(stream) => {
+                    match self.relay(*stream, &placement, writer).await {
+                        RelayEnd::Whole => {
+                            self.log_attempt(&placement, begun, "streamed");
+                            let keep = keeps_open(self.state, self.request);
+                            self.log_end(200, "streamed");
+                            return write(writer, CHUNK_END, keep).await;
+                        }
+                        RelayEnd::CallerLeft => {
+                            self.log_end(499, "the caller left");
+                            return ConnectionFate::Close;
+                        }
+                        RelayEnd::Broken(end, reason) => {
+                            self.log_attempt(&placement, begun, &reason);
+                            end
+                        }
+                    }
+                }
+                AttemptResult::Failed(head, body) => {
+                    self.log_attempt(&placement, begun, "backend server failed");
+                    self.count_run();
+                    self.failure = Some((head, body));
+                    AttemptEnd::Failed
+                }
+                AttemptResult::Ended(end, reason) => {
+                    self.log_attempt(&placement, begun, &reason);
+                    self.note_crash(end, &placement);
+                    end
+                }
+            };
+            self.excluded.insert(placement.backend);
+            match self.decide(end) {
+                NextStep::Again => {}
+                NextStep::Relay => {
+                    if let Some((head, body)) = self.failure.take() {
+                        return self.deliver(&head, &body, writer).await;
+                    }
+                }
+                NextStep::Refuse(refusal) => return self.give_up(refusal, writer).await,
+            }
+        }
+    }
+
+    fn place(&self) -> Result<Placement, CallRefusal> {
+        let now = self.state.now();
+        let request = PlacementRequest {
+            name: &self.prepared.caller.name,
+            service: &self.prepared.service,
+            prompt: self.prompt(),
+            excluded: &self.excluded,
+            time_left: self.prepared.deadline.since(now),
+        };
+        let table = self.state.table.borrow();
+        let domain = &self.state.settings.domain;
+        self.state.policy.choose(&table, &request, domain, now)
+    }
+
+    /// Returns the prompt where an engine serves the request.
+    fn prompt(&self) -> Option<&applefold_core::direct::PromptShape> {
+        let rule = self.prepared.rules.services.get(&self.prepared.service);
+        let engine = rule.is_some_and(|rule| rule.engine);
+        self.prepared.caller.prompt.as_ref().filter(|_| engine)
+    }
+
+    async fn attempt(&self, placement: &Placement) -> AttemptResult {
+        let runs = self.progress.runs;
+        let attempt = Attempt {
+            state: self.state,
+            request: self.request,
+            caller: &self.prepared.caller,
+            route: &self.prepared.route,
+            team: self.prepared.team.as_ref(),
+            urgency: self.prepared.urgency,
+            placement,
+            deadline: self.prepared.deadline,
+            others_left: runs + 1 < self.prepared.route.max_attempts,
+            last_event: self.cutter.last_event().map(SmolStr::as_str),
+        };
+        attempt.run().await
+    }
+
+    fn decide(&mut self, end: AttemptEnd) -> NextStep {
+        let limits = AttemptLimits {
+            max_runs: self.prepared.route.max_attempts,
+            max_sends: MAX_SENDS,
+            min_time: MIN_ATTEMPT_TIME,
+            retry_after: BUSY_RETRY,
+        };
+        let left = self.prepared.deadline.since(self.state.now());
+        let repeat = self.prepared.route.repeat;
+        let progress = &mut self.progress;
+        self.state.with_budget(&self.prepared.service, |budget| {
+            progress.decide(end, repeat, &limits, left, budget)
+        })
+    }
+
+    /// A request during which backend servers go away is suspected of it.
+    fn note_crash(&self, end: AttemptEnd, placement: &Placement) {
+        if end == AttemptEnd::Broken {
+            let running = [self.prepared.fingerprint];
+            let now = self.state.now();
+            let mut suspects = self.state.suspects.borrow_mut();
+            suspects.note_crash(now, &placement.backend, &running);
+        }
+    }
+
+    fn count_run(&mut self) {
+        if std::mem::replace(&mut self.counted, true) {
+            return;
+        }
+        if let Some(team) = &self.prepared.team {
+            let wall = TimeSpan(crate::logging::wall_micros());
+            self.state.counter.borrow_mut().count(team, wall);
+        }
+    }
+
+    async fn deliver(
+        &mut self,
+        head: &ResponseHead,
+        body: &[u8],
+        writer: &mut OwnedWriteHalf,
+    ) -> ConnectionFate {
+        if self.begun {
+            self.log_end(head.status, "the stream could not go on");
+            return ConnectionFate::Close;
+        }
+        self.count_run();
+        let now = self.state.now();
+        if head.status < 500 {
+            let mut suspects = self.state.suspects.borrow_mut();
+            suspects.note_completion(now, self.prepared.fingerprint);
+        }
+        let keep = keeps_open(self.state, self.request);
+        let mut bytes = Vec::with_capacity(body.len() + 512);
+        let framing = AnswerFraming::Length(body.len());
+        render_answer_head(head, framing, keep, &mut bytes);
+        bytes.extend_from_slice(body);
+        self.first = Some(now.since(self.request.arrived));
+        self.log_end(head.status, "answered");
+        write(writer, &bytes, keep).await
+    }
+
+    /// Passes events on as they come, until the stream ends or breaks.
+    async fn relay(
+        &mut self,
+        mut stream: OpenStream,
+        placement: &Placement,
+        writer: &mut OwnedWriteHalf,
+    ) -> RelayEnd {
+        let mut body = Vec::new();
+        let mut output = Vec::new();
+        loop {
+            let left = self.prepared.deadline.since(self.state.now());
+            let limit = std::time::Duration::from_micros(left.0);
+            body.clear();
+            let read = stream.connection.read_body(&mut stream.decoder, &mut body);
+            let done = match tokio::time::timeout(limit, read).await {
+                Ok(Ok(done)) => done,
+                Ok(Err(fault)) => {
+                    self.cutter.forget_part();
+                    return RelayEnd::Broken(AttemptEnd::Broken, fault.to_string());
+                }
+                Err(_) => {
+                    let reason = "the deadline passed".to_owned();
+                    return RelayEnd::Broken(AttemptEnd::TimedOut, reason);
+                }
+            };
+            output.clear();
+            let mut events = self.cutter.push(&body);
+            if done {
+                events.extend_from_slice(&self.cutter.finish());
+            }
+            if !events.is_empty() && !self.begun {
+                self.begin_stream(&stream, &mut output);
+            }
+            encode_chunk(&events, &mut output);
+            if !output.is_empty() && writer.write_all(&output).await.is_err() {
+                return RelayEnd::CallerLeft;
+            }
+            if done {
+                let now = self.state.now();
+                stream.flight.answered();
+                let pool = &self.state.pool;
+                pool.keep(&placement.backend, stream.connection, &stream.head, now);
+                let mut suspects = self.state.suspects.borrow_mut();
+                suspects.note_completion(now, self.prepared.fingerprint);
+                return RelayEnd::Whole;
+            }
+        }
+    }
+
+    fn begin_stream(&mut self, stream: &OpenStream, output: &mut Vec<u8>) {
+        self.begun = true;
+        self.count_run();
+        let span = self.state.now().since(self.request.arrived);
+        self.first = Some(span);
+        self.state.metrics.first_byte.record(span.as_secs_f64(), &[]);
+        let prompt = self.prepared.caller.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| prompt.parts.as_slice());
+        stream.flight.first_token(parts);
+        let keep = keeps_open(self.state, self.request);
+        render_answer_head(&stream.head, AnswerFraming::Chunked, keep, output);
+    }
+
+    async fn give_up(&mut self, refusal: CallRefusal, writer: &mut OwnedWriteHalf) -> ConnectionFate {
+        if self.begun {
+            self.log_end(refusal.code.status(), "the stream broke off");
+            return ConnectionFate::Close;
+        }
+        if let Some((head, body)) = self.failure.take() {
+            return self.deliver(&head, &body, writer).await;
+        }
+        let refusal = match self.progress.may_have_run() && refusal.retry_after.is_some() {
+            true => CallRefusal::lasting(ResultCode::OutcomeUnknown),
+            false => refusal,
+        };
+        let keep = keeps_open(self.state, self.request);
+        let mut bytes = Vec::new();
+        render_refusal(&refusal, Some(&self.prepared.caller.name), keep, &mut bytes);
+        self.log_end(refusal.code.status(), refusal.code.meaning());
+        write(writer, &bytes, keep).await
+    }
+
+    fn log_attempt(&self, placement: &Placement, begun: TimePoint, outcome: &str) {
+        let now = self.state.now();
+        let outcome_key = KeyValue::new("outcome", outcome.to_owned());
+        self.state.metrics.attempts.add(1, &[outcome_key]);
+        log::info!(request = self.prepared.caller.name.as_str(), attempt = self.progress.sends,
+            backend = placement.backend.as_str(), predicted_ms = placement.predicted.as_millis(),
+            uncached = placement.uncached.0, compared = placement.compared,
+            took_ms = now.since(begun).as_millis(),
+            left_ms = self.prepared.deadline.since(now).as_millis();
+            "attempt: {outcome}");
+    }
+
+    fn log_end(&self, status: u16, outcome: &str) {
+        count_request(self.state, status);
+        let took = self.state.now().since(self.request.arrived);
+        log::info!(request = self.prepared.caller.name.as_str(),
+            route = self.prepared.route.name.as_str(),
+            service = self.prepared.service.as_str(),
+            team = self.prepared.team.as_ref().map_or("", TeamId::as_str),
+            backend = self.last_backend.as_ref().map_or("", BackendId::as_str),
+            revision = self.prepared.rules.revision.0, status,
+            sends = self.progress.sends, runs = self.progress.runs,
+            first_ms = self.first.map_or(0, TimeSpan::as_millis), took_ms = took.as_millis();
+            "request ended: {outcome}");
+    }
+}
+
+/// How the relay of a stream ended.
+enum RelayEnd {
+    Whole,
+    CallerLeft,
+    Broken(AttemptEnd, String),
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/rules.rs
@@ -0,0 +1,102 @@
+//! Follows the operator's configuration.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::direct::RuleSet;
+use applefold_core::unit::{TimeSpan, TokenCount};
+use applefold_platform::{
+    read_rules, StoreCall, StoreError, StoreEvent, StoreItem, StoreReply, StoreRevision, CONFIG_KEY,
+};
+
+use super::state::GatewayState;
+
+/// How long one watch waits; a connection that went silent is found after it.
+const WATCH_WAIT: TimeSpan = TimeSpan::from_secs(2);
+/// The pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Keeps the rules at the newest revision, for as long as the process runs.
+pub(crate) async fn follow(state: Rc<GatewayState>) {
+    let mut known = None;
+    loop {
+        let step = match known {
+            None => read(&state).await,
+            Some(after) => watch(&state, after).await,
+        };
+        match step {
+            Ok(at) => known = Some(at),
+            Err(error) => {
+                if error == StoreError::Compacted {
+                    known = None;
+                }
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read(state: &GatewayState) -> Result<StoreRevision, StoreError> {
+    let call = StoreCall::Get(CONFIG_KEY.to_owned());
+    match state.store.call(&call).await? {
+        StoreReply::Item(Some(item)) => {
+            take_item(state, &item);
+            Ok(item.revision)
+        }
+        StoreReply::Item(None) => Err(StoreError::Lost("no configuration yet".into())),
+        other => Err(StoreError::Unreadable(format!("unexpected {other:?}"))),
+    }
+}
+
+async fn watch(state: &GatewayState, after: StoreRevision) -> Result<StoreRevision, StoreError> {
+    let call = StoreCall::Watch {
+        prefix: CONFIG_KEY.to_owned(),
+        after,
+        wait: WATCH_WAIT,
+    };
+    let StoreReply::Events(events, at) = state.store.call(&call).await? else {
+        return Err(StoreError::Unreadable("no events".into()));
+    };
+    for event in events {
+        match event {
+            StoreEvent::Written(item) if item.key == CONFIG_KEY => take_item(state, &item),
+            StoreEvent::Written(_) | StoreEvent::Removed(_) => {}
+        }
+    }
+    Ok(at.max(after))
+}
+
+fn take_item(state: &GatewayState, item: &StoreItem) {
+    let (rules, skipped) = match read_rules(&item.value) {
+        Ok(read) => read,
+        Err(error) => {
+            log::error!(revision = item.revision.0, error = error.to_string();
+                "configuration ignored");
+            return;
+        }
+    };
+    for one in skipped {
+        log::warn!(revision = rules.revision.0, name = one.name.as_str(), reason = one.reason;
+            "part of the configuration ignored");
+    }
+    install(state, rules);
+}
+
+/// Puts rules in force unless newer ones are.
+fn install(state: &GatewayState, rules: RuleSet) {
+    let current = state.revision();
+    if state.rules().is_some() && rules.revision <= current {
+        return;
+    }
+    for (id, service) in &rules.services {
+        let memory = TokenCount(service.memory_tokens);
+        if memory > TokenCount::ZERO {
+            state.table.borrow_mut().set_memory(id, memory);
+        }
+    }
+    state.metrics.revision.record(rules.revision.0, &[]);
+    log::info!(revision = rules.revision.0, before = current.0, routes = rules.routes.len(),
+        services = rules.services.len(), teams = rules.teams.len(), keys = rules.keys.len();
+        "configuration in force");
+    *state.rules.borrow_mut() = Some(Rc::new(rules));
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/state.rs
@@ -0,0 +1,202 @@
+//! What the tasks of an entry share; everything lives on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use applefold_core::code::ResultCode;
+use applefold_core::direct::{InstanceTable, PlacementPolicy, RuleSet, RunCounter, WindowSealer};
+use applefold_core::drain::{DrainOptions, DrainState};
+use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
+use applefold_core::id::{BackendId, Revision, ServiceId};
+use applefold_core::lease::HolderName;
+use applefold_core::quarantine::{CrashLedger, LedgerOptions};
+use applefold_core::retry::{RetryBudget, RetryPolicy};
+use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_platform::PlatformSettings;
+use tokio::sync::watch;
+
+use crate::clock::SuspendClock;
+use crate::gateway::duty::DutyLease;
+use crate::gateway::pool::BackendPool;
+use crate::gateway::store::StoreClient;
+use crate::metrics::MetricSet;
+
+/// The part of the common retry budget that the entries together plan to use, in
+/// percent; the rest covers entries that are replaced and begin with a full budget.
+const RETRY_PLAN_PERCENT: f64 = 70.0;
+/// Entries assumed until the list of entries has been read.
+const ASSUMED_ENTRIES: u64 = 12;
+/// The part of the grace period in which the balancer learns that the process stops.
+const LAME_DUCK_PERCENT: u64 = 40;
+/// How many usage windows an entry remembers.
+const KEPT_WINDOWS: u64 = 8;
+/// How long after a window's end every entry has told its counts, some after a failed try.
+const SETTLE_TIME: TimeSpan = TimeSpan::from_millis(2_000);
+/// A backend server may be idle for long, so silence alone says nothing here.
+const NO_SILENCE: TimeSpan = TimeSpan::from_secs(86_400);
+/// The longest pause before a backend server that failed is tried again.
+const MAX_PROBE_PAUSE: TimeSpan = TimeSpan::from_secs(4);
+
+/// What the tasks of an entry share.
+pub(crate) struct GatewayState {
+    pub(crate) settings: PlatformSettings,
+    pub(crate) clock: SuspendClock,
+    pub(crate) metrics: MetricSet,
+    /// Tells two runs of a process on one instance apart.
+    pub(crate) run: u64,
+    pub(crate) store: StoreClient,
+    pub(crate) pool: BackendPool,
+    pub(crate) policy: PlacementPolicy,
+    pub(crate) rules: RefCell<Option<Rc<RuleSet>>>,
+    pub(crate) table: RefCell<InstanceTable>,
+    /// Whether the list of backend servers has been read once.
+    pub(crate) listed: Cell<bool>,
+    pub(crate) drain: RefCell<DrainState>,
+    pub(crate) counter: RefCell<RunCounter>,
+    pub(crate) suspects: RefCell<CrashLedger>,
+    pub(crate) duty: DutyLease,
+    pub(crate) sealer: RefCell<WindowSealer>,
+    /// Tells idle connections of callers to close.
+    pub(crate) closing: watch::Sender<bool>,
+    health: RefCell<HealthTracker>,
+    budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
+    entries: Cell<u64>,
+}
+
+impl GatewayState {
+    pub(crate) fn new(settings: PlatformSettings) -> Self {
+        let metrics = MetricSet::start();
+        let clock = SuspendClock;
+        let drain = DrainOptions {
+            lame_duck: TimeSpan(settings.grace.0 * LAME_DUCK_PERCENT / 100),
+            refusal: ResultCode::InstanceDraining,
+        };
+        let health = HealthPolicy {
+            silence: NO_SILENCE,
+            max_probe: MAX_PROBE_PAUSE,
+            ..HealthPolicy::default()
+        };
+        let run = crate::logging::wall_micros() / 1_000;
+        let holder = HolderName::new(&settings.instance, run);
+        let sealer = WindowSealer::new(settings.usage_window, SETTLE_TIME, settings.usage_late);
+        Self {
+            run,
+            duty: DutyLease::new(holder, settings.lease),
+            sealer: RefCell::new(sealer),
+            closing: watch::Sender::new(false),
+            store: StoreClient::new(settings.store, clock, metrics.clone()),
+            pool: BackendPool::default(),
+            policy: PlacementPolicy::default(),
+            rules: RefCell::new(None),
+            table: RefCell::default(),
+            listed: Cell::new(false),
+            drain: RefCell::new(DrainState::new(drain)),
+            counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
+            suspects: RefCell::new(CrashLedger::new(LedgerOptions::default())),
+            health: RefCell::new(HealthTracker::new(health)),
+            budgets: RefCell::default(),
+            entries: Cell::new(ASSUMED_ENTRIES),
+            clock,
+            metrics,
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Returns the rules in force, if any are known.
+    pub(crate) fn rules(&self) -> Option<Rc<RuleSet>> {
+        self.rules.borrow().clone()
+    }
+
+    /// Returns the revision in force, for logs.
+    pub(crate) fn revision(&self) -> Revision {
+        let rules = self.rules.borrow();
+        rules.as_ref().map_or(Revision(0), |rules| rules.revision)
+    }
+
+    /// Returns whether the balancer should send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.rules.borrow().is_some() && self.listed.get() && !self.drain.borrow().is_stopping()
+    }
+
+    /// Notes how many entries there are, which divides the retry budget.
+    pub(crate) fn set_entries(&self, entries: u64) {
+        if self.entries.replace(entries.max(1)) != entries {
+            log::info!(entries; "number of entries changed");
+            self.budgets.borrow_mut().clear();
+        }
+    }
+
+    /// Lets `act` use the retry budget of a service.
+    pub(crate) fn with_budget<T, F>(&self, service: &ServiceId, act: F) -> T
+    where
+        F: FnOnce(&mut RetryBudget) -> T,
+    {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone());
+        act(budget.or_insert_with(|| RetryBudget::new(self.retry_policy())))
+    }
+
+    fn retry_policy(&self) -> RetryPolicy {
+        let plan = RETRY_PLAN_PERCENT / 100.0;
+        let share = self.settings.retry_ratio * plan * 1_000.0;
+        let burst = self.settings.retry_slack as f64 * plan / self.entries.get() as f64;
+        RetryPolicy {
+            share_permille: share as u64,
+            burst: (burst as u64).max(1),
+            ..RetryPolicy::default()
+        }
+    }
+
+    /// Begins to follow the health of a backend server.
+    pub(crate) fn watch_health(&self, id: &BackendId, service: &ServiceId) {
+        let Ok(pool) = service.as_str().parse() else {
+            log::warn!(backend = id.as_str(); "the service's name cannot name a pool");
+            return;
+        };
+        self.health.borrow_mut().add(id.clone(), pool, self.now());
+    }
+
+    /// Forgets the health of a backend server.
+    pub(crate) fn forget_health(&self, id: &BackendId) {
+        let action = self.health.borrow_mut().remove(id);
+        self.act_on_health(action);
+    }
+
+    /// Takes in what an attempt showed of a backend server.
+    pub(crate) fn note_health(&self, id: &BackendId, sample: HealthSample) {
+        let action = self.health.borrow_mut().record(id, sample, self.now());
+        self.act_on_health(action);
+    }
+
+    /// Does what is timed about health.
+    pub(crate) fn tick_health(&self) {
+        let actions = self.health.borrow_mut().tick(self.now());
+        for action in actions {
+            self.act_on_health(Some(action));
+        }
+        self.suspects.borrow_mut().tick(self.now());
+    }
+
+    /// A probe is the next request that falls to the backend server.
+    fn act_on_health(&self, action: Option<HealthAction>) {
+        let Some(action) = action else {
+            return;
+        };
+        let (id, left_out, text) = match &action {
+            HealthAction::LeaveOut(id, _) => (id, true, "backend server is left out"),
+            HealthAction::Probe(id) => (id, false, "backend server is tried again"),
+            HealthAction::TakeBack(id) => (id, false, "backend server is taken back"),
+        };
+        let reason = match &action {
+            HealthAction::LeaveOut(_, reason) => format!("{reason:?}"),
+            HealthAction::Probe(_) | HealthAction::TakeBack(_) => String::new(),
+        };
+        log::info!(backend = id.as_str(), reason; "{text}");
+        self.table.borrow_mut().set_left_out(id, left_out);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/store.rs
@@ -0,0 +1,127 @@
+//! The one client of the platform's store.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_platform::{StoreCall, StoreError, StoreReply};
+use opentelemetry::KeyValue;
+
+use super::connection::{ClientConnection, ConnectionFault};
+use crate::clock::SuspendClock;
+use crate::metrics::MetricSet;
+
+/// How long a connection to the store may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long an answer may take besides what the call itself waits for.
+const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_500);
+/// The most connections kept for calls.
+const MAX_IDLE: usize = 4;
+
+/// What is known of the store's own state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StoreStanding {
+    Unknown,
+    Answering,
+    Failing,
+}
+
+/// Calls the store, and notes when it is lost and regained.
+pub(crate) struct StoreClient {
+    address: SocketAddr,
+    clock: SuspendClock,
+    metrics: MetricSet,
+    idle: RefCell<Vec<ClientConnection>>,
+    standing: Cell<StoreStanding>,
+    changed_at: Cell<TimePoint>,
+}
+
+impl StoreClient {
+    pub(crate) fn new(address: SocketAddr, clock: SuspendClock, metrics: MetricSet) -> Self {
+        Self {
+            address,
+            clock,
+            metrics,
+            idle: RefCell::default(),
+            standing: Cell::new(StoreStanding::Unknown),
+            changed_at: Cell::new(clock.now()),
+        }
+    }
+
+    /// Returns whether the store has answered without a failure for `span`.
+    pub(crate) fn is_steady(&self, span: TimeSpan) -> bool {
+        self.standing.get() == StoreStanding::Answering
+            && self.clock.now().since(self.changed_at.get()) >= span
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`StoreError::Lost`] where no answer came; a change may then have been made.
+    pub(crate) async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        let kind = KeyValue::new("call", call.kind());
+        self.metrics.platform_calls.add(1, &[kind]);
+        let wait = match call {
+            StoreCall::Watch { wait, .. } => *wait,
+            _ => TimeSpan::ZERO,
+        };
+        let limit = Duration::from_micros((wait + CALL_TIMEOUT).0);
+        let result = tokio::time::timeout(limit, self.exchange(call)).await;
+        let result = result.unwrap_or_else(|_| Err(StoreError::Lost("it took too long".into())));
+        self.note(call, &result);
+        result
+    }
+
+    async fn exchange(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        let lost = |fault: ConnectionFault| StoreError::Lost(fault.to_string());
+        let mut connection = match self.take() {
+            Some(connection) => connection,
+            None => ClientConnection::open(self.address, CONNECT_TIMEOUT)
+                .await
+                .map_err(|error| StoreError::Lost(error.to_string()))?,
+        };
+        connection.send(&call.render()).await.map_err(lost)?;
+        let head = connection.read_head().await.map_err(lost)?;
+        let body = connection.read_whole(&head).await.map_err(lost)?;
+        if head.keep_alive && self.idle.borrow().len() < MAX_IDLE {
+            self.idle.borrow_mut().push(connection);
+        }
+        call.read(head.status, &body)
+    }
+
+    fn take(&self) -> Option<ClientConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(mut connection) = idle.pop() {
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn note(&self, call: &StoreCall, result: &Result<StoreReply, StoreError>) {
+        let standing = match result {
+            Ok(_) | Err(StoreError::Compacted) => StoreStanding::Answering,
+            Err(_) => StoreStanding::Failing,
+        };
+        if let Err(error) = result {
+            self.idle.borrow_mut().clear();
+            log::debug!(call = call.kind(), error = error.to_string(); "store call failed");
+        }
+        let before = self.standing.replace(standing);
+        if before == standing {
+            return;
+        }
+        let since_ms = self.clock.now().since(self.changed_at.get()).as_millis();
+        self.changed_at.set(self.clock.now());
+        match result {
+            Err(error) if standing == StoreStanding::Failing => {
+                log::warn!(call = call.kind(), error = error.to_string(), answered_ms = since_ms;
+                    "store lost");
+            }
+            _ => log::info!(call = call.kind(), failed_ms = since_ms; "store reached"),
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod cmd;
 mod drain;
 mod entry;
+mod gateway;
 mod http;
 mod link;
 mod logging;
