Tell other entries what was sent to each engine

Cause: each entry saw a sixth of the load only, so it sent to engines whose queue it could not see, and callers left unanswered. Ruled out: engines that shed; the arrivals counted as rejected were of callers that had left while their request waited. Change: datagrams between entries with flights and prompt tokens per engine; prompts read apart on prefill engines; rates learned from first tokens, also from those that never came.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::direct::PromptPart;
-use crate::id::{BackendId, DomainId, ServiceId};
+use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
 
@@ -19,8 +19,20 @@
 const MIN_RATE_TOKENS: TokenCount = TokenCount(512);
 /// The memory assumed of an engine whose service does not state it.
 const DEFAULT_MEMORY: TokenCount = TokenCount(262_144);
-/// Prompt tokens per second assumed before the first answer; slow, so that a new engine is not flooded.
-const DEFAULT_PREFILL_RATE: u64 = 20_000;
+/// Prompt tokens per second assumed of an engine that reads prompts only, before its first answer.
+const PREFILL_RATE: u64 = 60_000;
+/// The same of an engine that reads prompts between the tokens of answers.
+const MIXED_RATE: u64 = 20_000;
+/// Bounds of what is learned, in prompt tokens per second, so that one odd sample does not
+/// put an engine out of use or draw everything to it.
+const SLOWEST_RATE: u64 = 2_000;
+const FASTEST_RATE: u64 = 400_000;
+/// The shortest time that a rate is learned from.
+const SHORTEST_WORK: TimeSpan = TimeSpan::from_millis(2);
+/// The oldest load of a peer that is believed.
+const PEER_AGE: TimeSpan = TimeSpan::from_millis(1_500);
+/// How long an engine that turned a request away is left alone.
+const FULL_TIME: TimeSpan = TimeSpan::from_millis(150);
 /// The time to a first token of an empty prompt assumed before the first answer.
 const DEFAULT_FIRST_TIME: TimeSpan = TimeSpan::from_millis(40);
 
@@ -80,10 +92,21 @@
     pub sent_at: TimePoint,
     /// Prompt tokens that it was expected to compute.
     pub uncached: TokenCount,
+    /// Prompt tokens of others that were to be computed before.
+    pub ahead: TokenCount,
     /// Whether its first token has come.
     pub answering: bool,
 }
 
+/// What another entry has sent to a backend server and not had answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// Its requests there.
+    pub flights: u32,
+    /// Prompt tokens of those whose first token has not come.
+    pub backlog: TokenCount,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct HeldPart {
     tokens: TokenCount,
@@ -100,24 +123,32 @@
     /// The last stated load, and when it came.
     pub load: Option<(LoadSample, TimePoint)>,
     flights: BTreeMap<FlightId, FlightNote>,
+    peers: BTreeMap<InstanceId, (PeerLoad, TimePoint)>,
     parts: BTreeMap<SmolStr, HeldPart>,
     memory: TokenCount,
     first_time: TimeSpan,
     prefill_rate: u64,
     call_time: TimeSpan,
+    full_until: TimePoint,
 }
 
 impl InstanceRow {
     fn new(spec: InstanceSpec) -> Self {
+        let prefill_rate = match spec.role {
+            BackendRole::Prefill => PREFILL_RATE,
+            BackendRole::Both | BackendRole::Decode | BackendRole::Plain => MIXED_RATE,
+        };
         Self {
             spec,
             left_out: false,
             load: None,
             flights: BTreeMap::new(),
+            peers: BTreeMap::new(),
             parts: BTreeMap::new(),
             memory: DEFAULT_MEMORY,
             first_time: DEFAULT_FIRST_TIME,
-            prefill_rate: DEFAULT_PREFILL_RATE,
+            prefill_rate,
+            full_until: TimePoint::START,
             call_time: DEFAULT_FIRST_TIME,
         }
     }
@@ -127,10 +158,42 @@
         self.flights.len()
     }
 
-    /// Returns the prompt tokens of this entry's requests whose first token has not come.
-    pub fn backlog(&self) -> TokenCount {
+    /// Returns the requests that compete for the backend server, those of peers included.
+    pub fn competing(&self, now: TimePoint) -> u64 {
+        let peers = self.fresh_peers(now).map(|load| u64::from(load.flights));
+        self.flights.len() as u64 + peers.sum::<u64>()
+    }
+
+    /// Returns what this entry itself has sent and not had answered.
+    pub fn own_load(&self) -> PeerLoad {
         let waiting = self.flights.values().filter(|flight| !flight.answering);
-        waiting.map(|flight| flight.uncached).sum()
+        PeerLoad {
+            flights: self.flights.len() as u32,
+            backlog: waiting.map(|flight| flight.uncached).sum(),
+        }
+    }
+
+    fn fresh_peers(&self, now: TimePoint) -> impl Iterator<Item = PeerLoad> + '_ {
+        let peers = self.peers.values();
+        let fresh = peers.filter(move |(_, at)| now.since(*at) <= PEER_AGE);
+        fresh.map(|(load, _)| *load)
+    }
+
+    /// Returns until when the backend server is left alone after it turned a request away.
+    pub fn full_until(&self) -> TimePoint {
+        self.full_until
+    }
+
+    /// Returns whether the backend server has just turned a request away.
+    pub fn is_full(&self, now: TimePoint) -> bool {
+        self.full_until > now
+    }
+
+    /// Returns the prompt tokens of requests whose first token has not come, those of
+    /// peers included.
+    pub fn backlog(&self, now: TimePoint) -> TokenCount {
+        let peers = self.fresh_peers(now).map(|load| load.backlog);
+        self.own_load().backlog + peers.sum()
     }
 
     /// Returns the tokens of `parts` that the backend server is believed to hold.
@@ -179,16 +242,36 @@
         }
     }
 
-    fn learn(&mut self, flight: FlightNote, ahead: TokenCount, now: TimePoint) {
+    /// Learns from a first token that has come.
+    fn learn(&mut self, flight: FlightNote, now: TimePoint) {
         let span = now.since(flight.sent_at);
-        let tokens = flight.uncached + ahead;
-        if tokens < MIN_RATE_TOKENS {
+        if flight.uncached + flight.ahead < MIN_RATE_TOKENS {
             self.first_time = TimeSpan(blend(self.first_time.0, span.0));
             return;
         }
-        let work = span.saturating_sub(self.first_time).0.max(1_000);
-        let rate = tokens.0 * 1_000_000 / work;
-        self.prefill_rate = blend(self.prefill_rate, rate).max(1);
+        if let Some(rate) = self.rate_of(flight, span) {
+            self.prefill_rate = blend(self.prefill_rate, rate);
+        }
+    }
+
+    /// Learns from a first token that had not come when it was no longer waited for:
+    /// the engine is no faster than that.
+    fn learn_missing(&mut self, flight: FlightNote, now: TimePoint) {
+        let span = now.since(flight.sent_at);
+        let rate = self.rate_of(flight, span);
+        if let Some(rate) = rate.filter(|rate| *rate < self.prefill_rate) {
+            self.prefill_rate = blend(self.prefill_rate, rate);
+        }
+    }
+
+    /// Returns the prompt tokens per second that a first token after `span` tells of.
+    fn rate_of(&self, flight: FlightNote, span: TimeSpan) -> Option<u64> {
+        let tokens = flight.uncached + flight.ahead;
+        if tokens < MIN_RATE_TOKENS {
+            return None;
+        }
+        let work = span.saturating_sub(self.first_time).max(SHORTEST_WORK);
+        Some((tokens.0 * 1_000_000 / work.0).clamp(SLOWEST_RATE, FASTEST_RATE))
     }
 }
 
@@ -281,6 +364,38 @@
         }
     }
 
+    /// Takes in what a peer has sent to each backend server; what it does not name is idle.
+    pub fn note_peer(
+        &mut self,
+        peer: &InstanceId,
+        loads: &BTreeMap<BackendId, PeerLoad>,
+        now: TimePoint,
+    ) {
+        for (id, row) in &mut self.rows {
+            match loads.get(id) {
+                Some(load) => {
+                    row.peers.insert(peer.clone(), (*load, now));
+                }
+                None => {
+                    row.peers.remove(peer);
+                }
+            }
+        }
+    }
+
+    /// Returns what this entry has sent to each backend server and not had answered.
+    pub fn own_loads(&self) -> BTreeMap<BackendId, PeerLoad> {
+        let rows = self.rows.iter().filter(|(_, row)| !row.flights.is_empty());
+        rows.map(|(id, row)| (id.clone(), row.own_load())).collect()
+    }
+
+    /// Notes that a backend server has turned a request away.
+    pub fn note_full(&mut self, id: &BackendId, now: TimePoint) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.full_until = now + FULL_TIME;
+        }
+    }
+
     /// Notes that a request is being sent.
     pub fn begin(
         &mut self,
@@ -294,6 +409,7 @@
         let note = FlightNote {
             sent_at: now,
             uncached,
+            ahead: row.backlog(now),
             answering: false,
         };
         row.flights.insert(flight, note);
@@ -312,10 +428,7 @@
         };
         note.answering = true;
         let note = *note;
-        let earlier = row.flights.values();
-        let earlier = earlier.filter(|one| !one.answering && one.sent_at < note.sent_at);
-        let ahead = earlier.map(|one| one.uncached).sum();
-        row.learn(note, ahead, now);
+        row.learn(note, now);
         row.hold(parts, now);
     }
 
@@ -327,9 +440,13 @@
         let Some(row) = self.rows.get_mut(&id) else {
             return;
         };
-        if let Some(note) = row.flights.remove(&flight).filter(|_| answered) {
-            let span = now.since(note.sent_at);
-            row.call_time = TimeSpan(blend(row.call_time.0, span.0));
+        match row.flights.remove(&flight) {
+            Some(note) if answered => {
+                let span = now.since(note.sent_at);
+                row.call_time = TimeSpan(blend(row.call_time.0, span.0));
+            }
+            Some(note) if !note.answering => row.learn_missing(note, now),
+            Some(_) | None => {}
         }
     }
 
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -17,9 +17,11 @@
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
 pub use instance::{
-    FlightId, FlightNote, InstanceChange, InstanceRow, InstanceSpec, InstanceTable, LoadSample,
+    FlightId, FlightNote, InstanceChange, InstanceRow, InstanceSpec, InstanceTable, LoadSample, PeerLoad,
+};
+pub use placement::{
+    Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork,
 };
-pub use placement::{Placement, PlacementPolicy, PlacementRequest};
 pub use prompt::{PromptPart, PromptShape};
 pub use rule::{
     CallerLimits, RepeatRule, RouteRule, RuleSet, ServiceRule, ServiceShare, TeamRule,
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -20,8 +20,15 @@
     pub load_age: TimeSpan,
     /// What each waiting request of others costs, as prompt tokens.
     pub waiting_tokens: TokenCount,
+    /// What each request that generates beside a new one adds to its time.
+    pub beside_cost: TimeSpan,
+    /// What reading a prompt apart costs besides its time: a second call, and the
+    /// movement of the KV cache.
+    pub handoff_cost: TimeSpan,
     /// How soon a caller may return where nothing serves the request.
     pub missing_retry: TimeSpan,
+    /// How often its objective a first token may take before it is better refused.
+    pub late_objectives: u64,
 }
 
 impl Default for PlacementPolicy {
@@ -31,11 +38,25 @@
             homes: 2,
             load_age: TimeSpan::from_millis(400),
             waiting_tokens: TokenCount(600),
+            beside_cost: TimeSpan::from_millis(1),
+            handoff_cost: TimeSpan::from_millis(15),
             missing_retry: TimeSpan::from_millis(500),
+            late_objectives: 4,
         }
     }
 }
 
+/// The part of a request's work that is to be placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementStage<'a> {
+    /// All of it; its prompt may be read apart.
+    Open,
+    /// All of it, at one backend server.
+    Whole,
+    /// The answer alone, from a KV cache that lies in this failure domain.
+    Answer(&'a DomainId),
+}
+
 /// A request to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -45,10 +66,23 @@
     pub service: &'a ServiceId,
     /// The prompt; `None` for a plain call.
     pub prompt: Option<&'a PromptShape>,
+    /// The part of the work that is to be placed.
+    pub stage: PlacementStage<'a>,
     /// Backend servers that have failed it.
     pub excluded: &'a BTreeSet<BackendId>,
     /// The time left until the answer, or its first event, is of no use.
     pub time_left: TimeSpan,
+    /// The time within which the answer, or its first event, is on time.
+    pub objective: TimeSpan,
+}
+
+/// What a backend server is asked to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementWork {
+    /// The request, or the rest of it.
+    Run,
+    /// Reading the prompt, for another engine to answer from.
+    Prefill,
 }
 
 /// Where a request goes, with what the choice was made on.
@@ -56,6 +90,8 @@
 pub struct Placement {
     /// The backend server.
     pub backend: BackendId,
+    /// What it is asked to do.
+    pub work: PlacementWork,
     /// The predicted time to the answer or its first token.
     pub predicted: TimeSpan,
     /// Prompt tokens that are to be computed there.
@@ -64,12 +100,21 @@
     pub compared: usize,
 }
 
+/// A backend server that was looked at.
+struct Candidate<'a> {
+    row: &'a InstanceRow,
+    work: PlacementWork,
+    cost: TimeSpan,
+    uncached: TokenCount,
+}
+
 impl PlacementPolicy {
     /// Chooses the backend server with the least predicted time.
     ///
     /// # Errors
     ///
-    /// Refuses with [`ResultCode::BackendMissing`] where none may be used, and
+    /// Refuses with [`ResultCode::BackendMissing`] where none may be used, with
+    /// [`ResultCode::BackendBusy`] where all of them have just turned requests away, and
     /// with [`ResultCode::DeadlineHopeless`] where none would be in time.
     pub fn choose(
         &self,
@@ -79,37 +124,139 @@
         now: TimePoint,
     ) -> Result<Placement, CallRefusal> {
         let listed: Vec<&InstanceRow> = table.of_service(request.service).collect();
-        let usable = listed.iter().copied().filter(|row| may_take(row, request));
-        let mut rows: Vec<&InstanceRow> = usable.clone().filter(|row| !row.left_out).collect();
+        let rows = self.usable(&listed, request, now)?;
+        let mut candidates = self.runs(&rows, request, domain, now);
+        if request.stage == PlacementStage::Open {
+            let handoff = candidates.iter().map(|one| one.row.first_time()).min();
+            if let Some(handoff) = handoff {
+                let prefills = self.prefills(&listed, request, handoff, now);
+                candidates.extend(prefills);
+            }
+        }
+        let compared = candidates.len();
+        let best = candidates.into_iter().min_by_key(|one| {
+            let tie = NameRank::of(request.name, one.row.spec.id.as_str());
+            (one.cost, one.row.competing(now), tie)
+        });
+        let Some(best) = best else {
+            return Err(self.missing());
+        };
+        self.check_time(best.cost, request)?;
+        Ok(Placement {
+            backend: best.row.spec.id.clone(),
+            work: best.work,
+            predicted: best.cost,
+            uncached: best.uncached,
+            compared,
+        })
+    }
+
+    fn missing(&self) -> CallRefusal {
+        CallRefusal::passing(ResultCode::BackendMissing, self.missing_retry)
+    }
+
+    /// Refuses what would be answered too late to be of use, with the time until it would not.
+    fn check_time(
+        &self,
+        predicted: TimeSpan,
+        request: &PlacementRequest<'_>,
+    ) -> Result<(), CallRefusal> {
+        let late = TimeSpan(request.objective.0 * self.late_objectives);
+        let most = match request.prompt {
+            Some(_) => request.time_left.min(late),
+            None => request.time_left,
+        };
+        if predicted <= most {
+            return Ok(());
+        }
+        let wait = predicted.saturating_sub(request.objective);
+        Err(CallRefusal::passing(ResultCode::DeadlineHopeless, wait))
+    }
+
+    /// Returns the backend servers that may run the request; health counts only
+    /// while it leaves any.
+    fn usable<'a>(
+        &self,
+        listed: &[&'a InstanceRow],
+        request: &PlacementRequest<'_>,
+        now: TimePoint,
+    ) -> Result<Vec<&'a InstanceRow>, CallRefusal> {
+        let all = listed.iter().copied();
+        let may: Vec<&InstanceRow> = all.filter(|row| may_run(row, request)).collect();
+        let healthy: Vec<&InstanceRow> =
+            may.iter().copied().filter(|row| !row.left_out).collect();
+        let rows = if healthy.is_empty() { may } else { healthy };
         if rows.is_empty() {
-            rows = usable.collect();
+            return Err(self.missing());
         }
-        let homes = self.homes_of(&rows, request);
-        let compared = rows.len();
-        let candidates = rows.into_iter().map(|row| {
-            let (predicted, uncached) = self.predict(row, request, &homes, now);
-            let far = match row.spec.domain == *domain {
+        let open: Vec<&InstanceRow> =
+            rows.iter().copied().filter(|row| !row.is_full(now)).collect();
+        if !open.is_empty() {
+            return Ok(open);
+        }
+        let soonest = rows.iter().map(|row| row.full_until().since(now)).min();
+        let wait = soonest.unwrap_or(self.missing_retry);
+        Err(CallRefusal::passing(ResultCode::BackendBusy, wait))
+    }
+
+    fn runs<'a>(
+        &self,
+        rows: &[&'a InstanceRow],
+        request: &PlacementRequest<'_>,
+        domain: &DomainId,
+        now: TimePoint,
+    ) -> Vec<Candidate<'a>> {
+        let homes = self.homes_of(rows, request);
+        let near = match request.stage {
+            PlacementStage::Answer(domain) => domain,
+            PlacementStage::Open | PlacementStage::Whole => domain,
+        };
+        let candidates = rows.iter().map(|row| {
+            let far = match row.spec.domain == *near {
                 true => TimeSpan::ZERO,
                 false => self.domain_cost,
             };
-            let tie = NameRank::of(request.name, row.spec.id.as_str());
-            (predicted + far, row.in_flight(), tie, row, uncached)
+            let (time, uncached) = self.predict(row, request, &homes, now);
+            Candidate {
+                row,
+                work: PlacementWork::Run,
+                cost: time + far,
+                uncached,
+            }
         });
-        let best = candidates.min_by_key(|(cost, flights, tie, _, _)| (*cost, *flights, *tie));
-        let Some((predicted, _, _, row, uncached)) = best else {
-            let code = ResultCode::BackendMissing;
-            return Err(CallRefusal::passing(code, self.missing_retry));
+        candidates.collect()
+    }
+
+    /// Returns the engines that may read the prompt apart.
+    fn prefills<'a>(
+        &self,
+        listed: &[&'a InstanceRow],
+        request: &PlacementRequest<'_>,
+        handoff: TimeSpan,
+        now: TimePoint,
+    ) -> Vec<Candidate<'a>> {
+        let Some(prompt) = request.prompt else {
+            return Vec::new();
         };
-        if predicted > request.time_left {
-            let wait = predicted.saturating_sub(request.time_left);
-            return Err(CallRefusal::passing(ResultCode::DeadlineHopeless, wait));
-        }
-        Ok(Placement {
-            backend: row.spec.id.clone(),
-            predicted,
-            uncached,
-            compared,
-        })
+        let usable = listed.iter().copied().filter(|row| {
+            row.spec.role == BackendRole::Prefill
+                && may_take(row, request)
+                && !row.left_out
+                && !row.is_full(now)
+        });
+        let rows: Vec<&InstanceRow> = usable.collect();
+        let homes = self.homes_of(&rows, request);
+        let candidates = rows.iter().map(|row| {
+            let uncached = self.uncached(row, prompt, &homes);
+            let read = row.first_time() + row.time_for(uncached + self.ahead(row, now));
+            Candidate {
+                row,
+                work: PlacementWork::Prefill,
+                cost: read + handoff + self.handoff_cost,
+                uncached,
+            }
+        });
+        candidates.collect()
     }
 
     /// Returns the engines that every entry expects to hold the request's shared parts.
@@ -134,38 +281,67 @@
         homes: &BTreeSet<BackendId>,
         now: TimePoint,
     ) -> (TimeSpan, TokenCount) {
-        let load = row.fresh_load(now, self.load_age);
         let Some(prompt) = request.prompt else {
-            return (predict_call(row, load.map_or(0, |load| load.waiting)), TokenCount::ZERO);
+            return (self.predict_call(row, now), TokenCount::ZERO);
         };
+        let uncached = match request.stage {
+            PlacementStage::Answer(_) => TokenCount::ZERO,
+            PlacementStage::Open | PlacementStage::Whole => self.uncached(row, prompt, homes),
+        };
+        let beside = TimeSpan(self.beside_cost.0 * row.competing(now));
+        let read = row.time_for(uncached + self.ahead(row, now));
+        (row.first_time() + read + beside + overflow(row, now), uncached)
+    }
+
+    fn uncached(
+        &self,
+        row: &InstanceRow,
+        prompt: &PromptShape,
+        homes: &BTreeSet<BackendId>,
+    ) -> TokenCount {
         let mut cached = row.cached(&prompt.parts);
         if homes.contains(&row.spec.id) {
             let shared = prompt.shared().iter().map(|part| part.tokens).sum();
             cached = cached.max(shared);
         }
-        let uncached = prompt.prompt_tokens.saturating_sub(cached);
-        let others = load.map_or(0, |load| u64::from(load.waiting));
-        let ahead = row.backlog() + TokenCount(others * self.waiting_tokens.0);
-        (row.first_time() + row.time_for(uncached + ahead), uncached)
+        prompt.prompt_tokens.saturating_sub(cached)
+    }
+
+    /// Returns the prompt tokens that are read before a new request's.
+    fn ahead(&self, row: &InstanceRow, now: TimePoint) -> TokenCount {
+        let load = row.fresh_load(now, self.load_age);
+        let waiting = load.map_or(0, |load| u64::from(load.waiting));
+        let stated = TokenCount(waiting * self.waiting_tokens.0);
+        row.backlog(now).max(stated)
+    }
+
+    fn predict_call(&self, row: &InstanceRow, now: TimePoint) -> TimeSpan {
+        let load = row.fresh_load(now, self.load_age);
+        let waiting = load.map_or(0, |load| u64::from(load.waiting));
+        let ahead = row.competing(now).max(waiting);
+        let slots = u64::from(row.spec.slots.max(1));
+        TimeSpan(row.call_time().0 + row.call_time().0 * ahead / slots)
     }
 }
 
-fn predict_call(row: &InstanceRow, waiting: u32) -> TimeSpan {
+/// Returns the wait for a place where more requests are sent than run at once.
+fn overflow(row: &InstanceRow, now: TimePoint) -> TimeSpan {
     let slots = u64::from(row.spec.slots.max(1));
-    let ahead = (row.in_flight() as u64).max(u64::from(waiting));
-    TimeSpan(row.call_time().0 + row.call_time().0 * ahead / slots)
+    let excess = (row.competing(now) + 1).saturating_sub(slots);
+    TimeSpan(row.call_time().0 * excess / slots)
 }
 
+/// Returns whether a backend server may be sent any part of a request.
 fn may_take(row: &InstanceRow, request: &PlacementRequest<'_>) -> bool {
     if row.spec.draining || request.excluded.contains(&row.spec.id) {
         return false;
     }
-    match request.prompt {
-        None => true,
-        Some(prompt) => {
-            let models = &row.spec.models;
-            let loaded = models.is_empty() || models.contains(&prompt.model);
-            loaded && row.spec.role != BackendRole::Prefill
-        }
-    }
+    let models = &row.spec.models;
+    let model = request.prompt.map(|prompt| &prompt.model);
+    model.is_none_or(|model| models.is_empty() || models.contains(model))
+}
+
+fn may_run(row: &InstanceRow, request: &PlacementRequest<'_>) -> bool {
+    let engine = request.prompt.is_some();
+    may_take(row, request) && !(engine && row.spec.role == BackendRole::Prefill)
 }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -10,7 +10,9 @@
 use applefold_core::id::TeamId;
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_h1::{BodyDecoder, ResponseHead};
-use applefold_platform::{render_attempt, AttemptFields, BackendAnswer, CallerRequest};
+use applefold_platform::{
+    read_prefill, render_attempt, AttemptFields, AttemptWork, BackendAnswer, CallerRequest, KvHandle,
+};
 use smol_str::SmolStr;
 
 use super::accept::ReceivedRequest;
@@ -18,6 +20,8 @@
 use super::connection::{ClientConnection, ConnectionFault};
 use super::state::GatewayState;
 
+/// How an attempt ends that should have read a prompt.
+const NOT_READ: AttemptEnd = AttemptEnd::NotRun { misdirected: false };
 /// How long a connection to a backend server may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How often its objective a request that may be repeated waits for a silent backend server.
@@ -41,6 +45,8 @@
     Stream(Box<OpenStream>),
     /// A whole answer that says that the backend server failed.
     Failed(ResponseHead, Vec<u8>),
+    /// The prompt has been read, and its KV cache is kept.
+    Prefilled(KvHandle),
     /// No answer, and why.
     Ended(AttemptEnd, SmolStr),
 }
@@ -57,6 +63,8 @@
     pub(crate) deadline: TimePoint,
     /// Whether another backend server may still be asked.
     pub(crate) others_left: bool,
+    /// The part of the work that is asked for.
+    pub(crate) work: AttemptWork<'a>,
     /// The last event that the caller was sent.
     pub(crate) last_event: Option<&'a str>,
 }
@@ -78,7 +86,12 @@
             AttemptResult::Ended(end, SmolStr::new_static("no answer in time"))
         });
         self.note_health(&result);
-        result
+        match (result, self.work) {
+            (AttemptResult::Ended(_, reason), AttemptWork::Prefill) => {
+                AttemptResult::Ended(NOT_READ, reason)
+            }
+            (result, _) => result,
+        }
     }
 
     /// A backend server that says nothing is left for another one where that is allowed.
@@ -110,7 +123,8 @@
             let mut table = self.state.table.borrow_mut();
             table.note_load(&self.placement.backend, load, now);
         }
-        if self.route.repeat.is_stream() && head.status == 200 && answer.stamped {
+        let prefill = matches!(self.work, AttemptWork::Prefill);
+        if self.route.repeat.is_stream() && head.status == 200 && answer.stamped && !prefill {
             let decoder = BodyDecoder::new(head.framing);
             return AttemptResult::Stream(Box::new(OpenStream {
                 connection,
@@ -137,11 +151,18 @@
         let now = self.state.now();
         self.state.pool.keep(&self.placement.backend, connection, &head, now);
         if answer.not_run {
+            if !answer.misdirected {
+                let mut table = self.state.table.borrow_mut();
+                table.note_full(&self.placement.backend, now);
+            }
             let end = AttemptEnd::NotRun {
                 misdirected: answer.misdirected,
             };
             return ended(end, format!("refused with status {}", head.status));
         }
+        if matches!(self.work, AttemptWork::Prefill) {
+            return self.take_prefill(&head, &body, &flight);
+        }
         let whole = answer.stamped && !answer.encoded;
         match head.status {
             200..=299 if whole => {
@@ -154,6 +175,29 @@
         }
     }
 
+    /// Reading a prompt runs nothing for the caller, so whatever fails here has not run.
+    fn take_prefill(
+        &self,
+        head: &ResponseHead,
+        body: &[u8],
+        flight: &FlightGuard,
+    ) -> AttemptResult {
+        let address = {
+            let table = self.state.table.borrow();
+            table.get(&self.placement.backend).map(|row| row.spec.address)
+        };
+        let handle = address.and_then(|address| read_prefill(address, body));
+        match handle.filter(|_| head.status == 200) {
+            Some(handle) => {
+                let prompt = self.caller.prompt.as_ref();
+                let parts = prompt.map_or(&[][..], |prompt| prompt.parts.as_slice());
+                flight.first_token(parts);
+                AttemptResult::Prefilled(handle)
+            }
+            None => ended(NOT_READ, format!("prompt not read, status {}", head.status)),
+        }
+    }
+
     async fn connect(&self) -> io::Result<ClientConnection> {
         let id = &self.placement.backend;
         if let Some(connection) = self.state.pool.take(id, self.state.now()) {
@@ -171,6 +215,7 @@
         AttemptFields {
             backend: &self.placement.backend,
             team: self.team,
+            work: self.work,
             time_left: self.deadline.since(self.state.now()),
             urgency: self.caller.prompt.as_ref().map(|_| self.urgency),
             last_event: self.last_event,
@@ -200,7 +245,7 @@
 
     fn note_health(&self, result: &AttemptResult) {
         let sample = match result {
-            AttemptResult::Whole(..) | AttemptResult::Stream(_) => {
+            AttemptResult::Whole(..) | AttemptResult::Stream(_) | AttemptResult::Prefilled(_) => {
                 HealthSample::Answered(self.route.objective)
             }
             AttemptResult::Ended(AttemptEnd::NotRun { .. }, _) => HealthSample::Alive,
--- a/crates/daemon/src/gateway/duty.rs
+++ b/crates/daemon/src/gateway/duty.rs
@@ -23,9 +23,6 @@
 const LEASE_MARGIN: TimeSpan = TimeSpan::from_millis(700);
 /// How long the lease of another holder is taken to last before it is looked at again.
 const LOOK_AGAIN: TimeSpan = TimeSpan::from_secs(1);
-/// How long an entry's own line in the list of entries outlives it.
-const PRESENCE_TTL: TimeSpan = TimeSpan::from_secs(10);
-const PRESENCE_PERIOD: Duration = Duration::from_secs(3);
 
 /// What stands under the key of the lease.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -70,13 +67,8 @@
     format!("{OWN_PREFIX}duty/fencing")
 }
 
-fn presence_prefix() -> String {
-    format!("{OWN_PREFIX}entries/")
-}
-
 /// Pursues the lease for as long as the process runs.
 pub(crate) async fn follow(state: Rc<GatewayState>) {
-    actix_rt::spawn(keep_presence(Rc::clone(&state)));
     loop {
         let actions = state.duty.holder.borrow_mut().tick(state.now());
         perform(&state, actions).await;
@@ -222,47 +214,3 @@
         FencingNumber(item.revision.0)
     })
 }
-
-/// Keeps a line in the list of entries, and counts the others'.
-async fn keep_presence(state: Rc<GatewayState>) {
-    let mut lease = None;
-    loop {
-        lease = match lease {
-            Some(held) => renew_presence(&state, held).await,
-            None => enter(&state).await,
-        };
-        count_entries(&state).await;
-        actix_rt::time::sleep(PRESENCE_PERIOD).await;
-    }
-}
-
-async fn enter(state: &GatewayState) -> Option<StoreLease> {
-    let granted = state.store.call(&StoreCall::Grant(PRESENCE_TTL)).await;
-    let Ok(StoreReply::Leased(Some(lease), _)) = granted else {
-        return None;
-    };
-    let key = format!("{}{}", presence_prefix(), state.settings.instance);
-    let change = StoreChange {
-        puts: vec![(key, state.run.to_string().into_bytes(), Some(lease))],
-        ..StoreChange::default()
-    };
-    let entered = state.store.call(&StoreCall::Change(change)).await;
-    matches!(entered, Ok(StoreReply::Changed(_))).then_some(lease)
-}
-
-async fn renew_presence(state: &GatewayState, lease: StoreLease) -> Option<StoreLease> {
-    match state.store.call(&StoreCall::Renew(lease)).await {
-        Ok(StoreReply::LeaseGone) => None,
-        Ok(_) | Err(_) => Some(lease),
-    }
-}
-
-async fn count_entries(state: &GatewayState) {
-    let call = StoreCall::Range {
-        prefix: presence_prefix(),
-        after: None,
-    };
-    if let Ok(StoreReply::Page(page)) = state.store.call(&call).await {
-        state.set_entries(page.items.len() as u64);
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -0,0 +1,65 @@
+//! KV caches that one engine keeps until another one answers from them.
+
+use std::time::Duration;
+
+use applefold_core::id::DomainId;
+use applefold_platform::{render_release, KvHandle};
+
+use super::connection::ClientConnection;
+
+/// How long freeing a KV cache may take; the engine forgets it by itself later.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A KV cache at an engine, freed when it is dropped unless another engine took it.
+pub(crate) struct HandoffGuard {
+    handle: Option<KvHandle>,
+    domain: DomainId,
+}
+
+impl HandoffGuard {
+    pub(crate) fn new(handle: KvHandle, domain: DomainId) -> Self {
+        Self {
+            handle: Some(handle),
+            domain,
+        }
+    }
+
+    /// Returns the failure domain in which the KV cache lies.
+    pub(crate) fn domain(&self) -> &DomainId {
+        &self.domain
+    }
+
+    /// Returns where it is fetched from.
+    pub(crate) fn handle(&self) -> Option<&KvHandle> {
+        self.handle.as_ref()
+    }
+
+    /// Notes that an engine has taken it.
+    pub(crate) fn taken(mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for HandoffGuard {
+    fn drop(&mut self) {
+        let Some(handle) = self.handle.take() else {
+            return;
+        };
+        actix_rt::spawn(async move {
+            let release = release(&handle);
+            let freed = tokio::time::timeout(RELEASE_TIMEOUT, release).await;
+            let freed = matches!(freed, Ok(true));
+            log::debug!(handle = handle.name.as_str(), freed; "KV cache not taken");
+        });
+    }
+}
+
+async fn release(handle: &KvHandle) -> bool {
+    let Ok(mut connection) = ClientConnection::open(handle.address, RELEASE_TIMEOUT).await else {
+        return false;
+    };
+    if connection.send(&render_release(handle)).await.is_err() {
+        return false;
+    }
+    connection.read_head().await.is_ok()
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,8 +11,11 @@
 mod backend;
 mod connection;
 mod duty;
+mod handoff;
 mod instances;
+mod peers;
 mod pool;
+mod presence;
 mod ready;
 mod relay;
 mod request;
@@ -36,6 +39,8 @@
     accept::serve(&state).await?;
     actix_rt::spawn(rules::follow(Rc::clone(&state)));
     actix_rt::spawn(instances::follow(Rc::clone(&state)));
+    peers::serve(&state).await?;
+    actix_rt::spawn(presence::follow(Rc::clone(&state)));
     actix_rt::spawn(duty::follow(Rc::clone(&state)));
     actix_rt::spawn(usage::follow(Rc::clone(&state)));
     log::info!(instance = state.settings.instance.as_str(),
--- /dev/null
+++ b/crates/daemon/src/gateway/peers.rs
@@ -0,0 +1,227 @@
+//! What entries tell each other several times a second.
+//!
+//! Each entry sees only its own requests at an engine that all of them send
+//! to. A datagram that is lost is made up for by the next one, so nothing is
+//! acknowledged or sent again.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::direct::{PeerLoad, WindowCounts};
+use applefold_core::id::{BackendId, InstanceId, TeamId, WindowId};
+use applefold_core::unit::TokenCount;
+use eyre::{Result, WrapErr};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::net::UdpSocket;
+
+use super::state::GatewayState;
+use super::usage;
+
+/// The pause between two rounds with few entries.
+const NEWS_PERIOD: Duration = Duration::from_millis(100);
+/// Up to how many entries the shortest pause is kept; with more it grows with
+/// their number, so that what an entry sends a second does not.
+const FULL_PACE_ENTRIES: u32 = 8;
+/// In which rounds the counts of usage are told.
+const USAGE_ROUNDS: u64 = 4;
+/// The largest datagram that is sent, below what one packet carries.
+const MAX_NEWS_BYTES: usize = 1_400;
+/// How many windows back counts of others are kept.
+const KEPT_WINDOWS: u64 = 6;
+
+/// One datagram.
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerNews {
+    instance: SmolStr,
+    run: u64,
+    /// Grows with each datagram of a run, so that an overtaken one is dropped.
+    sequence: u64,
+    loads: Vec<BackendNews>,
+    usage: Vec<UsageNews>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct BackendNews {
+    backend: SmolStr,
+    flights: u32,
+    backlog: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct UsageNews {
+    window: u64,
+    team: SmolStr,
+    count: u64,
+}
+
+/// The other entries, and what they told.
+#[derive(Debug, Default)]
+pub(crate) struct PeerBook {
+    peers: BTreeMap<InstanceId, SocketAddr>,
+    last: BTreeMap<InstanceId, (u64, u64)>,
+    counts: BTreeMap<WindowId, BTreeMap<SmolStr, WindowCounts>>,
+}
+
+impl PeerBook {
+    /// Returns whether no other entry is known.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Replaces the list of the others.
+    pub(crate) fn set_peers(&mut self, peers: BTreeMap<InstanceId, SocketAddr>) {
+        self.last.retain(|id, _| peers.contains_key(id));
+        self.peers = peers;
+    }
+
+    /// Returns what each run of another entry has told that it counted in a window.
+    pub(crate) fn counts(&self, window: WindowId) -> BTreeMap<SmolStr, WindowCounts> {
+        self.counts.get(&window).cloned().unwrap_or_default()
+    }
+
+    /// Returns whether news are newer than all before them from the same entry.
+    fn accept(&mut self, id: &InstanceId, news: &PeerNews) -> bool {
+        let mark = (news.run, news.sequence);
+        if self.last.get(id).is_some_and(|last| *last >= mark) {
+            return false;
+        }
+        self.last.insert(id.clone(), mark);
+        true
+    }
+
+    fn note_usage(&mut self, news: &PeerNews) {
+        let part = SmolStr::new(format!("{}-{}", news.instance, news.run));
+        for one in &news.usage {
+            let Ok(team) = one.team.parse::<TeamId>() else {
+                continue;
+            };
+            let parts = self.counts.entry(WindowId(one.window)).or_default();
+            let counts = parts.entry(part.clone()).or_default();
+            let known = counts.entry(team).or_default();
+            *known = one.count.max(*known);
+        }
+        if let Some(newest) = self.counts.keys().next_back().copied() {
+            let oldest = WindowId(newest.0.saturating_sub(KEPT_WINDOWS));
+            self.counts = self.counts.split_off(&oldest);
+        }
+    }
+}
+
+/// Listens to the other entries and talks to them for as long as the process runs.
+pub(crate) async fn serve(state: &Rc<GatewayState>) -> Result<()> {
+    let address = state.peer_address();
+    let socket = UdpSocket::bind(address).await;
+    let socket = Rc::new(socket.wrap_err_with(|| format!("could not listen on {address}"))?);
+    actix_rt::spawn(listen(Rc::clone(state), Rc::clone(&socket)));
+    actix_rt::spawn(talk(Rc::clone(state), socket));
+    Ok(())
+}
+
+async fn listen(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_NEWS_BYTES + 1];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error = error.to_string(); "no news received");
+                actix_rt::time::sleep(NEWS_PERIOD).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(news) => take(&state, &news),
+            Err(error) => {
+                log::warn!(from = from.to_string(), length, error = error.to_string();
+                    "unreadable news ignored");
+            }
+        }
+    }
+}
+
+fn take(state: &GatewayState, news: &PeerNews) {
+    let Ok(id) = news.instance.parse::<InstanceId>() else {
+        return;
+    };
+    if id == state.settings.instance || !state.peers.borrow_mut().accept(&id, news) {
+        return;
+    }
+    let loads = news.loads.iter().filter_map(|one| {
+        let backend: BackendId = one.backend.parse().ok()?;
+        let load = PeerLoad {
+            flights: one.flights,
+            backlog: TokenCount(one.backlog),
+        };
+        Some((backend, load))
+    });
+    let loads = loads.collect();
+    let now = state.now();
+    state.table.borrow_mut().note_peer(&id, &loads, now);
+    state.peers.borrow_mut().note_usage(news);
+}
+
+async fn talk(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let mut sequence = 0;
+    let mut idle = false;
+    loop {
+        let peers: Vec<SocketAddr> = state.peers.borrow().peers.values().copied().collect();
+        let scale = (peers.len() as u32 + 1).div_ceil(FULL_PACE_ENTRIES).max(1);
+        actix_rt::time::sleep(NEWS_PERIOD * scale).await;
+        sequence += 1;
+        let news = compose(&state, sequence);
+        let empty = news.loads.is_empty() && news.usage.is_empty();
+        if empty && std::mem::replace(&mut idle, empty) {
+            continue;
+        }
+        idle = empty;
+        match postcard::to_stdvec(&news) {
+            Ok(bytes) => {
+                for peer in peers {
+                    if let Err(error) = socket.send_to(&bytes, peer).await {
+                        log::debug!(peer = peer.to_string(), error = error.to_string();
+                            "news not sent");
+                    }
+                }
+            }
+            Err(error) => log::warn!(error = error.to_string(); "news not written"),
+        }
+    }
+}
+
+fn compose(state: &GatewayState, sequence: u64) -> PeerNews {
+    let loads = state.table.borrow().own_loads();
+    let loads = loads.into_iter().map(|(backend, load)| BackendNews {
+        backend: SmolStr::new(backend.as_str()),
+        flights: load.flights,
+        backlog: load.backlog.0,
+    });
+    let usage = match sequence % USAGE_ROUNDS {
+        0 => usage_news(state),
+        _ => Vec::new(),
+    };
+    PeerNews {
+        instance: SmolStr::new(state.settings.instance.as_str()),
+        run: state.run,
+        sequence,
+        loads: loads.collect(),
+        usage,
+    }
+}
+
+/// Returns the counts of this window and the one before it.
+fn usage_news(state: &GatewayState) -> Vec<UsageNews> {
+    let counter = state.counter.borrow();
+    let current = counter.window_at(usage::wall());
+    let windows = [WindowId(current.0.saturating_sub(1)), current];
+    let news = windows.iter().flat_map(|window| {
+        let counts = counter.counts(*window).into_iter();
+        counts.map(|(team, count)| UsageNews {
+            window: window.0,
+            team: SmolStr::new(team.as_str()),
+            count,
+        })
+    });
+    news.collect()
+}
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -6,14 +6,16 @@
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
-    AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, RequestProgress, RouteRule,
-    RuleSet,
+    AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, PlacementStage,
+    PlacementWork, PromptPart, PromptShape, RequestProgress, RouteRule, RuleSet,
 };
 use applefold_core::drain::WorkGuard;
 use applefold_core::id::{BackendId, ServiceId, TeamId};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_h1::{encode_chunk, ResponseHead, CHUNK_END};
-use applefold_platform::{render_answer_head, render_refusal, AnswerFraming, CallerRequest};
+use applefold_platform::{
+    render_answer_head, render_refusal, AnswerFraming, AttemptWork, CallerRequest, KvHandle,
+};
 use opentelemetry::KeyValue;
 use smol_str::SmolStr;
 use tokio::io::AsyncWriteExt;
@@ -21,6 +23,7 @@
 
 use super::accept::{CallerReader, ConnectionFate, ReceivedRequest};
 use super::attempt::{Attempt, AttemptResult, OpenStream};
+use super::handoff::HandoffGuard;
 use super::relay::EventCutter;
 use super::state::GatewayState;
 
@@ -56,6 +59,8 @@
         first: None,
         cutter: EventCutter::default(),
         last_backend: None,
+        handoff: None,
+        apart: true,
     };
     tokio::select! {
         biased;
@@ -175,6 +180,10 @@
     first: Option<TimeSpan>,
     cutter: EventCutter,
     last_backend: Option<BackendId>,
+    /// The KV cache of the prompt, where it was read apart.
+    handoff: Option<HandoffGuard>,
+    /// Whether the prompt may still be read apart.
+    apart: bool,
 }
 
 impl RequestDriver<'_> {
@@ -186,7 +195,9 @@
                 Ok(placement) => placement,
                 Err(refusal) => return self.give_up(refusal, writer).await,
             };
-            self.progress.begin();
+            if placement.work == PlacementWork::Run {
+                self.progress.begin();
+            }
             self.last_backend = Some(placement.backend.clone());
             let begun = self.state.now();
             let result = self.attempt(&placement).await;
@@ -213,6 +224,11 @@
                         }
                     }
                 }
+                AttemptResult::Prefilled(handle) => {
+                    self.log_attempt(&placement, begun, "prompt read");
+                    self.keep_handoff(handle, &placement);
+                    continue;
+                }
                 AttemptResult::Failed(head, body) => {
                     self.log_attempt(&placement, begun, "backend server failed");
                     self.count_run();
@@ -225,6 +241,12 @@
                     end
                 }
             };
+            if placement.work == PlacementWork::Prefill {
+                self.apart = false;
+                self.charge_retry();
+                continue;
+            }
+            self.note_handoff_failed(end);
             self.excluded.insert(placement.backend);
             match self.decide(end) {
                 NextStep::Again => {}
@@ -244,16 +266,54 @@
             name: &self.prepared.caller.name,
             service: &self.prepared.service,
             prompt: self.prompt(),
+            stage: self.stage(),
             excluded: &self.excluded,
             time_left: self.prepared.deadline.since(now),
+            objective: self.prepared.route.objective,
         };
         let table = self.state.table.borrow();
         let domain = &self.state.settings.domain;
         self.state.policy.choose(&table, &request, domain, now)
     }
 
+    fn stage(&self) -> PlacementStage<'_> {
+        let resumes = self.begun || self.prepared.caller.last_event.is_some();
+        match &self.handoff {
+            Some(handoff) => PlacementStage::Answer(handoff.domain()),
+            None if self.apart && !resumes => PlacementStage::Open,
+            None => PlacementStage::Whole,
+        }
+    }
+
+    /// A call that failed to read the prompt makes the next one an extra arrival.
+    fn charge_retry(&self) {
+        let service = &self.prepared.service;
+        let paid = self.state.with_budget(service, |budget| budget.spend());
+        if !paid {
+            log::debug!(service = service.as_str(); "retry budget is spent");
+        }
+    }
+
+    fn keep_handoff(&mut self, handle: KvHandle, placement: &Placement) {
+        let domain = {
+            let table = self.state.table.borrow();
+            let row = table.get(&placement.backend);
+            row.map(|row| row.spec.domain.clone())
+        };
+        let domain = domain.unwrap_or_else(|| self.state.settings.domain.clone());
+        self.handoff = Some(HandoffGuard::new(handle, domain));
+        self.apart = false;
+    }
+
+    /// An engine that refused may have found the KV cache gone; it is not offered twice.
+    fn note_handoff_failed(&mut self, end: AttemptEnd) {
+        if end != AttemptEnd::NotSent {
+            self.handoff = None;
+        }
+    }
+
     /// Returns the prompt where an engine serves the request.
-    fn prompt(&self) -> Option<&applefold_core::direct::PromptShape> {
+    fn prompt(&self) -> Option<&PromptShape> {
         let rule = self.prepared.rules.services.get(&self.prepared.service);
         let engine = rule.is_some_and(|rule| rule.engine);
         self.prepared.caller.prompt.as_ref().filter(|_| engine)
@@ -270,6 +330,13 @@
             urgency: self.prepared.urgency,
             placement,
             deadline: self.prepared.deadline,
+            work: match (placement.work, &self.handoff) {
+                (PlacementWork::Prefill, _) => AttemptWork::Prefill,
+                (PlacementWork::Run, None) => AttemptWork::Whole,
+                (PlacementWork::Run, Some(handoff)) => {
+                    handoff.handle().map_or(AttemptWork::Whole, AttemptWork::Answer)
+                }
+            },
             others_left: runs + 1 < self.prepared.route.max_attempts,
             last_event: self.cutter.last_event().map(SmolStr::as_str),
         };
@@ -392,8 +459,11 @@
         let span = self.state.now().since(self.request.arrived);
         self.first = Some(span);
         self.state.metrics.first_byte.record(span.as_secs_f64(), &[]);
+        if let Some(handoff) = self.handoff.take() {
+            handoff.taken();
+        }
         let prompt = self.prepared.caller.prompt.as_ref();
-        let parts = prompt.map_or(&[][..], |prompt| prompt.parts.as_slice());
+        let parts: &[PromptPart] = prompt.map_or(&[], |prompt| &prompt.parts);
         stream.flight.first_token(parts);
         let keep = keeps_open(self.state, self.request);
         render_answer_head(&stream.head, AnswerFraming::Chunked, keep, output);
@@ -423,7 +493,8 @@
         let outcome_key = KeyValue::new("outcome", outcome.to_owned());
         self.state.metrics.attempts.add(1, &[outcome_key]);
         log::info!(request = self.prepared.caller.name.as_str(), attempt = self.progress.sends,
-            backend = placement.backend.as_str(), predicted_ms = placement.predicted.as_millis(),
+            backend = placement.backend.as_str(), work = format!("{:?}", placement.work),
+            predicted_ms = placement.predicted.as_millis(),
             uncached = placement.uncached.0, compared = placement.compared,
             took_ms = now.since(begun).as_millis(),
             left_ms = self.prepared.deadline.since(now).as_millis();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use applefold_core::code::ResultCode;
@@ -18,6 +19,7 @@
 
 use crate::clock::SuspendClock;
 use crate::gateway::duty::DutyLease;
+use crate::gateway::peers::PeerBook;
 use crate::gateway::pool::BackendPool;
 use crate::gateway::store::StoreClient;
 use crate::metrics::MetricSet;
@@ -62,6 +64,7 @@
     health: RefCell<HealthTracker>,
     budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     entries: Cell<u64>,
+    pub(crate) peers: RefCell<PeerBook>,
 }
 
 impl GatewayState {
@@ -97,12 +100,18 @@
             health: RefCell::new(HealthTracker::new(health)),
             budgets: RefCell::default(),
             entries: Cell::new(ASSUMED_ENTRIES),
+            peers: RefCell::default(),
             clock,
             metrics,
             settings,
         }
     }
 
+    /// Returns where this entry listens to the others.
+    pub(crate) fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.settings.ip, *self.settings.peer_ports.start())
+    }
+
     pub(crate) fn now(&self) -> TimePoint {
         self.clock.now()
     }
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -12,6 +12,7 @@
     StoreReply, StoreRevision, OWN_PREFIX,
 };
 use eyre::{eyre, Result};
+use smol_str::{format_smolstr, SmolStr};
 
 use super::connection::ClientConnection;
 use super::state::GatewayState;
@@ -32,7 +33,8 @@
     format!("{OWN_PREFIX}sealed/{window}")
 }
 
-fn wall() -> TimeSpan {
+/// Returns the time since the epoch, which windows go by.
+pub(crate) fn wall() -> TimeSpan {
     TimeSpan(crate::logging::wall_micros())
 }
 
@@ -73,7 +75,7 @@
     if counts.is_empty() {
         return true;
     }
-    let key = format!("{}{}-{}", counts_prefix(window), state.settings.instance, state.run);
+    let key = format!("{}{}", counts_prefix(window), part_name(state));
     let change = StoreChange {
         puts: vec![(key, encode(&counts), None)],
         ..StoreChange::default()
@@ -109,7 +111,7 @@
     let StoreReply::Page(page) = state.store.call(&call).await? else {
         return Err(eyre!("the store gave no page"));
     };
-    let counts = sum(&page.items);
+    let counts = gather(state, window, &page.items);
     let told = page.items.len();
     let removed = page.items.into_iter().map(|item| item.key).take(MAX_REMOVED);
     let mut removed: Vec<String> = removed.collect();
@@ -164,22 +166,40 @@
     Ok(())
 }
 
-fn sum(items: &[StoreItem]) -> WindowCounts {
-    let mut total = WindowCounts::new();
+/// Sums up what entries wrote, and what they told their peers of before they were gone.
+fn gather(state: &GatewayState, window: WindowId, items: &[StoreItem]) -> WindowCounts {
+    let prefix = counts_prefix(window);
+    let mut parts = state.peers.borrow().counts(window);
     for item in items {
+        let name = item.key.strip_prefix(&prefix).unwrap_or(&item.key);
         match decode(item) {
-            Ok(counts) => {
-                for (team, count) in counts {
-                    *total.entry(team).or_default() += count;
-                }
-            }
+            Ok(counts) => raise(parts.entry(SmolStr::new(name)).or_default(), counts),
             Err(error) => log::warn!(key = item.key.as_str(), error = error.to_string();
                 "counts of an entry left out"),
         }
     }
+    let own = state.counter.borrow().counts(window);
+    raise(parts.entry(part_name(state)).or_default(), own);
+    let mut total = WindowCounts::new();
+    for (team, count) in parts.into_values().flatten() {
+        *total.entry(team).or_default() += count;
+    }
     total
 }
 
+/// Counts of one run only grow, so the larger of two is the later.
+fn raise(known: &mut WindowCounts, counts: WindowCounts) {
+    for (team, count) in counts {
+        let known = known.entry(team).or_default();
+        *known = count.max(*known);
+    }
+}
+
+/// Names this run of the process among those that count.
+pub(crate) fn part_name(state: &GatewayState) -> SmolStr {
+    format_smolstr!("{}-{}", state.settings.instance, state.run)
+}
+
 fn encode(counts: &WindowCounts) -> Vec<u8> {
     let counts: BTreeMap<&str, u64> = counts
         .iter()
