Order engines to read prompts or to answer, by the waits measured

Cause: a third of the engines read prompts, while prompts wait 400 to 800 ms and answers take 6 to 40% of the places.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -31,6 +31,8 @@
 const SHORTEST_WORK: TimeSpan = TimeSpan::from_millis(2);
 /// The oldest load of a peer that is believed.
 const PEER_AGE: TimeSpan = TimeSpan::from_millis(1_500);
+/// How long an engine that changes what it does is left alone after the last word of it.
+const AWAY_TIME: TimeSpan = TimeSpan::from_millis(1_000);
 /// How long an engine that turned a request away is left alone.
 const FULL_TIME: TimeSpan = TimeSpan::from_millis(150);
 /// The time to a first token of an empty prompt assumed before the first answer.
@@ -364,6 +366,13 @@
         }
     }
 
+    /// Notes that an engine is changing what it does; with each call for a while longer.
+    pub fn note_away(&mut self, id: &BackendId, now: TimePoint) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.full_until = now + AWAY_TIME;
+        }
+    }
+
     /// Takes in what a peer has sent to each backend server; what it does not name is idle.
     pub fn note_peer(
         &mut self,
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod count;
 mod instance;
+mod phase;
 mod placement;
 mod prompt;
 mod rule;
@@ -19,6 +20,7 @@
 pub use instance::{
     FlightId, FlightNote, InstanceChange, InstanceRow, InstanceSpec, InstanceTable, LoadSample, PeerLoad,
 };
+pub use phase::{PhaseMove, PhasePlanner, PhasePolicy};
 pub use placement::{
     Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork,
 };
--- /dev/null
+++ b/crates/core/src/direct/phase.rs
@@ -0,0 +1,236 @@
+//! Which engines read prompts and which generate answers.
+//!
+//! The mix of the two kinds of work shifts within seconds, and a change takes an
+//! engine away for seconds, so an engine is moved only where one side is
+//! short, the other side has room after the move, and that has lasted.
+
+use std::collections::BTreeMap;
+
+use crate::direct::{InstanceRow, InstanceTable};
+use crate::id::{BackendId, DomainId, ServiceId};
+use crate::routing::BackendRole;
+use crate::unit::{TimePoint, TimeSpan};
+
+/// How much of an old average is kept with each look.
+const AVERAGE_KEEP: f64 = 0.85;
+
+/// When an engine is moved.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PhasePolicy {
+    /// The wait for a prompt to be read above which prompts are short of engines.
+    pub long_wait: TimeSpan,
+    /// The wait that prompts may come to when an engine is taken from them.
+    pub short_wait: TimeSpan,
+    /// The share of places taken above which answers are short of engines.
+    pub crowded: f64,
+    /// The share of places that answers may come to when an engine is taken from them.
+    pub roomy: f64,
+    /// How long a shortage must have lasted.
+    pub settle: TimeSpan,
+    /// The pause between two moves in one direction.
+    pub rest: TimeSpan,
+    /// The pause between two moves in opposite directions.
+    pub reversal_rest: TimeSpan,
+    /// How long a move is waited for before the engine counts as it is listed again.
+    pub move_limit: TimeSpan,
+}
+
+impl Default for PhasePolicy {
+    fn default() -> Self {
+        Self {
+            long_wait: TimeSpan::from_millis(60),
+            short_wait: TimeSpan::from_millis(30),
+            crowded: 0.85,
+            roomy: 0.50,
+            settle: TimeSpan::from_millis(800),
+            rest: TimeSpan::from_millis(3_000),
+            reversal_rest: TimeSpan::from_secs(12),
+            move_limit: TimeSpan::from_secs(13),
+        }
+    }
+}
+
+/// An engine that is to change, with the figures that decided it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PhaseMove {
+    /// The service.
+    pub service: ServiceId,
+    /// The engine.
+    pub backend: BackendId,
+    /// What it is to do.
+    pub to: BackendRole,
+    /// The mean wait for a prompt to be read.
+    pub prompt_wait: TimeSpan,
+    /// The mean share of places that answers take.
+    pub answer_share: f64,
+    /// Engines that read prompts.
+    pub prompt_engines: usize,
+    /// Engines that generate answers.
+    pub answer_engines: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServicePressure {
+    prompt_wait: f64,
+    answer_share: f64,
+    short: Option<(BackendRole, TimePoint)>,
+    last: Option<(BackendRole, TimePoint)>,
+    moving: BTreeMap<BackendId, (BackendRole, TimePoint)>,
+}
+
+/// Follows the load of each service's engines and decides on moves.
+#[derive(Clone, Debug, Default)]
+pub struct PhasePlanner {
+    policy: PhasePolicy,
+    services: BTreeMap<ServiceId, ServicePressure>,
+}
+
+impl PhasePlanner {
+    /// A planner that has seen nothing yet.
+    pub fn new(policy: PhasePolicy) -> Self {
+        Self {
+            policy,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Looks at the load; call it several times a second.
+    pub fn look(
+        &mut self,
+        table: &InstanceTable,
+        services: &[ServiceId],
+        now: TimePoint,
+    ) -> Vec<PhaseMove> {
+        self.services.retain(|id, _| services.contains(id));
+        let mut moves = Vec::new();
+        for service in services {
+            let pressure = self.services.entry(service.clone()).or_default();
+            let rows: Vec<&InstanceRow> = table.of_service(service).collect();
+            pressure.settle_moves(&rows, now, &self.policy);
+            moves.extend(pressure.look(service, &rows, now, &self.policy));
+        }
+        moves
+    }
+
+    /// Returns the engines that are changing, which are better sent nothing.
+    pub fn moving(&self) -> impl Iterator<Item = &BackendId> {
+        self.services.values().flat_map(|one| one.moving.keys())
+    }
+
+    /// Notes that an engine has refused to change.
+    pub fn refused(&mut self, service: &ServiceId, backend: &BackendId) {
+        if let Some(pressure) = self.services.get_mut(service) {
+            pressure.moving.remove(backend);
+        }
+    }
+
+    /// Forgets everything, as a process does that loses its authority.
+    pub fn reset(&mut self) {
+        self.services.clear();
+    }
+}
+
+impl ServicePressure {
+    /// Ends the moves that the list shows to be made, and those that took too long.
+    fn settle_moves(&mut self, rows: &[&InstanceRow], now: TimePoint, policy: &PhasePolicy) {
+        self.moving.retain(|id, (to, since)| {
+            let row = rows.iter().find(|row| row.spec.id == *id);
+            let pending = row.is_some_and(|row| row.spec.role != *to);
+            pending && now.since(*since) < policy.move_limit
+        });
+    }
+
+    fn look(
+        &mut self,
+        service: &ServiceId,
+        rows: &[&InstanceRow],
+        now: TimePoint,
+        policy: &PhasePolicy,
+    ) -> Option<PhaseMove> {
+        let ready = rows.iter().copied().filter(|row| !row.spec.draining && !row.left_out);
+        let settled = ready.filter(|row| !self.moving.contains_key(&row.spec.id));
+        let (prompts, answers): (Vec<&InstanceRow>, Vec<&InstanceRow>) =
+            settled.partition(|row| row.spec.role == BackendRole::Prefill);
+        if prompts.is_empty() || answers.is_empty() {
+            return None;
+        }
+        self.average(&prompts, &answers, now);
+        let to = self.shortage(&prompts, &answers, policy);
+        self.short = match (to, self.short) {
+            (None, _) => None,
+            (Some(to), Some((known, since))) if known == to => Some((to, since)),
+            (Some(to), _) => Some((to, now)),
+        };
+        let (to, since) = self.short?;
+        if now.since(since) < policy.settle || !self.rested(to, now, policy) {
+            return None;
+        }
+        let from = if to == BackendRole::Prefill { &answers } else { &prompts };
+        let others = if to == BackendRole::Prefill { &prompts } else { &answers };
+        let chosen = choose(from, others, now)?;
+        self.moving.insert(chosen.spec.id.clone(), (to, now));
+        self.last = Some((to, now));
+        Some(PhaseMove {
+            service: service.clone(),
+            backend: chosen.spec.id.clone(),
+            to,
+            prompt_wait: TimeSpan(self.prompt_wait as u64),
+            answer_share: self.answer_share,
+            prompt_engines: prompts.len(),
+            answer_engines: answers.len(),
+        })
+    }
+
+    fn average(&mut self, prompts: &[&InstanceRow], answers: &[&InstanceRow], now: TimePoint) {
+        let waits = prompts.iter().map(|row| row.time_for(row.backlog(now)).0 as f64);
+        let wait = waits.sum::<f64>() / prompts.len() as f64;
+        let taken: u64 = answers.iter().map(|row| row.competing(now)).sum();
+        let places: u64 = answers.iter().map(|row| u64::from(row.spec.slots)).sum();
+        let share = taken as f64 / places.max(1) as f64;
+        self.prompt_wait = blend(self.prompt_wait, wait);
+        self.answer_share = blend(self.answer_share, share);
+    }
+
+    /// Returns the side that is short while the other one can spare an engine.
+    fn shortage(
+        &self,
+        prompts: &[&InstanceRow],
+        answers: &[&InstanceRow],
+        policy: &PhasePolicy,
+    ) -> Option<BackendRole> {
+        let without_one = |count: usize| count as f64 / (count as f64 - 1.0).max(0.01);
+        let share_after = self.answer_share * without_one(answers.len());
+        let wait_after = self.prompt_wait * without_one(prompts.len());
+        let long = self.prompt_wait > policy.long_wait.0 as f64;
+        if long && answers.len() > 1 && share_after < policy.roomy {
+            return Some(BackendRole::Prefill);
+        }
+        let crowded = self.answer_share > policy.crowded;
+        if crowded && prompts.len() > 1 && wait_after < policy.short_wait.0 as f64 {
+            return Some(BackendRole::Decode);
+        }
+        None
+    }
+
+    fn rested(&self, to: BackendRole, now: TimePoint, policy: &PhasePolicy) -> bool {
+        self.last.is_none_or(|(last, at)| {
+            let rest = if last == to { policy.rest } else { policy.reversal_rest };
+            now.since(at) >= rest
+        })
+    }
+}
+
+/// Chooses the engine with the least work, in a failure domain where its new side has fewest.
+fn choose<'a>(
+    from: &[&'a InstanceRow],
+    others: &[&InstanceRow],
+    now: TimePoint,
+) -> Option<&'a InstanceRow> {
+    let beside = |domain: &DomainId| others.iter().filter(|row| row.spec.domain == *domain).count();
+    let key = |row: &&&InstanceRow| (beside(&row.spec.domain), row.competing(now), row.backlog(now));
+    from.iter().min_by_key(key).copied()
+}
+
+fn blend(old: f64, new: f64) -> f64 {
+    old * AVERAGE_KEEP + new * (1.0 - AVERAGE_KEEP)
+}
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -25,6 +25,9 @@
     /// What reading a prompt apart costs besides its time: a second call, and the
     /// movement of the KV cache.
     pub handoff_cost: TimeSpan,
+    /// How much of the time that a prompt takes at an engine that also generates answers is
+    /// lost to each of those answers, in percent.
+    pub mixing_percent: u64,
     /// How soon a caller may return where nothing serves the request.
     pub missing_retry: TimeSpan,
     /// How often its objective a first token may take before it is better refused.
@@ -35,11 +38,12 @@
     fn default() -> Self {
         Self {
             domain_cost: TimeSpan::from_millis(2),
-            homes: 2,
+            homes: 1,
             load_age: TimeSpan::from_millis(400),
             waiting_tokens: TokenCount(600),
             beside_cost: TimeSpan::from_millis(1),
             handoff_cost: TimeSpan::from_millis(15),
+            mixing_percent: 30,
             missing_retry: TimeSpan::from_millis(500),
             late_objectives: 4,
         }
@@ -289,8 +293,11 @@
             PlacementStage::Open | PlacementStage::Whole => self.uncached(row, prompt, homes),
         };
         let beside = TimeSpan(self.beside_cost.0 * row.competing(now));
-        let read = row.time_for(uncached + self.ahead(row, now));
-        (row.first_time() + read + beside + overflow(row, now), uncached)
+        let own = row.time_for(uncached);
+        let mixing = TimeSpan(own.0 * row.competing(now) * self.mixing_percent / 100);
+        let read = own + row.time_for(self.ahead(row, now));
+        let wait = beside + overflow(row, now);
+        (row.first_time() + read + mixing + wait, uncached)
     }
 
     fn uncached(
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod handoff;
 mod instances;
 mod peers;
+mod phases;
 mod pool;
 mod presence;
 mod ready;
@@ -42,6 +43,7 @@
     peers::serve(&state).await?;
     actix_rt::spawn(presence::follow(Rc::clone(&state)));
     actix_rt::spawn(duty::follow(Rc::clone(&state)));
+    actix_rt::spawn(phases::follow(Rc::clone(&state)));
     actix_rt::spawn(usage::follow(Rc::clone(&state)));
     log::info!(instance = state.settings.instance.as_str(),
         domain = state.settings.domain.as_str(), run = state.run,
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -41,6 +41,8 @@
     sequence: u64,
     loads: Vec<BackendNews>,
     usage: Vec<UsageNews>,
+    /// Engines that are changing what they do, as the holder of the lease has ordered.
+    away: Vec<SmolStr>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -158,7 +160,12 @@
     });
     let loads = loads.collect();
     let now = state.now();
-    state.table.borrow_mut().note_peer(&id, &loads, now);
+    let mut table = state.table.borrow_mut();
+    table.note_peer(&id, &loads, now);
+    for backend in news.away.iter().filter_map(|name| name.parse().ok()) {
+        table.note_away(&backend, now);
+    }
+    drop(table);
     state.peers.borrow_mut().note_usage(news);
 }
 
@@ -171,7 +178,7 @@
         actix_rt::time::sleep(NEWS_PERIOD * scale).await;
         sequence += 1;
         let news = compose(&state, sequence);
-        let empty = news.loads.is_empty() && news.usage.is_empty();
+        let empty = news.loads.is_empty() && news.usage.is_empty() && news.away.is_empty();
         if empty && std::mem::replace(&mut idle, empty) {
             continue;
         }
@@ -207,6 +214,7 @@
         sequence,
         loads: loads.collect(),
         usage,
+        away: state.phases.borrow().moving().map(|id| SmolStr::new(id.as_str())).collect(),
     }
 }
 
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use applefold_core::code::ResultCode;
-use applefold_core::direct::{InstanceTable, PlacementPolicy, RuleSet, RunCounter, WindowSealer};
+use applefold_core::direct::{InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, WindowSealer};
 use applefold_core::drain::{DrainOptions, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
 use applefold_core::id::{BackendId, Revision, ServiceId};
@@ -59,6 +59,7 @@
     pub(crate) suspects: RefCell<CrashLedger>,
     pub(crate) duty: DutyLease,
     pub(crate) sealer: RefCell<WindowSealer>,
+    pub(crate) phases: RefCell<PhasePlanner>,
     /// Tells idle connections of callers to close.
     pub(crate) closing: watch::Sender<bool>,
     health: RefCell<HealthTracker>,
@@ -87,6 +88,7 @@
             run,
             duty: DutyLease::new(holder, settings.lease),
             sealer: RefCell::new(sealer),
+            phases: RefCell::default(),
             closing: watch::Sender::new(false),
             store: StoreClient::new(settings.store, clock, metrics.clone()),
             pool: BackendPool::default(),
