Weigh reading a shared part again

Cause: shared parts are read again at engines that happen to wait less, which pushes other parts out of memory and costs the most of all prices. Change: a shared part that another engine is expected to hold counts two and a half times in the choice, not in the predicted time.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -28,6 +28,9 @@
     /// How much of the time that a prompt takes at an engine that also generates answers is
     /// lost to each of those answers, in percent.
     pub mixing_percent: u64,
+    /// How much more reading a shared part again counts than reading a new one, in percent:
+    /// what is read again pushes other parts out.
+    pub reread_percent: u64,
     /// How soon a caller may return where nothing serves the request.
     pub missing_retry: TimeSpan,
     /// How often its objective a first token may take before it is better refused.
@@ -44,6 +47,7 @@
             beside_cost: TimeSpan::from_millis(1),
             handoff_cost: TimeSpan::from_millis(15),
             mixing_percent: 30,
+            reread_percent: 150,
             missing_retry: TimeSpan::from_millis(500),
             late_objectives: 4,
         }
@@ -108,7 +112,10 @@
 struct Candidate<'a> {
     row: &'a InstanceRow,
     work: PlacementWork,
+    /// The predicted time.
     cost: TimeSpan,
+    /// What else speaks against it, as time.
+    bias: TimeSpan,
     uncached: TokenCount,
 }
 
@@ -140,7 +147,7 @@
         let compared = candidates.len();
         let best = candidates.into_iter().min_by_key(|one| {
             let tie = NameRank::of(request.name, one.row.spec.id.as_str());
-            (one.cost, one.row.competing(now), tie)
+            (one.cost + one.bias, one.row.competing(now), tie)
         });
         let Some(best) = best else {
             return Err(self.missing());
@@ -220,13 +227,7 @@
                 true => TimeSpan::ZERO,
                 false => self.domain_cost,
             };
-            let (time, uncached) = self.predict(row, request, &homes, now);
-            Candidate {
-                row,
-                work: PlacementWork::Run,
-                cost: time + far,
-                uncached,
-            }
+            self.predict(row, request, &homes, far, now)
         });
         candidates.collect()
     }
@@ -251,12 +252,13 @@
         let rows: Vec<&InstanceRow> = usable.collect();
         let homes = self.homes_of(&rows, request);
         let candidates = rows.iter().map(|row| {
-            let uncached = self.uncached(row, prompt, &homes);
+            let (uncached, reread) = self.uncached(row, prompt, &homes);
             let read = row.first_time() + row.time_for(uncached + self.ahead(row, now));
             Candidate {
                 row,
                 work: PlacementWork::Prefill,
                 cost: read + handoff + self.handoff_cost,
+                bias: row.time_for(reread),
                 uncached,
             }
         });
@@ -278,40 +280,53 @@
         homes.into_iter().cloned().collect()
     }
 
-    fn predict(
+    fn predict<'a>(
         &self,
-        row: &InstanceRow,
+        row: &'a InstanceRow,
         request: &PlacementRequest<'_>,
         homes: &BTreeSet<BackendId>,
+        far: TimeSpan,
         now: TimePoint,
-    ) -> (TimeSpan, TokenCount) {
-        let Some(prompt) = request.prompt else {
-            return (self.predict_call(row, now), TokenCount::ZERO);
+    ) -> Candidate<'a> {
+        let (uncached, reread) = match (request.prompt, request.stage) {
+            (None, _) | (_, PlacementStage::Answer(_)) => (TokenCount::ZERO, TokenCount::ZERO),
+            (Some(prompt), _) => self.uncached(row, prompt, homes),
         };
-        let uncached = match request.stage {
-            PlacementStage::Answer(_) => TokenCount::ZERO,
-            PlacementStage::Open | PlacementStage::Whole => self.uncached(row, prompt, homes),
+        let time = match request.prompt {
+            None => self.predict_call(row, now),
+            Some(_) => {
+                let read = row.time_for(uncached + self.ahead(row, now));
+                let beside = TimeSpan(self.beside_cost.0 * row.competing(now));
+                row.first_time() + read + beside + overflow(row, now)
+            }
         };
-        let beside = TimeSpan(self.beside_cost.0 * row.competing(now));
-        let own = row.time_for(uncached);
-        let mixing = TimeSpan(own.0 * row.competing(now) * self.mixing_percent / 100);
-        let read = own + row.time_for(self.ahead(row, now));
-        let wait = beside + overflow(row, now);
-        (row.first_time() + read + mixing + wait, uncached)
+        let own = row.time_for(uncached).0;
+        let mixing = TimeSpan(own * row.competing(now) * self.mixing_percent / 100);
+        Candidate {
+            row,
+            work: PlacementWork::Run,
+            cost: time + far,
+            bias: mixing + row.time_for(reread),
+            uncached,
+        }
     }
 
+    /// Returns the prompt tokens to be computed, and what of them counts besides because
+    /// another engine is expected to hold it.
     fn uncached(
         &self,
         row: &InstanceRow,
         prompt: &PromptShape,
         homes: &BTreeSet<BackendId>,
-    ) -> TokenCount {
+    ) -> (TokenCount, TokenCount) {
         let mut cached = row.cached(&prompt.parts);
+        let shared: TokenCount = prompt.shared().iter().map(|part| part.tokens).sum();
         if homes.contains(&row.spec.id) {
-            let shared = prompt.shared().iter().map(|part| part.tokens).sum();
             cached = cached.max(shared);
         }
-        prompt.prompt_tokens.saturating_sub(cached)
+        let uncached = prompt.prompt_tokens.saturating_sub(cached);
+        let again = shared.saturating_sub(cached).0 * self.reread_percent / 100;
+        (uncached, TokenCount(again))
     }
 
     /// Returns the prompt tokens that are read before a new request's.
