Reload settings, and believe a lapsed entry only with many others

Cause: SIGHUP ended the process (status 129). Requests reached a leaving engine after 2,005 to 2,399 ms, since an entry that went away just after this process had lost the store was kept for two seconds as perhaps lapsed. Ruled out: the watch; the removal was seen 50 ms after it was made. Change: SIGHUP and a look at the file every 2 s reload the settings; a vanished entry is used on only where at least half of its service's entries vanished.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -122,6 +122,8 @@
     pub spec: InstanceSpec,
     /// Whether health leaves it out for now.
     pub left_out: bool,
+    /// Whether its entry of the list is gone, perhaps only because the store was away.
+    pub lapsed: bool,
     /// The last stated load, and when it came.
     pub load: Option<(LoadSample, TimePoint)>,
     flights: BTreeMap<FlightId, FlightNote>,
@@ -143,6 +145,7 @@
         Self {
             spec,
             left_out: false,
+            lapsed: false,
             load: None,
             flights: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -302,6 +305,7 @@
             self.insert(spec);
             return Some(InstanceChange::Restarted);
         }
+        row.lapsed = false;
         if row.spec == spec {
             return None;
         }
@@ -352,6 +356,13 @@
         ids.filter_map(|id| self.rows.get(id))
     }
 
+    /// Notes that a backend server's entry is gone, perhaps only because the store was away.
+    pub fn set_lapsed(&mut self, id: &BackendId) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.lapsed = true;
+        }
+    }
+
     /// Leaves a backend server out, or takes it back.
     pub fn set_left_out(&mut self, id: &BackendId, left_out: bool) {
         if let Some(row) = self.rows.get_mut(id) {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -18,14 +18,11 @@
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
 pub use instance::{
-    FlightId, FlightNote, InstanceChange, InstanceRow, InstanceSpec, InstanceTable, LoadSample, PeerLoad,
+    FlightId, FlightNote, InstanceChange, InstanceRow, InstanceSpec, InstanceTable, LoadSample,
+    PeerLoad,
 };
 pub use phase::{PhaseMove, PhasePlanner, PhasePolicy};
-pub use placement::{
-    Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork,
-};
+pub use placement::{Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork};
 pub use prompt::{PromptPart, PromptShape};
-pub use rule::{
-    CallerLimits, RepeatRule, RouteRule, RuleSet, ServiceRule, ServiceShare, TeamRule,
-};
+pub use rule::{CallerLimits, RepeatRule, RouteRule, RuleSet, ServiceRule, ServiceShare, TeamRule};
 pub use seal::{SealStep, WindowSealer};
--- a/crates/core/src/direct/phase.rs
+++ b/crates/core/src/direct/phase.rs
@@ -147,7 +147,10 @@
         now: TimePoint,
         policy: &PhasePolicy,
     ) -> Option<PhaseMove> {
-        let ready = rows.iter().copied().filter(|row| !row.spec.draining && !row.left_out);
+        let ready = rows
+            .iter()
+            .copied()
+            .filter(|row| !row.spec.draining && !row.left_out);
         let settled = ready.filter(|row| !self.moving.contains_key(&row.spec.id));
         let (prompts, answers): (Vec<&InstanceRow>, Vec<&InstanceRow>) =
             settled.partition(|row| row.spec.role == BackendRole::Prefill);
@@ -165,8 +168,16 @@
         if now.since(since) < policy.settle || !self.rested(to, now, policy) {
             return None;
         }
-        let from = if to == BackendRole::Prefill { &answers } else { &prompts };
-        let others = if to == BackendRole::Prefill { &prompts } else { &answers };
+        let from = if to == BackendRole::Prefill {
+            &answers
+        } else {
+            &prompts
+        };
+        let others = if to == BackendRole::Prefill {
+            &prompts
+        } else {
+            &answers
+        };
         let chosen = choose(from, others, now)?;
         self.moving.insert(chosen.spec.id.clone(), (to, now));
         self.last = Some((to, now));
@@ -182,7 +193,9 @@
     }
 
     fn average(&mut self, prompts: &[&InstanceRow], answers: &[&InstanceRow], now: TimePoint) {
-        let waits = prompts.iter().map(|row| row.time_for(row.backlog(now)).0 as f64);
+        let waits = prompts
+            .iter()
+            .map(|row| row.time_for(row.backlog(now)).0 as f64);
         let wait = waits.sum::<f64>() / prompts.len() as f64;
         let taken: u64 = answers.iter().map(|row| row.competing(now)).sum();
         let places: u64 = answers.iter().map(|row| u64::from(row.spec.slots)).sum();
@@ -214,7 +227,11 @@
 
     fn rested(&self, to: BackendRole, now: TimePoint, policy: &PhasePolicy) -> bool {
         self.last.is_none_or(|(last, at)| {
-            let rest = if last == to { policy.rest } else { policy.reversal_rest };
+            let rest = if last == to {
+                policy.rest
+            } else {
+                policy.reversal_rest
+            };
             now.since(at) >= rest
         })
     }
@@ -226,8 +243,19 @@
     others: &[&InstanceRow],
     now: TimePoint,
 ) -> Option<&'a InstanceRow> {
-    let beside = |domain: &DomainId| others.iter().filter(|row| row.spec.domain == *domain).count();
-    let key = |row: &&&InstanceRow| (beside(&row.spec.domain), row.competing(now), row.backlog(now));
+    let beside = |domain: &DomainId| {
+        others
+            .iter()
+            .filter(|row| row.spec.domain == *domain)
+            .count()
+    };
+    let key = |row: &&&InstanceRow| {
+        (
+            beside(&row.spec.domain),
+            row.competing(now),
+            row.backlog(now),
+        )
+    };
     from.iter().min_by_key(key).copied()
 }
 
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -134,7 +134,7 @@
         domain: &DomainId,
         now: TimePoint,
     ) -> Result<Placement, CallRefusal> {
-        let listed: Vec<&InstanceRow> = table.of_service(request.service).collect();
+        let listed = believed(table.of_service(request.service).collect());
         let rows = self.usable(&listed, request, now)?;
         let mut candidates = self.runs(&rows, request, domain, now);
         if request.stage == PlacementStage::Open {
@@ -194,14 +194,16 @@
     ) -> Result<Vec<&'a InstanceRow>, CallRefusal> {
         let all = listed.iter().copied();
         let may: Vec<&InstanceRow> = all.filter(|row| may_run(row, request)).collect();
-        let healthy: Vec<&InstanceRow> =
-            may.iter().copied().filter(|row| !row.left_out).collect();
+        let healthy: Vec<&InstanceRow> = may.iter().copied().filter(|row| !row.left_out).collect();
         let rows = if healthy.is_empty() { may } else { healthy };
         if rows.is_empty() {
             return Err(self.missing());
         }
-        let open: Vec<&InstanceRow> =
-            rows.iter().copied().filter(|row| !row.is_full(now)).collect();
+        let open: Vec<&InstanceRow> = rows
+            .iter()
+            .copied()
+            .filter(|row| !row.is_full(now))
+            .collect();
         if !open.is_empty() {
             return Ok(open);
         }
@@ -346,6 +348,16 @@
     }
 }
 
+/// Leaves out backend servers whose entries have lapsed, unless so many have that the
+/// store's absence explains it.
+fn believed(listed: Vec<&InstanceRow>) -> Vec<&InstanceRow> {
+    let lapsed = listed.iter().filter(|row| row.lapsed).count();
+    if lapsed * 2 >= listed.len() {
+        return listed;
+    }
+    listed.into_iter().filter(|row| !row.lapsed).collect()
+}
+
 /// Returns the wait for a place where more requests are sent than run at once.
 fn overflow(row: &InstanceRow, now: TimePoint) -> TimeSpan {
     let slots = u64::from(row.spec.slots.max(1));
--- a/crates/core/src/direct/rule.rs
+++ b/crates/core/src/direct/rule.rs
@@ -172,7 +172,11 @@
     /// # Errors
     ///
     /// Refuses with [`ResultCode::KeyMissing`] or [`ResultCode::KeyRefused`].
-    pub fn team(&self, route: &RouteRule, key: Option<&str>) -> Result<Option<&TeamId>, CallRefusal> {
+    pub fn team(
+        &self,
+        route: &RouteRule,
+        key: Option<&str>,
+    ) -> Result<Option<&TeamId>, CallRefusal> {
         if self.teams.is_empty() {
             return Ok(None);
         }
--- a/crates/daemon/src/cmd/gateway.rs
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -31,5 +31,5 @@
         return Ok(());
     }
     logging::start_bounded(log_level)?;
-    block_on(gateway::run(settings))
+    block_on(gateway::run(settings, path.into()))
 }
--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -76,7 +76,7 @@
 
 /// Accepts callers for as long as the process runs.
 pub(crate) async fn serve(state: &Rc<GatewayState>) -> Result<()> {
-    let Some(address) = state.settings.caller_listen else {
+    let Some(address) = state.settings().caller_listen else {
         return Ok(());
     };
     let listener = TcpListener::bind(address).await;
@@ -84,7 +84,7 @@
     let state = Rc::clone(state);
     actix_rt::spawn(async move {
         let open = Rc::new(Cell::new(0));
-        let descriptors = state.settings.descriptors;
+        let descriptors = state.settings().descriptors;
         let most = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
         loop {
             match listener.accept().await {
@@ -162,7 +162,9 @@
         state: &GatewayState,
         writer: &mut OwnedWriteHalf,
     ) -> Result<ReceivedRequest, ReadEnd> {
-        let limits = state.rules().map_or(CallerLimits::default(), |rules| rules.limits);
+        let limits = state
+            .rules()
+            .map_or(CallerLimits::default(), |rules| rules.limits);
         if self.input.is_empty() {
             self.wait_first(&limits).await?;
         }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -11,7 +11,8 @@
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_h1::{BodyDecoder, ResponseHead};
 use applefold_platform::{
-    read_prefill, render_attempt, AttemptFields, AttemptWork, BackendAnswer, CallerRequest, KvHandle,
+    read_prefill, render_attempt, AttemptFields, AttemptWork, BackendAnswer, CallerRequest,
+    KvHandle,
 };
 use smol_str::SmolStr;
 
@@ -149,7 +150,9 @@
             Err(_) => Vec::new(),
         };
         let now = self.state.now();
-        self.state.pool.keep(&self.placement.backend, connection, &head, now);
+        self.state
+            .pool
+            .keep(&self.placement.backend, connection, &head, now);
         if answer.not_run {
             if !answer.misdirected {
                 let mut table = self.state.table.borrow_mut();
@@ -184,7 +187,9 @@
     ) -> AttemptResult {
         let address = {
             let table = self.state.table.borrow();
-            table.get(&self.placement.backend).map(|row| row.spec.address)
+            table
+                .get(&self.placement.backend)
+                .map(|row| row.spec.address)
         };
         let handle = address.and_then(|address| read_prefill(address, body));
         match handle.filter(|_| head.status == 200) {
--- a/crates/daemon/src/gateway/backend.rs
+++ b/crates/daemon/src/gateway/backend.rs
@@ -30,7 +30,10 @@
     pub(crate) fn first_token(&self, parts: &[PromptPart]) {
         if let Some(flight) = self.flight {
             let now = self.state.now();
-            self.state.table.borrow_mut().first_token(flight, parts, now);
+            self.state
+                .table
+                .borrow_mut()
+                .first_token(flight, parts, now);
         }
     }
 
--- a/crates/daemon/src/gateway/duty.rs
+++ b/crates/daemon/src/gateway/duty.rs
@@ -197,7 +197,9 @@
     if record.is_none() {
         log::warn!(key = item.key.as_str(); "the holder's record cannot be read");
     }
-    let fencing = record.as_ref().map_or(FencingNumber(0), |record| record.fencing);
+    let fencing = record
+        .as_ref()
+        .map_or(FencingNumber(0), |record| record.fencing);
     LeaseReply::Held {
         holder: record.map(|record| record.holder),
         fencing,
--- a/crates/daemon/src/gateway/instances.rs
+++ b/crates/daemon/src/gateway/instances.rs
@@ -143,7 +143,9 @@
             Some(InstanceChange::Removed) | None => return Some(id),
         }
         let rules = state.rules();
-        let rule = rules.as_ref().and_then(|rules| rules.services.get(&service));
+        let rule = rules
+            .as_ref()
+            .and_then(|rules| rules.services.get(&service));
         if let Some(rule) = rule.filter(|rule| rule.memory_tokens > 0) {
             let memory = TokenCount(rule.memory_tokens);
             state.table.borrow_mut().set_memory(&service, memory);
@@ -163,6 +165,7 @@
         }
         let until = state.now() + RETURN_TIME;
         log::info!(backend = id.as_str(); "backend server lapsed while the store failed");
+        state.table.borrow_mut().set_lapsed(&id);
         self.lapsed.entry(id).or_insert(until);
     }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod presence;
 mod ready;
 mod relay;
+mod reload;
 mod request;
 mod rules;
 mod state;
@@ -26,6 +27,7 @@
 mod store;
 mod usage;
 
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use applefold_platform::PlatformSettings;
@@ -34,7 +36,8 @@
 use state::GatewayState;
 
 /// Runs until the process is told to stop and nothing is in flight.
-pub(crate) async fn run(settings: PlatformSettings) -> Result<()> {
+pub(crate) async fn run(settings: PlatformSettings, path: PathBuf) -> Result<()> {
+    let hangups = reload::listen()?;
     let state = Rc::new(GatewayState::new(settings));
     ready::serve(&state).await?;
     accept::serve(&state).await?;
@@ -45,8 +48,9 @@
     actix_rt::spawn(duty::follow(Rc::clone(&state)));
     actix_rt::spawn(phases::follow(Rc::clone(&state)));
     actix_rt::spawn(usage::follow(Rc::clone(&state)));
-    log::info!(instance = state.settings.instance.as_str(),
-        domain = state.settings.domain.as_str(), run = state.run,
-        store = state.settings.store.to_string(); "entry started");
+    actix_rt::spawn(reload::follow(Rc::clone(&state), hangups, path));
+    log::info!(instance = state.settings().instance.as_str(),
+        domain = state.settings().domain.as_str(), run = state.run,
+        store = state.settings().store.to_string(); "entry started");
     stop::wait(&state).await
 }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -147,7 +147,7 @@
     let Ok(id) = news.instance.parse::<InstanceId>() else {
         return;
     };
-    if id == state.settings.instance || !state.peers.borrow_mut().accept(&id, news) {
+    if id == state.settings().instance || !state.peers.borrow_mut().accept(&id, news) {
         return;
     }
     let loads = news.loads.iter().filter_map(|one| {
@@ -209,12 +209,17 @@
         _ => Vec::new(),
     };
     PeerNews {
-        instance: SmolStr::new(state.settings.instance.as_str()),
+        instance: SmolStr::new(state.settings().instance.as_str()),
         run: state.run,
         sequence,
         loads: loads.collect(),
         usage,
-        away: state.phases.borrow().moving().map(|id| SmolStr::new(id.as_str())).collect(),
+        away: state
+            .phases
+            .borrow()
+            .moving()
+            .map(|id| SmolStr::new(id.as_str()))
+            .collect(),
     }
 }
 
--- a/crates/daemon/src/gateway/phases.rs
+++ b/crates/daemon/src/gateway/phases.rs
@@ -63,11 +63,17 @@
     match reply {
         Ok(OrderReply::Accepted) | Err(_) => {}
         Ok(OrderReply::Outdated) => {
-            state.phases.borrow_mut().refused(&one.service, &one.backend);
+            state
+                .phases
+                .borrow_mut()
+                .refused(&one.service, &one.backend);
             super::duty::release(&state).await;
         }
         Ok(OrderReply::Busy | OrderReply::Refused(_)) => {
-            state.phases.borrow_mut().refused(&one.service, &one.backend);
+            state
+                .phases
+                .borrow_mut()
+                .refused(&one.service, &one.backend);
         }
     }
 }
@@ -82,11 +88,17 @@
     let Some(fencing) = state.duty.authority(state) else {
         return Err(eyre!("authority has ended"));
     };
-    let holder = &state.settings.instance;
+    let holder = &state.settings().instance;
     let bytes = render_phase_order(holder, fencing, &one.backend, one.to);
     let exchange = async {
-        connection.send(&bytes).await.map_err(|fault| eyre!("{fault}"))?;
-        connection.read_head().await.map_err(|fault| eyre!("{fault}"))
+        connection
+            .send(&bytes)
+            .await
+            .map_err(|fault| eyre!("{fault}"))?;
+        connection
+            .read_head()
+            .await
+            .map_err(|fault| eyre!("{fault}"))
     };
     let head = tokio::time::timeout(ORDER_TIMEOUT, exchange).await??;
     Ok(read_order_reply(head.status))
--- a/crates/daemon/src/gateway/presence.rs
+++ b/crates/daemon/src/gateway/presence.rs
@@ -31,7 +31,11 @@
         };
         look(&state).await;
         let lonely = state.peers.borrow().is_empty();
-        let period = if lonely { LONELY_PERIOD } else { PRESENCE_PERIOD };
+        let period = if lonely {
+            LONELY_PERIOD
+        } else {
+            PRESENCE_PERIOD
+        };
         actix_rt::time::sleep(period).await;
     }
 }
@@ -42,7 +46,7 @@
     let Ok(StoreReply::Leased(Some(lease), _)) = granted else {
         return None;
     };
-    let key = format!("{}{}", presence_prefix(), state.settings.instance);
+    let key = format!("{}{}", presence_prefix(), state.settings().instance);
     let change = StoreChange {
         puts: vec![(key, address.to_string().into_bytes(), Some(lease))],
         ..StoreChange::default()
@@ -69,7 +73,10 @@
     };
     let mut entries: BTreeMap<InstanceId, SocketAddr> = BTreeMap::new();
     for item in &page.items {
-        let name = item.key.strip_prefix(&prefix).and_then(|name| name.parse().ok());
+        let name = item
+            .key
+            .strip_prefix(&prefix)
+            .and_then(|name| name.parse().ok());
         let address = std::str::from_utf8(&item.value).ok();
         let address = address.and_then(|address| address.parse().ok());
         match (name, address) {
@@ -80,6 +87,6 @@
         }
     }
     state.set_entries(entries.len() as u64);
-    entries.remove(&state.settings.instance);
+    entries.remove(&state.settings().instance);
     state.peers.borrow_mut().set_peers(entries);
 }
--- a/crates/daemon/src/gateway/ready.rs
+++ b/crates/daemon/src/gateway/ready.rs
@@ -13,7 +13,7 @@
 
 /// Serves on the balancer's address for as long as the process runs.
 pub(crate) async fn serve(state: &Rc<GatewayState>) -> Result<()> {
-    let Some(address) = state.settings.ready_listen else {
+    let Some(address) = state.settings().ready_listen else {
         return Ok(());
     };
     let state = Rc::clone(state);
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -44,7 +44,9 @@
 
 /// Returns the place after the last blank line.
 fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let newlines = (0..bytes.len()).rev().filter(|place| bytes[*place] == b'\n');
+    let newlines = (0..bytes.len())
+        .rev()
+        .filter(|place| bytes[*place] == b'\n');
     for place in newlines {
         let before = &bytes[..place];
         if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -147,7 +147,8 @@
         let service = service.ok_or_else(|| refuse(missing))?;
         let head = &request.head;
         let owner = team.map_or("", TeamId::as_str);
-        let fingerprint = RequestFingerprint::digest(owner, &head.method, &head.target, &request.body);
+        let fingerprint =
+            RequestFingerprint::digest(owner, &head.method, &head.target, &request.body);
         let admitted = state.suspects.borrow().admit(fingerprint, &[]);
         admitted.map_err(refuse)?;
         let patience = caller.patience.unwrap_or(route.timeout);
@@ -272,7 +273,7 @@
             objective: self.prepared.route.objective,
         };
         let table = self.state.table.borrow();
-        let domain = &self.state.settings.domain;
+        let domain = &self.state.settings().domain;
         self.state.policy.choose(&table, &request, domain, now)
     }
 
@@ -300,7 +301,7 @@
             let row = table.get(&placement.backend);
             row.map(|row| row.spec.domain.clone())
         };
-        let domain = domain.unwrap_or_else(|| self.state.settings.domain.clone());
+        let domain = domain.unwrap_or_else(|| self.state.settings().domain.clone());
         self.handoff = Some(HandoffGuard::new(handle, domain));
         self.apart = false;
     }
@@ -333,9 +334,9 @@
             work: match (placement.work, &self.handoff) {
                 (PlacementWork::Prefill, _) => AttemptWork::Prefill,
                 (PlacementWork::Run, None) => AttemptWork::Whole,
-                (PlacementWork::Run, Some(handoff)) => {
-                    handoff.handle().map_or(AttemptWork::Whole, AttemptWork::Answer)
-                }
+                (PlacementWork::Run, Some(handoff)) => handoff
+                    .handle()
+                    .map_or(AttemptWork::Whole, AttemptWork::Answer),
             },
             others_left: runs + 1 < self.prepared.route.max_attempts,
             last_event: self.cutter.last_event().map(SmolStr::as_str),
@@ -458,7 +459,10 @@
         self.count_run();
         let span = self.state.now().since(self.request.arrived);
         self.first = Some(span);
-        self.state.metrics.first_byte.record(span.as_secs_f64(), &[]);
+        self.state
+            .metrics
+            .first_byte
+            .record(span.as_secs_f64(), &[]);
         if let Some(handoff) = self.handoff.take() {
             handoff.taken();
         }
@@ -469,7 +473,11 @@
         render_answer_head(&stream.head, AnswerFraming::Chunked, keep, output);
     }
 
-    async fn give_up(&mut self, refusal: CallRefusal, writer: &mut OwnedWriteHalf) -> ConnectionFate {
+    async fn give_up(
+        &mut self,
+        refusal: CallRefusal,
+        writer: &mut OwnedWriteHalf,
+    ) -> ConnectionFate {
         if self.begun {
             self.log_end(refusal.code.status(), "the stream broke off");
             return ConnectionFate::Close;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 
 use applefold_core::code::ResultCode;
-use applefold_core::direct::{InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, WindowSealer};
+use applefold_core::direct::{
+    InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, WindowSealer,
+};
 use applefold_core::drain::{DrainOptions, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
 use applefold_core::id::{BackendId, Revision, ServiceId};
@@ -42,7 +44,7 @@
 
 /// What the tasks of an entry share.
 pub(crate) struct GatewayState {
-    pub(crate) settings: PlatformSettings,
+    settings: RefCell<Rc<PlatformSettings>>,
     pub(crate) clock: SuspendClock,
     pub(crate) metrics: MetricSet,
     /// Tells two runs of a process on one instance apart.
@@ -105,13 +107,26 @@
             peers: RefCell::default(),
             clock,
             metrics,
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         }
     }
 
     /// Returns where this entry listens to the others.
     pub(crate) fn peer_address(&self) -> SocketAddr {
-        SocketAddr::new(self.settings.ip, *self.settings.peer_ports.start())
+        let settings = self.settings();
+        SocketAddr::new(settings.ip, *settings.peer_ports.start())
+    }
+
+    /// Returns the settings in force.
+    pub(crate) fn settings(&self) -> Rc<PlatformSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts other settings in force, as far as a running process can.
+    pub(crate) fn replace_settings(&self, settings: PlatformSettings) {
+        self.store.set_address(settings.store);
+        self.budgets.borrow_mut().clear();
+        *self.settings.borrow_mut() = Rc::new(settings);
     }
 
     pub(crate) fn now(&self) -> TimePoint {
@@ -154,8 +169,9 @@
 
     fn retry_policy(&self) -> RetryPolicy {
         let plan = RETRY_PLAN_PERCENT / 100.0;
-        let share = self.settings.retry_ratio * plan * 1_000.0;
-        let burst = self.settings.retry_slack as f64 * plan / self.entries.get() as f64;
+        let settings = self.settings();
+        let share = settings.retry_ratio * plan * 1_000.0;
+        let burst = settings.retry_slack as f64 * plan / self.entries.get() as f64;
         RetryPolicy {
             share_permille: share as u64,
             burst: (burst as u64).max(1),
--- a/crates/daemon/src/gateway/stop.rs
+++ b/crates/daemon/src/gateway/stop.rs
@@ -35,7 +35,7 @@
             state.closing.send_replace(true);
         }
         let stopped = state.drain.borrow().phase() == DrainPhase::Stopped;
-        let over = now.since(begun) + GRACE_MARGIN >= state.settings.grace;
+        let over = now.since(begun) + GRACE_MARGIN >= state.settings().grace;
         if stopped || over {
             break;
         }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -29,7 +29,7 @@
 
 /// Calls the store, and notes when it is lost and regained.
 pub(crate) struct StoreClient {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     clock: SuspendClock,
     metrics: MetricSet,
     idle: RefCell<Vec<ClientConnection>>,
@@ -40,7 +40,7 @@
 impl StoreClient {
     pub(crate) fn new(address: SocketAddr, clock: SuspendClock, metrics: MetricSet) -> Self {
         Self {
-            address,
+            address: Cell::new(address),
             clock,
             metrics,
             idle: RefCell::default(),
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Goes to another address from the next call on.
+    pub(crate) fn set_address(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.idle.borrow_mut().clear();
+        }
+    }
+
     /// Returns whether the store has answered without a failure for `span`.
     pub(crate) fn is_steady(&self, span: TimeSpan) -> bool {
         self.standing.get() == StoreStanding::Answering
@@ -78,7 +85,7 @@
         let lost = |fault: ConnectionFault| StoreError::Lost(fault.to_string());
         let mut connection = match self.take() {
             Some(connection) => connection,
-            None => ClientConnection::open(self.address, CONNECT_TIMEOUT)
+            None => ClientConnection::open(self.address.get(), CONNECT_TIMEOUT)
                 .await
                 .map_err(|error| StoreError::Lost(error.to_string()))?,
         };
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -40,7 +40,7 @@
 
 /// Tells and reports usage for as long as the process runs.
 pub(crate) async fn follow(state: Rc<GatewayState>) {
-    if !state.settings.duties.contains(&DutyKind::Usage) {
+    if !state.settings().duties.contains(&DutyKind::Usage) {
         return;
     }
     let mut told = state.counter.borrow().window_at(wall());
@@ -63,7 +63,7 @@
 
 /// Tells what was counted in the window that has not ended, as a process does that stops.
 pub(crate) async fn flush(state: &GatewayState) {
-    if state.settings.duties.contains(&DutyKind::Usage) {
+    if state.settings().duties.contains(&DutyKind::Usage) {
         let window = state.counter.borrow().window_at(wall());
         tell(state, window).await;
     }
@@ -113,7 +113,11 @@
     };
     let counts = gather(state, window, &page.items);
     let told = page.items.len();
-    let removed = page.items.into_iter().map(|item| item.key).take(MAX_REMOVED);
+    let removed = page
+        .items
+        .into_iter()
+        .map(|item| item.key)
+        .take(MAX_REMOVED);
     let mut removed: Vec<String> = removed.collect();
     removed.push(seal_key(WindowId(window.0.saturating_sub(KEPT_SEALS))));
     let change = StoreChange {
@@ -139,16 +143,22 @@
         return Err(eyre!("the seal is gone"));
     };
     let counts = decode(&item)?;
-    let address = state.settings.duty_interface;
+    let address = state.settings().duty_interface;
     let address = address.ok_or_else(|| eyre!("the settings name no interface for usage"))?;
     let mut connection = ClientConnection::open(address, CALL_TIMEOUT).await?;
     let Some(fencing) = state.duty.authority(state) else {
         return Err(eyre!("authority has ended"));
     };
-    let bytes = render_usage(&state.settings.instance, fencing, window, &counts);
+    let bytes = render_usage(&state.settings().instance, fencing, window, &counts);
     let exchange = async {
-        connection.send(&bytes).await.map_err(|fault| eyre!("{fault}"))?;
-        connection.read_head().await.map_err(|fault| eyre!("{fault}"))
+        connection
+            .send(&bytes)
+            .await
+            .map_err(|fault| eyre!("{fault}"))?;
+        connection
+            .read_head()
+            .await
+            .map_err(|fault| eyre!("{fault}"))
     };
     let head = tokio::time::timeout(CALL_TIMEOUT, exchange).await??;
     let reply = read_duty_reply(head.status);
@@ -197,7 +207,7 @@
 
 /// Names this run of the process among those that count.
 pub(crate) fn part_name(state: &GatewayState) -> SmolStr {
-    format_smolstr!("{}-{}", state.settings.instance, state.run)
+    format_smolstr!("{}-{}", state.settings().instance, state.run)
 }
 
 fn encode(counts: &WindowCounts) -> Vec<u8> {
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -117,8 +117,7 @@
     let fields = read_fields(response.headers)?;
     let status = response.code.unwrap_or_default();
     let framing = response_framing(&fields, status)?;
-    let keep_alive =
-        stays_open(&fields, response.version) && framing != BodyFraming::UntilClose;
+    let keep_alive = stays_open(&fields, response.version) && framing != BodyFraming::UntilClose;
     let head = ResponseHead {
         status,
         framing,
