Keep two engines of five for answers, and let estimates recover

Cause: after five engines had moved to prompts, two of the rest left, and one engine was left for answers; and an estimate that had once gone bad refused everything, so that nothing was learned any more.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -23,10 +23,13 @@
 const PREFILL_RATE: u64 = 60_000;
 /// The same of an engine that reads prompts between the tokens of answers.
 const MIXED_RATE: u64 = 20_000;
-/// Bounds of what is learned, in prompt tokens per second, so that one odd sample does not
-/// put an engine out of use or draw everything to it.
-const SLOWEST_RATE: u64 = 2_000;
-const FASTEST_RATE: u64 = 400_000;
+/// How many times faster or slower than usual an engine is taken to be, so that one odd
+/// sample does not put it out of use or draw everything to it.
+const RATE_SPREAD: u64 = 6;
+/// The longest time to a first token that is learned.
+const LONGEST_FIRST_TIME: TimeSpan = TimeSpan::from_millis(300);
+/// How soon half of what is learned is forgotten while nothing new is learned.
+const ESTIMATE_HALF_LIFE: TimeSpan = TimeSpan::from_secs(1);
 /// The shortest time that a rate is learned from.
 const SHORTEST_WORK: TimeSpan = TimeSpan::from_millis(2);
 /// The oldest load of a peer that is believed.
@@ -130,8 +133,8 @@
     peers: BTreeMap<InstanceId, (PeerLoad, TimePoint)>,
     parts: BTreeMap<SmolStr, HeldPart>,
     memory: TokenCount,
-    first_time: TimeSpan,
-    prefill_rate: u64,
+    first_time: Estimate,
+    prefill_rate: Estimate,
     call_time: TimeSpan,
     full_until: TimePoint,
 }
@@ -151,8 +154,8 @@
             peers: BTreeMap::new(),
             parts: BTreeMap::new(),
             memory: DEFAULT_MEMORY,
-            first_time: DEFAULT_FIRST_TIME,
-            prefill_rate,
+            first_time: Estimate::new(DEFAULT_FIRST_TIME.0),
+            prefill_rate: Estimate::new(prefill_rate),
             full_until: TimePoint::START,
             call_time: DEFAULT_FIRST_TIME,
         }
@@ -209,13 +212,13 @@
     }
 
     /// Returns the time that a prompt of `tokens` takes until its first token.
-    pub fn time_for(&self, tokens: TokenCount) -> TimeSpan {
-        TimeSpan(tokens.0 * 1_000_000 / self.prefill_rate.max(1))
+    pub fn time_for(&self, tokens: TokenCount, now: TimePoint) -> TimeSpan {
+        TimeSpan(tokens.0 * 1_000_000 / self.prefill_rate.value(now).max(1))
     }
 
     /// Returns the time to a first token besides the prompt's.
-    pub fn first_time(&self) -> TimeSpan {
-        self.first_time
+    pub fn first_time(&self, now: TimePoint) -> TimeSpan {
+        TimeSpan(self.first_time.value(now))
     }
 
     /// Returns the usual time of a whole call.
@@ -251,11 +254,12 @@
     fn learn(&mut self, flight: FlightNote, now: TimePoint) {
         let span = now.since(flight.sent_at);
         if flight.uncached + flight.ahead < MIN_RATE_TOKENS {
-            self.first_time = TimeSpan(blend(self.first_time.0, span.0));
+            let span = span.min(LONGEST_FIRST_TIME);
+            self.first_time.learn(span.0, now);
             return;
         }
-        if let Some(rate) = self.rate_of(flight, span) {
-            self.prefill_rate = blend(self.prefill_rate, rate);
+        if let Some(rate) = self.rate_of(flight, span, now) {
+            self.prefill_rate.learn(rate, now);
         }
     }
 
@@ -263,20 +267,59 @@
     /// the engine is no faster than that.
     fn learn_missing(&mut self, flight: FlightNote, now: TimePoint) {
         let span = now.since(flight.sent_at);
-        let rate = self.rate_of(flight, span);
-        if let Some(rate) = rate.filter(|rate| *rate < self.prefill_rate) {
-            self.prefill_rate = blend(self.prefill_rate, rate);
+        let rate = self.rate_of(flight, span, now);
+        if let Some(rate) = rate.filter(|rate| *rate < self.prefill_rate.value(now)) {
+            self.prefill_rate.learn(rate, now);
         }
     }
 
     /// Returns the prompt tokens per second that a first token after `span` tells of.
-    fn rate_of(&self, flight: FlightNote, span: TimeSpan) -> Option<u64> {
+    fn rate_of(&self, flight: FlightNote, span: TimeSpan, now: TimePoint) -> Option<u64> {
         let tokens = flight.uncached + flight.ahead;
         if tokens < MIN_RATE_TOKENS {
             return None;
         }
-        let work = span.saturating_sub(self.first_time).max(SHORTEST_WORK);
-        Some((tokens.0 * 1_000_000 / work.0).clamp(SLOWEST_RATE, FASTEST_RATE))
+        let work = span.saturating_sub(self.first_time(now)).max(SHORTEST_WORK);
+        let rate = tokens.0 * 1_000_000 / work.0;
+        let usual = self.prefill_rate.usual;
+        Some(rate.clamp(usual / RATE_SPREAD, usual * RATE_SPREAD))
+    }
+}
+
+/// A learned figure that goes back to the usual one while nothing is learned.
+///
+/// What is refused because of a bad estimate teaches nothing, so without that an
+/// estimate that is once bad would stay so.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    usual: u64,
+    learned: u64,
+    at: TimePoint,
+}
+
+impl Estimate {
+    fn new(usual: u64) -> Self {
+        Self {
+            usual,
+            learned: usual,
+            at: TimePoint::START,
+        }
+    }
+
+    fn value(&self, now: TimePoint) -> u64 {
+        let halvings = now.since(self.at).0 / ESTIMATE_HALF_LIFE.0;
+        let shift = halvings.min(63) as u32;
+        let (low, high) = (self.usual.min(self.learned), self.usual.max(self.learned));
+        let apart = (high - low) >> shift;
+        match self.learned > self.usual {
+            true => self.usual + apart,
+            false => self.usual - apart,
+        }
+    }
+
+    fn learn(&mut self, sample: u64, now: TimePoint) {
+        self.learned = blend(self.value(now), sample);
+        self.at = now;
     }
 }
 
--- a/crates/core/src/direct/phase.rs
+++ b/crates/core/src/direct/phase.rs
@@ -25,6 +25,10 @@
     pub crowded: f64,
     /// The share of places that answers may come to when an engine is taken from them.
     pub roomy: f64,
+    /// The share of engines that answers keep when one is taken from them.
+    pub answer_floor: f64,
+    /// The share of engines below which answers get one back, however long prompts wait.
+    pub answer_need: f64,
     /// How long a shortage must have lasted.
     pub settle: TimeSpan,
     /// The pause between two moves in one direction.
@@ -42,9 +46,11 @@
             short_wait: TimeSpan::from_millis(30),
             crowded: 0.85,
             roomy: 0.50,
+            answer_floor: 0.40,
+            answer_need: 0.34,
             settle: TimeSpan::from_millis(800),
             rest: TimeSpan::from_millis(3_000),
-            reversal_rest: TimeSpan::from_secs(12),
+            reversal_rest: TimeSpan::from_secs(8),
             move_limit: TimeSpan::from_secs(13),
         }
     }
@@ -195,7 +201,7 @@
     fn average(&mut self, prompts: &[&InstanceRow], answers: &[&InstanceRow], now: TimePoint) {
         let waits = prompts
             .iter()
-            .map(|row| row.time_for(row.backlog(now)).0 as f64);
+            .map(|row| row.time_for(row.backlog(now), now).0 as f64);
         let wait = waits.sum::<f64>() / prompts.len() as f64;
         let taken: u64 = answers.iter().map(|row| row.competing(now)).sum();
         let places: u64 = answers.iter().map(|row| u64::from(row.spec.slots)).sum();
@@ -214,8 +220,13 @@
         let without_one = |count: usize| count as f64 / (count as f64 - 1.0).max(0.01);
         let share_after = self.answer_share * without_one(answers.len());
         let wait_after = self.prompt_wait * without_one(prompts.len());
+        let total = (prompts.len() + answers.len()) as f64;
+        if prompts.len() > 1 && (answers.len() as f64) < total * policy.answer_need {
+            return Some(BackendRole::Decode);
+        }
         let long = self.prompt_wait > policy.long_wait.0 as f64;
-        if long && answers.len() > 1 && share_after < policy.roomy {
+        let floor = answers.len() as f64 - 1.0 >= total * policy.answer_floor;
+        if long && floor && share_after < policy.roomy {
             return Some(BackendRole::Prefill);
         }
         let crowded = self.answer_share > policy.crowded;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -138,7 +138,7 @@
         let rows = self.usable(&listed, request, now)?;
         let mut candidates = self.runs(&rows, request, domain, now);
         if request.stage == PlacementStage::Open {
-            let handoff = candidates.iter().map(|one| one.row.first_time()).min();
+            let handoff = candidates.iter().map(|one| one.row.first_time(now)).min();
             if let Some(handoff) = handoff {
                 let prefills = self.prefills(&listed, request, handoff, now);
                 candidates.extend(prefills);
@@ -255,12 +255,12 @@
         let homes = self.homes_of(&rows, request);
         let candidates = rows.iter().map(|row| {
             let (uncached, reread) = self.uncached(row, prompt, &homes);
-            let read = row.first_time() + row.time_for(uncached + self.ahead(row, now));
+            let read = row.first_time(now) + row.time_for(uncached + self.ahead(row, now), now);
             Candidate {
                 row,
                 work: PlacementWork::Prefill,
                 cost: read + handoff + self.handoff_cost,
-                bias: row.time_for(reread),
+                bias: row.time_for(reread, now),
                 uncached,
             }
         });
@@ -297,18 +297,18 @@
         let time = match request.prompt {
             None => self.predict_call(row, now),
             Some(_) => {
-                let read = row.time_for(uncached + self.ahead(row, now));
+                let read = row.time_for(uncached + self.ahead(row, now), now);
                 let beside = TimeSpan(self.beside_cost.0 * row.competing(now));
-                row.first_time() + read + beside + overflow(row, now)
+                row.first_time(now) + read + beside + overflow(row, now)
             }
         };
-        let own = row.time_for(uncached).0;
+        let own = row.time_for(uncached, now).0;
         let mixing = TimeSpan(own * row.competing(now) * self.mixing_percent / 100);
         Candidate {
             row,
             work: PlacementWork::Run,
             cost: time + far,
-            bias: mixing + row.time_for(reread),
+            bias: mixing + row.time_for(reread, now),
             uncached,
         }
     }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Goes by another policy; what is left is kept, up to the new burst.
+    pub fn set_policy(&mut self, policy: RetryPolicy) {
+        self.policy = policy;
+        self.balance = self.balance.min(policy.burst * RETRY_COST);
+    }
+
     /// Notes a first attempt, which earns its share of a second one.
     pub fn earn(&mut self) {
         let full = self.policy.burst * RETRY_COST;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -244,8 +244,11 @@
             };
             if placement.work == PlacementWork::Prefill {
                 self.apart = false;
-                self.charge_retry();
-                continue;
+                if self.charge_retry() {
+                    continue;
+                }
+                let busy = CallRefusal::passing(ResultCode::RetryExhausted, BUSY_RETRY);
+                return self.give_up(busy, writer).await;
             }
             self.note_handoff_failed(end);
             self.excluded.insert(placement.backend);
@@ -287,12 +290,9 @@
     }
 
     /// A call that failed to read the prompt makes the next one an extra arrival.
-    fn charge_retry(&self) {
+    fn charge_retry(&self) -> bool {
         let service = &self.prepared.service;
-        let paid = self.state.with_budget(service, |budget| budget.spend());
-        if !paid {
-            log::debug!(service = service.as_str(); "retry budget is spent");
-        }
+        self.state.with_budget(service, |budget| budget.spend())
     }
 
     fn keep_handoff(&mut self, handle: KvHandle, placement: &Placement) {
@@ -435,7 +435,7 @@
             if done {
                 events.extend_from_slice(&self.cutter.finish());
             }
-            if !events.is_empty() && !self.begun {
+            if (done || !events.is_empty()) && !self.begun {
                 self.begin_stream(&stream, &mut output);
             }
             encode_chunk(&events, &mut output);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -125,8 +125,8 @@
     /// Puts other settings in force, as far as a running process can.
     pub(crate) fn replace_settings(&self, settings: PlatformSettings) {
         self.store.set_address(settings.store);
-        self.budgets.borrow_mut().clear();
         *self.settings.borrow_mut() = Rc::new(settings);
+        self.apply_retry_policy();
     }
 
     pub(crate) fn now(&self) -> TimePoint {
@@ -153,7 +153,14 @@
     pub(crate) fn set_entries(&self, entries: u64) {
         if self.entries.replace(entries.max(1)) != entries {
             log::info!(entries; "number of entries changed");
-            self.budgets.borrow_mut().clear();
+            self.apply_retry_policy();
+        }
+    }
+
+    fn apply_retry_policy(&self) {
+        let policy = self.retry_policy();
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.set_policy(policy);
         }
     }
 
