Refuse first tokens that are predicted late

Cause: in overload nearly every answer was late, since each late one held up those behind it; callers then left after two seconds with nothing. Ruled out: letting late ones through up to four or two objectives. Change: a first token that is predicted after its objective is refused at once with the time until it would not be.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -33,8 +33,9 @@
     pub reread_percent: u64,
     /// How soon a caller may return where nothing serves the request.
     pub missing_retry: TimeSpan,
-    /// How often its objective a first token may take before it is better refused.
-    pub late_objectives: u64,
+    /// The part of its objective, in percent, that a first token may be predicted to take; what
+    /// comes later holds up those that could still be on time.
+    pub late_percent: u64,
 }
 
 impl Default for PlacementPolicy {
@@ -49,7 +50,7 @@
             mixing_percent: 30,
             reread_percent: 150,
             missing_retry: TimeSpan::from_millis(500),
-            late_objectives: 4,
+            late_percent: 100,
         }
     }
 }
@@ -172,7 +173,7 @@
         predicted: TimeSpan,
         request: &PlacementRequest<'_>,
     ) -> Result<(), CallRefusal> {
-        let late = TimeSpan(request.objective.0 * self.late_objectives);
+        let late = TimeSpan(request.objective.0 * self.late_percent / 100);
         let most = match request.prompt {
             Some(_) => request.time_left.min(late),
             None => request.time_left,
