Do not refuse long prompts that are late by themselves

Change: what is predicted late is refused only where it also waits for others over a quarter of its objective.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -31,11 +31,14 @@
     /// How much more reading a shared part again counts than reading a new one, in percent:
     /// what is read again pushes other parts out.
     pub reread_percent: u64,
+    /// How soon a caller may return at the earliest.
+    pub shortest_retry: TimeSpan,
     /// How soon a caller may return where nothing serves the request.
     pub missing_retry: TimeSpan,
-    /// The part of its objective, in percent, that a first token may be predicted to take; what
-    /// comes later holds up those that could still be on time.
-    pub late_percent: u64,
+    /// The part of its objective, in percent, that a first token may wait for others although
+    /// it will be late. What waits longer is refused, since it holds up those that could still
+    /// be on time; a long prompt that is late by itself is not.
+    pub wait_percent: u64,
 }
 
 impl Default for PlacementPolicy {
@@ -49,8 +52,9 @@
             handoff_cost: TimeSpan::from_millis(15),
             mixing_percent: 30,
             reread_percent: 150,
+            shortest_retry: TimeSpan::from_millis(100),
             missing_retry: TimeSpan::from_millis(500),
-            late_percent: 100,
+            wait_percent: 25,
         }
     }
 }
@@ -115,6 +119,8 @@
     work: PlacementWork,
     /// The predicted time.
     cost: TimeSpan,
+    /// What of that the request takes by itself.
+    own: TimeSpan,
     /// What else speaks against it, as time.
     bias: TimeSpan,
     uncached: TokenCount,
@@ -153,7 +159,7 @@
         let Some(best) = best else {
             return Err(self.missing());
         };
-        self.check_time(best.cost, request)?;
+        self.check_time(&best, request)?;
         Ok(Placement {
             backend: best.row.spec.id.clone(),
             work: best.work,
@@ -170,19 +176,19 @@
     /// Refuses what would be answered too late to be of use, with the time until it would not.
     fn check_time(
         &self,
-        predicted: TimeSpan,
+        best: &Candidate<'_>,
         request: &PlacementRequest<'_>,
     ) -> Result<(), CallRefusal> {
-        let late = TimeSpan(request.objective.0 * self.late_percent / 100);
-        let most = match request.prompt {
-            Some(_) => request.time_left.min(late),
-            None => request.time_left,
-        };
-        if predicted <= most {
+        let wait = best.cost.saturating_sub(best.own);
+        let most = TimeSpan(request.objective.0 * self.wait_percent / 100);
+        let late = best.cost > request.objective && wait > most;
+        let hopeless = best.cost > request.time_left;
+        if !(late && request.prompt.is_some()) && !hopeless {
             return Ok(());
         }
-        let wait = predicted.saturating_sub(request.objective);
-        Err(CallRefusal::passing(ResultCode::DeadlineHopeless, wait))
+        let excess = best.cost.saturating_sub(request.objective);
+        let back = excess.max(self.shortest_retry);
+        Err(CallRefusal::passing(ResultCode::DeadlineHopeless, back))
     }
 
     /// Returns the backend servers that may run the request; health counts only
@@ -261,6 +267,7 @@
                 row,
                 work: PlacementWork::Prefill,
                 cost: read + handoff + self.handoff_cost,
+                own: row.first_time(now) + row.time_for(uncached, now) + handoff,
                 bias: row.time_for(reread, now),
                 uncached,
             }
@@ -309,6 +316,7 @@
             row,
             work: PlacementWork::Run,
             cost: time + far,
+            own: row.first_time(now) + row.time_for(uncached, now),
             bias: mixing + row.time_for(reread, now),
             uncached,
         }
