Test placement, phases and attempts by the load and histories they answer

Change: tests of direct serving: a burst at 1.7 times the capacity beside a naive entry (at least 110 of 200 on time against at most 30), homes of shared parts, news of peers, lapsed entries, estimates that recover, moves between prompts and answers, every history of four attempts under each repeat rule, and property tests over HTTP messages.

--- /dev/null
+++ b/crates/core/tests/direct_attempts.rs
@@ -0,0 +1,187 @@
+//! What follows a failed attempt, over every history of up to four of them.
+
+use applefold_core::code::RunState;
+use applefold_core::direct::{
+    AttemptEnd, AttemptLimits, NextStep, RepeatRule, RequestProgress, RunCounter, SealStep,
+    WindowSealer,
+};
+use applefold_core::id::{TeamId, WindowId};
+use applefold_core::retry::{RetryBudget, RetryPolicy};
+use applefold_core::unit::TimeSpan;
+
+const ENDS: [AttemptEnd; 6] = [
+    AttemptEnd::NotSent,
+    AttemptEnd::NotRun { misdirected: false },
+    AttemptEnd::NotRun { misdirected: true },
+    AttemptEnd::Broken,
+    AttemptEnd::Failed,
+    AttemptEnd::TimedOut,
+];
+const RULES: [RepeatRule; 4] = [
+    RepeatRule::Repeatable,
+    RepeatRule::Once,
+    RepeatRule::Stream { resumable: true },
+    RepeatRule::Stream { resumable: false },
+];
+const LEFT: TimeSpan = TimeSpan::from_secs(1);
+
+fn limits() -> AttemptLimits {
+    AttemptLimits {
+        max_runs: 2,
+        max_sends: 4,
+        min_time: TimeSpan::from_millis(30),
+        retry_after: TimeSpan::from_millis(400),
+    }
+}
+
+fn ran(end: AttemptEnd) -> bool {
+    matches!(
+        end,
+        AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::TimedOut
+    )
+}
+
+/// Plays a history until the request is given up; returns what was tried and the last word.
+fn play(rule: RepeatRule, history: &[AttemptEnd], budget: &mut RetryBudget) -> (usize, NextStep) {
+    let mut progress = RequestProgress::default();
+    for (tried, end) in history.iter().enumerate() {
+        progress.begin();
+        let step = progress.decide(*end, rule, &limits(), LEFT, budget);
+        if step != NextStep::Again {
+            return (tried + 1, step);
+        }
+    }
+    (history.len(), NextStep::Again)
+}
+
+fn histories() -> Vec<Vec<AttemptEnd>> {
+    let mut all = Vec::new();
+    for a in ENDS {
+        for b in ENDS {
+            for c in ENDS {
+                for d in ENDS {
+                    all.push(vec![a, b, c, d]);
+                }
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn over_all_histories_a_refusal_that_says_not_run_is_true() {
+    for rule in RULES {
+        for history in histories() {
+            let mut budget = RetryBudget::new(RetryPolicy::default());
+            let (tried, step) = play(rule, &history, &mut budget);
+            let any_ran = history[..tried].iter().any(|end| ran(*end));
+            if let NextStep::Refuse(refusal) = step {
+                let says_not_run = refusal.code.run_state() == RunState::NotRun;
+                assert_eq!(says_not_run, !any_ran, "{rule:?} {history:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn over_all_histories_what_may_run_once_is_not_sent_after_it_may_have_run() {
+    for rule in [RepeatRule::Once, RepeatRule::Stream { resumable: false }] {
+        for history in histories() {
+            let mut budget = RetryBudget::new(RetryPolicy::default());
+            let (tried, _) = play(rule, &history, &mut budget);
+            let first_run = history.iter().position(|end| ran(*end));
+            assert!(
+                first_run.is_none_or(|first| tried <= first + 1),
+                "{history:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn over_all_histories_runs_and_sends_keep_their_limits() {
+    for rule in RULES {
+        for history in histories() {
+            let mut budget = RetryBudget::new(RetryPolicy::default());
+            let (tried, _) = play(rule, &history, &mut budget);
+            let runs = history[..tried].iter().filter(|end| ran(**end)).count();
+            assert!(runs <= limits().max_runs as usize);
+            assert!(tried <= limits().max_sends as usize);
+        }
+    }
+}
+
+#[test]
+fn a_second_arrival_is_paid_for_and_a_connection_that_failed_is_not() {
+    let policy = RetryPolicy {
+        burst: 1,
+        share_permille: 0,
+        ..RetryPolicy::default()
+    };
+    let not_run = AttemptEnd::NotRun { misdirected: false };
+    let table = [
+        (
+            [
+                AttemptEnd::NotSent,
+                AttemptEnd::NotSent,
+                AttemptEnd::NotSent,
+            ],
+            3,
+        ),
+        ([not_run, not_run, not_run], 2),
+        ([AttemptEnd::NotSent, not_run, not_run], 3),
+    ];
+    for (history, expected) in table {
+        let mut budget = RetryBudget::new(policy);
+        let (tried, _) = play(RepeatRule::Repeatable, &history, &mut budget);
+        assert_eq!(tried, expected, "{history:?}");
+    }
+}
+
+#[test]
+fn a_new_number_of_entries_does_not_refill_a_budget() {
+    let policy = RetryPolicy {
+        burst: 4,
+        share_permille: 0,
+        ..RetryPolicy::default()
+    };
+    let mut budget = RetryBudget::new(policy);
+    while budget.spend() {}
+    budget.set_policy(RetryPolicy { burst: 9, ..policy });
+    assert!(!budget.spend());
+}
+
+#[test]
+fn runs_are_counted_in_the_window_of_the_wall_clock() {
+    let team: TeamId = "team-1".parse().unwrap();
+    let mut counter = RunCounter::new(TimeSpan::from_secs(5), 3);
+    for secs in [10, 14, 15, 19] {
+        counter.count(&team, TimeSpan::from_secs(secs));
+    }
+    assert_eq!(counter.counts(WindowId(2))[&team], 2);
+    assert_eq!(counter.counts(WindowId(3))[&team], 2);
+    counter.count(&team, TimeSpan::from_secs(40));
+    assert!(counter.counts(WindowId(2)).is_empty());
+    assert_eq!(counter.end_of(WindowId(3)), TimeSpan::from_secs(20));
+}
+
+#[test]
+fn a_window_is_sealed_before_it_is_reported_and_left_when_late() {
+    let mut sealer = WindowSealer::new(
+        TimeSpan::from_secs(5),
+        TimeSpan::from_millis(500),
+        TimeSpan::from_secs(10),
+    );
+    let at = TimeSpan::from_millis(20_600);
+    let due = [1, 2, 3].map(|number| SealStep::Seal(WindowId(number)));
+    assert_eq!(sealer.due(at), due[1..].to_vec());
+    sealer.sealed(WindowId(2));
+    sealer.reported(WindowId(3));
+    assert_eq!(sealer.due(at), vec![SealStep::Report(WindowId(2))]);
+    sealer.reset();
+    assert_eq!(
+        sealer.due(at).len(),
+        2,
+        "a new holder begins with what is not late"
+    );
+}
--- /dev/null
+++ b/crates/core/tests/direct_placement.rs
@@ -0,0 +1,264 @@
+//! Where requests go when load is at its worst, and what is turned away.
+
+mod direct_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::direct::{
+    InstanceTable, Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork,
+    PromptShape,
+};
+use applefold_core::id::BackendId;
+use applefold_core::routing::BackendRole::{self, Decode, Plain, Prefill};
+use applefold_core::unit::{TimePoint, TimeSpan, TokenCount};
+use direct_support::{backend, domain, load, prompt, service, spec, table};
+
+const NOW: TimePoint = TimePoint(10_000_000);
+const OBJECTIVE: TimeSpan = TimeSpan::from_millis(300);
+
+fn place_at(
+    table: &InstanceTable,
+    prompt: Option<&PromptShape>,
+    stage: PlacementStage<'_>,
+    excluded: &BTreeSet<BackendId>,
+    now: TimePoint,
+) -> Result<Placement, CallRefusal> {
+    let service = service();
+    let request = PlacementRequest {
+        name: "r-1",
+        service: &service,
+        prompt,
+        stage,
+        excluded,
+        time_left: TimeSpan::from_secs(2),
+        objective: OBJECTIVE,
+    };
+    PlacementPolicy::default().choose(table, &request, &domain(), now)
+}
+
+fn place(table: &InstanceTable, prompt: Option<&PromptShape>) -> Result<Placement, CallRefusal> {
+    place_at(table, prompt, PlacementStage::Open, &BTreeSet::new(), NOW)
+}
+
+#[test]
+fn requests_that_share_a_part_go_to_one_engine_and_others_elsewhere() {
+    let table = table(&[Prefill; 6]);
+    let mut engines = self::table(&[Prefill; 6]);
+    engines.upsert(spec(6, Decode));
+    drop(table);
+    let mut homes = BTreeMap::new();
+    for number in 0..40 {
+        let prompt = prompt(&format!("part-{number}"), 5_000, 2_000);
+        let first = place(&engines, Some(&prompt)).unwrap();
+        let second = place(&engines, Some(&prompt)).unwrap();
+        assert_eq!(first.backend, second.backend);
+        assert_eq!(first.work, PlacementWork::Prefill);
+        assert_eq!(first.uncached, TokenCount(2_000));
+        *homes.entry(first.backend).or_insert(0) += 1;
+    }
+    assert_eq!(homes.len(), 6, "{homes:?}");
+}
+
+#[test]
+fn a_long_prompt_is_read_apart_and_a_short_one_is_not() {
+    let table = table(&[Prefill, Decode]);
+    let long = place(&table, Some(&prompt("p", 10, 8_000))).unwrap();
+    assert_eq!(long.work, PlacementWork::Prefill);
+    let short = place(&table, Some(&prompt("p", 10, 40))).unwrap();
+    assert_eq!(short.work, PlacementWork::Run);
+    assert_eq!(short.backend, backend(1));
+}
+
+#[test]
+fn the_answer_goes_to_the_engine_with_the_least_beside_it() {
+    let mut table = table(&[Prefill, Decode, Decode]);
+    load(&mut table, &[(1, 6, 0), (2, 2, 0)], NOW);
+    let stage_domain = domain();
+    let stage = PlacementStage::Answer(&stage_domain);
+    let prompt = prompt("p", 10, 8_000);
+    let placed = place_at(&table, Some(&prompt), stage, &BTreeSet::new(), NOW).unwrap();
+    assert_eq!(
+        (placed.backend, placed.uncached),
+        (backend(2), TokenCount::ZERO)
+    );
+}
+
+/// Six entries send to the same engines; what they told each other counts like one's own.
+#[test]
+fn what_peers_have_sent_counts_until_it_is_old() {
+    let mut table = table(&[Decode, Decode]);
+    load(&mut table, &[(0, 4, 3_000)], NOW);
+    let prompt = prompt("p", 10, 100);
+    let placed = place(&table, Some(&prompt)).unwrap();
+    assert_eq!(placed.backend, backend(1));
+    let later = NOW + TimeSpan::from_secs(5);
+    load(&mut table, &[(1, 4, 3_000)], later);
+    let placed = place_at(
+        &table,
+        Some(&prompt),
+        PlacementStage::Open,
+        &BTreeSet::new(),
+        later,
+    );
+    assert_eq!(placed.unwrap().backend, backend(0));
+}
+
+/// The load that this answers: 1.7 times the usual prompts for seconds. Admitting all of them
+/// in turn, as a naive entry does, makes every one late once the queue is a whole objective long.
+#[test]
+fn in_a_burst_the_admitted_are_on_time_where_a_naive_entry_serves_all_late() {
+    let rate = 60_000_f64;
+    let arrivals = 200;
+    let gap = TimeSpan::from_millis(20);
+    let tokens = 2_000;
+    let (mut on_time, mut refused) = (0, 0);
+    let mut table = table(&[Prefill, Decode]);
+    let mut busy_until = NOW;
+    let mut naive_until = NOW;
+    let mut naive_on_time = 0;
+    for number in 0..arrivals {
+        let now = TimePoint(NOW.0 + gap.0 * number);
+        let work = TimeSpan::from_secs_f64(f64::from(tokens as u32) / rate);
+        naive_until = naive_until.max(now) + work;
+        naive_on_time += u64::from(naive_until.since(now) <= OBJECTIVE);
+        let waiting = busy_until.since(now).as_secs_f64() * rate;
+        load(&mut table, &[(0, 1, waiting as u64), (1, 8, 4_000)], now);
+        let prompt = prompt("p", 10, tokens - 10);
+        match place_at(
+            &table,
+            Some(&prompt),
+            PlacementStage::Open,
+            &BTreeSet::new(),
+            now,
+        ) {
+            Ok(_) => {
+                busy_until = busy_until.max(now) + work;
+                on_time += u64::from(busy_until.since(now) <= OBJECTIVE);
+            }
+            Err(refusal) => {
+                assert_eq!(refusal.code, ResultCode::DeadlineHopeless);
+                assert!(refusal.retry_after.is_some());
+                refused += 1;
+            }
+        }
+    }
+    assert_eq!(on_time + refused, arrivals);
+    assert!(on_time >= 110, "{on_time}");
+    assert!(naive_on_time <= 30, "{naive_on_time}");
+}
+
+#[test]
+fn a_prompt_that_is_late_by_itself_is_served_while_nothing_waits() {
+    let mut table = table(&[Prefill, Decode]);
+    let long = prompt("p", 10, 40_000);
+    let placed = place(&table, Some(&long)).unwrap();
+    assert!(placed.predicted > OBJECTIVE);
+    load(&mut table, &[(0, 3, 12_000), (1, 6, 12_000)], NOW);
+    let refusal = place(&table, Some(&long)).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::DeadlineHopeless);
+}
+
+#[test]
+fn an_engine_that_turned_a_request_away_is_left_alone_for_a_moment() {
+    let mut table = table(&[Plain, Plain]);
+    table.note_full(&backend(0), NOW);
+    assert_eq!(place(&table, None).unwrap().backend, backend(1));
+    table.note_full(&backend(1), NOW);
+    let refusal = place(&table, None).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::BackendBusy);
+    let later = NOW + refusal.retry_after.unwrap() + TimeSpan::from_millis(1);
+    assert!(place_at(&table, None, PlacementStage::Open, &BTreeSet::new(), later).is_ok());
+}
+
+#[test]
+fn leaving_failed_and_unknown_backend_servers_get_nothing() {
+    let mut table = table(&[Plain, Plain, Plain]);
+    let mut leaving = spec(0, Plain);
+    leaving.draining = true;
+    table.upsert(leaving);
+    let excluded: BTreeSet<BackendId> = [backend(1)].into();
+    let placed = place_at(&table, None, PlacementStage::Open, &excluded, NOW).unwrap();
+    assert_eq!(placed.backend, backend(2));
+    table.remove(&backend(2));
+    let refusal = place_at(&table, None, PlacementStage::Open, &excluded, NOW).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::BackendMissing);
+}
+
+#[test]
+fn health_counts_only_while_it_leaves_any() {
+    let mut table = table(&[Plain, Plain]);
+    table.set_left_out(&backend(0), true);
+    assert_eq!(place(&table, None).unwrap().backend, backend(1));
+    table.set_left_out(&backend(1), true);
+    assert!(place(&table, None).is_ok());
+}
+
+/// One entry of three that vanishes while this process misses the store has left; all of
+/// them at once only missed their heartbeats.
+#[test]
+fn a_lapsed_entry_is_believed_only_with_many_others() {
+    let mut table = table(&[Plain, Plain, Plain]);
+    table.set_lapsed(&backend(0));
+    let others: BTreeSet<BackendId> = [backend(1), backend(2)].into();
+    let refusal = place_at(&table, None, PlacementStage::Open, &others, NOW).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::BackendMissing);
+    table.set_lapsed(&backend(1));
+    table.set_lapsed(&backend(2));
+    assert!(place(&table, None).is_ok());
+    table.upsert(spec(1, Plain));
+    table.upsert(spec(2, Plain));
+    let excluded: BTreeSet<BackendId> = [backend(1)].into();
+    let placed = place_at(&table, None, PlacementStage::Open, &excluded, NOW).unwrap();
+    assert_eq!(placed.backend, backend(2));
+}
+
+/// An estimate that went bad once refused everything, so that nothing was learned any more.
+#[test]
+fn a_bad_estimate_is_forgotten_while_nothing_is_learned() {
+    let mut table = table(&[Prefill, Decode]);
+    let prompt = prompt("p", 10, 4_000);
+    let begin = |table: &mut InstanceTable, number| {
+        let tokens = TokenCount(4_000);
+        table.begin(&backend(number), tokens, NOW).unwrap()
+    };
+    let flights: Vec<_> = (0..80)
+        .map(|number| begin(&mut table, number % 2))
+        .collect();
+    let now = NOW + TimeSpan::from_secs(30);
+    for flight in flights {
+        table.finish(flight, false, now);
+    }
+    let open = |table: &InstanceTable, now| {
+        place_at(
+            table,
+            Some(&prompt),
+            PlacementStage::Open,
+            &BTreeSet::new(),
+            now,
+        )
+    };
+    let bad = open(&table, now).map(|placed| placed.predicted);
+    assert!(bad.is_ok_and(|time| time > TimeSpan::from_millis(250)));
+    let later = open(&table, now + TimeSpan::from_secs(10)).unwrap();
+    assert!(
+        later.predicted < TimeSpan::from_millis(200),
+        "{}",
+        later.predicted
+    );
+}
+
+#[test]
+fn a_restarted_engine_holds_nothing() {
+    let mut table = table(&[BackendRole::Both]);
+    let prompt = prompt("p", 3_000, 100);
+    let flight = table.begin(&backend(0), TokenCount(3_100), NOW).unwrap();
+    table.first_token(flight, &prompt.parts, NOW + TimeSpan::from_millis(100));
+    let held = |table: &InstanceTable| table.get(&backend(0)).unwrap().cached(&prompt.parts);
+    assert_eq!(held(&table), TokenCount(3_100));
+    let mut again = spec(0, BackendRole::Both);
+    again.born = 2;
+    table.upsert(again);
+    assert_eq!(held(&table), TokenCount::ZERO);
+    assert_eq!(table.get(&backend(0)).unwrap().in_flight(), 0);
+}
--- /dev/null
+++ b/crates/h1/tests/messages.rs
@@ -0,0 +1,124 @@
+//! What is a message, where it ends, and what could hide in it.
+
+use applefold_h1::{
+    encode_chunk, parse_request, parse_response, BodyDecoder, BodyFraming, CHUNK_END,
+};
+use bytes::BytesMut;
+use proptest::prelude::*;
+
+const LIMIT: usize = 4_096;
+
+#[test]
+fn requests_that_could_be_read_in_two_ways_are_refused() {
+    let table = [
+        "Content-Length: 3\r\nContent-Length: 3",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Content-Length: +3",
+        "Content-Length: 3, 3",
+        "Content-Length: ",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Content-Length: 99999999999999999999999",
+    ];
+    for fields in table {
+        let text = format!("POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n\r\n");
+        assert!(parse_request(text.as_bytes(), LIMIT).is_err(), "{fields}");
+    }
+}
+
+#[test]
+fn requests_state_how_they_end() {
+    let table = [
+        ("", BodyFraming::Length(0)),
+        ("Content-Length: 12\r\n", BodyFraming::Length(12)),
+        ("Transfer-Encoding: Chunked\r\n", BodyFraming::Chunked),
+    ];
+    for (fields, framing) in table {
+        let text = format!("POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
+        let (head, used) = parse_request(text.as_bytes(), LIMIT).unwrap().unwrap();
+        assert_eq!(head.framing, framing);
+        assert_eq!(used, text.len());
+        assert!(head.keep_alive);
+    }
+}
+
+#[test]
+fn a_head_over_the_limit_is_refused_before_it_is_whole() {
+    let text = format!("GET /{} HTTP/1.1\r\n", "a".repeat(LIMIT));
+    assert!(parse_request(text.as_bytes(), LIMIT).is_err());
+    assert!(parse_request(b"GET /a HT", LIMIT).unwrap().is_none());
+}
+
+#[test]
+fn answers_state_how_they_end_and_whether_the_connection_lasts() {
+    let table = [
+        (
+            "200 OK\r\nContent-Length: 5\r\nKeep-Alive: timeout=3, max=9",
+            BodyFraming::Length(5),
+            true,
+            Some(3),
+        ),
+        (
+            "200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close",
+            BodyFraming::Chunked,
+            false,
+            None,
+        ),
+        ("200 OK", BodyFraming::UntilClose, false, None),
+        ("204 None", BodyFraming::Length(0), true, None),
+    ];
+    for (text, framing, keep_alive, idle_secs) in table {
+        let text = format!("HTTP/1.1 {text}\r\n\r\n");
+        let (head, _) = parse_response(text.as_bytes(), LIMIT).unwrap().unwrap();
+        assert_eq!(head.framing, framing, "{text}");
+        assert_eq!(head.keep_alive, keep_alive, "{text}");
+        assert_eq!(head.idle_secs, idle_secs, "{text}");
+    }
+}
+
+#[test]
+fn bytes_after_a_body_are_left_for_the_next_message() {
+    let mut input = BytesMut::from(&b"hello HTTP/1.1 200 OK"[..]);
+    let mut output = Vec::new();
+    let mut decoder = BodyDecoder::new(BodyFraming::Length(5));
+    assert!(decoder.decode(&mut input, &mut output).unwrap());
+    assert_eq!(output, b"hello");
+    assert_eq!(&input[..], b" HTTP/1.1 200 OK");
+}
+
+proptest! {
+    #[test]
+    fn a_chunked_body_is_the_same_however_it_is_cut(
+        parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
+        step in 1_usize..17,
+    ) {
+        let mut bytes = Vec::new();
+        for part in &parts {
+            encode_chunk(part, &mut bytes);
+        }
+        bytes.extend_from_slice(CHUNK_END);
+        let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+        let mut input = BytesMut::new();
+        let mut output = Vec::new();
+        let mut done = false;
+        for piece in bytes.chunks(step) {
+            prop_assert!(!done);
+            input.extend_from_slice(piece);
+            done = decoder.decode(&mut input, &mut output).unwrap();
+        }
+        prop_assert!(done);
+        prop_assert_eq!(output, parts.concat());
+    }
+
+    #[test]
+    fn no_bytes_make_a_parser_fail_otherwise_than_by_an_error(
+        bytes in prop::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let _ = parse_request(&bytes, LIMIT);
+        let _ = parse_response(&bytes, LIMIT);
+        let mut input = BytesMut::from(&bytes[..]);
+        let mut output = Vec::new();
+        let _ = BodyDecoder::new(BodyFraming::Chunked).decode(&mut input, &mut output);
+        prop_assert!(output.len() <= bytes.len());
+    }
+}
