Leave engines alone that say they do not serve this

Ruled out: the health rule, which saw answers; the outage itself, whose other requests were served. Change: status 421 leaves the engine alone for a second, a refusal for 150 ms and twice as long with each further one, up to 1.2 s, until it answers again.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -36,6 +36,9 @@
 const PEER_AGE: TimeSpan = TimeSpan::from_millis(1_500);
 /// How long an engine that changes what it does is left alone after the last word of it.
 const AWAY_TIME: TimeSpan = TimeSpan::from_millis(1_000);
+/// How often that time is doubled while each further try is turned away too, as by an engine
+/// that is changing what it does.
+const MAX_FULL_DOUBLINGS: u32 = 3;
 /// How long an engine that turned a request away is left alone.
 const FULL_TIME: TimeSpan = TimeSpan::from_millis(150);
 /// The time to a first token of an empty prompt assumed before the first answer.
@@ -137,6 +140,8 @@
     prefill_rate: Estimate,
     call_time: TimeSpan,
     full_until: TimePoint,
+    /// How many times in a row a request was turned away after a pause.
+    refusals: u32,
 }
 
 impl InstanceRow {
@@ -157,6 +162,7 @@
             first_time: Estimate::new(DEFAULT_FIRST_TIME.0),
             prefill_rate: Estimate::new(prefill_rate),
             full_until: TimePoint::START,
+            refusals: 0,
             call_time: DEFAULT_FIRST_TIME,
         }
     }
@@ -454,9 +460,20 @@
 
     /// Notes that a backend server has turned a request away.
     pub fn note_full(&mut self, id: &BackendId, now: TimePoint) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.full_until = now + FULL_TIME;
+        let Some(row) = self.rows.get_mut(id) else {
+            return;
+        };
+        if row.is_full(now) {
+            return;
         }
+        row.full_until = now + TimeSpan(FULL_TIME.0 << row.refusals);
+        row.refusals = (row.refusals + 1).min(MAX_FULL_DOUBLINGS);
+    }
+
+    /// Notes that a backend server says that it does not serve this: it has changed what it
+    /// does, or another one has its address, and the list does not say so yet.
+    pub fn note_misdirected(&mut self, id: &BackendId, now: TimePoint) {
+        self.note_away(id, now);
     }
 
     /// Notes that a request is being sent.
@@ -490,6 +507,7 @@
             return;
         };
         note.answering = true;
+        row.refusals = 0;
         let note = *note;
         row.learn(note, now);
         row.hold(parts, now);
@@ -505,6 +523,7 @@
         };
         match row.flights.remove(&flight) {
             Some(note) if answered => {
+                row.refusals = 0;
                 let span = now.since(note.sent_at);
                 row.call_time = TimeSpan(blend(row.call_time.0, span.0));
             }
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -171,6 +171,39 @@
     assert!(place_at(&table, None, PlacementStage::Open, &BTreeSet::new(), later).is_ok());
 }
 
+/// An engine that changed what it does while the list could not be read was sent 240
+/// requests that it turned away.
+#[test]
+fn an_engine_that_no_longer_does_this_is_left_alone() {
+    let mut table = table(&[Plain, Plain]);
+    table.note_misdirected(&backend(0), NOW);
+    let soon = NOW + TimeSpan::from_millis(900);
+    for now in [NOW, soon] {
+        let placed = place_at(&table, None, PlacementStage::Open, &BTreeSet::new(), now);
+        assert_eq!(placed.unwrap().backend, backend(1));
+    }
+}
+
+#[test]
+fn each_further_refusal_doubles_the_pause_until_an_answer_comes() {
+    let mut table = table(&[Plain]);
+    let mut now = NOW;
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        table.note_full(&backend(0), now);
+        table.note_full(&backend(0), now);
+        let row = table.get(&backend(0)).unwrap();
+        pauses.push(row.full_until().since(now).as_millis());
+        now = row.full_until() + TimeSpan::from_millis(1);
+    }
+    assert_eq!(pauses, [150, 300, 600, 1_200, 1_200, 1_200]);
+    let flight = table.begin(&backend(0), TokenCount(1), now).unwrap();
+    table.finish(flight, true, now);
+    table.note_full(&backend(0), now);
+    let row = table.get(&backend(0)).unwrap();
+    assert_eq!(row.full_until().since(now).as_millis(), 150);
+}
+
 #[test]
 fn leaving_failed_and_unknown_backend_servers_get_nothing() {
     let mut table = table(&[Plain, Plain, Plain]);
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -154,10 +154,12 @@
             .pool
             .keep(&self.placement.backend, connection, &head, now);
         if answer.not_run {
-            if !answer.misdirected {
-                let mut table = self.state.table.borrow_mut();
-                table.note_full(&self.placement.backend, now);
+            let mut table = self.state.table.borrow_mut();
+            match answer.misdirected {
+                true => table.note_misdirected(&self.placement.backend, now),
+                false => table.note_full(&self.placement.backend, now),
             }
+            drop(table);
             let end = AttemptEnd::NotRun {
                 misdirected: answer.misdirected,
             };
