--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -183,7 +183,8 @@
         let most = TimeSpan(request.objective.0 * self.wait_percent / 100);
         let late = best.cost > request.objective && wait > most;
         let hopeless = best.cost > request.time_left;
-        if !(late && request.prompt.is_some()) && !hopeless {
+        let refused = hopeless || (late && request.prompt.is_some());
+        if !refused {
             return Ok(());
         }
         let excess = best.cost.saturating_sub(request.objective);
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -7,16 +7,31 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
     InstanceTable, Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork,
-    PromptShape,
+    PromptPart, PromptShape,
 };
 use applefold_core::id::BackendId;
 use applefold_core::routing::BackendRole::{self, Decode, Plain, Prefill};
 use applefold_core::unit::{TimePoint, TimeSpan, TokenCount};
-use direct_support::{backend, domain, load, prompt, service, spec, table};
+use direct_support::{backend, domain, load, service, spec, table};
+use smol_str::SmolStr;
 
 const NOW: TimePoint = TimePoint(10_000_000);
 const OBJECTIVE: TimeSpan = TimeSpan::from_millis(300);
 
+/// A prompt of a shared part and a part of its own.
+fn prompt(shared: &str, shared_tokens: u64, own_tokens: u64) -> PromptShape {
+    let part = |name: &str, tokens: u64| PromptPart {
+        name: SmolStr::new(name),
+        tokens: TokenCount(tokens),
+    };
+    PromptShape {
+        model: SmolStr::new("m"),
+        prompt_tokens: TokenCount(shared_tokens + own_tokens),
+        answer_tokens: TokenCount(100),
+        parts: vec![part(shared, shared_tokens), part("own", own_tokens)],
+    }
+}
+
 fn place_at(
     table: &InstanceTable,
     prompt: Option<&PromptShape>,
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -2,11 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use applefold_core::direct::{InstanceSpec, InstanceTable, PeerLoad, PromptPart, PromptShape};
+use applefold_core::direct::{InstanceSpec, InstanceTable, PeerLoad};
 use applefold_core::id::{BackendId, DomainId, InstanceId, ServiceId};
 use applefold_core::routing::BackendRole;
 use applefold_core::unit::{TimePoint, TokenCount};
-use smol_str::SmolStr;
 
 pub(crate) fn service() -> ServiceId {
     "s".parse().unwrap()
@@ -46,20 +45,6 @@
     table
 }
 
-/// A prompt of a shared part and a part of its own.
-pub(crate) fn prompt(shared: &str, shared_tokens: u64, own_tokens: u64) -> PromptShape {
-    let part = |name: &str, tokens: u64| PromptPart {
-        name: SmolStr::new(name),
-        tokens: TokenCount(tokens),
-    };
-    PromptShape {
-        model: SmolStr::new("m"),
-        prompt_tokens: TokenCount(shared_tokens + own_tokens),
-        answer_tokens: TokenCount(100),
-        parts: vec![part(shared, shared_tokens), part("own", own_tokens)],
-    }
-}
-
 /// Lets a peer have this much on each backend server.
 pub(crate) fn load(table: &mut InstanceTable, loads: &[(usize, u32, u64)], now: TimePoint) {
     let loads: BTreeMap<BackendId, PeerLoad> = loads
--- a/crates/ctl/src/cmd/args.rs
+++ b/crates/ctl/src/cmd/args.rs
@@ -36,6 +36,7 @@
     Ticket(TicketArgs),
     Status(StatusArgs),
     Report(ReportArgs),
+    Explain(ExplainArgs),
     Key(KeyArgs),
 }
 
@@ -156,3 +157,20 @@
     #[argh(switch)]
     pub(crate) json: bool,
 }
+
+/// Shows what log files say of a request, in the order of time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct ExplainArgs {
+    /// the request's identifier
+    #[argh(positional)]
+    pub(crate) request: String,
+
+    /// log files of any processes
+    #[argh(positional)]
+    pub(crate) files: Vec<String>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 pub(crate) mod args;
+mod explain;
 mod key_hash;
 mod report;
 mod status;
@@ -61,6 +62,7 @@
             },
             ProgramCommand::Status(status) => status.run(&settings).await,
             ProgramCommand::Report(report) => report.run(&settings).await,
+            ProgramCommand::Explain(explain) => explain.run(),
             ProgramCommand::Key(key) => match key.command {
                 KeyCommand::Hash(hash) => hash.run(),
             },
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -58,7 +58,7 @@
 
 fn last_id(events: &[u8]) -> Option<SmolStr> {
     let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let id = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    let id = std::str::from_utf8(ids.next_back()?).ok()?;
     Some(SmolStr::new(id.trim()))
 }
