Tell other entries of requests that crash engines

Change: suspicions go with the news between entries; three backend servers are needed, for a minute; one that answers within a second of the broken connection has not crashed. New work is taken for 35% of the grace period after SIGTERM, so that what is taken last can end in it. The new test of the ledger does not compile without the change.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -18,6 +18,9 @@
 /// them, and they must not live longer by being told.
 const SAME_EVENT: TimeSpan = TimeSpan::from_secs(30);
 
+/// A backend server that answers so soon after a connection to it broke has not died.
+const ALIVE_AFTER: TimeSpan = TimeSpan::from_secs(1);
+
 /// The sizes and times of a ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LedgerOptions {
@@ -130,6 +133,18 @@
         }
     }
 
+    /// Notes that `backend` has answered a request, so a connection to it that broke just
+    /// before says nothing about what ran on it.
+    pub fn note_answer(&mut self, now: TimePoint, backend: &BackendId) {
+        for row in self.rows.values_mut() {
+            let at = row.crashes.get(backend);
+            if at.is_some_and(|at| now.since(*at) < ALIVE_AFTER) {
+                row.crashes.remove(backend);
+            }
+        }
+        self.rows.retain(|_, row| row.last_change().is_some());
+    }
+
     /// Takes what another process tells.
     pub fn learn(&mut self, now: TimePoint, news: SuspectNews) {
         let at = now - news.age;
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -43,6 +43,25 @@
     assert_eq!(ledger.row_count(), 0);
 }
 
+/// Answers that are lost, spoilt or reset look like crashes; the backend server's next answer
+/// tells them apart.
+#[test]
+fn a_backend_server_that_answers_on_has_not_crashed() {
+    let mut ledger = CrashLedger::new(LedgerOptions::default());
+    ledger.note_crash(at(0), &backend(1), &[CRASHER]);
+    ledger.note_answer(at(0) + TimeSpan::from_millis(300), &backend(1));
+    ledger.note_crash(at(2), &backend(2), &[CRASHER]);
+    assert_eq!(code(&ledger, CRASHER), None);
+    ledger.note_answer(at(4), &backend(2));
+    ledger.note_crash(at(5), &backend(3), &[CRASHER]);
+    let refused = Some(ResultCode::RequestQuarantined);
+    assert_eq!(
+        code(&ledger, CRASHER),
+        refused,
+        "an answer after a restart clears nothing"
+    );
+}
+
 #[test]
 fn news_reach_everyone_and_do_not_live_longer_by_being_told() {
     let mut ledgers: Vec<CrashLedger> = (0..3)
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -258,7 +258,12 @@
             AttemptResult::Ended(AttemptEnd::NotRun { .. }, _) => HealthSample::Alive,
             AttemptResult::Failed(..) | AttemptResult::Ended(..) => HealthSample::Failed,
         };
-        self.state.note_health(&self.placement.backend, sample);
+        let backend = &self.placement.backend;
+        self.state.note_health(backend, sample);
+        if !matches!(sample, HealthSample::Failed) {
+            let now = self.state.now();
+            self.state.suspects.borrow_mut().note_answer(now, backend);
+        }
     }
 }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -9,9 +9,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use applefold_core::claim::RequestFingerprint;
 use applefold_core::direct::{PeerLoad, WindowCounts};
 use applefold_core::id::{BackendId, InstanceId, TeamId, WindowId};
-use applefold_core::unit::TokenCount;
+use applefold_core::quarantine::SuspectNews;
+use applefold_core::unit::{TimeSpan, TokenCount};
 use eyre::{Result, WrapErr};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -27,6 +29,10 @@
 const FULL_PACE_ENTRIES: u32 = 8;
 /// In which rounds the counts of usage are told.
 const USAGE_ROUNDS: u64 = 4;
+/// Until when a suspicion is told again and again.
+const SUSPECT_AGE: TimeSpan = TimeSpan::from_secs(5);
+/// The most suspicions in one datagram.
+const MAX_SUSPECTS: usize = 8;
 /// The largest datagram that is sent, below what one packet carries.
 const MAX_NEWS_BYTES: usize = 1_400;
 /// How many windows back counts of others are kept.
@@ -43,6 +49,25 @@
     usage: Vec<UsageNews>,
     /// Engines that are changing what they do, as the holder of the lease has ordered.
     away: Vec<SmolStr>,
+    /// Requests during which backend servers went away, and requests that completed since.
+    suspects: Vec<CrashNews>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct CrashNews {
+    fingerprint: u64,
+    /// The backend server that went away; none where the request completed.
+    backend: Option<SmolStr>,
+    age_ms: u64,
+}
+
+impl PeerNews {
+    fn is_empty(&self) -> bool {
+        self.loads.is_empty()
+            && self.usage.is_empty()
+            && self.away.is_empty()
+            && self.suspects.is_empty()
+    }
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -171,6 +196,19 @@
         table.note_away(&backend, now);
     }
     drop(table);
+    for one in &news.suspects {
+        let backend = match one.backend.as_ref().map(|name| name.parse()) {
+            None => None,
+            Some(Ok(backend)) => Some(backend),
+            Some(Err(_)) => continue,
+        };
+        let news = SuspectNews {
+            fingerprint: RequestFingerprint(one.fingerprint),
+            backend,
+            age: TimeSpan::from_millis(one.age_ms),
+        };
+        state.suspects.borrow_mut().learn(now, news);
+    }
     state.peers.borrow_mut().note_usage(news);
 }
 
@@ -183,7 +221,7 @@
         actix_rt::time::sleep(NEWS_PERIOD * scale).await;
         sequence += 1;
         let news = compose(&state, sequence);
-        let empty = news.loads.is_empty() && news.usage.is_empty() && news.away.is_empty();
+        let empty = news.is_empty();
         if empty && std::mem::replace(&mut idle, empty) {
             continue;
         }
@@ -219,6 +257,7 @@
         sequence,
         loads: loads.collect(),
         usage,
+        suspects: suspect_news(state),
         away: state
             .phases
             .borrow()
@@ -228,6 +267,18 @@
     }
 }
 
+/// Returns the latest suspicions; older ones have been told before.
+fn suspect_news(state: &GatewayState) -> Vec<CrashNews> {
+    let news = state.suspects.borrow().news(state.now());
+    let fresh = news.into_iter().take_while(|one| one.age < SUSPECT_AGE);
+    let fresh = fresh.take(MAX_SUSPECTS).map(|one| CrashNews {
+        fingerprint: one.fingerprint.0,
+        backend: one.backend.map(|id| SmolStr::new(id.as_str())),
+        age_ms: one.age.as_millis(),
+    });
+    fresh.collect()
+}
+
 /// Returns the counts of this window and the one before it.
 fn usage_news(state: &GatewayState) -> Vec<UsageNews> {
     let counter = state.counter.borrow();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -32,7 +32,7 @@
 /// Entries assumed until the list of entries has been read.
 const ASSUMED_ENTRIES: u64 = 12;
 /// The part of the grace period in which the balancer learns that the process stops.
-const LAME_DUCK_PERCENT: u64 = 40;
+const LAME_DUCK_PERCENT: u64 = 35;
 /// How many usage windows an entry remembers.
 const KEPT_WINDOWS: u64 = 8;
 /// How soon after a window's end entries have told their counts if nothing fails.
@@ -70,6 +70,16 @@
     pub(crate) peers: RefCell<PeerBook>,
 }
 
+/// A broken connection is weaker evidence here than a crash that a sidecar sees, so it takes
+/// one more, and is forgotten sooner.
+fn suspect_options() -> LedgerOptions {
+    LedgerOptions {
+        crash_limit: 3,
+        remember: TimeSpan::from_secs(60),
+        ..LedgerOptions::default()
+    }
+}
+
 impl GatewayState {
     pub(crate) fn new(settings: PlatformSettings) -> Self {
         let metrics = MetricSet::start();
@@ -100,7 +110,7 @@
             listed: Cell::new(false),
             drain: RefCell::new(DrainState::new(drain)),
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
-            suspects: RefCell::new(CrashLedger::new(LedgerOptions::default())),
+            suspects: RefCell::new(CrashLedger::new(suspect_options())),
             health: RefCell::new(HealthTracker::new(health)),
             budgets: RefCell::default(),
             entries: Cell::new(ASSUMED_ENTRIES),
