Split the driver of requests and the estimates, and never refuse what has begun

Cause (found by reading): a prompt that had been read, or a stream that had begun, could still be refused as late; and the last word of a request that may have run went by whether the refusal had a time to return. Change: only what is still to be read is refused as late; the run state of the code decides; preparing a request, learned figures and calls under the lease have one place each. Test: a_prompt_that_has_been_read_is_answered_although_late.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 
+use crate::direct::estimate::{blend, Estimate};
 use crate::direct::PromptPart;
 use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
@@ -12,9 +13,6 @@
 
 pub use crate::routing::FlightId;
 
-/// How much of an old estimate is kept when a new sample comes, of [`ESTIMATE_PARTS`].
-const ESTIMATE_KEEP: u64 = 7;
-const ESTIMATE_PARTS: u64 = 8;
 /// Prompts shorter than this say more of the fixed time to a first token than of the rate.
 const MIN_RATE_TOKENS: TokenCount = TokenCount(512);
 /// The memory assumed of an engine whose service does not state it.
@@ -28,8 +26,6 @@
 const RATE_SPREAD: u64 = 6;
 /// The longest time to a first token that is learned.
 const LONGEST_FIRST_TIME: TimeSpan = TimeSpan::from_millis(300);
-/// How soon half of what is learned is forgotten while nothing new is learned.
-const ESTIMATE_HALF_LIFE: TimeSpan = TimeSpan::from_secs(1);
 /// The shortest time that a rate is learned from.
 const SHORTEST_WORK: TimeSpan = TimeSpan::from_millis(2);
 /// The oldest load of a peer that is believed.
@@ -287,52 +283,11 @@
         }
         let work = span.saturating_sub(self.first_time(now)).max(SHORTEST_WORK);
         let rate = tokens.0 * 1_000_000 / work.0;
-        let usual = self.prefill_rate.usual;
+        let usual = self.prefill_rate.usual();
         Some(rate.clamp(usual / RATE_SPREAD, usual * RATE_SPREAD))
     }
 }
 
-/// A learned figure that goes back to the usual one while nothing is learned.
-///
-/// What is refused because of a bad estimate teaches nothing, so without that an
-/// estimate that is once bad would stay so.
-#[derive(Clone, Copy, Debug)]
-struct Estimate {
-    usual: u64,
-    learned: u64,
-    at: TimePoint,
-}
-
-impl Estimate {
-    fn new(usual: u64) -> Self {
-        Self {
-            usual,
-            learned: usual,
-            at: TimePoint::START,
-        }
-    }
-
-    fn value(&self, now: TimePoint) -> u64 {
-        let halvings = now.since(self.at).0 / ESTIMATE_HALF_LIFE.0;
-        let shift = halvings.min(63) as u32;
-        let (low, high) = (self.usual.min(self.learned), self.usual.max(self.learned));
-        let apart = (high - low) >> shift;
-        match self.learned > self.usual {
-            true => self.usual + apart,
-            false => self.usual - apart,
-        }
-    }
-
-    fn learn(&mut self, sample: u64, now: TimePoint) {
-        self.learned = blend(self.value(now), sample);
-        self.at = now;
-    }
-}
-
-fn blend(old: u64, new: u64) -> u64 {
-    (old * ESTIMATE_KEEP + new) / ESTIMATE_PARTS
-}
-
 /// The backend servers that an entry may send to.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTable {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -8,6 +8,7 @@
 
 mod attempt;
 mod count;
+mod estimate;
 mod instance;
 mod phase;
 mod placement;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -174,6 +174,8 @@
     }
 
     /// Refuses what would be answered too late to be of use, with the time until it would not.
+    ///
+    /// A prompt that has been read is answered, also late: refusing it would waste the reading.
     fn check_time(
         &self,
         best: &Candidate<'_>,
@@ -183,7 +185,8 @@
         let most = TimeSpan(request.objective.0 * self.wait_percent / 100);
         let late = best.cost > request.objective && wait > most;
         let hopeless = best.cost > request.time_left;
-        let refused = hopeless || (late && request.prompt.is_some());
+        let reads = request.prompt.is_some() && !matches!(request.stage, PlacementStage::Answer(_));
+        let refused = hopeless || (late && reads);
         if !refused {
             return Ok(());
         }
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -174,6 +174,18 @@
     assert_eq!(refusal.code, ResultCode::DeadlineHopeless);
 }
 
+#[test]
+fn a_prompt_that_has_been_read_is_answered_although_late() {
+    let mut table = table(&[Prefill, Decode]);
+    load(&mut table, &[(1, 8, 12_000)], NOW);
+    let prompt = prompt("p", 10, 4_000);
+    let read_in = domain();
+    let stage = PlacementStage::Answer(&read_in);
+    assert!(place_at(&table, Some(&prompt), stage, &BTreeSet::new(), NOW).is_ok());
+    let whole = PlacementStage::Whole;
+    assert!(place_at(&table, Some(&prompt), whole, &BTreeSet::new(), NOW).is_err());
+}
+
 #[test]
 fn an_engine_that_turned_a_request_away_is_left_alone_for_a_moment() {
     let mut table = table(&[Plain, Plain]);
--- a/crates/daemon/src/gateway/connection.rs
+++ b/crates/daemon/src/gateway/connection.rs
@@ -6,6 +6,7 @@
 
 use applefold_h1::{parse_response, BodyDecoder, HeadError, ResponseHead};
 use bytes::BytesMut;
+use eyre::{Result, WrapErr};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
@@ -41,6 +42,8 @@
     }
 }
 
+impl std::error::Error for ConnectionFault {}
+
 /// Sets what finds a peer that has silently gone.
 pub(crate) fn guard_stream(stream: &TcpStream) {
     let socket = SockRef::from(stream);
@@ -117,6 +120,17 @@
         Ok(())
     }
 
+    /// Sends a whole request and reads the head of its answer, within `limit`.
+    pub(crate) async fn call(&mut self, bytes: &[u8], limit: Duration) -> Result<ResponseHead> {
+        let exchange = async {
+            self.send(bytes).await?;
+            self.read_head().await
+        };
+        let answered = tokio::time::timeout(limit, exchange).await;
+        let head = answered.wrap_err("no answer in time")?;
+        head.wrap_err("no answer")
+    }
+
     /// Reads the head of the next final answer.
     pub(crate) async fn read_head(&mut self) -> Result<ResponseHead, ConnectionFault> {
         loop {
--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -4,6 +4,7 @@
 
 use applefold_core::id::DomainId;
 use applefold_platform::{render_release, KvHandle};
+use eyre::Result;
 
 use super::connection::ClientConnection;
 
@@ -46,20 +47,19 @@
             return;
         };
         actix_rt::spawn(async move {
-            let release = release(&handle);
-            let freed = tokio::time::timeout(RELEASE_TIMEOUT, release).await;
-            let freed = matches!(freed, Ok(true));
-            log::debug!(handle = handle.name.as_str(), freed; "KV cache not taken");
+            let freed = release(&handle).await;
+            let error = freed
+                .err()
+                .map_or(String::new(), |error| format!("{error:#}"));
+            log::debug!(handle = handle.name.as_str(), error; "KV cache not taken");
         });
     }
 }
 
-async fn release(handle: &KvHandle) -> bool {
-    let Ok(mut connection) = ClientConnection::open(handle.address, RELEASE_TIMEOUT).await else {
-        return false;
-    };
-    if connection.send(&render_release(handle)).await.is_err() {
-        return false;
-    }
-    connection.read_head().await.is_ok()
+async fn release(handle: &KvHandle) -> Result<()> {
+    let mut connection = ClientConnection::open(handle.address, RELEASE_TIMEOUT).await?;
+    connection
+        .call(&render_release(handle), RELEASE_TIMEOUT)
+        .await?;
+    Ok(())
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod phases;
 mod pool;
+mod prepare;
 mod presence;
 mod ready;
 mod relay;
--- a/crates/daemon/src/gateway/phases.rs
+++ b/crates/daemon/src/gateway/phases.rs
@@ -90,16 +90,6 @@
     };
     let holder = &state.settings().instance;
     let bytes = render_phase_order(holder, fencing, &one.backend, one.to);
-    let exchange = async {
-        connection
-            .send(&bytes)
-            .await
-            .map_err(|fault| eyre!("{fault}"))?;
-        connection
-            .read_head()
-            .await
-            .map_err(|fault| eyre!("{fault}"))
-    };
-    let head = tokio::time::timeout(ORDER_TIMEOUT, exchange).await??;
+    let head = connection.call(&bytes, ORDER_TIMEOUT).await?;
     Ok(read_order_reply(head.status))
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -3,18 +3,16 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use applefold_core::claim::RequestFingerprint;
-use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::code::{CallRefusal, ResultCode, RunState};
 use applefold_core::direct::{
     AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, PlacementStage,
-    PlacementWork, PromptPart, PromptShape, RequestProgress, RouteRule, RuleSet,
+    PlacementWork, PromptPart, PromptShape, RequestProgress,
 };
-use applefold_core::drain::WorkGuard;
-use applefold_core::id::{BackendId, ServiceId, TeamId};
+use applefold_core::id::{BackendId, TeamId};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_h1::{encode_chunk, ResponseHead, CHUNK_END};
 use applefold_platform::{
-    render_answer_head, render_refusal, AnswerFraming, AttemptWork, CallerRequest, KvHandle,
+    render_answer_head, render_refusal, AnswerFraming, AttemptWork, KvHandle,
 };
 use opentelemetry::KeyValue;
 use smol_str::SmolStr;
@@ -24,6 +22,7 @@
 use super::accept::{CallerReader, ConnectionFate, ReceivedRequest};
 use super::attempt::{Attempt, AttemptResult, OpenStream};
 use super::handoff::HandoffGuard;
+use super::prepare::{count_request, keeps_open, write, PreparedRequest};
 use super::relay::EventCutter;
 use super::state::GatewayState;
 
@@ -33,8 +32,6 @@
 const MIN_ATTEMPT_TIME: TimeSpan = TimeSpan::from_millis(30);
 /// When callers may return after backend servers were busy or missing.
 const BUSY_RETRY: TimeSpan = TimeSpan::from_millis(400);
-/// When callers may return to an entry that knows no configuration yet.
-const START_RETRY: TimeSpan = TimeSpan::from_millis(500);
 
 /// Serves one request; returns whether the connection may be used again.
 pub(crate) async fn serve(
@@ -72,100 +69,6 @@
     }
 }
 
-/// A request that is refused before anything is decided about backend servers.
-struct EarlyRefusal {
-    name: Option<SmolStr>,
-    refusal: CallRefusal,
-}
-
-impl EarlyRefusal {
-    async fn answer(
-        self,
-        state: &GatewayState,
-        request: &ReceivedRequest,
-        writer: &mut OwnedWriteHalf,
-    ) -> ConnectionFate {
-        let name = self.name.as_deref();
-        log::info!(request = name.unwrap_or(""), code = self.refusal.code.number(),
-            path = request.head.target.as_str(), revision = state.revision().0;
-            "request refused: {}", self.refusal.code.meaning());
-        let keep = keeps_open(state, request);
-        let mut bytes = Vec::new();
-        render_refusal(&self.refusal, name, keep, &mut bytes);
-        count_request(state, self.refusal.code.status());
-        write(writer, &bytes, keep).await
-    }
-}
-
-fn keeps_open(state: &GatewayState, request: &ReceivedRequest) -> bool {
-    request.head.keep_alive && !state.drain.borrow().is_stopping()
-}
-
-fn count_request(state: &GatewayState, status: u16) {
-    let status = KeyValue::new("status", i64::from(status));
-    state.metrics.requests.add(1, &[status]);
-}
-
-async fn write(writer: &mut OwnedWriteHalf, bytes: &[u8], keep: bool) -> ConnectionFate {
-    match (writer.write_all(bytes).await, keep) {
-        (Ok(()), true) => ConnectionFate::Keep,
-        (Ok(()), false) | (Err(_), _) => ConnectionFate::Close,
-    }
-}
-
-/// A request whose route and team are known.
-struct PreparedRequest {
-    caller: CallerRequest,
-    rules: Rc<RuleSet>,
-    route: RouteRule,
-    service: ServiceId,
-    team: Option<TeamId>,
-    urgency: u8,
-    fingerprint: RequestFingerprint,
-    deadline: TimePoint,
-    _work: WorkGuard,
-}
-
-impl PreparedRequest {
-    fn new(state: &GatewayState, request: &ReceivedRequest) -> Result<Self, EarlyRefusal> {
-        let caller = CallerRequest::read(&request.head);
-        let caller = caller.map_err(|refusal| EarlyRefusal {
-            name: None,
-            refusal,
-        })?;
-        let refuse = |refusal| EarlyRefusal {
-            name: Some(caller.name.clone()),
-            refusal,
-        };
-        let work = state.drain.borrow().admit().map_err(refuse)?;
-        let starting = CallRefusal::passing(ResultCode::ConfigMissing, START_RETRY);
-        let rules = state.rules().ok_or_else(|| refuse(starting))?;
-        let route = rules.route(&caller.host, &caller.path).map_err(refuse)?;
-        let team = rules.team(route, caller.key.as_deref()).map_err(refuse)?;
-        let missing = CallRefusal::passing(ResultCode::BackendMissing, BUSY_RETRY);
-        let service = route.service_of(&caller.name);
-        let service = service.ok_or_else(|| refuse(missing))?;
-        let head = &request.head;
-        let owner = team.map_or("", TeamId::as_str);
-        let fingerprint =
-            RequestFingerprint::digest(owner, &head.method, &head.target, &request.body);
-        let admitted = state.suspects.borrow().admit(fingerprint, &[]);
-        admitted.map_err(refuse)?;
-        let patience = caller.patience.unwrap_or(route.timeout);
-        Ok(Self {
-            service: service.clone(),
-            team: team.cloned(),
-            urgency: rules.urgency(route, team),
-            route: route.clone(),
-            fingerprint,
-            deadline: request.arrived + patience.min(route.timeout),
-            rules: Rc::clone(&rules),
-            _work: work,
-            caller,
-        })
-    }
-}
-
 /// A request on its way.
 struct RequestDriver<'a> {
     state: &'a Rc<GatewayState>,
@@ -266,14 +169,20 @@
 
     fn place(&self) -> Result<Placement, CallRefusal> {
         let now = self.state.now();
+        let time_left = self.prepared.deadline.since(now);
+        // A stream that has begun goes on wherever it can.
+        let objective = match self.begun {
+            true => time_left,
+            false => self.prepared.route.objective,
+        };
         let request = PlacementRequest {
             name: &self.prepared.caller.name,
             service: &self.prepared.service,
             prompt: self.prompt(),
             stage: self.stage(),
             excluded: &self.excluded,
-            time_left: self.prepared.deadline.since(now),
-            objective: self.prepared.route.objective,
+            time_left,
+            objective,
         };
         let table = self.state.table.borrow();
         let domain = &self.state.settings().domain;
@@ -485,7 +394,8 @@
         if let Some((head, body)) = self.failure.take() {
             return self.deliver(&head, &body, writer).await;
         }
-        let refusal = match self.progress.may_have_run() && refusal.retry_after.is_some() {
+        let says_not_run = refusal.code.run_state() == RunState::NotRun;
+        let refusal = match self.progress.may_have_run() && says_not_run {
             true => CallRefusal::lasting(ResultCode::OutcomeUnknown),
             false => refusal,
         };
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -153,17 +153,7 @@
         return Err(eyre!("authority has ended"));
     };
     let bytes = render_usage(&state.settings().instance, fencing, window, &counts);
-    let exchange = async {
-        connection
-            .send(&bytes)
-            .await
-            .map_err(|fault| eyre!("{fault}"))?;
-        connection
-            .read_head()
-            .await
-            .map_err(|fault| eyre!("{fault}"))
-    };
-    let head = tokio::time::timeout(CALL_TIMEOUT, exchange).await??;
+    let head = connection.call(&bytes, CALL_TIMEOUT).await?;
     let reply = read_duty_reply(head.status);
     log::info!(window = window.0, fencing = fencing.0, teams = counts.len(),
         reply = format!("{reply:?}"); "usage window reported");
