Fit the news between entries into datagrams

Cause (found by reading): the counts of 82 teams over two windows and the loads of 51 engines make a datagram longer than the receiver takes, so one round in four was lost on a grown fleet. Change: loads and counts go in datagrams of their own, cut to what one carries, the engines with most first.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -32,7 +32,14 @@
 /// Until when a suspicion is told again and again.
 const SUSPECT_AGE: TimeSpan = TimeSpan::from_secs(5);
 /// The most suspicions in one datagram.
-const MAX_SUSPECTS: usize = 8;
+const MAX_SUSPECTS: usize = 6;
+/// The most bytes of a datagram that tell of loads, and what each takes besides its name.
+const MAX_LOAD_BYTES: usize = 1_050;
+const LOAD_BYTES: usize = 8;
+/// The most engines that one datagram tells to be changing.
+const MAX_AWAY: usize = 6;
+/// The most counts of usage in one datagram.
+const MAX_COUNTS: usize = 40;
 /// The largest datagram that is sent, below what one packet carries.
 const MAX_NEWS_BYTES: usize = 1_400;
 /// How many windows back counts of others are kept.
@@ -43,10 +50,22 @@
 struct PeerNews {
     instance: SmolStr,
     run: u64,
+    content: NewsContent,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum NewsContent {
+    /// What the sender has at each backend server now.
+    Loads(LoadNews),
+    /// What the sender has counted; figures only grow, so their order does not matter.
+    Usage(Vec<UsageNews>),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct LoadNews {
     /// Grows with each datagram of a run, so that an overtaken one is dropped.
     sequence: u64,
     loads: Vec<BackendNews>,
-    usage: Vec<UsageNews>,
     /// Engines that are changing what they do, as the holder of the lease has ordered.
     away: Vec<SmolStr>,
     /// Requests during which backend servers went away, and requests that completed since.
@@ -61,12 +80,9 @@
     age_ms: u64,
 }
 
-impl PeerNews {
+impl LoadNews {
     fn is_empty(&self) -> bool {
-        self.loads.is_empty()
-            && self.usage.is_empty()
-            && self.away.is_empty()
-            && self.suspects.is_empty()
+        self.loads.is_empty() && self.away.is_empty() && self.suspects.is_empty()
     }
 }
 
@@ -115,8 +131,8 @@
     }
 
     /// Returns whether news are newer than all before them from the same entry.
-    fn accept(&mut self, id: &InstanceId, news: &PeerNews) -> bool {
-        let mark = (news.run, news.sequence);
+    fn accept(&mut self, id: &InstanceId, run: u64, sequence: u64) -> bool {
+        let mark = (run, sequence);
         if self.last.get(id).is_some_and(|last| *last >= mark) {
             return false;
         }
@@ -124,9 +140,9 @@
         true
     }
 
-    fn note_usage(&mut self, news: &PeerNews) {
-        let part = SmolStr::new(format!("{}-{}", news.instance, news.run));
-        for one in &news.usage {
+    fn note_usage(&mut self, id: &InstanceId, run: u64, usage: &[UsageNews]) {
+        let part = usage::part_name(id, run);
+        for one in usage {
             let Ok(team) = one.team.parse::<TeamId>() else {
                 continue;
             };
@@ -177,9 +193,24 @@
     let Ok(id) = news.instance.parse::<InstanceId>() else {
         return;
     };
-    if id == state.settings().instance || !state.peers.borrow_mut().accept(&id, news) {
+    if id == state.settings().instance {
         return;
     }
+    match &news.content {
+        NewsContent::Loads(loads) => {
+            let mut peers = state.peers.borrow_mut();
+            if peers.accept(&id, news.run, loads.sequence) {
+                take_loads(state, &id, loads);
+            }
+        }
+        NewsContent::Usage(usage) => {
+            let mut peers = state.peers.borrow_mut();
+            peers.note_usage(&id, news.run, usage);
+        }
+    }
+}
+
+fn take_loads(state: &GatewayState, id: &InstanceId, news: &LoadNews) {
     let loads = news.loads.iter().filter_map(|one| {
         let backend: BackendId = one.backend.parse().ok()?;
         let load = PeerLoad {
@@ -191,7 +222,7 @@
     let loads = loads.collect();
     let now = state.now();
     let mut table = state.table.borrow_mut();
-    table.note_peer(&id, &loads, now);
+    table.note_peer(id, &loads, now);
     for backend in news.away.iter().filter_map(|name| name.parse().ok()) {
         table.note_away(&backend, now);
     }
@@ -209,7 +240,6 @@
         };
         state.suspects.borrow_mut().learn(now, news);
     }
-    state.peers.borrow_mut().note_usage(news);
 }
 
 async fn talk(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
@@ -220,50 +250,72 @@
         let scale = (peers.len() as u32 + 1).div_ceil(FULL_PACE_ENTRIES).max(1);
         actix_rt::time::sleep(NEWS_PERIOD * scale).await;
         sequence += 1;
-        let news = compose(&state, sequence);
-        let empty = news.is_empty();
-        if empty && std::mem::replace(&mut idle, empty) {
-            continue;
+        let loads = load_news(&state, sequence);
+        let empty = loads.is_empty();
+        // The last engine's becoming idle is told once.
+        if !(empty && std::mem::replace(&mut idle, empty)) {
+            send(&state, &socket, &peers, NewsContent::Loads(loads)).await;
         }
         idle = empty;
-        match postcard::to_stdvec(&news) {
-            Ok(bytes) => {
-                for peer in peers {
-                    if let Err(error) = socket.send_to(&bytes, peer).await {
-                        log::debug!(peer = peer.to_string(), error = error.to_string();
-                            "news not sent");
-                    }
-                }
+        if sequence % USAGE_ROUNDS == 0 {
+            for part in usage_news(&state) {
+                send(&state, &socket, &peers, NewsContent::Usage(part)).await;
             }
-            Err(error) => log::warn!(error = error.to_string(); "news not written"),
         }
     }
 }
 
-fn compose(state: &GatewayState, sequence: u64) -> PeerNews {
+async fn send(
+    state: &GatewayState,
+    socket: &UdpSocket,
+    peers: &[SocketAddr],
+    content: NewsContent,
+) {
+    let news = PeerNews {
+        instance: SmolStr::new(state.settings().instance.as_str()),
+        run: state.run,
+        content,
+    };
+    let bytes = match postcard::to_stdvec(&news) {
+        Ok(bytes) if bytes.len() <= MAX_NEWS_BYTES => bytes,
+        Ok(bytes) => {
+            log::warn!(length = bytes.len(); "news left out: too long for a datagram");
+            return;
+        }
+        Err(error) => {
+            log::warn!(error = error.to_string(); "news not written");
+            return;
+        }
+    };
+    for peer in peers {
+        if let Err(error) = socket.send_to(&bytes, peer).await {
+            log::debug!(peer = peer.to_string(), error = error.to_string(); "news not sent");
+        }
+    }
+}
+
+/// Returns what this entry has at the backend servers where it has most.
+fn load_news(state: &GatewayState, sequence: u64) -> LoadNews {
     let loads = state.table.borrow().own_loads();
-    let loads = loads.into_iter().map(|(backend, load)| BackendNews {
+    let mut loads: Vec<(BackendId, PeerLoad)> = loads.into_iter().collect();
+    loads.sort_by_key(|(_, load)| std::cmp::Reverse((load.backlog, load.flights)));
+    let mut length = 0;
+    let loads = loads.into_iter().take_while(|(backend, _)| {
+        length += backend.as_str().len() + LOAD_BYTES;
+        length <= MAX_LOAD_BYTES
+    });
+    let loads = loads.map(|(backend, load)| BackendNews {
         backend: SmolStr::new(backend.as_str()),
         flights: load.flights,
         backlog: load.backlog.0,
     });
-    let usage = match sequence % USAGE_ROUNDS {
-        0 => usage_news(state),
-        _ => Vec::new(),
-    };
-    PeerNews {
-        instance: SmolStr::new(state.settings().instance.as_str()),
-        run: state.run,
+    let phases = state.phases.borrow();
+    let away = phases.moving().take(MAX_AWAY);
+    LoadNews {
         sequence,
         loads: loads.collect(),
-        usage,
+        away: away.map(|id| SmolStr::new(id.as_str())).collect(),
         suspects: suspect_news(state),
-        away: state
-            .phases
-            .borrow()
-            .moving()
-            .map(|id| SmolStr::new(id.as_str()))
-            .collect(),
     }
 }
 
@@ -279,8 +331,8 @@
     fresh.collect()
 }
 
-/// Returns the counts of this window and the one before it.
-fn usage_news(state: &GatewayState) -> Vec<UsageNews> {
+/// Returns the counts of this window and the one before it, in parts that fit a datagram.
+fn usage_news(state: &GatewayState) -> Vec<Vec<UsageNews>> {
     let counter = state.counter.borrow();
     let current = counter.window_at(usage::wall());
     let windows = [WindowId(current.0.saturating_sub(1)), current];
@@ -292,5 +344,12 @@
             count,
         })
     });
-    news.collect()
+    let mut parts: Vec<Vec<UsageNews>> = Vec::new();
+    for one in news {
+        match parts.last_mut() {
+            Some(part) if part.len() < MAX_COUNTS => part.push(one),
+            _ => parts.push(vec![one]),
+        }
+    }
+    parts
 }
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use applefold_core::direct::{SealStep, WindowCounts};
-use applefold_core::id::{TeamId, WindowId};
+use applefold_core::id::{InstanceId, TeamId, WindowId};
 use applefold_core::unit::TimeSpan;
 use applefold_platform::{
     read_duty_reply, render_usage, DutyKind, DutyReply, StoreCall, StoreChange, StoreItem,
@@ -75,7 +75,7 @@
 /// Writes this entry's counts of a window; returns whether they are known to stand.
 async fn tell(state: &GatewayState, window: WindowId) -> bool {
     let counts = state.counter.borrow().counts(window);
-    let key = format!("{}{}", counts_prefix(window), part_name(state));
+    let key = format!("{}{}", counts_prefix(window), own_name(state));
     let change = StoreChange {
         puts: vec![(key, encode(&counts), None)],
         ..StoreChange::default()
@@ -204,7 +204,7 @@
         }
     }
     let own = state.counter.borrow().counts(window);
-    raise(parts.entry(part_name(state)).or_default(), own);
+    raise(parts.entry(own_name(state)).or_default(), own);
     let mut total = WindowCounts::new();
     for (team, count) in parts.into_values().flatten() {
         *total.entry(team).or_default() += count;
@@ -220,9 +220,13 @@
     }
 }
 
-/// Names this run of the process among those that count.
-pub(crate) fn part_name(state: &GatewayState) -> SmolStr {
-    format_smolstr!("{}-{}", state.settings().instance, state.run)
+/// Names a run of an entry among those that count.
+pub(crate) fn part_name(instance: &InstanceId, run: u64) -> SmolStr {
+    format_smolstr!("{instance}-{run}")
+}
+
+fn own_name(state: &GatewayState) -> SmolStr {
+    part_name(&state.settings().instance, state.run)
 }
 
 fn encode(counts: &WindowCounts) -> Vec<u8> {
