Count usage by an agreed time, and pass the configuration on between entries

Traced in the entries' logs: windows went by the time of day of one instance, which stepped by 2.5 s; the counts of a killed run were lost where the killed process itself took the lease again; one call that hung held up all other windows; a lost answer of the store took 1.5 s of a lease of 3 s.

Ruled out: the sealing itself (no window had two reports), the fencing numbers (no call was refused for a lower one).

Second, an entry that the store turns away asks another one for the newer configuration that its news tell of.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -15,6 +15,7 @@
 mod prompt;
 mod rule;
 mod seal;
+mod wall;
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
@@ -27,3 +28,4 @@
 pub use prompt::{PromptPart, PromptShape};
 pub use rule::{CallerLimits, RepeatRule, RouteRule, RuleSet, ServiceRule, ServiceShare, TeamRule};
 pub use seal::{SealStep, WindowSealer};
+pub use wall::WallReference;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -13,6 +13,8 @@
 mod duty;
 mod handoff;
 mod instances;
+mod news;
+mod passing;
 mod peers;
 mod phases;
 mod pool;
@@ -26,6 +28,7 @@
 mod state;
 mod stop;
 mod store;
+mod talk;
 mod usage;
 
 use std::path::PathBuf;
@@ -44,7 +47,9 @@
     accept::serve(&state).await?;
     actix_rt::spawn(rules::follow(Rc::clone(&state)));
     actix_rt::spawn(instances::follow(Rc::clone(&state)));
-    peers::serve(&state).await?;
+    talk::serve(&state).await?;
+    passing::serve(&state).await?;
+    actix_rt::spawn(passing::follow(Rc::clone(&state)));
     actix_rt::spawn(presence::follow(Rc::clone(&state)));
     actix_rt::spawn(duty::follow(Rc::clone(&state)));
     actix_rt::spawn(phases::follow(Rc::clone(&state)));
--- /dev/null
+++ b/crates/daemon/src/gateway/news.rs
@@ -0,0 +1,150 @@
+//! The datagrams in which entries tell each other what they have sent and counted.
+
+use applefold_core::direct::PeerLoad;
+use applefold_core::id::{BackendId, WindowId};
+use applefold_core::unit::TimeSpan;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::state::GatewayState;
+
+/// Until when a suspicion is told again and again.
+const SUSPECT_AGE: TimeSpan = TimeSpan::from_secs(5);
+/// The most suspicions in one datagram.
+const MAX_SUSPECTS: usize = 6;
+/// The most bytes of a datagram that tell of loads, and what each takes besides its name.
+const MAX_LOAD_BYTES: usize = 1_050;
+const LOAD_BYTES: usize = 8;
+/// The most engines that one datagram tells to be changing.
+const MAX_AWAY: usize = 6;
+/// The most counts of usage in one datagram.
+const MAX_COUNTS: usize = 40;
+/// For how many times the delay of counts those of a window that has ended are told.
+const SETTLING_DELAYS: u64 = 3;
+
+/// One datagram.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct PeerNews {
+    pub(crate) instance: SmolStr,
+    pub(crate) run: u64,
+    /// The sender's own time since the epoch, in microseconds.
+    pub(crate) wall_us: u64,
+    /// The revision of the configuration that the sender has in force; 0 for none.
+    pub(crate) revision: u64,
+    pub(crate) content: NewsContent,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum NewsContent {
+    /// What the sender has at each backend server now.
+    Loads(LoadNews),
+    /// What the sender has counted; figures only grow, so their order does not matter.
+    Usage(Vec<UsageNews>),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct LoadNews {
+    /// Grows with each datagram of a run, so that an overtaken one is dropped.
+    pub(crate) sequence: u64,
+    pub(crate) loads: Vec<BackendNews>,
+    /// Engines that are changing what they do, as the holder of the lease has ordered.
+    pub(crate) away: Vec<SmolStr>,
+    /// Requests during which backend servers went away, and requests that completed since.
+    pub(crate) suspects: Vec<CrashNews>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct CrashNews {
+    pub(crate) fingerprint: u64,
+    /// The backend server that went away; none where the request completed.
+    pub(crate) backend: Option<SmolStr>,
+    pub(crate) age_ms: u64,
+}
+
+impl LoadNews {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.loads.is_empty() && self.away.is_empty() && self.suspects.is_empty()
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct BackendNews {
+    pub(crate) backend: SmolStr,
+    pub(crate) flights: u32,
+    pub(crate) backlog: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct UsageNews {
+    pub(crate) window: u64,
+    pub(crate) team: SmolStr,
+    pub(crate) count: u64,
+}
+
+/// Returns what this entry has at the backend servers where it has most.
+pub(crate) fn load_news(state: &GatewayState, sequence: u64) -> LoadNews {
+    let loads = state.table.borrow().own_loads();
+    let mut loads: Vec<(BackendId, PeerLoad)> = loads.into_iter().collect();
+    loads.sort_by_key(|(_, load)| std::cmp::Reverse((load.backlog, load.flights)));
+    let mut length = 0;
+    let loads = loads.into_iter().take_while(|(backend, _)| {
+        length += backend.as_str().len() + LOAD_BYTES;
+        length <= MAX_LOAD_BYTES
+    });
+    let loads = loads.map(|(backend, load)| BackendNews {
+        backend: SmolStr::new(backend.as_str()),
+        flights: load.flights,
+        backlog: load.backlog.0,
+    });
+    let phases = state.phases.borrow();
+    let away = phases.moving().take(MAX_AWAY);
+    LoadNews {
+        sequence,
+        loads: loads.collect(),
+        away: away.map(|id| SmolStr::new(id.as_str())).collect(),
+        suspects: suspect_news(state),
+    }
+}
+
+/// Returns the latest suspicions; older ones have been told before.
+fn suspect_news(state: &GatewayState) -> Vec<CrashNews> {
+    let news = state.suspects.borrow().news(state.now());
+    let fresh = news.into_iter().take_while(|one| one.age < SUSPECT_AGE);
+    let fresh = fresh.take(MAX_SUSPECTS).map(|one| CrashNews {
+        fingerprint: one.fingerprint.0,
+        backend: one.backend.map(|id| SmolStr::new(id.as_str())),
+        age_ms: one.age.as_millis(),
+    });
+    fresh.collect()
+}
+
+/// Returns the counts of this window, and shortly after its start those of the one before it,
+/// in parts that fit a datagram; one part at least, since it also says that this entry lives.
+pub(crate) fn usage_news(state: &GatewayState, delay: TimeSpan) -> Vec<Vec<UsageNews>> {
+    let counter = state.counter.borrow();
+    let wall = state.wall();
+    let current = counter.window_at(wall);
+    let before = WindowId(current.0.saturating_sub(1));
+    let settling = wall < counter.end_of(before) + TimeSpan(delay.0 * SETTLING_DELAYS);
+    let windows = if settling {
+        vec![before, current]
+    } else {
+        vec![current]
+    };
+    let news = windows.iter().flat_map(|window| {
+        let counts = counter.counts(*window).into_iter();
+        counts.map(|(team, count)| UsageNews {
+            window: window.0,
+            team: SmolStr::new(team.as_str()),
+            count,
+        })
+    });
+    let mut parts: Vec<Vec<UsageNews>> = vec![Vec::new()];
+    for one in news {
+        match parts.last_mut() {
+            Some(part) if part.len() < MAX_COUNTS => part.push(one),
+            _ => parts.push(vec![one]),
+        }
+    }
+    parts
+}
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -283,7 +283,7 @@
             return;
         }
         if let Some(team) = &self.prepared.team {
-            let wall = TimeSpan(crate::logging::wall_micros());
+            let wall = self.state.wall();
             self.state.counter.borrow_mut().count(team, wall);
         }
     }
--- a/crates/daemon/src/gateway/rules.rs
+++ b/crates/daemon/src/gateway/rules.rs
@@ -8,6 +8,8 @@
 use applefold_platform::{
     read_rules, StoreCall, StoreError, StoreEvent, StoreItem, StoreReply, StoreRevision, CONFIG_KEY,
 };
+use bytes::Bytes;
+use eyre::Result;
 
 use super::state::GatewayState;
 
@@ -67,23 +69,24 @@
 }
 
 fn take_item(state: &GatewayState, item: &StoreItem) {
-    let (rules, skipped) = match read_rules(&item.value) {
-        Ok(read) => read,
-        Err(error) => {
-            log::error!(revision = item.revision.0, error = error.to_string();
-                "configuration ignored");
-            return;
-        }
-    };
+    if let Err(error) = take(state, &item.value) {
+        log::error!(revision = item.revision.0, error = error.to_string();
+            "configuration ignored");
+    }
+}
+
+/// Reads a configuration and puts it in force unless a newer one is.
+pub(super) fn take(state: &GatewayState, bytes: &[u8]) -> Result<()> {
+    let (rules, skipped) = read_rules(bytes)?;
     for one in skipped {
         log::warn!(revision = rules.revision.0, name = one.name.as_str(), reason = one.reason;
             "part of the configuration ignored");
     }
-    install(state, rules);
+    install(state, rules, bytes);
+    Ok(())
 }
 
-/// Puts rules in force unless newer ones are.
-fn install(state: &GatewayState, rules: RuleSet) {
+fn install(state: &GatewayState, rules: RuleSet, bytes: &[u8]) {
     let current = state.revision();
     if state.rules().is_some() && rules.revision <= current {
         return;
@@ -98,5 +101,6 @@
     log::info!(revision = rules.revision.0, before = current.0, routes = rules.routes.len(),
         services = rules.services.len(), teams = rules.teams.len(), keys = rules.keys.len();
         "configuration in force");
+    *state.config.borrow_mut() = Some(Bytes::copy_from_slice(bytes));
     *state.rules.borrow_mut() = Some(Rc::new(rules));
 }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,16 +7,17 @@
 
 use applefold_core::code::ResultCode;
 use applefold_core::direct::{
-    InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, WindowSealer,
+    InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, WallReference, WindowSealer,
 };
 use applefold_core::drain::{DrainOptions, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
-use applefold_core::id::{BackendId, Revision, ServiceId};
+use applefold_core::id::{BackendId, InstanceId, Revision, ServiceId};
 use applefold_core::lease::HolderName;
 use applefold_core::quarantine::{CrashLedger, LedgerOptions};
 use applefold_core::retry::{RetryBudget, RetryPolicy};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_platform::PlatformSettings;
+use bytes::Bytes;
 use tokio::sync::watch;
 
 use crate::clock::SuspendClock;
@@ -24,6 +25,7 @@
 use crate::gateway::peers::PeerBook;
 use crate::gateway::pool::BackendPool;
 use crate::gateway::store::StoreClient;
+use crate::logging::wall_micros;
 use crate::metrics::MetricSet;
 
 /// The part of the common retry budget that the entries together plan to use, in
@@ -37,6 +39,8 @@
 const KEPT_WINDOWS: u64 = 8;
 /// How soon after a window's end entries have told their counts if nothing fails.
 const SETTLE_TIME: TimeSpan = TimeSpan::from_millis(500);
+/// How far the instance's time of day may be from that of the entries before it is logged.
+const MAX_CLOCK_ERROR: TimeSpan = TimeSpan::from_millis(250);
 /// A backend server may be idle for long, so silence alone says nothing here.
 const NO_SILENCE: TimeSpan = TimeSpan::from_secs(86_400);
 /// The longest pause before a backend server that failed is tried again.
@@ -68,6 +72,10 @@
     budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     entries: Cell<u64>,
     pub(crate) peers: RefCell<PeerBook>,
+    /// The bytes of the configuration in force, for entries that cannot read them from the store.
+    pub(crate) config: RefCell<Option<Bytes>>,
+    wall: RefCell<WallReference>,
+    clock_off: Cell<bool>,
 }
 
 /// A broken connection is weaker evidence here than a crash that a sidecar sees, so it takes
@@ -93,7 +101,8 @@
             max_probe: MAX_PROBE_PAUSE,
             ..HealthPolicy::default()
         };
-        let run = crate::logging::wall_micros() / 1_000;
+        let since_epoch = TimeSpan(wall_micros());
+        let run = since_epoch.as_millis();
         let holder = HolderName::new(&settings.instance, run);
         let sealer = WindowSealer::new(settings.usage_window, SETTLE_TIME, settings.usage_late);
         Self {
@@ -115,6 +124,9 @@
             budgets: RefCell::default(),
             entries: Cell::new(ASSUMED_ENTRIES),
             peers: RefCell::default(),
+            config: RefCell::default(),
+            wall: RefCell::new(WallReference::new(clock.now(), since_epoch)),
+            clock_off: Cell::new(false),
             clock,
             metrics,
             settings: RefCell::new(Rc::new(settings)),
@@ -143,6 +155,32 @@
         self.clock.now()
     }
 
+    /// Returns the time since the epoch that the entries agree on, which windows go by.
+    pub(crate) fn wall(&self) -> TimeSpan {
+        let now = self.now();
+        let stated = TimeSpan(wall_micros());
+        let mut wall = self.wall.borrow_mut();
+        wall.observe(now, stated);
+        let agreed = wall.agreed(now);
+        let off_ms = agreed.0.abs_diff(stated.0) / 1_000;
+        let off = off_ms > MAX_CLOCK_ERROR.as_millis();
+        if self.clock_off.replace(off) != off {
+            log::warn!(off_ms, off; "the instance's time of day and that of the entries");
+        }
+        agreed
+    }
+
+    /// Returns this process's own time since the epoch, as it is told to others.
+    pub(crate) fn own_wall(&self) -> TimeSpan {
+        self.wall.borrow().own(self.now())
+    }
+
+    /// Takes in the time since the epoch that another entry has told.
+    pub(crate) fn note_peer_wall(&self, peer: &InstanceId, told: TimeSpan) {
+        let now = self.now();
+        self.wall.borrow_mut().note_peer(peer, told, now);
+    }
+
     /// Returns the rules in force, if any are known.
     pub(crate) fn rules(&self) -> Option<Rc<RuleSet>> {
         self.rules.borrow().clone()
--- /dev/null
+++ b/crates/daemon/src/gateway/talk.rs
@@ -0,0 +1,199 @@
+//! Tells the other entries what this one does, several times a second, and listens to them.
+//!
+//! Each entry sees only its own requests at an engine that all of them send
+//! to. A datagram that is lost is made up for by the next one, so nothing is
+//! acknowledged or sent again.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use applefold_core::claim::RequestFingerprint;
+use applefold_core::direct::PeerLoad;
+use applefold_core::id::{BackendId, InstanceId, Revision};
+use applefold_core::quarantine::SuspectNews;
+use applefold_core::unit::{TimeSpan, TokenCount};
+use eyre::{Result, WrapErr};
+use smol_str::SmolStr;
+use tokio::net::UdpSocket;
+
+use super::news::{load_news, usage_news, LoadNews, NewsContent, PeerNews};
+use super::peers::NewsSource;
+use super::state::GatewayState;
+
+/// The pause between two rounds with few entries.
+const NEWS_PERIOD: Duration = Duration::from_millis(100);
+/// Up to how many entries the shortest pause is kept; with more it grows with
+/// their number, so that what an entry sends a second does not.
+const FULL_PACE_ENTRIES: u32 = 8;
+/// In which rounds the counts of usage are told.
+const USAGE_ROUNDS: u64 = 4;
+/// The largest datagram that is sent, below what one packet carries.
+const MAX_NEWS_BYTES: usize = 1_400;
+
+/// Returns the pause between two rounds beside this many other entries.
+fn round_period(peers: usize) -> Duration {
+    NEWS_PERIOD * (peers as u32 + 1).div_ceil(FULL_PACE_ENTRIES).max(1)
+}
+
+/// Returns how long counts of usage are on their way: two rounds of them, so that one may be lost.
+pub(crate) fn usage_delay(peers: usize) -> TimeSpan {
+    let rounds = 2 * USAGE_ROUNDS as u32;
+    TimeSpan((round_period(peers) * rounds).as_micros() as u64)
+}
+
+/// Listens to the other entries and talks to them for as long as the process runs.
+pub(crate) async fn serve(state: &Rc<GatewayState>) -> Result<()> {
+    let address = state.peer_address();
+    let socket = UdpSocket::bind(address).await;
+    let socket = Rc::new(socket.wrap_err_with(|| format!("could not listen on {address}"))?);
+    actix_rt::spawn(listen(Rc::clone(state), Rc::clone(&socket)));
+    actix_rt::spawn(talk(Rc::clone(state), socket));
+    Ok(())
+}
+
+async fn listen(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_NEWS_BYTES + 1];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error = error.to_string(); "no news received");
+                actix_rt::time::sleep(NEWS_PERIOD).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(news) => take(&state, &news, from),
+            Err(error) => {
+                log::warn!(from = from.to_string(), length, error = error.to_string();
+                    "unreadable news ignored");
+            }
+        }
+    }
+}
+
+fn take(state: &GatewayState, news: &PeerNews, from: SocketAddr) {
+    let id = match news.instance.parse::<InstanceId>() {
+        Ok(id) => id,
+        Err(error) => {
+            log::warn!(from = from.to_string(), error = error.to_string();
+                "news without a sender ignored");
+            return;
+        }
+    };
+    if id == state.settings().instance {
+        return;
+    }
+    let source = NewsSource {
+        id: &id,
+        run: news.run,
+        address: from,
+        revision: Revision(news.revision),
+        heard_at: state.now(),
+    };
+    if !state.peers.borrow_mut().hear(&source) {
+        log::debug!(peer = id.as_str(), run = news.run; "news of an earlier run ignored");
+        return;
+    }
+    let told_at = TimeSpan(news.wall_us);
+    state.note_peer_wall(&id, told_at);
+    match &news.content {
+        NewsContent::Loads(loads) => {
+            let newer = state.peers.borrow_mut().accept(&id, loads.sequence);
+            if newer {
+                take_loads(state, &id, loads);
+            }
+        }
+        NewsContent::Usage(usage) => {
+            let mut peers = state.peers.borrow_mut();
+            peers.note_usage(&source, told_at, usage);
+        }
+    }
+}
+
+fn take_loads(state: &GatewayState, id: &InstanceId, news: &LoadNews) {
+    let loads = news.loads.iter().filter_map(|one| {
+        let backend: BackendId = one.backend.parse().ok()?;
+        let load = PeerLoad {
+            flights: one.flights,
+            backlog: TokenCount(one.backlog),
+        };
+        Some((backend, load))
+    });
+    let loads = loads.collect();
+    let now = state.now();
+    let mut table = state.table.borrow_mut();
+    table.note_peer(id, &loads, now);
+    for backend in news.away.iter().filter_map(|name| name.parse().ok()) {
+        table.note_away(&backend, now);
+    }
+    drop(table);
+    for one in &news.suspects {
+        let backend = match one.backend.as_ref().map(|name| name.parse()) {
+            None => None,
+            Some(Ok(backend)) => Some(backend),
+            Some(Err(_)) => continue,
+        };
+        let news = SuspectNews {
+            fingerprint: RequestFingerprint(one.fingerprint),
+            backend,
+            age: TimeSpan::from_millis(one.age_ms),
+        };
+        state.suspects.borrow_mut().learn(now, news);
+    }
+}
+
+async fn talk(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let mut sequence = 0;
+    let mut idle = false;
+    loop {
+        let peers = state.peers.borrow().addresses();
+        actix_rt::time::sleep(round_period(peers.len())).await;
+        sequence += 1;
+        let loads = load_news(&state, sequence);
+        let empty = loads.is_empty();
+        // The last engine's becoming idle is told once.
+        if !(empty && std::mem::replace(&mut idle, empty)) {
+            send(&state, &socket, &peers, NewsContent::Loads(loads)).await;
+        }
+        idle = empty;
+        if sequence % USAGE_ROUNDS == 0 {
+            let delay = usage_delay(peers.len());
+            for part in usage_news(&state, delay) {
+                send(&state, &socket, &peers, NewsContent::Usage(part)).await;
+            }
+        }
+    }
+}
+
+async fn send(
+    state: &GatewayState,
+    socket: &UdpSocket,
+    peers: &[SocketAddr],
+    content: NewsContent,
+) {
+    let news = PeerNews {
+        instance: SmolStr::new(state.settings().instance.as_str()),
+        run: state.run,
+        wall_us: state.own_wall().0,
+        revision: state.revision().0,
+        content,
+    };
+    let bytes = match postcard::to_stdvec(&news) {
+        Ok(bytes) if bytes.len() <= MAX_NEWS_BYTES => bytes,
+        Ok(bytes) => {
+            log::warn!(length = bytes.len(); "news left out: too long for a datagram");
+            return;
+        }
+        Err(error) => {
+            log::warn!(error = error.to_string(); "news not written");
+            return;
+        }
+    };
+    for peer in peers {
+        if let Err(error) = socket.send_to(&bytes, peer).await {
+            log::debug!(peer = peer.to_string(), error = error.to_string(); "news not sent");
+        }
+    }
+}
