Ask the store less often, and tell news each 100 ms up to 32 entries

On sites of 6 entries (100 ms) predicted and taken times agree (182 and 154 ms). Ruled out: processor time (0.011 of 0.09 core) and the engines' rates (17 engines at 0.61 of their rate). Change: the shortest pause holds up to 32 entries. The store is asked less: the list of backend servers at 35% of the time for which they go on serving, a watch of the configuration waits 6 s, the list of entries may be stale, and nobody asks for a lease whose holder speaks.

--- a/crates/daemon/src/gateway/duty.rs
+++ b/crates/daemon/src/gateway/duty.rs
@@ -122,6 +122,13 @@
 }
 
 async fn acquire(state: &GatewayState, ttl: TimeSpan) -> LeaseReply {
+    if state.peers.borrow().holder_speaks(state.now()) {
+        return LeaseReply::Held {
+            holder: None,
+            fencing: FencingNumber(0),
+            remaining: LOOK_AGAIN,
+        };
+    }
     match try_acquire(state, ttl).await {
         Some(reply) => reply,
         None => LeaseReply::Failed,
--- a/crates/daemon/src/gateway/instances.rs
+++ b/crates/daemon/src/gateway/instances.rs
@@ -14,9 +14,12 @@
 
 use super::state::GatewayState;
 
-/// The pause between two looks at the list. Entries change several times a second, so a
-/// watch would return at once; the pause gathers changes and bounds the calls.
-const LOOK_PAUSE: Duration = Duration::from_millis(600);
+/// The pause between two looks at the list, as a part of the time for which a backend server
+/// serves after it has said that it leaves, in percent. Entries change several times a second,
+/// so a watch would return at once; the pause gathers changes and bounds the calls.
+const LOOK_PERCENT: u64 = 35;
+/// The longest such pause.
+const MAX_LOOK_PAUSE: TimeSpan = TimeSpan::from_millis(1_200);
 /// How long one look waits for a change.
 const LOOK_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
 /// How long after the store's return an entry that lapsed meanwhile may still come back;
@@ -50,7 +53,9 @@
         reader.settle_lapsed(&state);
         state.tick_health();
         state.pool.tick(state.now());
-        actix_rt::time::sleep(LOOK_PAUSE).await;
+        let pause = TimeSpan(state.settings().drain.0 * LOOK_PERCENT / 100);
+        let pause = Duration::from_micros(pause.min(MAX_LOOK_PAUSE).0);
+        actix_rt::time::sleep(pause).await;
     }
 }
 
@@ -63,6 +68,7 @@
             let call = StoreCall::Range {
                 prefix: INSTANCE_PREFIX.to_owned(),
                 after: after.clone(),
+                stale: false,
             };
             let StoreReply::Page(page) = state.store.call(&call).await? else {
                 return Err(StoreError::Unreadable("no page".into()));
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -31,6 +31,8 @@
     pub(crate) wall_us: u64,
     /// The revision of the configuration that the sender has in force; 0 for none.
     pub(crate) revision: u64,
+    /// Whether the sender holds the lease of the work for the platform.
+    pub(crate) holds: bool,
     pub(crate) content: NewsContent,
 }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -16,6 +16,8 @@
 /// After how much silence another run of an entry under a lower number is believed to be
 /// the later one, as after a step of its clock.
 const RUN_SILENCE: TimeSpan = TimeSpan::from_millis(400);
+/// The oldest word of a holder that keeps others from asking for its lease.
+const HOLDER_AGE: TimeSpan = TimeSpan::from_millis(1_200);
 /// The oldest word of a configuration that is followed.
 const REVISION_AGE: TimeSpan = TimeSpan::from_secs(2);
 
@@ -28,6 +30,7 @@
     /// The entry's own time since the epoch when it last told its counts.
     counted_at: TimeSpan,
     revision: Revision,
+    holds: bool,
     address: SocketAddr,
 }
 
@@ -42,6 +45,8 @@
     pub(crate) address: SocketAddr,
     /// The revision of the configuration that it has in force.
     pub(crate) revision: Revision,
+    /// Whether it holds the lease of the work for the platform.
+    pub(crate) holds: bool,
     /// When its news came.
     pub(crate) heard_at: TimePoint,
 }
@@ -84,6 +89,7 @@
         };
         mark.heard_at = source.heard_at;
         mark.revision = source.revision;
+        mark.holds = source.holds;
         mark.address = source.address;
         true
     }
@@ -101,6 +107,7 @@
             heard_at: source.heard_at,
             counted_at: TimeSpan::ZERO,
             revision: source.revision,
+            holds: source.holds,
             address: source.address,
         };
         self.marks.insert(source.id.clone(), mark);
@@ -174,6 +181,12 @@
             .is_some_and(|mark| mark.counted_at >= time)
     }
 
+    /// Returns whether another entry says that it holds the lease.
+    pub(crate) fn holder_speaks(&self, now: TimePoint) -> bool {
+        let fresh = |mark: &PeerMark| now.since(mark.heard_at) <= HOLDER_AGE;
+        self.marks.values().any(|mark| mark.holds && fresh(mark))
+    }
+
     /// Returns where the entry with the newest configuration listens, if that is newer than
     /// `revision`.
     pub(crate) fn newer_config(
--- a/crates/daemon/src/gateway/presence.rs
+++ b/crates/daemon/src/gateway/presence.rs
@@ -67,6 +67,7 @@
     let call = StoreCall::Range {
         prefix: prefix.clone(),
         after: None,
+        stale: true,
     };
     let Ok(StoreReply::Page(page)) = state.store.call(&call).await else {
         return;
--- a/crates/daemon/src/gateway/rules.rs
+++ b/crates/daemon/src/gateway/rules.rs
@@ -13,8 +13,9 @@
 
 use super::state::GatewayState;
 
-/// How long one watch waits; a connection that went silent is found after it.
-const WATCH_WAIT: TimeSpan = TimeSpan::from_secs(2);
+/// How long one watch waits; a connection that went silent is found after it, and another
+/// entry tells of what it missed.
+const WATCH_WAIT: TimeSpan = TimeSpan::from_secs(6);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -25,7 +25,7 @@
 const NEWS_PERIOD: Duration = Duration::from_millis(100);
 /// Up to how many entries the shortest pause is kept; with more it grows with
 /// their number, so that what an entry sends a second does not.
-const FULL_PACE_ENTRIES: u32 = 8;
+const FULL_PACE_ENTRIES: u32 = 32;
 /// In which rounds the counts of usage are told.
 const USAGE_ROUNDS: u64 = 4;
 /// The largest datagram that is sent, below what one packet carries.
@@ -90,6 +90,7 @@
         run: news.run,
         address: from,
         revision: Revision(news.revision),
+        holds: news.holds,
         heard_at: state.now(),
     };
     if !state.peers.borrow_mut().hear(&source) {
@@ -178,6 +179,7 @@
         run: state.run,
         wall_us: state.own_wall().0,
         revision: state.revision().0,
+        holds: state.duty.authority(state).is_some(),
         content,
     };
     let bytes = match postcard::to_stdvec(&news) {
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -132,7 +132,7 @@
     match state.store.call(&StoreCall::Change(change)).await {
         Ok(StoreReply::Changed(_)) => true,
         other => {
-            log::warn!(window = window.0, answer = format!("{other:?}"); "counts not told yet");
+            log::debug!(window = window.0, answer = format!("{other:?}"); "counts not told yet");
             false
         }
     }
@@ -168,6 +168,7 @@
     let call = StoreCall::Range {
         prefix,
         after: None,
+        stale: false,
     };
     let StoreReply::Page(page) = state.store.call(&call).await? else {
         return Err(eyre!("the store gave no page"));
