Tell news each 50 ms

Cause: what an entry sends to an engine is unknown to the others until its next news; the shorter that is, the fewer of them send to the same engine.

--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -22,12 +22,12 @@
 use super::state::GatewayState;
 
 /// The pause between two rounds with few entries.
-const NEWS_PERIOD: Duration = Duration::from_millis(100);
+const NEWS_PERIOD: Duration = Duration::from_millis(50);
 /// Up to how many entries the shortest pause is kept; with more it grows with
 /// their number, so that what an entry sends a second does not.
 const FULL_PACE_ENTRIES: u32 = 32;
 /// In which rounds the counts of usage are told.
-const USAGE_ROUNDS: u64 = 4;
+const USAGE_ROUNDS: u64 = 8;
 /// The largest datagram that is sent, below what one packet carries.
 const MAX_NEWS_BYTES: usize = 1_400;
 
