Tell other entries which prompts engines have read

Cause: 32 to 43 of 100 shared tokens were read again. An entry knew only of the prompts that it had sent itself, a sixth or a 28th of what an engine holds, so what the home of a part could not take went to any other engine.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -413,6 +413,13 @@
         rows.map(|(id, row)| (id.clone(), row.own_load())).collect()
     }
 
+    /// Notes that a peer's request has had its prompt read, and that it is held from now on.
+    pub fn note_read(&mut self, id: &BackendId, parts: &[PromptPart], now: TimePoint) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.hold(parts, now);
+        }
+    }
+
     /// Notes that a backend server has turned a request away.
     pub fn note_full(&mut self, id: &BackendId, now: TimePoint) {
         let Some(row) = self.rows.get_mut(id) else {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod pool;
 mod prepare;
 mod presence;
+mod reads;
 mod ready;
 mod relay;
 mod reload;
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::reads::ReadNews;
 use super::state::GatewayState;
 
 /// Until when a suspicion is told again and again.
@@ -40,6 +41,8 @@
 pub(crate) enum NewsContent {
     /// What the sender has at each backend server now.
     Loads(LoadNews),
+    /// Prompts that engines have read for the sender.
+    Reads(Vec<ReadNews>),
     /// What the sender has counted; figures only grow, so their order does not matter.
     Usage(Vec<UsageNews>),
 }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -24,6 +24,7 @@
 use crate::gateway::duty::DutyLease;
 use crate::gateway::peers::PeerBook;
 use crate::gateway::pool::BackendPool;
+use crate::gateway::reads::ReadLog;
 use crate::gateway::store::StoreClient;
 use crate::logging::wall_micros;
 use crate::metrics::MetricSet;
@@ -72,6 +73,8 @@
     budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     entries: Cell<u64>,
     pub(crate) peers: RefCell<PeerBook>,
+    /// Prompts that engines have read for this entry, to be told to the others.
+    pub(crate) reads: RefCell<ReadLog>,
     /// The bytes of the configuration in force, for entries that cannot read them from the store.
     pub(crate) config: RefCell<Option<Bytes>>,
     wall: RefCell<WallReference>,
@@ -124,6 +127,7 @@
             budgets: RefCell::default(),
             entries: Cell::new(ASSUMED_ENTRIES),
             peers: RefCell::default(),
+            reads: RefCell::default(),
             config: RefCell::default(),
             wall: RefCell::new(WallReference::new(clock.now(), since_epoch)),
             clock_off: Cell::new(false),
--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -26,6 +26,8 @@
 /// Up to how many entries the shortest pause is kept; with more it grows with
 /// their number, so that what an entry sends a second does not.
 const FULL_PACE_ENTRIES: u32 = 32;
+/// In which rounds prompts that have been read are told.
+const READ_ROUNDS: u64 = 2;
 /// In which rounds the counts of usage are told.
 const USAGE_ROUNDS: u64 = 8;
 /// The largest datagram that is sent, below what one packet carries.
@@ -106,6 +108,15 @@
                 take_loads(state, &id, loads);
             }
         }
+        NewsContent::Reads(reads) => {
+            let mut table = state.table.borrow_mut();
+            for read in reads {
+                match read.backend.parse() {
+                    Ok(backend) => table.note_read(&backend, &read.parts(), source.heard_at),
+                    Err(_) => log::debug!(peer = id.as_str(); "read without a backend server"),
+                }
+            }
+        }
         NewsContent::Usage(usage) => {
             let mut peers = state.peers.borrow_mut();
             peers.note_usage(&source, told_at, usage);
@@ -159,6 +170,12 @@
             send(&state, &socket, &peers, NewsContent::Loads(loads)).await;
         }
         idle = empty;
+        if sequence % READ_ROUNDS == 0 {
+            let reads = state.reads.borrow_mut().next();
+            if !reads.is_empty() {
+                send(&state, &socket, &peers, NewsContent::Reads(reads)).await;
+            }
+        }
         if sequence % USAGE_ROUNDS == 0 {
             let delay = usage_delay(peers.len());
             for part in usage_news(&state, delay) {
