Count requests whose answers were lost, and split the request's driver

Change: an attempt that broke off after it was sent counts as a run. Timeouts do not: such a request mostly still waited at its engine.

--- /dev/null
+++ b/crates/core/src/direct/instance/row.rs
@@ -0,0 +1,209 @@
+//! What an entry knows of one backend server.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use super::{FlightNote, InstanceSpec, LoadSample, PeerLoad};
+use crate::direct::estimate::Estimate;
+use crate::direct::PromptPart;
+use crate::id::InstanceId;
+use crate::routing::{BackendRole, FlightId};
+use crate::unit::{TimePoint, TimeSpan, TokenCount};
+
+/// Prompts shorter than this say more of the fixed time to a first token than of the rate.
+const MIN_RATE_TOKENS: TokenCount = TokenCount(512);
+/// The memory assumed of an engine whose service does not state it.
+const DEFAULT_MEMORY: TokenCount = TokenCount(262_144);
+/// Prompt tokens per second assumed of an engine that reads prompts only, before its first answer.
+const PREFILL_RATE: u64 = 60_000;
+/// The same of an engine that reads prompts between the tokens of answers.
+const MIXED_RATE: u64 = 20_000;
+/// How many times faster or slower than usual an engine is taken to be, so that one odd
+/// sample does not put it out of use or draw everything to it.
+const RATE_SPREAD: u64 = 6;
+/// The longest time to a first token that is learned.
+const LONGEST_FIRST_TIME: TimeSpan = TimeSpan::from_millis(300);
+/// The shortest time that a rate is learned from.
+const SHORTEST_WORK: TimeSpan = TimeSpan::from_millis(2);
+/// The oldest load of a peer that is believed.
+const PEER_AGE: TimeSpan = TimeSpan::from_millis(1_500);
+/// The time to a first token of an empty prompt assumed before the first answer.
+const DEFAULT_FIRST_TIME: TimeSpan = TimeSpan::from_millis(40);
+
+#[derive(Clone, Copy, Debug)]
+struct HeldPart {
+    tokens: TokenCount,
+    used_at: TimePoint,
+}
+
+/// One backend server.
+#[derive(Clone, Debug)]
+pub struct InstanceRow {
+    /// What the list says.
+    pub spec: InstanceSpec,
+    /// Whether health leaves it out for now.
+    pub left_out: bool,
+    /// Whether its entry of the list is gone, perhaps only because the store was away.
+    pub lapsed: bool,
+    /// The last stated load, and when it came.
+    pub load: Option<(LoadSample, TimePoint)>,
+    pub(super) flights: BTreeMap<FlightId, FlightNote>,
+    pub(super) peers: BTreeMap<InstanceId, (PeerLoad, TimePoint)>,
+    parts: BTreeMap<SmolStr, HeldPart>,
+    pub(super) memory: TokenCount,
+    pub(super) first_time: Estimate,
+    pub(super) prefill_rate: Estimate,
+    pub(super) call_time: TimeSpan,
+    pub(super) full_until: TimePoint,
+    /// How many times in a row a request was turned away after a pause.
+    pub(super) refusals: u32,
+}
+
+impl InstanceRow {
+    pub(super) fn new(spec: InstanceSpec) -> Self {
+        let prefill_rate = match spec.role {
+            BackendRole::Prefill => PREFILL_RATE,
+            BackendRole::Both | BackendRole::Decode | BackendRole::Plain => MIXED_RATE,
+        };
+        Self {
+            spec,
+            left_out: false,
+            lapsed: false,
+            load: None,
+            flights: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            memory: DEFAULT_MEMORY,
+            first_time: Estimate::new(DEFAULT_FIRST_TIME.0),
+            prefill_rate: Estimate::new(prefill_rate),
+            full_until: TimePoint::START,
+            refusals: 0,
+            call_time: DEFAULT_FIRST_TIME,
+        }
+    }
+
+    /// Returns the requests of this entry that are not finished.
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Returns the requests that compete for the backend server, those of peers included.
+    pub fn competing(&self, now: TimePoint) -> u64 {
+        let peers = self.fresh_peers(now).map(|load| u64::from(load.flights));
+        self.flights.len() as u64 + peers.sum::<u64>()
+    }
+
+    /// Returns what this entry itself has sent and not had answered.
+    pub fn own_load(&self) -> PeerLoad {
+        let waiting = self.flights.values().filter(|flight| !flight.answering);
+        PeerLoad {
+            flights: self.flights.len() as u32,
+            backlog: waiting.map(|flight| flight.uncached).sum(),
+        }
+    }
+
+    fn fresh_peers(&self, now: TimePoint) -> impl Iterator<Item = PeerLoad> + '_ {
+        let peers = self.peers.values();
+        let fresh = peers.filter(move |(_, at)| now.since(*at) <= PEER_AGE);
+        fresh.map(|(load, _)| *load)
+    }
+
+    /// Returns until when the backend server is left alone after it turned a request away.
+    pub fn full_until(&self) -> TimePoint {
+        self.full_until
+    }
+
+    /// Returns whether the backend server has just turned a request away.
+    pub fn is_full(&self, now: TimePoint) -> bool {
+        self.full_until > now
+    }
+
+    /// Returns the prompt tokens of requests whose first token has not come, those of
+    /// peers included.
+    pub fn backlog(&self, now: TimePoint) -> TokenCount {
+        let peers = self.fresh_peers(now).map(|load| load.backlog);
+        self.own_load().backlog + peers.sum()
+    }
+
+    /// Returns the tokens of `parts` that the backend server is believed to hold.
+    pub fn cached(&self, parts: &[PromptPart]) -> TokenCount {
+        let held = |part: &&PromptPart| self.parts.contains_key(&part.name);
+        let kept = parts.iter().take_while(held);
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Returns the time that a prompt of `tokens` takes until its first token.
+    pub fn time_for(&self, tokens: TokenCount, now: TimePoint) -> TimeSpan {
+        TimeSpan(tokens.0 * 1_000_000 / self.prefill_rate.value(now).max(1))
+    }
+
+    /// Returns the time to a first token besides the prompt's.
+    pub fn first_time(&self, now: TimePoint) -> TimeSpan {
+        TimeSpan(self.first_time.value(now))
+    }
+
+    /// Returns the usual time of a whole call.
+    pub fn call_time(&self) -> TimeSpan {
+        self.call_time
+    }
+
+    /// Returns the load stated within `max_age`, if any.
+    pub fn fresh_load(&self, now: TimePoint, max_age: TimeSpan) -> Option<LoadSample> {
+        let (sample, at) = self.load?;
+        (now.since(at) <= max_age).then_some(sample)
+    }
+
+    pub(super) fn hold(&mut self, parts: &[PromptPart], now: TimePoint) {
+        for part in parts {
+            let held = HeldPart {
+                tokens: part.tokens,
+                used_at: now,
+            };
+            self.parts.insert(part.name.clone(), held);
+        }
+        let mut total: u64 = self.parts.values().map(|held| held.tokens.0).sum();
+        while total > self.memory.0 {
+            let oldest = self.parts.iter().min_by_key(|(_, held)| held.used_at);
+            let Some(name) = oldest.map(|(name, _)| name.clone()) else {
+                return;
+            };
+            total -= self.parts.remove(&name).map_or(0, |held| held.tokens.0);
+        }
+    }
+
+    /// Learns from a first token that has come.
+    pub(super) fn learn(&mut self, flight: FlightNote, now: TimePoint) {
+        let span = now.since(flight.sent_at);
+        if flight.uncached + flight.ahead < MIN_RATE_TOKENS {
+            let span = span.min(LONGEST_FIRST_TIME);
+            self.first_time.learn(span.0, now);
+            return;
+        }
+        if let Some(rate) = self.rate_of(flight, span, now) {
+            self.prefill_rate.learn(rate, now);
+        }
+    }
+
+    /// Learns from a first token that had not come when it was no longer waited for:
+    /// the engine is no faster than that.
+    pub(super) fn learn_missing(&mut self, flight: FlightNote, now: TimePoint) {
+        let span = now.since(flight.sent_at);
+        let rate = self.rate_of(flight, span, now);
+        if let Some(rate) = rate.filter(|rate| *rate < self.prefill_rate.value(now)) {
+            self.prefill_rate.learn(rate, now);
+        }
+    }
+
+    /// Returns the prompt tokens per second that a first token after `span` tells of.
+    fn rate_of(&self, flight: FlightNote, span: TimeSpan, now: TimePoint) -> Option<u64> {
+        let tokens = flight.uncached + flight.ahead;
+        if tokens < MIN_RATE_TOKENS {
+            return None;
+        }
+        let work = span.saturating_sub(self.first_time(now)).max(SHORTEST_WORK);
+        let rate = tokens.0 * 1_000_000 / work.0;
+        let usual = self.prefill_rate.usual();
+        Some(rate.clamp(usual / RATE_SPREAD, usual * RATE_SPREAD))
+    }
+}
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -1,30 +1,32 @@
 //! Drives one request from its arrival to its final answer.
 
+mod stream;
+
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use applefold_core::code::{CallRefusal, ResultCode, RunState};
 use applefold_core::direct::{
     AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, PlacementStage,
-    PlacementWork, PromptPart, PromptShape, RequestProgress,
+    PlacementWork, PromptShape, RequestProgress,
 };
 use applefold_core::id::{BackendId, TeamId};
 use applefold_core::unit::{TimePoint, TimeSpan};
-use applefold_h1::{encode_chunk, ResponseHead, CHUNK_END};
+use applefold_h1::{ResponseHead, CHUNK_END};
 use applefold_platform::{
     render_answer_head, render_refusal, AnswerFraming, AttemptWork, KvHandle,
 };
 use opentelemetry::KeyValue;
 use smol_str::SmolStr;
-use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::accept::{CallerReader, ConnectionFate, ReceivedRequest};
-use super::attempt::{Attempt, AttemptResult, OpenStream};
+use super::attempt::{Attempt, AttemptResult};
 use super::handoff::HandoffGuard;
 use super::prepare::{count_request, keeps_open, write, PreparedRequest};
 use super::relay::EventCutter;
 use super::state::GatewayState;
+use stream::RelayEnd;
 
 /// Attempts at one request, those that did not run included.
 const MAX_SENDS: u32 = 4;
@@ -107,13 +109,13 @@
             let result = self.attempt(&placement).await;
             let end = match result {
                 AttemptResult::Whole(head, body) => {
-                    self.log_attempt(&placement, begun, "answered");
+                    self.log_attempt(&placement, begun, "answered", "answered");
                     return self.deliver(&head, &body, writer).await;
                 }
                 AttemptResult::Stream(stream) => {
                     match self.relay(*stream, &placement, writer).await {
                         RelayEnd::Whole => {
-                            self.log_attempt(&placement, begun, "streamed");
+                            self.log_attempt(&placement, begun, "streamed", "streamed");
                             let keep = keeps_open(self.state, self.request);
                             self.log_end(200, "streamed");
                             return write(writer, CHUNK_END, keep).await;
@@ -123,25 +125,29 @@
                             return ConnectionFate::Close;
                         }
                         RelayEnd::Broken(end, reason) => {
-                            self.log_attempt(&placement, begun, &reason);
+                            self.log_attempt(&placement, begun, class_of(end), &reason);
                             end
                         }
                     }
                 }
                 AttemptResult::Prefilled(handle) => {
-                    self.log_attempt(&placement, begun, "prompt read");
+                    self.log_attempt(&placement, begun, "prompt read", "prompt read");
                     self.keep_handoff(handle, &placement);
                     continue;
                 }
                 AttemptResult::Failed(head, body) => {
-                    self.log_attempt(&placement, begun, "backend server failed");
+                    self.log_attempt(&placement, begun, "failed", "backend server failed");
                     self.count_run();
                     self.failure = Some((head, body));
                     AttemptEnd::Failed
                 }
                 AttemptResult::Ended(end, reason) => {
-                    self.log_attempt(&placement, begun, &reason);
+                    self.log_attempt(&placement, begun, class_of(end), &reason);
                     self.note_crash(end, &placement);
+                    // What broke off after it was sent has run more often than not.
+                    if end == AttemptEnd::Broken {
+                        self.count_run();
+                    }
                     end
                 }
             };
@@ -309,79 +315,14 @@
         let framing = AnswerFraming::Length(body.len());
         render_answer_head(head, framing, keep, &mut bytes);
         bytes.extend_from_slice(body);
-        self.first = Some(now.since(self.request.arrived));
+        let span = now.since(self.request.arrived);
+        self.first = Some(span);
+        let metrics = &self.state.metrics;
+        metrics.whole_answer.record(span.as_secs_f64(), &[]);
         self.log_end(head.status, "answered");
         write(writer, &bytes, keep).await
     }
 
-    /// Passes events on as they come, until the stream ends or breaks.
-    async fn relay(
-        &mut self,
-        mut stream: OpenStream,
-        placement: &Placement,
-        writer: &mut OwnedWriteHalf,
-    ) -> RelayEnd {
-        let mut body = Vec::new();
-        let mut output = Vec::new();
-        loop {
-            let left = self.prepared.deadline.since(self.state.now());
-            let limit = std::time::Duration::from_micros(left.0);
-            body.clear();
-            let read = stream.connection.read_body(&mut stream.decoder, &mut body);
-            let done = match tokio::time::timeout(limit, read).await {
-                Ok(Ok(done)) => done,
-                Ok(Err(fault)) => {
-                    self.cutter.forget_part();
-                    return RelayEnd::Broken(AttemptEnd::Broken, fault.to_string());
-                }
-                Err(_) => {
-                    let reason = "the deadline passed".to_owned();
-                    return RelayEnd::Broken(AttemptEnd::TimedOut, reason);
-                }
-            };
-            output.clear();
-            let mut events = self.cutter.push(&body);
-            if done {
-                events.extend_from_slice(&self.cutter.finish());
-            }
-            if (done || !events.is_empty()) && !self.begun {
-                self.begin_stream(&stream, &mut output);
-            }
-            encode_chunk(&events, &mut output);
-            if !output.is_empty() && writer.write_all(&output).await.is_err() {
-                return RelayEnd::CallerLeft;
-            }
-            if done {
-                let now = self.state.now();
-                stream.flight.answered();
-                let pool = &self.state.pool;
-                pool.keep(&placement.backend, stream.connection, &stream.head, now);
-                let mut suspects = self.state.suspects.borrow_mut();
-                suspects.note_completion(now, self.prepared.fingerprint);
-                return RelayEnd::Whole;
-            }
-        }
-    }
-
-    fn begin_stream(&mut self, stream: &OpenStream, output: &mut Vec<u8>) {
-        self.begun = true;
-        self.count_run();
-        let span = self.state.now().since(self.request.arrived);
-        self.first = Some(span);
-        self.state
-            .metrics
-            .first_byte
-            .record(span.as_secs_f64(), &[]);
-        if let Some(handoff) = self.handoff.take() {
-            handoff.taken();
-        }
-        let prompt = self.prepared.caller.prompt.as_ref();
-        let parts: &[PromptPart] = prompt.map_or(&[], |prompt| &prompt.parts);
-        stream.flight.first_token(parts);
-        let keep = keeps_open(self.state, self.request);
-        render_answer_head(&stream.head, AnswerFraming::Chunked, keep, output);
-    }
-
     async fn give_up(
         &mut self,
         refusal: CallRefusal,
@@ -406,10 +347,17 @@
         write(writer, &bytes, keep).await
     }
 
-    fn log_attempt(&self, placement: &Placement, begun: TimePoint, outcome: &str) {
+    /// Logs and counts an attempt; `class` is one of few, `outcome` says more.
+    fn log_attempt(
+        &self,
+        placement: &Placement,
+        begun: TimePoint,
+        class: &'static str,
+        outcome: &str,
+    ) {
         let now = self.state.now();
-        let outcome_key = KeyValue::new("outcome", outcome.to_owned());
-        self.state.metrics.attempts.add(1, &[outcome_key]);
+        let class = KeyValue::new("outcome", class);
+        self.state.metrics.attempts.add(1, &[class]);
         log::info!(request = self.prepared.caller.name.as_str(), attempt = self.progress.sends,
             backend = placement.backend.as_str(), work = format!("{:?}", placement.work),
             predicted_ms = placement.predicted.as_millis(),
@@ -434,9 +382,13 @@
     }
 }
 
-/// How the relay of a stream ended.
-enum RelayEnd {
-    Whole,
-    CallerLeft,
-    Broken(AttemptEnd, String),
+/// Returns the name under which attempts that gave no answer are counted.
+const fn class_of(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::NotSent => "not sent",
+        AttemptEnd::NotRun { .. } => "not run",
+        AttemptEnd::Failed => "failed",
+        AttemptEnd::Broken => "broken",
+        AttemptEnd::TimedOut => "timed out",
+    }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -64,6 +64,8 @@
     pub(crate) attempts: Counter<u64>,
     /// Seconds until the first byte of an answer.
     pub(crate) first_byte: Histogram<f64>,
+    /// Seconds until the end of a whole answer that is no stream.
+    pub(crate) whole_answer: Histogram<f64>,
     /// Requests in flight.
     pub(crate) in_flight: Gauge<u64>,
     /// Calls to the platform by kind.
@@ -86,6 +88,10 @@
                 .f64_histogram("applefold_first_byte_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
+            whole_answer: meter
+                .f64_histogram("applefold_whole_answer_seconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
             in_flight: meter.u64_gauge("applefold_in_flight").build(),
             platform_calls: meter.u64_counter("applefold_platform_calls").build(),
             revision: meter.u64_gauge("applefold_revision").build(),
