Send one request for each probe of a backend server that is left out

Ruled out: the health tracker, which rightly waits for one probe's outcome; the list, which drops a silent engine after three heartbeats. Change: a probe lets one request through, and the row stays left out. A call to read a prompt that was not sent spends no budget, since it has arrived nowhere. Test: an_engine_that_is_left_out_gets_one_request_for_each_probe.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -178,6 +178,14 @@
     pub fn set_left_out(&mut self, id: &BackendId, left_out: bool) {
         if let Some(row) = self.rows.get_mut(id) {
             row.left_out = left_out;
+            row.probe = false;
+        }
+    }
+
+    /// Lets one request be sent to a backend server that is left out.
+    pub fn allow_probe(&mut self, id: &BackendId) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.probe = row.left_out;
         }
     }
 
@@ -253,6 +261,7 @@
         now: TimePoint,
     ) -> Option<FlightId> {
         let row = self.rows.get_mut(id)?;
+        row.probe = false;
         self.last_flight += 1;
         let flight = FlightId(self.last_flight);
         let note = FlightNote {
--- a/crates/core/src/direct/instance/row.rs
+++ b/crates/core/src/direct/instance/row.rs
@@ -44,6 +44,8 @@
     pub spec: InstanceSpec,
     /// Whether health leaves it out for now.
     pub left_out: bool,
+    /// Whether one request may be sent to it although it is left out.
+    pub(super) probe: bool,
     /// Whether its entry of the list is gone, perhaps only because the store was away.
     pub lapsed: bool,
     /// The last stated load, and when it came.
@@ -69,6 +71,7 @@
         Self {
             spec,
             left_out: false,
+            probe: false,
             lapsed: false,
             load: None,
             flights: BTreeMap::new(),
@@ -83,6 +86,11 @@
         }
     }
 
+    /// Returns whether a request may be sent here as far as health goes.
+    pub fn is_healthy(&self) -> bool {
+        !self.left_out || self.probe
+    }
+
     /// Returns the requests of this entry that are not finished.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -205,7 +205,8 @@
     ) -> Result<Vec<&'a InstanceRow>, CallRefusal> {
         let all = listed.iter().copied();
         let may: Vec<&InstanceRow> = all.filter(|row| may_run(row, request)).collect();
-        let healthy: Vec<&InstanceRow> = may.iter().copied().filter(|row| !row.left_out).collect();
+        let healthy: Vec<&InstanceRow> =
+            may.iter().copied().filter(|row| row.is_healthy()).collect();
         let rows = if healthy.is_empty() { may } else { healthy };
         if rows.is_empty() {
             return Err(self.missing());
@@ -259,7 +260,7 @@
         let usable = listed.iter().copied().filter(|row| {
             row.spec.role == BackendRole::Prefill
                 && may_take(row, request)
-                && !row.left_out
+                && row.is_healthy()
                 && !row.is_full(now)
         });
         let rows: Vec<&InstanceRow> = usable.collect();
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -343,3 +343,23 @@
     assert_eq!(held(&table), TokenCount::ZERO);
     assert_eq!(table.get(&backend(0)).unwrap().in_flight(), 0);
 }
+
+/// The load that this answers: an engine that has crashed looks idle, so that everything falls to it
+/// for as long as it is tried.
+#[test]
+fn an_engine_that_is_left_out_gets_one_request_for_each_probe() {
+    let mut engines = table(&[Decode, Decode, Decode]);
+    load(&mut engines, &[(1, 5, 4_000), (2, 5, 4_000)], NOW);
+    let prompt = prompt("p", 10, 100);
+    engines.set_left_out(&backend(0), true);
+    assert_ne!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
+    engines.allow_probe(&backend(0));
+    let probe = place(&engines, Some(&prompt)).unwrap();
+    assert_eq!(probe.backend, backend(0));
+    let flight = engines.begin(&backend(0), probe.uncached, NOW).unwrap();
+    assert_ne!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
+    engines.finish(flight, false, NOW);
+    assert_ne!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
+    engines.set_left_out(&backend(0), false);
+    assert_eq!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
+}
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -88,7 +88,9 @@
         });
         self.note_health(&result);
         match (result, self.work) {
-            (AttemptResult::Ended(_, reason), AttemptWork::Prefill) => {
+            (AttemptResult::Ended(end, reason), AttemptWork::Prefill)
+                if end != AttemptEnd::NotSent =>
+            {
                 AttemptResult::Ended(NOT_READ, reason)
             }
             (result, _) => result,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -153,7 +153,8 @@
             };
             if placement.work == PlacementWork::Prefill {
                 self.apart = false;
-                if self.charge_retry() {
+                // What was not sent has not arrived anywhere, so the next call is no repeat.
+                if end == AttemptEnd::NotSent || self.charge_retry() {
                     continue;
                 }
                 let busy = CallRefusal::passing(ResultCode::RetryExhausted, BUSY_RETRY);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -273,16 +273,21 @@
         let Some(action) = action else {
             return;
         };
-        let (id, left_out, text) = match &action {
-            HealthAction::LeaveOut(id, _) => (id, true, "backend server is left out"),
-            HealthAction::Probe(id) => (id, false, "backend server is tried again"),
-            HealthAction::TakeBack(id) => (id, false, "backend server is taken back"),
+        let (id, text) = match &action {
+            HealthAction::LeaveOut(id, _) => (id, "backend server is left out"),
+            HealthAction::Probe(id) => (id, "backend server is tried again"),
+            HealthAction::TakeBack(id) => (id, "backend server is taken back"),
         };
         let reason = match &action {
             HealthAction::LeaveOut(_, reason) => format!("{reason:?}"),
             HealthAction::Probe(_) | HealthAction::TakeBack(_) => String::new(),
         };
         log::info!(backend = id.as_str(), reason; "{text}");
-        self.table.borrow_mut().set_left_out(id, left_out);
+        let mut table = self.table.borrow_mut();
+        match &action {
+            HealthAction::LeaveOut(id, _) => table.set_left_out(id, true),
+            HealthAction::Probe(id) => table.allow_probe(id),
+            HealthAction::TakeBack(id) => table.set_left_out(id, false),
+        }
     }
 }
