--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -52,6 +52,40 @@
     Ended(AttemptEnd, SmolStr),
 }
 
+/// How an attempt is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptClass {
+    /// With a whole answer.
+    Answered,
+    /// With a whole stream.
+    Streamed,
+    /// With the prompt read for another engine.
+    PromptRead,
+    /// Without an answer, or with a failure.
+    Ended(AttemptEnd),
+}
+
+impl AttemptClass {
+    /// Returns the name in the metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Streamed => "streamed",
+            Self::PromptRead => "prompt read",
+            Self::Ended(AttemptEnd::NotSent) => "not sent",
+            Self::Ended(AttemptEnd::NotRun { .. }) => "not run",
+            Self::Ended(AttemptEnd::Failed) => "failed",
+            Self::Ended(AttemptEnd::Broken) => "broken",
+            Self::Ended(AttemptEnd::TimedOut) => "timed out",
+        }
+    }
+
+    /// Returns whether it counts against the backend server.
+    pub(crate) const fn is_failure(self) -> bool {
+        matches!(self, Self::Ended(_))
+    }
+}
+
 /// What is sent, and where.
 pub(crate) struct Attempt<'a> {
     pub(crate) state: &'a Rc<GatewayState>,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -21,7 +21,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::accept::{CallerReader, ConnectionFate, ReceivedRequest};
-use super::attempt::{Attempt, AttemptResult};
+use super::attempt::{Attempt, AttemptClass, AttemptResult};
 use super::handoff::HandoffGuard;
 use super::prepare::{count_request, keeps_open, write, PreparedRequest};
 use super::relay::EventCutter;
@@ -109,13 +109,13 @@
             let result = self.attempt(&placement).await;
             let end = match result {
                 AttemptResult::Whole(head, body) => {
-                    self.log_attempt(&placement, begun, "answered", "answered");
+                    self.log_attempt(&placement, begun, AttemptClass::Answered, "answered");
                     return self.deliver(&head, &body, writer).await;
                 }
                 AttemptResult::Stream(stream) => {
                     match self.relay(*stream, &placement, writer).await {
                         RelayEnd::Whole => {
-                            self.log_attempt(&placement, begun, "streamed", "streamed");
+                            self.log_attempt(&placement, begun, AttemptClass::Streamed, "streamed");
                             let keep = keeps_open(self.state, self.request);
                             self.log_end(200, "streamed");
                             return write(writer, CHUNK_END, keep).await;
@@ -125,24 +125,29 @@
                             return ConnectionFate::Close;
                         }
                         RelayEnd::Broken(end, reason) => {
-                            self.log_attempt(&placement, begun, class_of(end), &reason);
+                            self.log_attempt(&placement, begun, AttemptClass::Ended(end), &reason);
                             end
                         }
                     }
                 }
                 AttemptResult::Prefilled(handle) => {
-                    self.log_attempt(&placement, begun, "prompt read", "prompt read");
+                    self.log_attempt(&placement, begun, AttemptClass::PromptRead, "prompt read");
                     self.keep_handoff(handle, &placement);
                     continue;
                 }
                 AttemptResult::Failed(head, body) => {
-                    self.log_attempt(&placement, begun, "failed", "backend server failed");
+                    self.log_attempt(
+                        &placement,
+                        begun,
+                        AttemptClass::Ended(AttemptEnd::Failed),
+                        "backend server failed",
+                    );
                     self.count_run();
                     self.failure = Some((head, body));
                     AttemptEnd::Failed
                 }
                 AttemptResult::Ended(end, reason) => {
-                    self.log_attempt(&placement, begun, class_of(end), &reason);
+                    self.log_attempt(&placement, begun, AttemptClass::Ended(end), &reason);
                     self.note_crash(end, &placement);
                     // What broke off after it was sent has run more often than not.
                     if end == AttemptEnd::Broken {
@@ -348,17 +353,21 @@
         write(writer, &bytes, keep).await
     }
 
-    /// Logs and counts an attempt; `class` is one of few, `outcome` says more.
+    /// Logs and counts an attempt; `outcome` says more than its class.
     fn log_attempt(
         &self,
         placement: &Placement,
         begun: TimePoint,
-        class: &'static str,
+        class: AttemptClass,
         outcome: &str,
     ) {
         let now = self.state.now();
-        let class = KeyValue::new("outcome", class);
-        self.state.metrics.attempts.add(1, &[class]);
+        let outcome_key = KeyValue::new("outcome", class.name());
+        self.state.metrics.attempts.add(1, &[outcome_key]);
+        if class.is_failure() {
+            let backend = KeyValue::new("backend", placement.backend.as_str().to_owned());
+            self.state.metrics.backend_failures.add(1, &[backend]);
+        }
         log::info!(request = self.prepared.caller.name.as_str(), attempt = self.progress.sends,
             backend = placement.backend.as_str(), work = format!("{:?}", placement.work),
             predicted_ms = placement.predicted.as_millis(),
@@ -382,14 +391,3 @@
             "request ended: {outcome}");
     }
 }
-
-/// Returns the name under which attempts that gave no answer are counted.
-const fn class_of(end: AttemptEnd) -> &'static str {
-    match end {
-        AttemptEnd::NotSent => "not sent",
-        AttemptEnd::NotRun { .. } => "not run",
-        AttemptEnd::Failed => "failed",
-        AttemptEnd::Broken => "broken",
-        AttemptEnd::TimedOut => "timed out",
-    }
-}
--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -145,7 +145,10 @@
         let backend = match one.backend.as_ref().map(|name| name.parse()) {
             None => None,
             Some(Ok(backend)) => Some(backend),
-            Some(Err(_)) => continue,
+            Some(Err(_)) => {
+                log::debug!(peer = id.as_str(); "suspicion of an unnamed backend server ignored");
+                continue;
+            }
         };
         let news = SuspectNews {
             fingerprint: RequestFingerprint(one.fingerprint),
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -77,8 +77,9 @@
 
 /// What this run of the entry has told of the windows that have ended.
 struct ToldWindows {
-    /// The window in which the run began.
+    /// The oldest window that is still told; at first the one in which the run began.
     first: WindowId,
+    /// What was told, for as long as it may be told again.
     records: BTreeMap<WindowId, UsageRecord>,
 }
 
@@ -92,6 +93,10 @@
     async fn catch_up(&mut self, state: &GatewayState) {
         let current = state.counter.borrow().window_at(state.wall());
         let oldest = WindowId(current.0.saturating_sub(TOLD_WINDOWS)).max(self.first);
+        if oldest > self.first && !self.records.contains_key(&self.first) {
+            log::warn!(window = self.first.0; "counts of a window given up");
+        }
+        self.first = oldest;
         for window in (oldest.0..current.0).map(WindowId) {
             let record = UsageRecord::of(state, window);
             let told = self.records.get(&window);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -62,6 +62,8 @@
     pub(crate) requests: Counter<u64>,
     /// Attempts by how they ended.
     pub(crate) attempts: Counter<u64>,
+    /// Attempts that gave no answer, or a failure, by backend server.
+    pub(crate) backend_failures: Counter<u64>,
     /// Seconds until the first byte of an answer.
     pub(crate) first_byte: Histogram<f64>,
     /// Seconds until the end of a whole answer that is no stream.
@@ -84,6 +86,7 @@
         Self {
             requests: meter.u64_counter("applefold_requests").build(),
             attempts: meter.u64_counter("applefold_attempts").build(),
+            backend_failures: meter.u64_counter("applefold_backend_failures").build(),
             first_byte: meter
                 .f64_histogram("applefold_first_byte_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
