Ask again for the configuration before the platform counts on it

Ruled out: the passing between entries (nobody had the newer one); the store (get and change were answered from 23.2 s on). Change: a watch waits 1.5 s, so that one that hears nothing has been made again within 2.9 s; the platform holds entries to their configuration 3 s after a disturbance at the earliest. The build checks that sum, and fails with 6 s.

--- a/crates/daemon/src/gateway/rules.rs
+++ b/crates/daemon/src/gateway/rules.rs
@@ -12,12 +12,21 @@
 use eyre::Result;
 
 use super::state::GatewayState;
+use super::store::CALL_TIMEOUT;
 
-/// How long one watch waits; a connection that went silent is found after it, and another
-/// entry tells of what it missed.
-const WATCH_WAIT: TimeSpan = TimeSpan::from_secs(6);
+/// How long one watch waits. A watch that was sent while the store was silent hears nothing for
+/// that long, at every entry, so that no other one can tell of what it missed.
+const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The shortest time after a disturbance of the store at which the platform holds entries to
+/// the configuration again.
+const CONTACT_TIME: TimeSpan = TimeSpan::from_secs(3);
+const _: () = assert!(
+    WATCH_WAIT.0 + CALL_TIMEOUT.0 + RETRY_PAUSE.as_micros() as u64 + CALL_TIMEOUT.0 / 3
+        <= CONTACT_TIME.0,
+    "a watch that hears nothing is made again too late"
+);
 
 /// Keeps the rules at the newest revision, for as long as the process runs.
 pub(crate) async fn follow(state: Rc<GatewayState>) {
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -16,7 +16,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long an answer may take besides what the call itself waits for: a renewal whose answer
 /// is lost must be made again before the lease of 3 s is no longer acted under.
-const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
+pub(crate) const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 /// The most connections kept for calls.
 const MAX_IDLE: usize = 4;
 
