--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -196,7 +196,9 @@
         }
     }
 
-    /// Notes that an engine is changing what it does; with each call for a while longer.
+    /// Notes that a backend server does not serve this for a while, longer with each call: it
+    /// changes what it does, or says that it has changed or that another one has its
+    /// address, and the list does not say so yet.
     pub fn note_away(&mut self, id: &BackendId, now: TimePoint) {
         if let Some(row) = self.rows.get_mut(id) {
             row.full_until = now + AWAY_TIME;
@@ -247,12 +249,6 @@
         row.refusals = (row.refusals + 1).min(MAX_FULL_DOUBLINGS);
     }
 
-    /// Notes that a backend server says that it does not serve this: it has changed what it
-    /// does, or another one has its address, and the list does not say so yet.
-    pub fn note_misdirected(&mut self, id: &BackendId, now: TimePoint) {
-        self.note_away(id, now);
-    }
-
     /// Notes that a request is being sent.
     pub fn begin(
         &mut self,
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -224,7 +224,7 @@
 #[test]
 fn an_engine_that_no_longer_does_this_is_left_alone() {
     let mut table = table(&[Plain, Plain]);
-    table.note_misdirected(&backend(0), NOW);
+    table.note_away(&backend(0), NOW);
     let soon = NOW + TimeSpan::from_millis(900);
     for now in [NOW, soon] {
         let placed = place_at(&table, None, PlacementStage::Open, &BTreeSet::new(), now);
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -192,7 +192,7 @@
         if answer.not_run {
             let mut table = self.state.table.borrow_mut();
             match answer.misdirected {
-                true => table.note_misdirected(&self.placement.backend, now),
+                true => table.note_away(&self.placement.backend, now),
                 false => table.note_full(&self.placement.backend, now),
             }
             drop(table);
--- a/crates/daemon/src/gateway/duty.rs
+++ b/crates/daemon/src/gateway/duty.rs
@@ -55,11 +55,6 @@
         let held = self.holder.borrow().authority(state.now());
         held.map(|authority| authority.fencing())
     }
-
-    /// Forgets a number that the platform has refused.
-    pub(crate) fn give_back(&self, state: &GatewayState) -> Vec<LeaseAction> {
-        self.holder.borrow_mut().release(state.now())
-    }
 }
 
 fn lease_key() -> String {
@@ -81,7 +76,7 @@
 
 /// Ends authority and gives the lease back, so that another entry goes on at once.
 pub(crate) async fn release(state: &GatewayState) {
-    let actions = state.duty.give_back(state);
+    let actions = state.duty.holder.borrow_mut().release(state.now());
     perform(state, actions).await;
 }
 
--- a/crates/daemon/src/gateway/rules.rs
+++ b/crates/daemon/src/gateway/rules.rs
@@ -19,12 +19,14 @@
 const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// The shortest time after a disturbance of the store at which the platform holds entries to
-/// the configuration again.
-const CONTACT_TIME: TimeSpan = TimeSpan::from_secs(3);
+/// How long the watch after it takes to be answered by a store that works.
+const ANSWER_MARGIN: TimeSpan = TimeSpan::from_millis(300);
+/// How soon after an outage of the store entries are expected to go by the newest
+/// configuration again.
+const CATCH_UP_TIME: TimeSpan = TimeSpan::from_secs(3);
 const _: () = assert!(
-    WATCH_WAIT.0 + CALL_TIMEOUT.0 + RETRY_PAUSE.as_micros() as u64 + CALL_TIMEOUT.0 / 3
-        <= CONTACT_TIME.0,
+    WATCH_WAIT.0 + CALL_TIMEOUT.0 + RETRY_PAUSE.as_micros() as u64 + ANSWER_MARGIN.0
+        <= CATCH_UP_TIME.0,
     "a watch that hears nothing is made again too late"
 );
 
