Log and count each suspicion that a request crashes backend servers

Change: gateway::suspects owns the ledger and writes one line for each suspicion that is seen, learned from another entry, cleared by an answer or ended by a completed request, and for each refusal, with the fingerprint, the count and the age; a counter by event stands beside it. The ledger says what it cleared and whether news were new. No decision changes.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -135,26 +135,45 @@
 
     /// Notes that `backend` has answered a request, so a connection to it that broke just
     /// before says nothing about what ran on it.
-    pub fn note_answer(&mut self, now: TimePoint, backend: &BackendId) {
-        for row in self.rows.values_mut() {
+    ///
+    /// Returns the fingerprints that are suspected of one crash less.
+    pub fn note_answer(&mut self, now: TimePoint, backend: &BackendId) -> Vec<RequestFingerprint> {
+        let mut cleared = Vec::new();
+        for (fingerprint, row) in &mut self.rows {
             let at = row.crashes.get(backend);
             if at.is_some_and(|at| now.since(*at) < ALIVE_AFTER) {
                 row.crashes.remove(backend);
+                cleared.push(*fingerprint);
             }
         }
         self.rows.retain(|_, row| row.last_change().is_some());
+        cleared
     }
 
-    /// Takes what another process tells.
-    pub fn learn(&mut self, now: TimePoint, news: SuspectNews) {
+    /// Takes what another process tells; returns whether it was new.
+    pub fn learn(&mut self, now: TimePoint, news: SuspectNews) -> bool {
         let at = now - news.age;
         let row = self.rows.get(&news.fingerprint);
         let known = row.is_some_and(|row| row.knows(news.backend.as_ref(), at));
         // What is about to be forgotten here and there is not learnt anew.
         let fresh = news.age + SAME_EVENT < self.options.remember;
-        if fresh && !known {
+        let new = fresh && !known;
+        if new {
             self.note(now, news.fingerprint, news.backend, at);
         }
+        new
+    }
+
+    /// Returns how many crashes a fingerprint is suspected of.
+    pub fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
+        let row = self.rows.get(&fingerprint);
+        row.map_or(0, |row| row.crashes.len())
+    }
+
+    /// Returns when the last of them was.
+    pub fn last_crash(&self, fingerprint: RequestFingerprint) -> Option<TimePoint> {
+        let row = self.rows.get(&fingerprint)?;
+        row.crashes.values().copied().max()
     }
 
     /// Returns what to tell others, the latest first.
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -300,7 +300,7 @@
         self.state.note_health(backend, sample);
         if !matches!(sample, HealthSample::Failed) {
             let now = self.state.now();
-            self.state.suspects.borrow_mut().note_answer(now, backend);
+            self.state.suspects.note_answer(backend, now);
         }
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod state;
 mod stop;
 mod store;
+mod suspects;
 mod talk;
 mod usage;
 
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -113,7 +113,7 @@
 
 /// Returns the latest suspicions; older ones have been told before.
 fn suspect_news(state: &GatewayState) -> Vec<CrashNews> {
-    let news = state.suspects.borrow().news(state.now());
+    let news = state.suspects.news(state.now());
     let fresh = news.into_iter().take_while(|one| one.age < SUSPECT_AGE);
     let fresh = fresh.take(MAX_SUSPECTS).map(|one| CrashNews {
         fingerprint: one.fingerprint.0,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -283,10 +283,12 @@
     /// A request during which backend servers go away is suspected of it.
     fn note_crash(&self, end: AttemptEnd, placement: &Placement) {
         if end == AttemptEnd::Broken {
-            let running = [self.prepared.fingerprint];
-            let now = self.state.now();
-            let mut suspects = self.state.suspects.borrow_mut();
-            suspects.note_crash(now, &placement.backend, &running);
+            self.state.suspects.note_crash(
+                &self.prepared.caller.name,
+                self.prepared.fingerprint,
+                &placement.backend,
+                self.state.now(),
+            );
         }
     }
 
@@ -313,8 +315,8 @@
         self.count_run();
         let now = self.state.now();
         if head.status < 500 {
-            let mut suspects = self.state.suspects.borrow_mut();
-            suspects.note_completion(now, self.prepared.fingerprint);
+            let suspects = &self.state.suspects;
+            suspects.note_completion(self.prepared.fingerprint, now);
         }
         let keep = keeps_open(self.state, self.request);
         let mut bytes = Vec::with_capacity(body.len() + 512);
--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -60,8 +60,8 @@
                 stream.flight.answered();
                 let pool = &self.state.pool;
                 pool.keep(&placement.backend, stream.connection, &stream.head, now);
-                let mut suspects = self.state.suspects.borrow_mut();
-                suspects.note_completion(now, self.prepared.fingerprint);
+                let suspects = &self.state.suspects;
+                suspects.note_completion(self.prepared.fingerprint, now);
                 return RelayEnd::Whole;
             }
         }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -13,7 +13,6 @@
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
 use applefold_core::id::{BackendId, InstanceId, Revision, ServiceId};
 use applefold_core::lease::HolderName;
-use applefold_core::quarantine::{CrashLedger, LedgerOptions};
 use applefold_core::retry::{RetryBudget, RetryPolicy};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_platform::PlatformSettings;
@@ -26,6 +25,7 @@
 use crate::gateway::pool::BackendPool;
 use crate::gateway::reads::ReadLog;
 use crate::gateway::store::StoreClient;
+use crate::gateway::suspects::SuspectBook;
 use crate::logging::wall_micros;
 use crate::metrics::MetricSet;
 
@@ -63,7 +63,7 @@
     pub(crate) listed: Cell<bool>,
     pub(crate) drain: RefCell<DrainState>,
     pub(crate) counter: RefCell<RunCounter>,
-    pub(crate) suspects: RefCell<CrashLedger>,
+    pub(crate) suspects: SuspectBook,
     pub(crate) duty: DutyLease,
     pub(crate) sealer: RefCell<WindowSealer>,
     pub(crate) phases: RefCell<PhasePlanner>,
@@ -81,16 +81,6 @@
     clock_off: Cell<bool>,
 }
 
-/// A broken connection is weaker evidence here than a crash that a sidecar sees, so it takes
-/// one more, and is forgotten sooner.
-fn suspect_options() -> LedgerOptions {
-    LedgerOptions {
-        crash_limit: 3,
-        remember: TimeSpan::from_secs(60),
-        ..LedgerOptions::default()
-    }
-}
-
 impl GatewayState {
     pub(crate) fn new(settings: PlatformSettings) -> Self {
         let metrics = MetricSet::start();
@@ -122,7 +112,7 @@
             listed: Cell::new(false),
             drain: RefCell::new(DrainState::new(drain)),
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
-            suspects: RefCell::new(CrashLedger::new(suspect_options())),
+            suspects: SuspectBook::new(metrics.clone()),
             health: RefCell::new(HealthTracker::new(health)),
             budgets: RefCell::default(),
             entries: Cell::new(ASSUMED_ENTRIES),
@@ -265,7 +255,7 @@
         for action in actions {
             self.act_on_health(Some(action));
         }
-        self.suspects.borrow_mut().tick(self.now());
+        self.suspects.tick(self.now());
     }
 
     /// A probe is the next request that falls to the backend server.
--- /dev/null
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -0,0 +1,126 @@
+//! Requests that are suspected of crashing backend servers, with a log line for each change.
+
+use std::cell::RefCell;
+
+use applefold_core::claim::RequestFingerprint;
+use applefold_core::code::CallRefusal;
+use applefold_core::id::{BackendId, InstanceId};
+use applefold_core::quarantine::{CrashLedger, LedgerOptions, SuspectNews};
+use applefold_core::unit::{TimePoint, TimeSpan};
+use opentelemetry::KeyValue;
+
+use crate::metrics::MetricSet;
+
+/// A broken connection is weaker evidence here than a crash that a sidecar sees, so it takes
+/// one more, and is forgotten sooner.
+fn ledger_options() -> LedgerOptions {
+    LedgerOptions {
+        crash_limit: 3,
+        remember: TimeSpan::from_secs(60),
+        ..LedgerOptions::default()
+    }
+}
+
+/// The crash ledger of an entry.
+pub(crate) struct SuspectBook {
+    ledger: RefCell<CrashLedger>,
+    metrics: MetricSet,
+}
+
+impl SuspectBook {
+    pub(crate) fn new(metrics: MetricSet) -> Self {
+        Self {
+            ledger: RefCell::new(CrashLedger::new(ledger_options())),
+            metrics,
+        }
+    }
+
+    /// Refuses a request like those that have crashed backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with [`applefold_core::code::ResultCode::RequestQuarantined`].
+    pub(crate) fn check(
+        &self,
+        request: &str,
+        fingerprint: RequestFingerprint,
+        now: TimePoint,
+    ) -> Result<(), CallRefusal> {
+        let ledger = self.ledger.borrow();
+        ledger.admit(fingerprint, &[]).inspect_err(|_| {
+            let crashes = ledger.crash_count(fingerprint);
+            let age = ledger.last_crash(fingerprint).map(|at| now.since(at));
+            self.count("refused");
+            log::info!(request, fingerprint = fingerprint.to_string(), crashes,
+                crash_age_ms = age.map_or(0, TimeSpan::as_millis);
+                "request refused: crashed backend servers before");
+        })
+    }
+
+    /// Notes that a backend server went away under a request.
+    pub(crate) fn note_crash(
+        &self,
+        request: &str,
+        fingerprint: RequestFingerprint,
+        backend: &BackendId,
+        now: TimePoint,
+    ) {
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.note_crash(now, backend, &[fingerprint]);
+        let crashes = ledger.crash_count(fingerprint);
+        self.count("seen");
+        log::info!(request, fingerprint = fingerprint.to_string(), backend = backend.as_str(),
+            crashes; "request suspected of a crash");
+    }
+
+    /// Notes that a request completed whole.
+    pub(crate) fn note_completion(&self, fingerprint: RequestFingerprint, now: TimePoint) {
+        let mut ledger = self.ledger.borrow_mut();
+        if ledger.crash_count(fingerprint) > 0 {
+            self.count("completed");
+            log::info!(fingerprint = fingerprint.to_string();
+                "suspicion ended: the request completed");
+        }
+        ledger.note_completion(now, fingerprint);
+    }
+
+    /// Notes that a backend server has answered, and so has not crashed just before.
+    pub(crate) fn note_answer(&self, backend: &BackendId, now: TimePoint) {
+        let cleared = self.ledger.borrow_mut().note_answer(now, backend);
+        for fingerprint in cleared {
+            self.count("cleared");
+            log::info!(fingerprint = fingerprint.to_string(), backend = backend.as_str();
+                "suspicion ended: the backend server answers");
+        }
+    }
+
+    /// Takes what another entry tells.
+    pub(crate) fn learn(&self, peer: &InstanceId, news: SuspectNews, now: TimePoint) {
+        let fingerprint = news.fingerprint;
+        let backend = news.backend.clone();
+        let age_ms = news.age.as_millis();
+        let mut ledger = self.ledger.borrow_mut();
+        if !ledger.learn(now, news) {
+            return;
+        }
+        self.count("learned");
+        log::info!(peer = peer.as_str(), fingerprint = fingerprint.to_string(),
+            backend = backend.as_ref().map_or("", BackendId::as_str), age_ms,
+            crashes = ledger.crash_count(fingerprint); "suspicion learned");
+    }
+
+    /// Returns what to tell others, the latest first.
+    pub(crate) fn news(&self, now: TimePoint) -> Vec<SuspectNews> {
+        self.ledger.borrow().news(now)
+    }
+
+    /// Forgets what is too long ago.
+    pub(crate) fn tick(&self, now: TimePoint) {
+        self.ledger.borrow_mut().tick(now);
+    }
+
+    fn count(&self, event: &'static str) {
+        let event = KeyValue::new("event", event);
+        self.metrics.suspicions.add(1, &[event]);
+    }
+}
--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -155,7 +155,7 @@
             backend,
             age: TimeSpan::from_millis(one.age_ms),
         };
-        state.suspects.borrow_mut().learn(now, news);
+        state.suspects.learn(id, news, now);
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -64,6 +64,8 @@
     pub(crate) attempts: Counter<u64>,
     /// Attempts that gave no answer, or a failure, by backend server.
     pub(crate) backend_failures: Counter<u64>,
+    /// What became of suspicions that a request crashes backend servers.
+    pub(crate) suspicions: Counter<u64>,
     /// Seconds until the first byte of an answer.
     pub(crate) first_byte: Histogram<f64>,
     /// Seconds until the end of a whole answer that is no stream.
@@ -87,6 +89,7 @@
             requests: meter.u64_counter("applefold_requests").build(),
             attempts: meter.u64_counter("applefold_attempts").build(),
             backend_failures: meter.u64_counter("applefold_backend_failures").build(),
+            suspicions: meter.u64_counter("applefold_crash_suspicions").build(),
             first_byte: meter
                 .f64_histogram("applefold_first_byte_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
