Ask the crash ledger before each attempt, not only when a request comes

Callers saw a request that may be repeated reach one more engine than it may crash. Cause: the ledger was asked in prepare.rs, once; a second attempt was placed without it, even when the first one had made the third crash. Change: RequestDriver::place asks, which every attempt goes through.

--- a/crates/daemon/src/gateway/prepare.rs
+++ b/crates/daemon/src/gateway/prepare.rs
@@ -88,8 +88,6 @@
         let owner = team.map_or("", TeamId::as_str);
         let fingerprint =
             RequestFingerprint::digest(owner, &head.method, &head.target, &request.body);
-        let checked = state.suspects.check(&caller.name, fingerprint, state.now());
-        checked.map_err(refuse)?;
         let patience = caller.patience.unwrap_or(route.timeout);
         Ok(Self {
             service: service.clone(),
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -179,8 +179,13 @@
         }
     }
 
+    /// Chooses where the next attempt goes; what other requests have shown since the last one
+    /// counts too.
     fn place(&self) -> Result<Placement, CallRefusal> {
         let now = self.state.now();
+        let name = &self.prepared.caller.name;
+        let suspects = &self.state.suspects;
+        suspects.check(name, self.prepared.fingerprint, now)?;
         let time_left = self.prepared.deadline.since(now);
         // A stream that has begun goes on wherever it can.
         let objective = match self.begun {
