Count a stream that breaks after its head, and a broken prompt call, as crashes

Callers of a stream that crashes engines could send it on without end: it was sent 20 times in 10 calls. Cause: only an attempt that broke before the head of its answer was noted. A stream has its head as soon as its first token, which is when such a request crashes the engine; a prompt call had its end renamed to 'not run' before anything looked at it. Change: the driver notes both. A prompt call now ends as what it was; it still counts as no run of the caller's request.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -121,14 +121,7 @@
             AttemptResult::Ended(end, SmolStr::new_static("no answer in time"))
         });
         self.note_health(&result);
-        match (result, self.work) {
-            (AttemptResult::Ended(end, reason), AttemptWork::Prefill)
-                if end != AttemptEnd::NotSent =>
-            {
-                AttemptResult::Ended(NOT_READ, reason)
-            }
-            (result, _) => result,
-        }
+        result
     }
 
     /// A backend server that says nothing is left for another one where that is allowed.
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -126,6 +126,7 @@
                         }
                         RelayEnd::Broken(end, reason) => {
                             self.log_attempt(&placement, begun, AttemptClass::Ended(end), &reason);
+                            self.note_crash(end, &placement);
                             end
                         }
                     }
@@ -150,7 +151,7 @@
                     self.log_attempt(&placement, begun, AttemptClass::Ended(end), &reason);
                     self.note_crash(end, &placement);
                     // What broke off after it was sent has run more often than not.
-                    if end == AttemptEnd::Broken {
+                    if end == AttemptEnd::Broken && placement.work == PlacementWork::Run {
                         self.count_run();
                     }
                     end
