Count each crash of a backend server, not each backend server

Callers saw one engine end under a request again and again. Cause: the ledger counted distinct identifiers. An engine often comes back under its identifier, and an affinity draws a request to the engine that has read its prompt, so crash after crash counted as one: the log showed 1, 1, 2, 2, 2, 3 for six. Ruled out: going by the list's start of a run alone, since the list is behind when the engine is back; going by time alone, since news that waited in a paused entry would count again as a later crash. Change: a crash belongs to a run of a backend server, told apart by the listed start, and by a second between two crashes where the list is behind. Entries tell the run, so what is told again counts once. Entries of the product's own interface go on counting backend servers (LedgerOptions::count_runs), so that a faulty one condemns nobody.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -1,8 +1,9 @@
 //! Requests that crash the backend servers that run them.
 //!
-//! A fingerprint that was running on two backend servers when they died is
-//! refused everywhere for a time. Requests that ran beside it are run apart
-//! from each other until one completes, so that they are not refused with it.
+//! A fingerprint that was running on as many backend servers as [`LedgerOptions`]
+//! says when they died is refused everywhere for a time. Requests that ran beside
+//! it are run apart from each other until one completes, so that they are not
+//! refused with it.
 //! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers).
 
 use std::collections::BTreeMap;
@@ -21,11 +22,29 @@
 /// A backend server that answers so soon after a connection to it broke has not died.
 const ALIVE_AFTER: TimeSpan = TimeSpan::from_secs(1);
 
+/// One run of a backend server, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BackendRun {
+    /// The backend server.
+    pub backend: BackendId,
+    /// What tells its runs apart, such as the time of its start; zero where nothing does.
+    pub start: u64,
+}
+
+impl From<BackendId> for BackendRun {
+    fn from(backend: BackendId) -> Self {
+        Self { backend, start: 0 }
+    }
+}
+
 /// The sizes and times of a ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LedgerOptions {
-    /// At how many backend servers a fingerprint is refused.
+    /// At how many crashes a fingerprint is refused.
     pub crash_limit: usize,
+    /// Whether crashes of one backend server count each; where not, a faulty machine condemns
+    /// nobody.
+    pub count_runs: bool,
     /// How long after its last crash a fingerprint is remembered and refused.
     pub remember: TimeSpan,
     /// The most fingerprints remembered.
@@ -40,6 +59,7 @@
     fn default() -> Self {
         Self {
             crash_limit: 2,
+            count_runs: false,
             remember: TimeSpan::from_secs(600),
             row_limit: 4_096,
             apart: 8,
@@ -53,15 +73,15 @@
 pub struct SuspectNews {
     /// The request's fingerprint.
     pub fingerprint: RequestFingerprint,
-    /// The backend server that died while running it; `None` where it completed whole.
-    pub backend: Option<BackendId>,
+    /// The run of a backend server that ended while running it; `None` where it completed whole.
+    pub crashed: Option<BackendRun>,
     /// How long ago that was.
     pub age: TimeSpan,
 }
 
 #[derive(Clone, Debug, Default)]
 struct SuspectRow {
-    crashes: BTreeMap<BackendId, TimePoint>,
+    crashes: BTreeMap<BackendRun, TimePoint>,
     /// When it last completed whole; earlier crashes do not count.
     completed: Option<TimePoint>,
 }
@@ -71,16 +91,16 @@
         self.crashes.values().copied().chain(self.completed).max()
     }
 
-    fn knows(&self, backend: Option<&BackendId>, at: TimePoint) -> bool {
-        let known = match backend {
-            Some(backend) => self.crashes.get(backend).copied(),
+    fn knows(&self, crashed: Option<&BackendRun>, at: TimePoint) -> bool {
+        let known = match crashed {
+            Some(crashed) => self.crashes.get(crashed).copied(),
             None => self.completed,
         };
         known.is_some_and(|known| at <= known + SAME_EVENT)
     }
 
-    fn note(&mut self, backend: Option<BackendId>, at: TimePoint) {
-        let Some(backend) = backend else {
+    fn note(&mut self, crashed: Option<BackendRun>, at: TimePoint) {
+        let Some(crashed) = crashed else {
             self.completed = self.completed.max(Some(at));
             self.crashes.retain(|_, crash| *crash > at);
             return;
@@ -88,9 +108,21 @@
         if self.completed.is_some_and(|completed| at <= completed) {
             return;
         }
-        let crash = self.crashes.entry(backend).or_insert(at);
+        let crash = self.crashes.entry(crashed).or_insert(at);
         *crash = at.max(*crash);
     }
+
+    /// Returns the run that a crash at `at` ended: a later one than is known where the last
+    /// crash is so long ago that the backend server has started again since.
+    fn run_at(&self, mut run: BackendRun, at: TimePoint) -> BackendRun {
+        while let Some(known) = self.crashes.get(&run) {
+            if at.since(*known) < ALIVE_AFTER {
+                break;
+            }
+            run.start += 1;
+        }
+        run
+    }
 }
 
 /// Counts the crashes of backend servers against what they were running.
@@ -114,15 +146,21 @@
         self.rows.len()
     }
 
-    /// Notes that `backend` died while it ran requests with these fingerprints.
+    /// Notes that a backend server died while it ran requests with these fingerprints.
     pub fn note_crash(
         &mut self,
         now: TimePoint,
-        backend: &BackendId,
+        crashed: &BackendRun,
         running: &[RequestFingerprint],
     ) {
         for fingerprint in running {
-            self.note(now, *fingerprint, Some(backend.clone()), now);
+            let row = self.rows.get(fingerprint);
+            let run = match (row, self.options.count_runs) {
+                (Some(row), true) => row.run_at(crashed.clone(), now),
+                (None, true) => crashed.clone(),
+                (_, false) => crashed.backend.clone().into(),
+            };
+            self.note(now, *fingerprint, Some(run), now);
         }
     }
 
@@ -140,9 +178,11 @@
     pub fn note_answer(&mut self, now: TimePoint, backend: &BackendId) -> Vec<RequestFingerprint> {
         let mut cleared = Vec::new();
         for (fingerprint, row) in &mut self.rows {
-            let at = row.crashes.get(backend);
-            if at.is_some_and(|at| now.since(*at) < ALIVE_AFTER) {
-                row.crashes.remove(backend);
+            let before = row.crashes.len();
+            let fresh = |at: &TimePoint| now.since(*at) < ALIVE_AFTER;
+            row.crashes
+                .retain(|run, at| run.backend != *backend || !fresh(at));
+            if row.crashes.len() < before {
                 cleared.push(*fingerprint);
             }
         }
@@ -154,12 +194,12 @@
     pub fn learn(&mut self, now: TimePoint, news: SuspectNews) -> bool {
         let at = now - news.age;
         let row = self.rows.get(&news.fingerprint);
-        let known = row.is_some_and(|row| row.knows(news.backend.as_ref(), at));
+        let known = row.is_some_and(|row| row.knows(news.crashed.as_ref(), at));
         // What is about to be forgotten here and there is not learnt anew.
         let fresh = news.age + SAME_EVENT < self.options.remember;
         let new = fresh && !known;
         if new {
-            self.note(now, news.fingerprint, news.backend, at);
+            self.note(now, news.fingerprint, news.crashed, at);
         }
         new
     }
@@ -181,12 +221,12 @@
         let mut news = Vec::new();
         for (fingerprint, row) in &self.rows {
             let crashes = row.crashes.iter();
-            let crashes = crashes.map(|(backend, at)| (Some(backend.clone()), *at));
+            let crashes = crashes.map(|(run, at)| (Some(run.clone()), *at));
             let completed = row.completed.map(|at| (None, at));
-            for (backend, at) in crashes.chain(completed) {
+            for (crashed, at) in crashes.chain(completed) {
                 news.push(SuspectNews {
                     fingerprint: *fingerprint,
-                    backend,
+                    crashed,
                     age: now.since(at),
                 });
             }
@@ -212,7 +252,7 @@
         let most = row
             .crashes
             .keys()
-            .map(|backend| self.allowed_beside(backend));
+            .map(|run| self.allowed_beside(&run.backend));
         match most.min() {
             Some(most) if suspects.count() >= most => {
                 let refusal = CallRefusal::passing(ResultCode::BackendBusy, RETRY_AFTER);
@@ -243,7 +283,8 @@
     /// ordinary crash does not hold up all that ran on the backend server.
     fn allowed_beside(&self, backend: &BackendId) -> usize {
         let rows = self.rows.values();
-        let together = rows.filter(|row| row.crashes.contains_key(backend)).count();
+        let together = rows.filter(|row| row.crashes.keys().any(|run| run.backend == *backend));
+        let together = together.count();
         (together / self.options.apart).max(1)
     }
 
@@ -251,11 +292,11 @@
         &mut self,
         now: TimePoint,
         fingerprint: RequestFingerprint,
-        backend: Option<BackendId>,
+        crashed: Option<BackendRun>,
         at: TimePoint,
     ) {
         let row = self.rows.entry(fingerprint).or_default();
-        row.note(backend, at);
+        row.note(crashed, at);
         if self.rows.len() > self.options.row_limit {
             self.tick(now);
             self.drop_oldest();
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -5,7 +5,7 @@
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::code::ResultCode;
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::{CrashLedger, LedgerOptions, SuspectNews};
+use applefold_core::quarantine::{BackendRun, CrashLedger, LedgerOptions, SuspectNews};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -17,6 +17,10 @@
     format!("engine-{number}").parse().unwrap()
 }
 
+fn run(number: usize) -> BackendRun {
+    backend(number).into()
+}
+
 fn at(secs: u64) -> TimePoint {
     TimePoint::START + TimeSpan::from_secs(secs)
 }
@@ -31,10 +35,10 @@
 #[test]
 fn the_second_backend_server_is_the_last() {
     let mut ledger = CrashLedger::new(LedgerOptions::default());
-    ledger.note_crash(at(0), &backend(1), &[CRASHER]);
-    ledger.note_crash(at(1), &backend(1), &[CRASHER]);
+    ledger.note_crash(at(0), &run(1), &[CRASHER]);
+    ledger.note_crash(at(1), &run(1), &[CRASHER]);
     assert_eq!(code(&ledger, CRASHER), None, "one backend server, twice");
-    ledger.note_crash(at(2), &backend(2), &[CRASHER]);
+    ledger.note_crash(at(2), &run(2), &[CRASHER]);
     assert_eq!(code(&ledger, CRASHER), Some(ResultCode::RequestQuarantined));
     ledger.tick(at(600));
     assert_eq!(code(&ledger, CRASHER), Some(ResultCode::RequestQuarantined));
@@ -43,17 +47,51 @@
     assert_eq!(ledger.row_count(), 0);
 }
 
+/// Engines come back under their identifier, and an affinity may draw a request to one of them.
+#[test]
+fn crashes_of_one_backend_server_count_each_where_runs_are_told_apart() {
+    let options = LedgerOptions {
+        crash_limit: 3,
+        count_runs: true,
+        ..LedgerOptions::default()
+    };
+    let (mut here, mut there) = (CrashLedger::new(options), CrashLedger::new(options));
+    let listed = |start| BackendRun {
+        backend: backend(1),
+        start,
+    };
+    let half = TimeSpan::from_millis(500);
+    here.note_crash(at(0), &listed(7), &[CRASHER]);
+    here.note_crash(at(0) + half, &listed(7), &[CRASHER]);
+    assert_eq!(
+        here.crash_count(CRASHER),
+        1,
+        "both connections broke with it"
+    );
+    here.note_crash(at(4), &listed(7), &[CRASHER]);
+    assert_eq!(here.crash_count(CRASHER), 2, "the list is behind");
+    here.note_crash(at(8), &listed(90), &[CRASHER]);
+    assert_eq!(here.crash_count(CRASHER), 3);
+    for seconds in [9, 20, 40] {
+        for news in here.news(at(seconds)) {
+            there.learn(at(seconds), news);
+        }
+        assert_eq!(there.crash_count(CRASHER), 3, "told again, counted once");
+    }
+    assert_eq!(code(&there, CRASHER), Some(ResultCode::RequestQuarantined));
+}
+
 /// Answers that are lost, spoilt or reset look like crashes; the backend server's next answer
 /// tells them apart.
 #[test]
 fn a_backend_server_that_answers_on_has_not_crashed() {
     let mut ledger = CrashLedger::new(LedgerOptions::default());
-    ledger.note_crash(at(0), &backend(1), &[CRASHER]);
+    ledger.note_crash(at(0), &run(1), &[CRASHER]);
     ledger.note_answer(at(0) + TimeSpan::from_millis(300), &backend(1));
-    ledger.note_crash(at(2), &backend(2), &[CRASHER]);
+    ledger.note_crash(at(2), &run(2), &[CRASHER]);
     assert_eq!(code(&ledger, CRASHER), None);
     ledger.note_answer(at(4), &backend(2));
-    ledger.note_crash(at(5), &backend(3), &[CRASHER]);
+    ledger.note_crash(at(5), &run(3), &[CRASHER]);
     let refused = Some(ResultCode::RequestQuarantined);
     assert_eq!(
         code(&ledger, CRASHER),
@@ -67,8 +105,8 @@
     let mut ledgers: Vec<CrashLedger> = (0..3)
         .map(|_| CrashLedger::new(LedgerOptions::default()))
         .collect();
-    ledgers[0].note_crash(at(0), &backend(1), &[CRASHER]);
-    ledgers[1].note_crash(at(1), &backend(2), &[CRASHER]);
+    ledgers[0].note_crash(at(0), &run(1), &[CRASHER]);
+    ledgers[1].note_crash(at(1), &run(2), &[CRASHER]);
     // Each heartbeat is two seconds on its way.
     let mut sent: VecDeque<Vec<Vec<SuspectNews>>> = VecDeque::new();
     for second in 2..700 {
@@ -99,7 +137,7 @@
     let mut here = CrashLedger::new(LedgerOptions::default());
     let mut there = CrashLedger::new(LedgerOptions::default());
     for ledger in [&mut here, &mut there] {
-        ledger.note_crash(at(0), &backend(1), &[CRASHER, innocent]);
+        ledger.note_crash(at(0), &run(1), &[CRASHER, innocent]);
     }
     here.note_completion(at(5), innocent);
     for news in here.news(at(6)) {
@@ -107,12 +145,12 @@
     }
     let stale = SuspectNews {
         fingerprint: innocent,
-        backend: Some(backend(1)),
+        crashed: Some(run(1)),
         age: TimeSpan::from_secs(7),
     };
     for ledger in [&mut here, &mut there] {
         ledger.learn(at(7), stale.clone());
-        ledger.note_crash(at(8), &backend(2), &[innocent]);
+        ledger.note_crash(at(8), &run(2), &[innocent]);
         assert_eq!(code(ledger, innocent), None);
     }
 }
@@ -125,7 +163,7 @@
         RequestFingerprint(2),
         RequestFingerprint(3),
     );
-    ledger.note_crash(at(0), &backend(1), &[one, two]);
+    ledger.note_crash(at(0), &run(1), &[one, two]);
     let refusal = ledger.admit(one, &[two]).unwrap_err();
     assert_eq!(refusal.code, ResultCode::BackendBusy);
     assert_eq!(ledger.admit(one, &[other]), Ok(()));
@@ -140,10 +178,10 @@
     };
     let mut ledger = CrashLedger::new(options);
     for server in [1, 2] {
-        ledger.note_crash(at(0), &backend(server), &[CRASHER]);
+        ledger.note_crash(at(0), &run(server), &[CRASHER]);
     }
     for number in 1..1_000 {
-        ledger.note_crash(at(1), &backend(3), &[RequestFingerprint(number)]);
+        ledger.note_crash(at(1), &run(3), &[RequestFingerprint(number)]);
         assert!(ledger.row_count() <= 100);
     }
     assert_eq!(code(&ledger, CRASHER), Some(ResultCode::RequestQuarantined));
@@ -173,7 +211,7 @@
             crashes += 1;
             back_at.insert(server, second + 20);
             let lost = running.remove(&server).unwrap_or_default();
-            ledger.note_crash(now, &backend(server), &lost);
+            ledger.note_crash(now, &run(server), &lost);
             waiting.extend(lost);
         }
         // Whatever has run for a second has completed.
--- a/crates/daemon/src/entry/driver/suspect.rs
+++ b/crates/daemon/src/entry/driver/suspect.rs
@@ -15,7 +15,7 @@
         let mut decisions = self.state.decisions.borrow_mut();
         decisions
             .suspects
-            .note_crash(now, backend, &[self.plan.fingerprint]);
+            .note_crash(now, &backend.clone().into(), &[self.plan.fingerprint]);
         self.state.urgent.send_modify(|count| *count += 1);
     }
 
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -63,6 +63,8 @@
     pub(crate) fingerprint: u64,
     /// The backend server that went away; none where the request completed.
     pub(crate) backend: Option<SmolStr>,
+    /// Which of its runs ended.
+    pub(crate) start: u64,
     pub(crate) age_ms: u64,
 }
 
@@ -117,7 +119,8 @@
     let fresh = news.into_iter().take_while(|one| one.age < SUSPECT_AGE);
     let fresh = fresh.take(MAX_SUSPECTS).map(|one| CrashNews {
         fingerprint: one.fingerprint.0,
-        backend: one.backend.map(|id| SmolStr::new(id.as_str())),
+        start: one.crashed.as_ref().map_or(0, |run| run.start),
+        backend: one.crashed.map(|run| SmolStr::new(run.backend.as_str())),
         age_ms: one.age.as_millis(),
     });
     fresh.collect()
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -11,6 +11,7 @@
     PlacementWork, PromptShape, RequestProgress,
 };
 use applefold_core::id::{BackendId, TeamId};
+use applefold_core::quarantine::BackendRun;
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_h1::{ResponseHead, CHUNK_END};
 use applefold_platform::{
@@ -289,12 +290,15 @@
     /// A request during which backend servers go away is suspected of it.
     fn note_crash(&self, end: AttemptEnd, placement: &Placement) {
         if end == AttemptEnd::Broken {
-            self.state.suspects.note_crash(
-                &self.prepared.caller.name,
-                self.prepared.fingerprint,
-                &placement.backend,
-                self.state.now(),
-            );
+            let table = self.state.table.borrow();
+            let start = table.get(&placement.backend).map(|row| row.spec.born);
+            let crashed = BackendRun {
+                backend: placement.backend.clone(),
+                start: start.unwrap_or_default(),
+            };
+            let (name, now) = (&self.prepared.caller.name, self.state.now());
+            let suspects = &self.state.suspects;
+            suspects.note_crash(name, self.prepared.fingerprint, &crashed, now);
         }
     }
 
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -5,7 +5,7 @@
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::code::CallRefusal;
 use applefold_core::id::{BackendId, InstanceId};
-use applefold_core::quarantine::{CrashLedger, LedgerOptions, SuspectNews};
+use applefold_core::quarantine::{BackendRun, CrashLedger, LedgerOptions, SuspectNews};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
 
@@ -16,6 +16,7 @@
 fn ledger_options() -> LedgerOptions {
     LedgerOptions {
         crash_limit: 3,
+        count_runs: true,
         remember: TimeSpan::from_secs(60),
         ..LedgerOptions::default()
     }
@@ -62,15 +63,15 @@
         &self,
         request: &str,
         fingerprint: RequestFingerprint,
-        backend: &BackendId,
+        crashed: &BackendRun,
         now: TimePoint,
     ) {
         let mut ledger = self.ledger.borrow_mut();
-        ledger.note_crash(now, backend, &[fingerprint]);
+        ledger.note_crash(now, crashed, &[fingerprint]);
         let crashes = ledger.crash_count(fingerprint);
         self.count("seen");
-        log::info!(request, fingerprint = fingerprint.to_string(), backend = backend.as_str(),
-            crashes; "request suspected of a crash");
+        log::info!(request, fingerprint = fingerprint.to_string(),
+            backend = crashed.backend.as_str(), crashes; "request suspected of a crash");
     }
 
     /// Notes that a request completed whole.
@@ -97,7 +98,7 @@
     /// Takes what another entry tells.
     pub(crate) fn learn(&self, peer: &InstanceId, news: SuspectNews, now: TimePoint) {
         let fingerprint = news.fingerprint;
-        let backend = news.backend.clone();
+        let crashed = news.crashed.clone();
         let age_ms = news.age.as_millis();
         let mut ledger = self.ledger.borrow_mut();
         if !ledger.learn(now, news) {
@@ -105,7 +106,7 @@
         }
         self.count("learned");
         log::info!(peer = peer.as_str(), fingerprint = fingerprint.to_string(),
-            backend = backend.as_ref().map_or("", BackendId::as_str), age_ms,
+            backend = crashed.as_ref().map_or("", |run| run.backend.as_str()), age_ms,
             crashes = ledger.crash_count(fingerprint); "suspicion learned");
     }
 
--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -11,7 +11,7 @@
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::direct::PeerLoad;
 use applefold_core::id::{BackendId, InstanceId, Revision};
-use applefold_core::quarantine::SuspectNews;
+use applefold_core::quarantine::{BackendRun, SuspectNews};
 use applefold_core::unit::{TimeSpan, TokenCount};
 use eyre::{Result, WrapErr};
 use smol_str::SmolStr;
@@ -142,9 +142,12 @@
     }
     drop(table);
     for one in &news.suspects {
-        let backend = match one.backend.as_ref().map(|name| name.parse()) {
+        let crashed = match one.backend.as_ref().map(|name| name.parse()) {
             None => None,
-            Some(Ok(backend)) => Some(backend),
+            Some(Ok(backend)) => Some(BackendRun {
+                backend,
+                start: one.start,
+            }),
             Some(Err(_)) => {
                 log::debug!(peer = id.as_str(); "suspicion of an unnamed backend server ignored");
                 continue;
@@ -152,7 +155,7 @@
         };
         let news = SuspectNews {
             fingerprint: RequestFingerprint(one.fingerprint),
-            backend,
+            crashed,
             age: TimeSpan::from_millis(one.age_ms),
         };
         state.suspects.learn(id, news, now);
--- a/crates/daemon/src/sidecar/suspects.rs
+++ b/crates/daemon/src/sidecar/suspects.rs
@@ -60,7 +60,7 @@
     /// Notes that the backend server died while it ran a request.
     pub(crate) fn note_crash(&self, fingerprint: RequestFingerprint, now: TimePoint) {
         let mut ledger = self.ledger.borrow_mut();
-        ledger.note_crash(now, &self.backend, &[fingerprint]);
+        ledger.note_crash(now, &self.backend.clone().into(), &[fingerprint]);
     }
 
     /// Notes that a request came to a whole end.
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -123,14 +123,15 @@
 
 fn write_news(news: &SuspectNews, mut builder: suspect::Builder<'_>) {
     builder.set_fingerprint(news.fingerprint.0);
-    builder.set_backend(news.backend.as_ref().map_or("", BackendId::as_str));
+    let crashed = news.crashed.as_ref();
+    builder.set_backend(crashed.map_or("", |run| run.backend.as_str()));
     builder.set_age_micros(news.age.0);
 }
 
 fn read_news(reader: suspect::Reader<'_>) -> Result<SuspectNews, MessageError> {
     Ok(SuspectNews {
         fingerprint: RequestFingerprint(reader.get_fingerprint()),
-        backend: parse_optional(reader.get_backend()?)?,
+        crashed: parse_optional(reader.get_backend()?)?.map(BackendId::into),
         age: TimeSpan(reader.get_age_micros()),
     })
 }
