Clear a suspicion only by an answer to what was sent after the crash

Callers saw engines end under a request that an entry had already counted. Cause: any answer of the backend server within a second cleared the crash, also one that it had sent before its end and that was read after it, and a 421 of another backend server that has the address now. An engine that dies under load has answers on the way. Change: the ledger is told when the answered request was sent; only one that was sent after the connection broke shows that the backend server lives. A misdirected request shows nothing.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -171,15 +171,21 @@
         }
     }
 
-    /// Notes that `backend` has answered a request, so a connection to it that broke just
-    /// before says nothing about what ran on it.
+    /// Notes that `backend` has answered a request that was sent at `sent_at`, so a connection
+    /// to it that broke just before that says nothing about what ran on it. An answer to an
+    /// earlier request may have been on its way while the backend server died.
     ///
     /// Returns the fingerprints that are suspected of one crash less.
-    pub fn note_answer(&mut self, now: TimePoint, backend: &BackendId) -> Vec<RequestFingerprint> {
+    pub fn note_answer(
+        &mut self,
+        now: TimePoint,
+        backend: &BackendId,
+        sent_at: TimePoint,
+    ) -> Vec<RequestFingerprint> {
         let mut cleared = Vec::new();
         for (fingerprint, row) in &mut self.rows {
             let before = row.crashes.len();
-            let fresh = |at: &TimePoint| now.since(*at) < ALIVE_AFTER;
+            let fresh = |at: &TimePoint| *at < sent_at && now.since(*at) < ALIVE_AFTER;
             row.crashes
                 .retain(|run, at| run.backend != *backend || !fresh(at));
             if row.crashes.len() < before {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -87,10 +87,11 @@
 fn a_backend_server_that_answers_on_has_not_crashed() {
     let mut ledger = CrashLedger::new(LedgerOptions::default());
     ledger.note_crash(at(0), &run(1), &[CRASHER]);
-    ledger.note_answer(at(0) + TimeSpan::from_millis(300), &backend(1));
+    let (sent_at, now) = (TimeSpan::from_millis(100), TimeSpan::from_millis(300));
+    ledger.note_answer(at(0) + now, &backend(1), at(0) + sent_at);
     ledger.note_crash(at(2), &run(2), &[CRASHER]);
     assert_eq!(code(&ledger, CRASHER), None);
-    ledger.note_answer(at(4), &backend(2));
+    ledger.note_answer(at(4), &backend(2), at(3));
     ledger.note_crash(at(5), &run(3), &[CRASHER]);
     let refused = Some(ResultCode::RequestQuarantined);
     assert_eq!(
@@ -100,6 +101,19 @@
     );
 }
 
+/// Answers of a backend server that dies are read after its end as well as before it.
+#[test]
+fn an_answer_to_what_was_sent_before_a_crash_clears_nothing() {
+    let mut ledger = CrashLedger::new(LedgerOptions::default());
+    let read_at = at(1) + TimeSpan::from_millis(2);
+    ledger.note_crash(at(1), &run(1), &[CRASHER]);
+    assert_eq!(ledger.note_answer(read_at, &backend(1), at(0)), []);
+    assert_eq!(ledger.note_answer(read_at, &backend(1), at(1)), []);
+    let sent_at = at(1) + TimeSpan::from_millis(1);
+    let cleared = ledger.note_answer(read_at, &backend(1), sent_at);
+    assert_eq!(cleared, [CRASHER]);
+}
+
 #[test]
 fn news_reach_everyone_and_do_not_live_longer_by_being_told() {
     let mut ledgers: Vec<CrashLedger> = (0..3)
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -108,6 +108,7 @@
     /// Sends the request and waits for its answer, until the deadline at most.
     pub(crate) async fn run(&self) -> AttemptResult {
         let sent = Cell::new(false);
+        let begun = self.state.now();
         let left = self.deadline.since(self.state.now());
         let limit = self.answer_limit(left);
         let exchange = self.exchange(&sent);
@@ -120,7 +121,7 @@
             };
             AttemptResult::Ended(end, SmolStr::new_static("no answer in time"))
         });
-        self.note_health(&result);
+        self.note_health(&result, begun);
         result
     }
 
@@ -281,7 +282,7 @@
         Err(ConnectionFault::Broken(error))
     }
 
-    fn note_health(&self, result: &AttemptResult) {
+    fn note_health(&self, result: &AttemptResult, begun: TimePoint) {
         let sample = match result {
             AttemptResult::Whole(..) | AttemptResult::Stream(_) | AttemptResult::Prefilled(_) => {
                 HealthSample::Answered(self.route.objective)
@@ -291,9 +292,14 @@
         };
         let backend = &self.placement.backend;
         self.state.note_health(backend, sample);
-        if !matches!(sample, HealthSample::Failed) {
+        // Whoever has the address now says that a request was misdirected.
+        let misdirected = matches!(
+            result,
+            AttemptResult::Ended(AttemptEnd::NotRun { misdirected: true }, _)
+        );
+        if !matches!(sample, HealthSample::Failed) && !misdirected {
             let now = self.state.now();
-            self.state.suspects.note_answer(backend, now);
+            self.state.suspects.note_answer(backend, begun, now);
         }
     }
 }
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -85,9 +85,10 @@
         ledger.note_completion(now, fingerprint);
     }
 
-    /// Notes that a backend server has answered, and so has not crashed just before.
-    pub(crate) fn note_answer(&self, backend: &BackendId, now: TimePoint) {
-        let cleared = self.ledger.borrow_mut().note_answer(now, backend);
+    /// Notes that a backend server has answered what was sent at `sent_at`, and so has not
+    /// crashed just before.
+    pub(crate) fn note_answer(&self, backend: &BackendId, sent_at: TimePoint, now: TimePoint) {
+        let cleared = self.ledger.borrow_mut().note_answer(now, backend, sent_at);
         for fingerprint in cleared {
             self.count("cleared");
             log::info!(fingerprint = fingerprint.to_string(), backend = backend.as_str();
