Tell every suspicion in turn, and what is refused for as long as it is known

Callers saw engines end under a request that other entries had already counted. Cause: an engine that ends breaks all that runs on it at one moment. An entry told its six newest suspicions until they were 5 s old, always the same six; the other fifty were never told, and an entry that started later was told nothing. The heartbeats of the product's own interface cut their list in the same way, and a dispatch looked for its request's own suspicion in the list that had been cut. Ruled out: a longer datagram alone, as a full engine breaks more than any one holds. Change: the ledger gives out its news in turns, so that each is told within a pass, with half of the room for what is refused; the gateway sends them in a datagram of their own. A suspicion is told once the engine has not answered for a second, so that one which an answer ends does not come back from a peer that learned it. A dispatch asks for one request.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! refused with it.
 //! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::claim::RequestFingerprint;
 use crate::code::{CallRefusal, ResultCode};
@@ -51,8 +51,13 @@
     pub row_limit: usize,
     /// Of how many requests that ran together one may run beside another again.
     pub apart: usize,
-    /// The most news in one heartbeat.
+    /// The most news told at one time.
     pub news_limit: usize,
+    /// How old a suspicion is before it is told, so that an answer of the backend server can
+    /// still end it.
+    pub tell_after: TimeSpan,
+    /// How long a suspicion is told; what is refused is told for as long as it is remembered.
+    pub tell_for: TimeSpan,
 }
 
 impl Default for LedgerOptions {
@@ -64,6 +69,8 @@
             row_limit: 4_096,
             apart: 8,
             news_limit: 32,
+            tell_after: TimeSpan::ZERO,
+            tell_for: TimeSpan::from_secs(600),
         }
     }
 }
@@ -99,6 +106,23 @@
         known.is_some_and(|known| at <= known + SAME_EVENT)
     }
 
+    fn news(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: TimePoint,
+    ) -> impl Iterator<Item = SuspectNews> + '_ {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.map(|(run, at)| (Some(run.clone()), *at));
+        let completed = self.completed.map(|at| (None, at));
+        crashes
+            .chain(completed)
+            .map(move |(crashed, at)| SuspectNews {
+                fingerprint,
+                crashed,
+                age: now.since(at),
+            })
+    }
+
     fn note(&mut self, crashed: Option<BackendRun>, at: TimePoint) {
         let Some(crashed) = crashed else {
             self.completed = self.completed.max(Some(at));
@@ -130,6 +154,17 @@
 pub struct CrashLedger {
     options: LedgerOptions,
     rows: BTreeMap<RequestFingerprint, SuspectRow>,
+    /// Crashes that an answer may still disprove, the latest last.
+    fresh: VecDeque<FreshCrash>,
+    refused_turn: usize,
+    other_turn: usize,
+}
+
+#[derive(Debug)]
+struct FreshCrash {
+    at: TimePoint,
+    fingerprint: RequestFingerprint,
+    run: BackendRun,
 }
 
 impl CrashLedger {
@@ -138,6 +173,9 @@
         Self {
             options,
             rows: BTreeMap::new(),
+            fresh: VecDeque::new(),
+            refused_turn: 0,
+            other_turn: 0,
         }
     }
 
@@ -160,7 +198,12 @@
                 (None, true) => crashed.clone(),
                 (_, false) => crashed.backend.clone().into(),
             };
-            self.note(now, *fingerprint, Some(run), now);
+            self.note(now, *fingerprint, Some(run.clone()), now);
+            self.fresh.push_back(FreshCrash {
+                at: now,
+                fingerprint: *fingerprint,
+                run,
+            });
         }
     }
 
@@ -182,18 +225,27 @@
         backend: &BackendId,
         sent_at: TimePoint,
     ) -> Vec<RequestFingerprint> {
-        let mut cleared = Vec::new();
-        for (fingerprint, row) in &mut self.rows {
-            let before = row.crashes.len();
-            let fresh = |at: &TimePoint| *at < sent_at && now.since(*at) < ALIVE_AFTER;
-            row.crashes
-                .retain(|run, at| run.backend != *backend || !fresh(at));
-            if row.crashes.len() < before {
-                cleared.push(*fingerprint);
+        while let Some(oldest) = self.fresh.front() {
+            if now.since(oldest.at) < ALIVE_AFTER {
+                break;
             }
+            self.fresh.pop_front();
         }
+        let mut cleared = Vec::new();
+        self.fresh.retain(|crash| {
+            let disproved = crash.run.backend == *backend && crash.at < sent_at;
+            if disproved {
+                cleared.push((crash.fingerprint, crash.run.clone()));
+            }
+            !disproved
+        });
+        cleared.retain(|(fingerprint, run)| {
+            let row = self.rows.get_mut(fingerprint);
+            row.is_some_and(|row| row.crashes.remove(run).is_some())
+        });
         self.rows.retain(|_, row| row.last_change().is_some());
-        cleared
+        let cleared = cleared.into_iter().map(|(fingerprint, _)| fingerprint);
+        cleared.collect()
     }
 
     /// Takes what another process tells; returns whether it was new.
@@ -222,26 +274,34 @@
         row.crashes.values().copied().max()
     }
 
-    /// Returns what to tell others, the latest first.
-    pub fn news(&self, now: TimePoint) -> Vec<SuspectNews> {
-        let mut news = Vec::new();
+    /// Returns what to tell others now. Where there is more than is told at one time, everything
+    /// gets its turn; what is refused has half of the room.
+    pub fn next_news(&mut self, now: TimePoint) -> Vec<SuspectNews> {
+        let (mut refused, mut others) = (Vec::new(), Vec::new());
         for (fingerprint, row) in &self.rows {
-            let crashes = row.crashes.iter();
-            let crashes = crashes.map(|(run, at)| (Some(run.clone()), *at));
-            let completed = row.completed.map(|at| (None, at));
-            for (crashed, at) in crashes.chain(completed) {
-                news.push(SuspectNews {
-                    fingerprint: *fingerprint,
-                    crashed,
-                    age: now.since(at),
-                });
+            if row.crashes.len() >= self.options.crash_limit {
+                refused.extend(row.news(*fingerprint, now));
+            } else {
+                others.extend(row.news(*fingerprint, now));
             }
         }
-        news.sort_by_key(|one| one.age);
-        news.truncate(self.options.news_limit);
+        let options = self.options;
+        refused.retain(|one| one.age >= options.tell_after);
+        others.retain(|one| one.age >= options.tell_after && one.age < options.tell_for);
+        let half = options.news_limit / 2;
+        let refused_room = options.news_limit - others.len().min(half);
+        let mut news = take_turn(refused, refused_room, &mut self.refused_turn);
+        let other_room = options.news_limit - news.len();
+        news.extend(take_turn(others, other_room, &mut self.other_turn));
         news
     }
 
+    /// Returns what is known of one fingerprint.
+    pub fn news_of(&self, fingerprint: RequestFingerprint, now: TimePoint) -> Vec<SuspectNews> {
+        let row = self.rows.get(&fingerprint).into_iter();
+        row.flat_map(|row| row.news(fingerprint, now)).collect()
+    }
+
     /// Decides whether a request may run beside those that run already.
     pub fn admit(
         &self,
@@ -324,3 +384,19 @@
         }
     }
 }
+
+/// Returns up to `room` of the news, going on where the last turn ended. Each pass begins a
+/// little later, so that several peers who take turns do not always get the same part.
+fn take_turn(news: Vec<SuspectNews>, room: usize, turn: &mut usize) -> Vec<SuspectNews> {
+    if news.len() <= room {
+        return news;
+    }
+    let count = news.len();
+    let first = *turn % count;
+    let next = first + room;
+    *turn = match next < count {
+        true => next,
+        false => next - count + room / 2 + 1,
+    };
+    news.into_iter().cycle().skip(first).take(room).collect()
+}
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -73,7 +73,7 @@
     here.note_crash(at(8), &listed(90), &[CRASHER]);
     assert_eq!(here.crash_count(CRASHER), 3);
     for seconds in [9, 20, 40] {
-        for news in here.news(at(seconds)) {
+        for news in here.next_news(at(seconds)) {
             there.learn(at(seconds), news);
         }
         assert_eq!(there.crash_count(CRASHER), 3, "told again, counted once");
@@ -124,7 +124,12 @@
     // Each heartbeat is two seconds on its way.
     let mut sent: VecDeque<Vec<Vec<SuspectNews>>> = VecDeque::new();
     for second in 2..700 {
-        sent.push_back(ledgers.iter().map(|from| from.news(at(second))).collect());
+        sent.push_back(
+            ledgers
+                .iter_mut()
+                .map(|from| from.next_news(at(second)))
+                .collect(),
+        );
         if sent.len() > 2 {
             for (from, news) in sent.pop_front().unwrap().into_iter().enumerate() {
                 for one in news {
@@ -145,6 +150,43 @@
     }
 }
 
+/// What runs on a backend server breaks with it, and all of it is suspected at one moment.
+#[test]
+fn each_of_many_suspicions_of_one_moment_is_told() {
+    let options = LedgerOptions {
+        crash_limit: 3,
+        count_runs: true,
+        news_limit: 8,
+        tell_after: TimeSpan::from_secs(1),
+        tell_for: TimeSpan::from_secs(5),
+        ..LedgerOptions::default()
+    };
+    for crasher in [0, 30, 100].map(RequestFingerprint) {
+        for (peers, rounds) in [(1, 20), (3, 60)] {
+            let mut there: Vec<CrashLedger> =
+                (0..peers).map(|_| CrashLedger::new(options)).collect();
+            // Each crash is seen by another entry.
+            for server in 0..3 {
+                let mut here = CrashLedger::new(options);
+                let others = (1..60).map(RequestFingerprint);
+                let running: Vec<_> = others.chain([crasher]).collect();
+                here.note_crash(at(0), &run(server), &running);
+                for round in 0..rounds {
+                    let now = at(1) + TimeSpan::from_millis(round * 50);
+                    let peer = &mut there[round as usize % peers];
+                    for news in here.next_news(now) {
+                        peer.learn(now, news);
+                    }
+                }
+            }
+            for peer in &there {
+                let crashes = peer.crash_count(crasher);
+                assert_eq!(crashes, 3, "{crasher} with {peers} peers");
+            }
+        }
+    }
+}
+
 #[test]
 fn completing_whole_clears_everywhere() {
     let innocent = RequestFingerprint(7);
@@ -154,7 +196,7 @@
         ledger.note_crash(at(0), &run(1), &[CRASHER, innocent]);
     }
     here.note_completion(at(5), innocent);
-    for news in here.news(at(6)) {
+    for news in here.next_news(at(6)) {
         there.learn(at(6), news);
     }
     let stale = SuspectNews {
--- a/crates/daemon/src/entry/driver/suspect.rs
+++ b/crates/daemon/src/entry/driver/suspect.rs
@@ -22,9 +22,7 @@
     /// What a sidecar has to know of this request before it lets it run beside others.
     pub(super) fn own_news(&self, now: TimePoint) -> Vec<SuspectNews> {
         let decisions = self.state.decisions.borrow();
-        let news = decisions.suspects.news(now).into_iter();
-        news.filter(|one| one.fingerprint == self.plan.fingerprint)
-            .collect()
+        decisions.suspects.news_of(self.plan.fingerprint, now)
     }
 
     /// A request that ran where a backend server died waits until no other such one
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -248,7 +248,7 @@
             teams: self.published.borrow().clone(),
             pools: self.published_pools.borrow().clone(),
             period: self.period.get(),
-            suspects: self.decisions.borrow().suspects.news(self.now()),
+            suspects: self.decisions.borrow_mut().suspects.next_news(self.now()),
             stopping: self.gate.is_closing(),
         }
     }
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -9,13 +9,11 @@
 use super::reads::ReadNews;
 use super::state::GatewayState;
 
-/// Until when a suspicion is told again and again.
-const SUSPECT_AGE: TimeSpan = TimeSpan::from_secs(5);
-/// The most suspicions in one datagram.
-const MAX_SUSPECTS: usize = 6;
-/// The most bytes of a datagram that tell of loads, and what each takes besides its name.
-const MAX_LOAD_BYTES: usize = 1_050;
+/// The most bytes of a datagram that tell of loads or suspicions, and what each of them takes
+/// besides its name.
+const MAX_PART_BYTES: usize = 1_050;
 const LOAD_BYTES: usize = 8;
+const SUSPECT_BYTES: usize = 30;
 /// The most engines that one datagram tells to be changing.
 const MAX_AWAY: usize = 6;
 /// The most counts of usage in one datagram.
@@ -43,6 +41,8 @@
     Loads(LoadNews),
     /// Prompts that engines have read for the sender.
     Reads(Vec<ReadNews>),
+    /// Requests during which backend servers went away, and requests that completed since.
+    Suspects(Vec<CrashNews>),
     /// What the sender has counted; figures only grow, so their order does not matter.
     Usage(Vec<UsageNews>),
 }
@@ -54,8 +54,6 @@
     pub(crate) loads: Vec<BackendNews>,
     /// Engines that are changing what they do, as the holder of the lease has ordered.
     pub(crate) away: Vec<SmolStr>,
-    /// Requests during which backend servers went away, and requests that completed since.
-    pub(crate) suspects: Vec<CrashNews>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -70,7 +68,7 @@
 
 impl LoadNews {
     pub(crate) fn is_empty(&self) -> bool {
-        self.loads.is_empty() && self.away.is_empty() && self.suspects.is_empty()
+        self.loads.is_empty() && self.away.is_empty()
     }
 }
 
@@ -96,7 +94,7 @@
     let mut length = 0;
     let loads = loads.into_iter().take_while(|(backend, _)| {
         length += backend.as_str().len() + LOAD_BYTES;
-        length <= MAX_LOAD_BYTES
+        length <= MAX_PART_BYTES
     });
     let loads = loads.map(|(backend, load)| BackendNews {
         backend: SmolStr::new(backend.as_str()),
@@ -109,21 +107,35 @@
         sequence,
         loads: loads.collect(),
         away: away.map(|id| SmolStr::new(id.as_str())).collect(),
-        suspects: suspect_news(state),
     }
 }
 
-/// Returns the latest suspicions; older ones have been told before.
-fn suspect_news(state: &GatewayState) -> Vec<CrashNews> {
-    let news = state.suspects.news(state.now());
-    let fresh = news.into_iter().take_while(|one| one.age < SUSPECT_AGE);
-    let fresh = fresh.take(MAX_SUSPECTS).map(|one| CrashNews {
-        fingerprint: one.fingerprint.0,
-        start: one.crashed.as_ref().map_or(0, |run| run.start),
-        backend: one.crashed.map(|run| SmolStr::new(run.backend.as_str())),
-        age_ms: one.age.as_millis(),
-    });
-    fresh.collect()
+/// Returns the suspicions whose turn it is, in parts that fit a datagram.
+pub(crate) fn suspect_news(state: &GatewayState) -> Vec<Vec<CrashNews>> {
+    let mut parts: Vec<Vec<CrashNews>> = Vec::new();
+    let mut length = 0;
+    for one in state.suspects.next_news(state.now()) {
+        let (backend, start) = match one.crashed {
+            Some(run) => (Some(SmolStr::new(run.backend.as_str())), run.start),
+            None => (None, 0),
+        };
+        let bytes = SUSPECT_BYTES + backend.as_ref().map_or(0, SmolStr::len);
+        length += bytes;
+        let news = CrashNews {
+            fingerprint: one.fingerprint.0,
+            backend,
+            start,
+            age_ms: one.age.as_millis(),
+        };
+        match parts.last_mut() {
+            Some(part) if length <= MAX_PART_BYTES => part.push(news),
+            _ => {
+                length = bytes;
+                parts.push(vec![news]);
+            }
+        }
+    }
+    parts
 }
 
 /// Returns the counts of this window, and shortly after its start those of the one before it,
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -11,12 +11,19 @@
 
 use crate::metrics::MetricSet;
 
+/// How long an answer of the backend server may still end a suspicion.
+const CONFIRM_TIME: TimeSpan = TimeSpan::from_secs(1);
+/// For how long a suspicion is told, longer than an entry takes to start again.
+const TELL_TIME: TimeSpan = TimeSpan::from_secs(10);
+
 /// A broken connection is weaker evidence here than a crash that a sidecar sees, so it takes
 /// one more, and is forgotten sooner.
 fn ledger_options() -> LedgerOptions {
     LedgerOptions {
         crash_limit: 3,
         count_runs: true,
+        tell_after: CONFIRM_TIME,
+        tell_for: TELL_TIME,
         remember: TimeSpan::from_secs(60),
         ..LedgerOptions::default()
     }
@@ -111,9 +118,9 @@
             crashes = ledger.crash_count(fingerprint); "suspicion learned");
     }
 
-    /// Returns what to tell others, the latest first.
-    pub(crate) fn news(&self, now: TimePoint) -> Vec<SuspectNews> {
-        self.ledger.borrow().news(now)
+    /// Returns what to tell the other entries now.
+    pub(crate) fn next_news(&self, now: TimePoint) -> Vec<SuspectNews> {
+        self.ledger.borrow_mut().next_news(now)
     }
 
     /// Forgets what is too long ago.
--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -17,7 +17,9 @@
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 
-use super::news::{load_news, usage_news, LoadNews, NewsContent, PeerNews};
+use super::news::{
+    load_news, suspect_news, usage_news, CrashNews, LoadNews, NewsContent, PeerNews,
+};
 use super::peers::NewsSource;
 use super::state::GatewayState;
 
@@ -28,6 +30,8 @@
 const FULL_PACE_ENTRIES: u32 = 32;
 /// In which rounds prompts that have been read are told.
 const READ_ROUNDS: u64 = 2;
+/// In which rounds suspicions are told.
+const SUSPECT_ROUNDS: u64 = 2;
 /// In which rounds the counts of usage are told.
 const USAGE_ROUNDS: u64 = 8;
 /// The largest datagram that is sent, below what one packet carries.
@@ -117,6 +121,7 @@
                 }
             }
         }
+        NewsContent::Suspects(suspects) => take_suspects(state, &id, suspects),
         NewsContent::Usage(usage) => {
             let mut peers = state.peers.borrow_mut();
             peers.note_usage(&source, told_at, usage);
@@ -140,8 +145,11 @@
     for backend in news.away.iter().filter_map(|name| name.parse().ok()) {
         table.note_away(&backend, now);
     }
-    drop(table);
-    for one in &news.suspects {
+}
+
+fn take_suspects(state: &GatewayState, id: &InstanceId, suspects: &[CrashNews]) {
+    let now = state.now();
+    for one in suspects {
         let crashed = match one.backend.as_ref().map(|name| name.parse()) {
             None => None,
             Some(Ok(backend)) => Some(BackendRun {
@@ -176,6 +184,11 @@
             send(&state, &socket, &peers, NewsContent::Loads(loads)).await;
         }
         idle = empty;
+        if sequence % SUSPECT_ROUNDS == 0 {
+            for part in suspect_news(&state) {
+                send(&state, &socket, &peers, NewsContent::Suspects(part)).await;
+            }
+        }
         if sequence % READ_ROUNDS == 0 {
             let reads = state.reads.borrow_mut().next();
             if !reads.is_empty() {
--- a/crates/daemon/src/sidecar/suspects.rs
+++ b/crates/daemon/src/sidecar/suspects.rs
@@ -76,6 +76,6 @@
     }
 
     pub(crate) fn news(&self, now: TimePoint) -> Vec<SuspectNews> {
-        self.ledger.borrow().news(now)
+        self.ledger.borrow_mut().next_news(now)
     }
 }
