Keep in the platform's store what is refused for its crashes

Callers saw engines end under a request that had been refused before all entries were killed or lost power. Cause: what was counted lived in the entries' memory only. A process that starts is told by those that live; where none does, each run of the entries let the request crash engines up to the limit anew. Change: gateway::refusals writes each refusal once (by an entry that saw one of its crashes, a second after the last one, under a lease as long as it is remembered) and reads them at the start; both go through the ledger's way for news, so runs are counted once. What is refused is remembered for ten minutes, single suspicions for one, as before.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -47,6 +47,8 @@
     pub count_runs: bool,
     /// How long after its last crash a fingerprint is remembered and refused.
     pub remember: TimeSpan,
+    /// How long a crash is remembered of a fingerprint that is not refused.
+    pub doubt_for: TimeSpan,
     /// The most fingerprints remembered.
     pub row_limit: usize,
     /// Of how many requests that ran together one may run beside another again.
@@ -66,6 +68,7 @@
             crash_limit: 2,
             count_runs: false,
             remember: TimeSpan::from_secs(600),
+            doubt_for: TimeSpan::from_secs(600),
             row_limit: 4_096,
             apart: 8,
             news_limit: 32,
@@ -268,6 +271,11 @@
         row.map_or(0, |row| row.crashes.len())
     }
 
+    /// Returns whether a fingerprint has crashed too often.
+    pub fn is_refused(&self, fingerprint: RequestFingerprint) -> bool {
+        self.crash_count(fingerprint) >= self.options.crash_limit
+    }
+
     /// Returns when the last of them was.
     pub fn last_crash(&self, fingerprint: RequestFingerprint) -> Option<TimePoint> {
         let row = self.rows.get(&fingerprint)?;
@@ -279,10 +287,9 @@
     pub fn next_news(&mut self, now: TimePoint) -> Vec<SuspectNews> {
         let (mut refused, mut others) = (Vec::new(), Vec::new());
         for (fingerprint, row) in &self.rows {
-            if row.crashes.len() >= self.options.crash_limit {
-                refused.extend(row.news(*fingerprint, now));
-            } else {
-                others.extend(row.news(*fingerprint, now));
+            match self.is_refused(*fingerprint) {
+                true => refused.extend(row.news(*fingerprint, now)),
+                false => others.extend(row.news(*fingerprint, now)),
             }
         }
         let options = self.options;
@@ -311,7 +318,7 @@
         let Some(row) = self.rows.get(&fingerprint) else {
             return Ok(());
         };
-        if row.crashes.len() >= self.options.crash_limit {
+        if self.is_refused(fingerprint) {
             return Err(CallRefusal::lasting(ResultCode::RequestQuarantined));
         }
         let suspects = running.iter().filter(|beside| self.is_suspect(**beside));
@@ -330,10 +337,16 @@
 
     /// Forgets what is too long ago.
     pub fn tick(&mut self, now: TimePoint) {
-        let remember = self.options.remember;
+        let options = self.options;
         for row in self.rows.values_mut() {
+            let remember = match row.crashes.len() >= options.crash_limit {
+                true => options.remember,
+                false => options.doubt_for,
+            };
             row.crashes.retain(|_, at| now.since(*at) < remember);
-            row.completed = row.completed.filter(|at| now.since(*at) < remember);
+            row.completed = row
+                .completed
+                .filter(|at| now.since(*at) < options.doubt_for);
         }
         self.rows.retain(|_, row| row.last_change().is_some());
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod presence;
 mod reads;
 mod ready;
+mod refusals;
 mod relay;
 mod reload;
 mod request;
@@ -56,6 +57,7 @@
     actix_rt::spawn(duty::follow(Rc::clone(&state)));
     actix_rt::spawn(phases::follow(Rc::clone(&state)));
     actix_rt::spawn(usage::follow(Rc::clone(&state)));
+    actix_rt::spawn(refusals::follow(Rc::clone(&state)));
     actix_rt::spawn(reload::follow(Rc::clone(&state), hangups, path));
     log::info!(instance = state.settings().instance.as_str(),
         domain = state.settings().domain.as_str(), run = state.run,
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -1,7 +1,9 @@
 //! The datagrams in which entries tell each other what they have sent and counted.
 
+use applefold_core::claim::RequestFingerprint;
 use applefold_core::direct::PeerLoad;
 use applefold_core::id::{BackendId, WindowId};
+use applefold_core::quarantine::{BackendRun, SuspectNews};
 use applefold_core::unit::TimeSpan;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -66,6 +68,37 @@
     pub(crate) age_ms: u64,
 }
 
+impl CrashNews {
+    pub(crate) fn new(news: SuspectNews) -> Self {
+        let (backend, start) = match news.crashed {
+            Some(run) => (Some(SmolStr::new(run.backend.as_str())), run.start),
+            None => (None, 0),
+        };
+        Self {
+            fingerprint: news.fingerprint.0,
+            backend,
+            start,
+            age_ms: news.age.as_millis(),
+        }
+    }
+
+    /// Returns what is told; `None` where the backend server's name cannot be one.
+    pub(crate) fn read(&self) -> Option<SuspectNews> {
+        let crashed = match &self.backend {
+            None => None,
+            Some(name) => Some(BackendRun {
+                backend: name.parse().ok()?,
+                start: self.start,
+            }),
+        };
+        Some(SuspectNews {
+            fingerprint: RequestFingerprint(self.fingerprint),
+            crashed,
+            age: TimeSpan::from_millis(self.age_ms),
+        })
+    }
+}
+
 impl LoadNews {
     pub(crate) fn is_empty(&self) -> bool {
         self.loads.is_empty() && self.away.is_empty()
@@ -115,18 +148,9 @@
     let mut parts: Vec<Vec<CrashNews>> = Vec::new();
     let mut length = 0;
     for one in state.suspects.next_news(state.now()) {
-        let (backend, start) = match one.crashed {
-            Some(run) => (Some(SmolStr::new(run.backend.as_str())), run.start),
-            None => (None, 0),
-        };
-        let bytes = SUSPECT_BYTES + backend.as_ref().map_or(0, SmolStr::len);
+        let news = CrashNews::new(one);
+        let bytes = SUSPECT_BYTES + news.backend.as_ref().map_or(0, SmolStr::len);
         length += bytes;
-        let news = CrashNews {
-            fingerprint: one.fingerprint.0,
-            backend,
-            start,
-            age_ms: one.age.as_millis(),
-        };
         match parts.last_mut() {
             Some(part) if length <= MAX_PART_BYTES => part.push(news),
             _ => {
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -1,10 +1,11 @@
 //! Requests that are suspected of crashing backend servers, with a log line for each change.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::code::CallRefusal;
-use applefold_core::id::{BackendId, InstanceId};
+use applefold_core::id::BackendId;
 use applefold_core::quarantine::{BackendRun, CrashLedger, LedgerOptions, SuspectNews};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
@@ -17,14 +18,14 @@
 const TELL_TIME: TimeSpan = TimeSpan::from_secs(10);
 
 /// A broken connection is weaker evidence here than a crash that a sidecar sees, so it takes
-/// one more, and is forgotten sooner.
+/// one more, and a few of them are forgotten sooner.
 fn ledger_options() -> LedgerOptions {
     LedgerOptions {
         crash_limit: 3,
         count_runs: true,
         tell_after: CONFIRM_TIME,
         tell_for: TELL_TIME,
-        remember: TimeSpan::from_secs(60),
+        doubt_for: TimeSpan::from_secs(60),
         ..LedgerOptions::default()
     }
 }
@@ -32,6 +33,8 @@
 /// The crash ledger of an entry.
 pub(crate) struct SuspectBook {
     ledger: RefCell<CrashLedger>,
+    /// Fingerprints whose crashes this entry has seen itself and that the store does not hold.
+    unkept: RefCell<BTreeSet<RequestFingerprint>>,
     metrics: MetricSet,
 }
 
@@ -39,6 +42,7 @@
     pub(crate) fn new(metrics: MetricSet) -> Self {
         Self {
             ledger: RefCell::new(CrashLedger::new(ledger_options())),
+            unkept: RefCell::default(),
             metrics,
         }
     }
@@ -76,6 +80,7 @@
         let mut ledger = self.ledger.borrow_mut();
         ledger.note_crash(now, crashed, &[fingerprint]);
         let crashes = ledger.crash_count(fingerprint);
+        self.unkept.borrow_mut().insert(fingerprint);
         self.count("seen");
         log::info!(request, fingerprint = fingerprint.to_string(),
             backend = crashed.backend.as_str(), crashes; "request suspected of a crash");
@@ -103,8 +108,8 @@
         }
     }
 
-    /// Takes what another entry tells.
-    pub(crate) fn learn(&self, peer: &InstanceId, news: SuspectNews, now: TimePoint) {
+    /// Takes what another entry tells, or the store.
+    pub(crate) fn learn(&self, source: &str, news: SuspectNews, now: TimePoint) {
         let fingerprint = news.fingerprint;
         let crashed = news.crashed.clone();
         let age_ms = news.age.as_millis();
@@ -113,7 +118,7 @@
             return;
         }
         self.count("learned");
-        log::info!(peer = peer.as_str(), fingerprint = fingerprint.to_string(),
+        log::info!(source, fingerprint = fingerprint.to_string(),
             backend = crashed.as_ref().map_or("", |run| run.backend.as_str()), age_ms,
             crashes = ledger.crash_count(fingerprint); "suspicion learned");
     }
@@ -123,9 +128,43 @@
         self.ledger.borrow_mut().next_news(now)
     }
 
+    /// Returns what is known of one fingerprint.
+    pub(crate) fn news_of(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: TimePoint,
+    ) -> Vec<SuspectNews> {
+        self.ledger.borrow().news_of(fingerprint, now)
+    }
+
+    /// Returns up to `most` refused fingerprints that are to be kept in the store. Those whose
+    /// last crash an answer may still disprove wait.
+    pub(crate) fn unkept(&self, most: usize, now: TimePoint) -> Vec<RequestFingerprint> {
+        let ledger = self.ledger.borrow();
+        let is_due = |fingerprint: &&RequestFingerprint| {
+            let last = ledger.last_crash(**fingerprint);
+            ledger.is_refused(**fingerprint) && last.is_some_and(|at| now.since(at) >= CONFIRM_TIME)
+        };
+        let unkept = self.unkept.borrow();
+        unkept.iter().filter(is_due).take(most).copied().collect()
+    }
+
+    /// Notes that the store holds a refusal.
+    pub(crate) fn note_kept(&self, fingerprint: RequestFingerprint) {
+        self.unkept.borrow_mut().remove(&fingerprint);
+    }
+
+    /// Returns how long a refusal is remembered.
+    pub(crate) fn remember(&self) -> TimeSpan {
+        ledger_options().remember
+    }
+
     /// Forgets what is too long ago.
     pub(crate) fn tick(&self, now: TimePoint) {
-        self.ledger.borrow_mut().tick(now);
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.tick(now);
+        let mut unkept = self.unkept.borrow_mut();
+        unkept.retain(|fingerprint| ledger.crash_count(*fingerprint) > 0);
     }
 
     fn count(&self, event: &'static str) {
--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -8,10 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::claim::RequestFingerprint;
 use applefold_core::direct::PeerLoad;
 use applefold_core::id::{BackendId, InstanceId, Revision};
-use applefold_core::quarantine::{BackendRun, SuspectNews};
 use applefold_core::unit::{TimeSpan, TokenCount};
 use eyre::{Result, WrapErr};
 use smol_str::SmolStr;
@@ -150,23 +148,12 @@
 fn take_suspects(state: &GatewayState, id: &InstanceId, suspects: &[CrashNews]) {
     let now = state.now();
     for one in suspects {
-        let crashed = match one.backend.as_ref().map(|name| name.parse()) {
-            None => None,
-            Some(Ok(backend)) => Some(BackendRun {
-                backend,
-                start: one.start,
-            }),
-            Some(Err(_)) => {
+        match one.read() {
+            Some(news) => state.suspects.learn(id.as_str(), news, now),
+            None => {
                 log::debug!(peer = id.as_str(); "suspicion of an unnamed backend server ignored");
-                continue;
             }
-        };
-        let news = SuspectNews {
-            fingerprint: RequestFingerprint(one.fingerprint),
-            crashed,
-            age: TimeSpan::from_millis(one.age_ms),
-        };
-        state.suspects.learn(id, news, now);
+        }
     }
 }
 
