Read what is refused again and again, for entries that the others cannot reach

Cause: an entry that is cut from the other entries and not from the platform heard of no refusal after its start; two such entries sent a refused request 6 times more.

--- a/crates/daemon/src/gateway/refusals.rs
+++ b/crates/daemon/src/gateway/refusals.rs
@@ -15,6 +15,9 @@
 
 /// How often new refusals are looked for.
 const KEEP_PERIOD: Duration = Duration::from_millis(500);
+/// In which periods the refusals of all entries are read, for those that the others cannot
+/// reach; a read that may be a little old costs a tenth.
+const READ_ROUNDS: u64 = 4;
 /// The most refusals written in one period, which bounds the calls to the store.
 const KEPT_A_PERIOD: usize = 8;
 /// The most pages read at the start.
@@ -33,14 +36,19 @@
     format!("{OWN_PREFIX}refused/")
 }
 
-/// Reads what is refused once, then keeps what this entry finds, for as long as the process runs.
+/// Reads what is refused and keeps what this entry finds, for as long as the process runs.
 pub(crate) async fn follow(state: Rc<GatewayState>) {
-    while let Err(error) = read_all(&state).await {
+    while let Err(error) = read_all(&state, false).await {
         log::debug!(error = error.to_string(); "refusals not read yet");
         actix_rt::time::sleep(KEEP_PERIOD).await;
     }
-    loop {
+    for round in 1_u64.. {
         actix_rt::time::sleep(KEEP_PERIOD).await;
+        if round.is_multiple_of(READ_ROUNDS) {
+            if let Err(error) = read_all(&state, true).await {
+                log::debug!(error = error.to_string(); "refusals not read");
+            }
+        }
         for fingerprint in state.suspects.unkept(KEPT_A_PERIOD, state.now()) {
             if let Err(error) = keep(&state, fingerprint).await {
                 log::warn!(fingerprint = fingerprint.to_string(), error = error.to_string();
@@ -53,13 +61,13 @@
     }
 }
 
-async fn read_all(state: &GatewayState) -> Result<(), StoreError> {
+async fn read_all(state: &GatewayState, stale: bool) -> Result<(), StoreError> {
     let mut after = None;
     for _ in 0..MAX_PAGES {
         let call = StoreCall::Range {
             prefix: refusal_prefix(),
             after: after.clone(),
-            stale: false,
+            stale,
         };
         let StoreReply::Page(page) = state.store.call(&call).await? else {
             return Err(StoreError::Unreadable("no page".into()));
