Decide in one state machine what may be sent, and heed a backend server's own word

Cause: leaving was known from the platform's list alone, read each 0.6 s and not while the store is away; a 503 with a time to rest was taken for any other. Beside that stood four flags (left out, probe, full until, draining) that each caller had to combine. SendState in core holds what may be sent to one run of a backend server; placement, repeats, resumed streams, prompt calls and probes ask it, and an attempt again before its first byte. Its own word to leave holds until another run, also when an old line of the list comes back. After a rest one request tries it. Not done: the other entries are not told yet.

--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::direct::estimate::blend;
-use crate::direct::PromptPart;
+use crate::direct::{PromptPart, SendEvent, SendState, SendVerdict};
 use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
@@ -21,6 +21,8 @@
 /// How often that time is doubled while each further try is turned away too, as by an engine
 /// that is changing what it does.
 const MAX_FULL_DOUBLINGS: u32 = 3;
+/// How many runs are remembered that said that they leave; their lines in the list may come back.
+const MAX_LEFT: usize = 1_024;
 /// How long an engine that turned a request away is left alone.
 const FULL_TIME: TimeSpan = TimeSpan::from_millis(150);
 
@@ -102,11 +104,13 @@
     services: BTreeMap<ServiceId, BTreeSet<BackendId>>,
     flights: BTreeMap<FlightId, BackendId>,
     last_flight: u64,
+    /// Runs of backend servers that said that they leave and are no longer listed, by their start.
+    left: BTreeSet<(BackendId, u64)>,
 }
 
 impl InstanceTable {
     /// Takes in what the list says of a backend server; `None` where nothing changed.
-    pub fn upsert(&mut self, spec: InstanceSpec) -> Option<InstanceChange> {
+    pub fn upsert(&mut self, spec: InstanceSpec, now: TimePoint) -> Option<InstanceChange> {
         let Some(row) = self.rows.get_mut(&spec.id) else {
             self.insert(spec);
             return Some(InstanceChange::Added);
@@ -117,6 +121,7 @@
             return Some(InstanceChange::Restarted);
         }
         row.lapsed = false;
+        row.gate = row.gate.after(listing_event(&spec), now);
         if row.spec == spec {
             return None;
         }
@@ -137,6 +142,12 @@
         for flight in row.flights.keys() {
             self.flights.remove(flight);
         }
+        if row.gate == SendState::Leaving {
+            self.left.insert((id.clone(), row.spec.born));
+            if self.left.len() > MAX_LEFT {
+                self.left.pop_first();
+            }
+        }
         Some(InstanceChange::Removed)
     }
 
@@ -174,19 +185,18 @@
         }
     }
 
-    /// Leaves a backend server out, or takes it back.
-    pub fn set_left_out(&mut self, id: &BackendId, left_out: bool) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.left_out = left_out;
-            row.probe = false;
-        }
-    }
-
-    /// Lets one request be sent to a backend server that is left out.
-    pub fn allow_probe(&mut self, id: &BackendId) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.probe = row.left_out;
-        }
+    /// Takes in what decides on what may be sent to a backend server; returns the states before
+    /// and after.
+    pub fn apply(
+        &mut self,
+        id: &BackendId,
+        event: SendEvent,
+        now: TimePoint,
+    ) -> Option<(SendState, SendState)> {
+        let row = self.rows.get_mut(id)?;
+        let before = row.gate;
+        row.gate = before.after(event, now);
+        Some((before, row.gate))
     }
 
     /// Takes in the load that a backend server stated.
@@ -200,9 +210,7 @@
     /// changes what it does, or says that it has changed or that another one has its
     /// address, and the list does not say so yet.
     pub fn note_away(&mut self, id: &BackendId, now: TimePoint) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.full_until = now + AWAY_TIME;
-        }
+        self.apply(id, SendEvent::TurnedAway(now + AWAY_TIME), now);
     }
 
     /// Takes in what a peer has sent to each backend server; what it does not name is idle.
@@ -242,10 +250,11 @@
         let Some(row) = self.rows.get_mut(id) else {
             return;
         };
-        if row.is_full(now) {
+        if matches!(row.verdict(now), SendVerdict::Wait(_)) {
             return;
         }
-        row.full_until = now + TimeSpan(FULL_TIME.0 << row.refusals);
+        let until = now + TimeSpan(FULL_TIME.0 << row.refusals);
+        row.gate = row.gate.after(SendEvent::TurnedAway(until), now);
         row.refusals = (row.refusals + 1).min(MAX_FULL_DOUBLINGS);
     }
 
@@ -257,9 +266,9 @@
         now: TimePoint,
     ) -> Option<FlightId> {
         let row = self.rows.get_mut(id)?;
-        row.probe = false;
         self.last_flight += 1;
         let flight = FlightId(self.last_flight);
+        row.gate = row.gate.after(SendEvent::Sent(flight), now);
         let note = FlightNote {
             sent_at: now,
             uncached,
@@ -281,6 +290,7 @@
             return;
         };
         note.answering = true;
+        row.gate = row.gate.after(SendEvent::Answered(flight), now);
         row.refusals = 0;
         let note = *note;
         row.learn(note, now);
@@ -295,6 +305,11 @@
         let Some(row) = self.rows.get_mut(&id) else {
             return;
         };
+        let event = match answered {
+            true => SendEvent::Answered(flight),
+            false => SendEvent::Unanswered(flight),
+        };
+        row.gate = row.gate.after(event, now);
         match row.flights.remove(&flight) {
             Some(note) if answered => {
                 row.refusals = 0;
@@ -309,6 +324,22 @@
     fn insert(&mut self, spec: InstanceSpec) {
         let ids = self.services.entry(spec.service.clone()).or_default();
         ids.insert(spec.id.clone());
-        self.rows.insert(spec.id.clone(), InstanceRow::new(spec));
+        let left = self.left.contains(&(spec.id.clone(), spec.born));
+        let mut row = InstanceRow::new(spec);
+        row.gate = match (left, row.spec.draining) {
+            (true, _) => SendState::Leaving,
+            (false, true) => SendState::Draining {
+                rest_until: TimePoint::START,
+            },
+            (false, false) => SendState::Open,
+        };
+        self.rows.insert(row.spec.id.clone(), row);
+    }
+}
+
+fn listing_event(spec: &InstanceSpec) -> SendEvent {
+    match spec.draining {
+        true => SendEvent::ListedDraining,
+        false => SendEvent::ListedReady,
     }
 }
--- a/crates/core/src/direct/instance/row.rs
+++ b/crates/core/src/direct/instance/row.rs
@@ -6,7 +6,7 @@
 
 use super::{FlightNote, InstanceSpec, LoadSample, PeerLoad};
 use crate::direct::estimate::Estimate;
-use crate::direct::PromptPart;
+use crate::direct::{PromptPart, SendState, SendVerdict};
 use crate::id::InstanceId;
 use crate::routing::{BackendRole, FlightId};
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
@@ -42,10 +42,8 @@
 pub struct InstanceRow {
     /// What the list says.
     pub spec: InstanceSpec,
-    /// Whether health leaves it out for now.
-    pub left_out: bool,
-    /// Whether one request may be sent to it although it is left out.
-    pub(super) probe: bool,
+    /// What may be sent to it.
+    pub(super) gate: SendState,
     /// Whether its entry of the list is gone, perhaps only because the store was away.
     pub lapsed: bool,
     /// The last stated load, and when it came.
@@ -57,7 +55,6 @@
     pub(super) first_time: Estimate,
     pub(super) prefill_rate: Estimate,
     pub(super) call_time: TimeSpan,
-    pub(super) full_until: TimePoint,
     /// How many times in a row a request was turned away after a pause.
     pub(super) refusals: u32,
 }
@@ -70,8 +67,7 @@
         };
         Self {
             spec,
-            left_out: false,
-            probe: false,
+            gate: SendState::Open,
             lapsed: false,
             load: None,
             flights: BTreeMap::new(),
@@ -80,15 +76,19 @@
             memory: DEFAULT_MEMORY,
             first_time: Estimate::new(DEFAULT_FIRST_TIME.0),
             prefill_rate: Estimate::new(prefill_rate),
-            full_until: TimePoint::START,
             refusals: 0,
             call_time: DEFAULT_FIRST_TIME,
         }
     }
 
-    /// Returns whether a request may be sent here as far as health goes.
-    pub fn is_healthy(&self) -> bool {
-        !self.left_out || self.probe
+    /// Returns what may be sent to it.
+    pub fn gate(&self) -> SendState {
+        self.gate
+    }
+
+    /// Returns what one more request may do.
+    pub fn verdict(&self, now: TimePoint) -> SendVerdict {
+        self.gate.verdict(now)
     }
 
     /// Returns the requests of this entry that are not finished.
@@ -117,16 +117,6 @@
         fresh.map(|(load, _)| *load)
     }
 
-    /// Returns until when the backend server is left alone after it turned a request away.
-    pub fn full_until(&self) -> TimePoint {
-        self.full_until
-    }
-
-    /// Returns whether the backend server has just turned a request away.
-    pub fn is_full(&self, now: TimePoint) -> bool {
-        self.full_until > now
-    }
-
     /// Returns the prompt tokens of requests whose first token has not come, those of
     /// peers included.
     pub fn backlog(&self, now: TimePoint) -> TokenCount {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod count;
 mod estimate;
+mod gate;
 mod instance;
 mod phase;
 mod placement;
@@ -19,6 +20,7 @@
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
+pub use gate::{SendEvent, SendState, SendVerdict, TrialCause};
 pub use instance::{
     FlightId, FlightNote, InstanceChange, InstanceRow, InstanceSpec, InstanceTable, LoadSample,
     PeerLoad,
--- a/crates/core/src/direct/phase.rs
+++ b/crates/core/src/direct/phase.rs
@@ -153,10 +153,7 @@
         now: TimePoint,
         policy: &PhasePolicy,
     ) -> Option<PhaseMove> {
-        let ready = rows
-            .iter()
-            .copied()
-            .filter(|row| !row.spec.draining && !row.left_out);
+        let ready = rows.iter().copied().filter(|row| row.gate().is_serving());
         let settled = ready.filter(|row| !self.moving.contains_key(&row.spec.id));
         let (prompts, answers): (Vec<&InstanceRow>, Vec<&InstanceRow>) =
             settled.partition(|row| row.spec.role == BackendRole::Prefill);
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use crate::code::{CallRefusal, ResultCode};
-use crate::direct::{InstanceRow, InstanceTable, PromptShape};
+use crate::direct::{InstanceRow, InstanceTable, PromptShape, SendVerdict};
 use crate::id::{BackendId, DomainId, ServiceId};
 use crate::rank::NameRank;
 use crate::routing::BackendRole;
@@ -206,24 +206,26 @@
         now: TimePoint,
     ) -> Result<Vec<&'a InstanceRow>, CallRefusal> {
         let all = listed.iter().copied();
-        let may: Vec<&InstanceRow> = all.filter(|row| may_run(row, request)).collect();
-        let healthy: Vec<&InstanceRow> =
-            may.iter().copied().filter(|row| row.is_healthy()).collect();
-        let rows = if healthy.is_empty() { may } else { healthy };
-        if rows.is_empty() {
-            return Err(self.missing());
+        let (mut open, mut last, mut soonest) = (Vec::new(), Vec::new(), None);
+        for row in all.filter(|row| may_run(row, request)) {
+            match row.verdict(now) {
+                SendVerdict::Send => open.push(row),
+                SendVerdict::LastResort => last.push(row),
+                SendVerdict::Wait(until) => {
+                    soonest = Some(soonest.map_or(until, |other: TimePoint| until.min(other)));
+                }
+                SendVerdict::Never => {}
+            }
         }
-        let open: Vec<&InstanceRow> = rows
-            .iter()
-            .copied()
-            .filter(|row| !row.is_full(now))
-            .collect();
-        if !open.is_empty() {
-            return Ok(open);
+        match soonest {
+            _ if !open.is_empty() => Ok(open),
+            Some(until) => {
+                let wait = until.since(now);
+                Err(CallRefusal::passing(ResultCode::BackendBusy, wait))
+            }
+            None if !last.is_empty() => Ok(last),
+            None => Err(self.missing()),
         }
-        let soonest = rows.iter().map(|row| row.full_until().since(now)).min();
-        let wait = soonest.unwrap_or(self.missing_retry);
-        Err(CallRefusal::passing(ResultCode::BackendBusy, wait))
     }
 
     fn runs<'a>(
@@ -262,8 +264,7 @@
         let usable = listed.iter().copied().filter(|row| {
             row.spec.role == BackendRole::Prefill
                 && may_take(row, request)
-                && row.is_healthy()
-                && !row.is_full(now)
+                && row.verdict(now) == SendVerdict::Send
         });
         let rows: Vec<&InstanceRow> = usable.collect();
         let homes = self.homes_of(&rows, request);
@@ -316,7 +317,7 @@
 
 /// Returns whether a backend server may be sent any part of a request.
 fn may_take(row: &InstanceRow, request: &PlacementRequest<'_>) -> bool {
-    if row.spec.draining || request.excluded.contains(&row.spec.id) {
+    if request.excluded.contains(&row.spec.id) {
         return false;
     }
     let models = &row.spec.models;
--- a/crates/core/tests/direct_phase.rs
+++ b/crates/core/tests/direct_phase.rs
@@ -44,7 +44,7 @@
             self.pending = later;
             let due: Vec<(TimePoint, BackendId, BackendRole)> = due;
             for (_, id, role) in due {
-                self.table.upsert(spec(Self::number(&id), role));
+                self.table.upsert(spec(Self::number(&id), role), now);
             }
             let loads = self.table.rows().map(|row| match row.spec.role {
                 Prefill => (Self::number(&row.spec.id), 1, backlog),
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -7,7 +7,7 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
     InstanceTable, Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork,
-    PromptPart, PromptShape,
+    PromptPart, PromptShape, SendEvent, SendVerdict,
 };
 use applefold_core::id::BackendId;
 use applefold_core::routing::BackendRole::{self, Decode, Plain, Prefill};
@@ -59,7 +59,7 @@
 #[test]
 fn requests_that_share_a_part_go_to_one_engine_and_others_elsewhere() {
     let mut engines = self::table(&[Prefill; 6]);
-    engines.upsert(spec(6, Decode));
+    engines.upsert(spec(6, Decode), NOW);
     let mut homes = BTreeMap::new();
     for number in 0..40 {
         let prompt = prompt(&format!("part-{number}"), 5_000, 2_000);
@@ -82,7 +82,7 @@
 #[test]
 fn what_a_busy_home_cannot_take_goes_where_another_entry_has_had_it_read() {
     let mut engines = table(&[Prefill; 6]);
-    engines.upsert(spec(6, Decode));
+    engines.upsert(spec(6, Decode), NOW);
     let prompt = prompt("part", 5_000, 2_000);
     let home = place(&engines, Some(&prompt)).unwrap().backend;
     let other = (0..6).map(backend).find(|one| *one != home).unwrap();
@@ -232,6 +232,14 @@
     }
 }
 
+/// Returns when the first backend server may be sent requests again.
+fn open_at(table: &InstanceTable, now: TimePoint) -> TimePoint {
+    match table.get(&backend(0)).unwrap().verdict(now) {
+        SendVerdict::Wait(until) => until,
+        other => panic!("{other:?} instead of a pause"),
+    }
+}
+
 #[test]
 fn each_further_refusal_doubles_the_pause_until_an_answer_comes() {
     let mut table = table(&[Plain]);
@@ -240,16 +248,15 @@
     for _ in 0..6 {
         table.note_full(&backend(0), now);
         table.note_full(&backend(0), now);
-        let row = table.get(&backend(0)).unwrap();
-        pauses.push(row.full_until().since(now).as_millis());
-        now = row.full_until() + TimeSpan::from_millis(1);
+        let until = open_at(&table, now);
+        pauses.push(until.since(now).as_millis());
+        now = until + TimeSpan::from_millis(1);
     }
     assert_eq!(pauses, [150, 300, 600, 1_200, 1_200, 1_200]);
     let flight = table.begin(&backend(0), TokenCount(1), now).unwrap();
     table.finish(flight, true, now);
     table.note_full(&backend(0), now);
-    let row = table.get(&backend(0)).unwrap();
-    assert_eq!(row.full_until().since(now).as_millis(), 150);
+    assert_eq!(open_at(&table, now).since(now).as_millis(), 150);
 }
 
 #[test]
@@ -257,7 +264,7 @@
     let mut table = table(&[Plain, Plain, Plain]);
     let mut leaving = spec(0, Plain);
     leaving.draining = true;
-    table.upsert(leaving);
+    table.upsert(leaving, NOW);
     let excluded: BTreeSet<BackendId> = [backend(1)].into();
     let placed = place_at(&table, None, PlacementStage::Open, &excluded, NOW).unwrap();
     assert_eq!(placed.backend, backend(2));
@@ -269,9 +276,9 @@
 #[test]
 fn health_counts_only_while_it_leaves_any() {
     let mut table = table(&[Plain, Plain]);
-    table.set_left_out(&backend(0), true);
+    table.apply(&backend(0), SendEvent::LeftOut, NOW);
     assert_eq!(place(&table, None).unwrap().backend, backend(1));
-    table.set_left_out(&backend(1), true);
+    table.apply(&backend(1), SendEvent::LeftOut, NOW);
     assert!(place(&table, None).is_ok());
 }
 
@@ -287,8 +294,8 @@
     table.set_lapsed(&backend(1));
     table.set_lapsed(&backend(2));
     assert!(place(&table, None).is_ok());
-    table.upsert(spec(1, Plain));
-    table.upsert(spec(2, Plain));
+    table.upsert(spec(1, Plain), NOW);
+    table.upsert(spec(2, Plain), NOW);
     let excluded: BTreeSet<BackendId> = [backend(1)].into();
     let placed = place_at(&table, None, PlacementStage::Open, &excluded, NOW).unwrap();
     assert_eq!(placed.backend, backend(2));
@@ -339,7 +346,7 @@
     assert_eq!(held(&table), TokenCount(3_100));
     let mut again = spec(0, BackendRole::Both);
     again.born = 2;
-    table.upsert(again);
+    table.upsert(again, NOW);
     assert_eq!(held(&table), TokenCount::ZERO);
     assert_eq!(table.get(&backend(0)).unwrap().in_flight(), 0);
 }
@@ -351,15 +358,15 @@
     let mut engines = table(&[Decode, Decode, Decode]);
     load(&mut engines, &[(1, 5, 4_000), (2, 5, 4_000)], NOW);
     let prompt = prompt("p", 10, 100);
-    engines.set_left_out(&backend(0), true);
+    engines.apply(&backend(0), SendEvent::LeftOut, NOW);
     assert_ne!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
-    engines.allow_probe(&backend(0));
+    engines.apply(&backend(0), SendEvent::ProbeDue, NOW);
     let probe = place(&engines, Some(&prompt)).unwrap();
     assert_eq!(probe.backend, backend(0));
     let flight = engines.begin(&backend(0), probe.uncached, NOW).unwrap();
     assert_ne!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
     engines.finish(flight, false, NOW);
     assert_ne!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
-    engines.set_left_out(&backend(0), false);
+    engines.apply(&backend(0), SendEvent::TakenBack, NOW);
     assert_eq!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
 }
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -40,7 +40,7 @@
 pub(crate) fn table(roles: &[BackendRole]) -> InstanceTable {
     let mut table = InstanceTable::default();
     for (number, role) in roles.iter().enumerate() {
-        table.upsert(spec(number, *role));
+        table.upsert(spec(number, *role), TimePoint::START);
     }
     table
 }
--- a/crates/daemon/src/gateway/instances.rs
+++ b/crates/daemon/src/gateway/instances.rs
@@ -137,7 +137,7 @@
         let (id, service) = (spec.id.clone(), spec.service.clone());
         let (address, role, draining) = (spec.address, spec.role, spec.draining);
         self.lapsed.remove(&id);
-        let change = state.table.borrow_mut().upsert(spec);
+        let change = state.table.borrow_mut().upsert(spec, state.now());
         match change {
             Some(InstanceChange::Added) => state.watch_health(&id, &service),
             Some(InstanceChange::Restarted) => {
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,7 +7,8 @@
 
 use applefold_core::code::ResultCode;
 use applefold_core::direct::{
-    InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, WallReference, WindowSealer,
+    InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, SendState,
+    WallReference, WindowSealer,
 };
 use applefold_core::drain::{DrainOptions, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
@@ -17,6 +18,7 @@
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_platform::PlatformSettings;
 use bytes::Bytes;
+use opentelemetry::KeyValue;
 use tokio::sync::watch;
 
 use crate::clock::SuspendClock;
@@ -273,11 +275,33 @@
             HealthAction::Probe(_) | HealthAction::TakeBack(_) => String::new(),
         };
         log::info!(backend = id.as_str(), reason; "{text}");
-        let mut table = self.table.borrow_mut();
-        match &action {
-            HealthAction::LeaveOut(id, _) => table.set_left_out(id, true),
-            HealthAction::Probe(id) => table.allow_probe(id),
-            HealthAction::TakeBack(id) => table.set_left_out(id, false),
+        let event = match &action {
+            HealthAction::LeaveOut(..) => SendEvent::LeftOut,
+            HealthAction::Probe(_) => SendEvent::ProbeDue,
+            HealthAction::TakeBack(_) => SendEvent::TakenBack,
+        };
+        self.apply(id, event, "health");
+    }
+
+    /// Counts what a backend server said of itself.
+    pub(crate) fn count_word(&self, word: &'static str) {
+        let word = KeyValue::new("word", word);
+        self.metrics.backend_words.add(1, &[word]);
+    }
+
+    /// Takes in what decides on what may be sent to a backend server.
+    pub(crate) fn apply(&self, id: &BackendId, event: SendEvent, source: &str) {
+        let now = self.now();
+        let applied = self.table.borrow_mut().apply(id, event, now);
+        let Some((before, after)) = applied.filter(|(before, after)| before != after) else {
+            return;
+        };
+        let to = KeyValue::new("to", after.name());
+        self.metrics.backend_states.add(1, &[to]);
+        log::info!(backend = id.as_str(), from = before.name(), to = after.name(), source,
+            rest_ms = after.rest_until().since(now).as_millis(); "what may be sent has changed");
+        if after == SendState::Leaving {
+            self.pool.forget(id);
         }
     }
 }
--- a/tools/check_platform_words.py
+++ b/tools/check_platform_words.py
@@ -8,7 +8,7 @@
 # Header fields are matched in any case, fields and paths as they are written.
 HEADERS = [
     "Request-Id", "Deadline-Ms", "Prompt-Prefix", "Server-Stamp", "Expect-Instance", "Server-Load",
-    "Not-Executed", "Duty-Holder", "Fencing-Token", "Instance-Id", "Token-Count", "Request-Priority",
+    "Not-Executed", "Server-Leaving", "Duty-Holder", "Fencing-Token", "Instance-Id", "Token-Count", "Request-Priority",
     "Serving-Phase", "Kv-Source", "Kv-Hold", "Kv-Backup", "Kv-Fetch", "Pin-Ms", "Weight-Versions",
     "Expect-Version", "Length-Hint",
 ]
