Probe a backend server again where nothing came of its probe

Callers lost an engine's places at one entry: once left out it was never tried again. A caller that left before the answer gave the probe no end, so the engine stayed left out. Change: HealthPolicy::probe_limit, 3 s, after which the next probe is due. Evidence: a_probe_that_nothing_came_of_is_made_again: one probe in 20 s before.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -26,6 +26,8 @@
     pub compare_answers: u32,
     /// The time without a sign of life that leaves it out.
     pub silence: TimeSpan,
+    /// How long a probe may take, after which the next one is waited for.
+    pub probe_limit: TimeSpan,
     /// The time until the first probe; it doubles with each failed one.
     pub first_probe: TimeSpan,
     /// The longest time between probes.
@@ -39,6 +41,7 @@
             slow_factor: 4,
             compare_answers: 5,
             silence: TimeSpan::from_secs(3),
+            probe_limit: TimeSpan::from_secs(3),
             first_probe: TimeSpan::from_millis(500),
             max_probe: TimeSpan::from_secs(30),
         }
@@ -197,7 +200,7 @@
                 self.leave_out(id, HealthReason::Silent, now)
             }
             HealthState::LeftOut { probe_at } if probe_at <= now => {
-                let give_up_at = now + policy.silence;
+                let give_up_at = now + policy.probe_limit;
                 row.state = HealthState::Probing { give_up_at };
                 Some(HealthAction::Probe(id.clone()))
             }
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -41,6 +41,23 @@
         .last()
 }
 
+/// The caller of a probe may leave before anything is known of the backend server.
+#[test]
+fn a_probe_that_nothing_came_of_is_made_again() {
+    let policy = HealthPolicy {
+        silence: TimeSpan::from_secs(86_400),
+        ..HealthPolicy::default()
+    };
+    let mut tracker = HealthTracker::new(policy);
+    for number in 0..4 {
+        tracker.add(backend(number), pool(), TimePoint::START);
+    }
+    let id = backend(1);
+    repeat(&mut tracker, &id, HealthSample::Failed, 3, at(0));
+    let probes = (0..200).map(|tick| tracker.tick(at(tick * 100)).len());
+    assert!(probes.sum::<usize>() > 1, "probed once in 20 s");
+}
+
 #[test]
 fn failures_in_a_row_leave_a_backend_server_out() {
     let mut tracker = tracker_of(4);
