Take a failed backend server back only by its own answer

In the state machine a probe that was turned away became a rest, which ended by itself. Change: a misdirected request is no sample of health; a probe that is turned away leaves the backend server out until health wants the next one. An attempt that was held back before its first byte is no failure of the backend server.

--- a/crates/core/src/direct/gate.rs
+++ b/crates/core/src/direct/gate.rs
@@ -177,7 +177,10 @@
             (Self::Resting { until }, SendEvent::TurnedAway(other)) => Self::Resting {
                 until: until.max(other),
             },
-            (Self::Trial { .. }, SendEvent::TurnedAway(until)) => Self::Resting { until },
+            (Self::Trial { cause, .. }, SendEvent::TurnedAway(until)) => match cause {
+                TrialCause::Rested => Self::Resting { until },
+                TrialCause::Probed => Self::LeftOut { rest_until: until },
+            },
             (Self::Open | Self::Paused { .. }, SendEvent::TurnedAway(until)) => {
                 Self::Paused { until }
             }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -324,17 +324,15 @@
             AttemptResult::Whole(..) | AttemptResult::Stream(_) | AttemptResult::Prefilled(_) => {
                 HealthSample::Answered(self.route.objective)
             }
+            // Whoever has the address now says so, which tells nothing of the one that was meant.
+            AttemptResult::Ended(AttemptEnd::NotRun { misdirected: true }, _) => return,
             AttemptResult::Ended(AttemptEnd::NotRun { .. }, _) => HealthSample::Alive,
+            AttemptResult::Ended(AttemptEnd::NotSent, _) if self.is_barred() => return,
             AttemptResult::Failed(..) | AttemptResult::Ended(..) => HealthSample::Failed,
         };
         let backend = &self.placement.backend;
         self.state.note_health(backend, sample);
-        // Whoever has the address now says that a request was misdirected.
-        let misdirected = matches!(
-            result,
-            AttemptResult::Ended(AttemptEnd::NotRun { misdirected: true }, _)
-        );
-        if !matches!(sample, HealthSample::Failed) && !misdirected {
+        if !matches!(sample, HealthSample::Failed) {
             let now = self.state.now();
             self.state.suspects.note_answer(backend, begun, now);
         }
