Bound every part of a backend server's answer

Callers waited until their deadline, and an entry could be killed for its memory. Cause: a body was held up to 16 MiB, so twelve callers took 256 MB of one that does not end (an entry may have 160 MB); an event, interim answers and the lines after the last chunk had no bound at all, so such an attempt lasted until the deadline, 8 s in the test. After a refusal whose body could not be read the connection was offered for the next request. Change: bounds in connection.rs, relay.rs and h1's decoder, named with their reasons; the connection is closed, and the request may have run. The store's answers keep 16 MiB.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -23,6 +23,9 @@
 
 /// How an attempt ends that should have read a prompt.
 const NOT_READ: AttemptEnd = AttemptEnd::NotRun { misdirected: false };
+/// The largest body of an answer that is held until it is whole: a hundred of them fit the
+/// smallest memory that the platform gives.
+const MAX_BODY_BYTES: usize = 1 << 20;
 /// How long a connection to a backend server may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How often its objective a request that may be repeated waits for a silent backend server.
@@ -178,15 +181,18 @@
         answer: &BackendAnswer,
         mut flight: FlightGuard,
     ) -> AttemptResult {
-        let body = match connection.read_whole(&head).await {
-            Ok(body) => body,
+        let read = connection.read_whole(&head, MAX_BODY_BYTES).await;
+        let now = self.state.now();
+        let body = match read {
+            Ok(body) => {
+                let pool = &self.state.pool;
+                pool.keep(&self.placement.backend, connection, &head, now);
+                body
+            }
             Err(fault) if !answer.not_run => return fault_end(&fault),
+            // What the head says holds without its body, but the connection is of no more use.
             Err(_) => Vec::new(),
         };
-        let now = self.state.now();
-        self.state
-            .pool
-            .keep(&self.placement.backend, connection, &head, now);
         if answer.not_run {
             let mut table = self.state.table.borrow_mut();
             match answer.misdirected {
@@ -283,7 +289,7 @@
             log::info!(request = self.caller.name.as_str(),
                 backend = self.placement.backend.as_str(),
                 stray = stray.map_or("", SmolStr::as_str); "stray answer passed over");
-            connection.read_whole(&head).await?;
+            connection.read_whole(&head, MAX_BODY_BYTES).await?;
         }
         let error = io::Error::new(io::ErrorKind::InvalidData, "answers to other requests only");
         Err(ConnectionFault::Broken(error))
--- a/crates/daemon/src/gateway/connection.rs
+++ b/crates/daemon/src/gateway/connection.rs
@@ -4,17 +4,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use applefold_h1::{parse_response, BodyDecoder, HeadError, ResponseHead};
+use applefold_h1::{parse_response, BodyDecoder, BodyFraming, HeadError, ResponseHead};
 use bytes::BytesMut;
 use eyre::{Result, WrapErr};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
 
-/// The largest head of an answer.
-const MAX_HEAD_BYTES: usize = 65_536;
-/// The largest body of an answer that is held until it is whole.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// The largest head of an answer, twice what callers may send.
+const MAX_HEAD_BYTES: usize = 32_768;
+/// The most interim answers before a final one.
+const MAX_INTERIM: usize = 8;
 /// How long a peer may leave sent bytes or probes unacknowledged.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// After how much silence the peer is asked for a sign of life, and how often.
@@ -133,6 +133,7 @@
 
     /// Reads the head of the next final answer.
     pub(crate) async fn read_head(&mut self) -> Result<ResponseHead, ConnectionFault> {
+        let mut interim = 0;
         loop {
             let parsed = parse_response(&self.input, MAX_HEAD_BYTES);
             match parsed.map_err(ConnectionFault::Garbled)? {
@@ -141,6 +142,10 @@
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    interim += 1;
+                    if interim > MAX_INTERIM {
+                        return Err(ConnectionFault::Garbled(HeadError::TooLarge));
+                    }
                 }
                 None => {
                     if self.fill().await? == 0 {
@@ -175,19 +180,27 @@
         }
     }
 
-    /// Reads a whole body.
+    /// Reads a whole body of up to `limit` bytes.
     pub(crate) async fn read_whole(
         &mut self,
         head: &ResponseHead,
+        limit: usize,
     ) -> Result<Vec<u8>, ConnectionFault> {
+        let too_large = ConnectionFault::Garbled(HeadError::TooLarge);
+        if matches!(head.framing, BodyFraming::Length(length) if length > limit as u64) {
+            return Err(too_large);
+        }
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
-        while !self.read_body(&mut decoder, &mut body).await? {
-            if body.len() > MAX_BODY_BYTES {
-                return Err(ConnectionFault::Garbled(HeadError::TooLarge));
+        loop {
+            let whole = self.read_body(&mut decoder, &mut body).await?;
+            if body.len() > limit {
+                return Err(too_large);
+            }
+            if whole {
+                return Ok(body);
             }
         }
-        Ok(body)
     }
 
     async fn fill(&mut self) -> Result<usize, ConnectionFault> {
--- a/crates/daemon/src/gateway/passing.rs
+++ b/crates/daemon/src/gateway/passing.rs
@@ -17,6 +17,7 @@
 use super::connection::ClientConnection;
 use super::rules;
 use super::state::GatewayState;
+use super::store::MAX_ANSWER_BYTES;
 use crate::http;
 
 const CONFIG_PATH: &str = "/configuration";
@@ -73,7 +74,8 @@
     if head.status != 200 {
         return Err(eyre!("answered {}", head.status));
     }
-    let body = tokio::time::timeout(CALL_TIMEOUT, connection.read_whole(&head)).await??;
+    let read = connection.read_whole(&head, MAX_ANSWER_BYTES);
+    let body = tokio::time::timeout(CALL_TIMEOUT, read).await??;
     log::info!(from = address.to_string(), length = body.len(); "configuration had from another entry");
     rules::take(state, &body)
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -3,6 +3,8 @@
 use smol_str::SmolStr;
 
 const ID_FIELD: &[u8] = b"id:";
+/// The largest event that is held until it is whole.
+const MAX_EVENT_BYTES: usize = 65_536;
 
 /// Cuts the bytes of a stream at the ends of its events.
 #[derive(Debug, Default)]
@@ -31,6 +33,11 @@
         whole
     }
 
+    /// Returns whether an event has come so far that it is held no longer.
+    pub(crate) fn is_overfull(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns what is left at the end of a whole stream.
     pub(crate) fn finish(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.pending)
--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -45,6 +45,11 @@
             };
             output.clear();
             let mut events = self.cutter.push(&body);
+            if self.cutter.is_overfull() {
+                self.cutter.forget_part();
+                let reason = "an event is too large".to_owned();
+                return RelayEnd::Broken(AttemptEnd::Broken, reason);
+            }
             if done {
                 events.extend_from_slice(&self.cutter.finish());
             }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -17,6 +17,8 @@
 /// How long an answer may take besides what the call itself waits for: a renewal whose answer
 /// is lost must be made again before the lease of 3 s is no longer acted under.
 pub(crate) const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
+/// The largest answer: a value of 1 MiB or a page of about as much, encoded, several times over.
+pub(crate) const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// The most connections kept for calls.
 const MAX_IDLE: usize = 4;
 
@@ -92,7 +94,8 @@
         };
         connection.send(&call.render()).await.map_err(lost)?;
         let head = connection.read_head().await.map_err(lost)?;
-        let body = connection.read_whole(&head).await.map_err(lost)?;
+        let body = connection.read_whole(&head, MAX_ANSWER_BYTES).await;
+        let body = body.map_err(lost)?;
         if head.keep_alive && self.idle.borrow().len() < MAX_IDLE {
             self.idle.borrow_mut().push(connection);
         }
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -10,6 +10,8 @@
 pub const CHUNK_END: &[u8] = b"0\r\n\r\n";
 /// The longest line of a chunk's size or trailer, in bytes; longer ones are hostile.
 const MAX_LINE_BYTES: usize = 1_024;
+/// The most lines after the last chunk, as many as a head may have fields.
+const MAX_TRAILER_LINES: u32 = 100;
 
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,7 +30,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// After this many lines of it.
+    Trailer(u32),
     Open,
     Done,
 }
@@ -96,7 +99,7 @@
                     Ok(httparse::Status::Complete((used, size))) => {
                         input.advance(used);
                         self.0 = match size {
-                            0 => DecoderState::Trailer,
+                            0 => DecoderState::Trailer(0),
                             size => DecoderState::ChunkData(size),
                         };
                     }
@@ -115,7 +118,7 @@
                     input.advance(2);
                     self.0 = DecoderState::ChunkSize;
                 }
-                DecoderState::Trailer => {
+                DecoderState::Trailer(lines) => {
                     let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") else {
                         if input.len() >= MAX_LINE_BYTES {
                             return Err(HeadError::TooLarge);
@@ -123,9 +126,11 @@
                         return Ok(false);
                     };
                     input.advance(end + 2);
-                    if end == 0 {
-                        self.0 = DecoderState::Done;
-                    }
+                    self.0 = match end {
+                        0 => DecoderState::Done,
+                        _ if lines < MAX_TRAILER_LINES => DecoderState::Trailer(lines + 1),
+                        _ => return Err(HeadError::TooLarge),
+                    };
                 }
             }
         }
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -5,6 +5,7 @@
 };
 use bytes::BytesMut;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const LIMIT: usize = 4_096;
 
@@ -87,6 +88,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(8),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn a_chunked_body_is_the_same_however_it_is_cut(
         parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
