--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -5,14 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::direct::{AttemptEnd, Placement, RouteRule, SendEvent};
+use applefold_core::direct::{AttemptEnd, Placement, RouteRule};
 use applefold_core::health::HealthSample;
 use applefold_core::id::TeamId;
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_h1::{BodyDecoder, ResponseHead};
 use applefold_platform::{
-    read_prefill, render_attempt, AttemptFields, AttemptWork, BackendAnswer, BackendWord,
-    CallerRequest, KvHandle,
+    read_prefill, render_attempt, AttemptFields, AttemptWork, BackendAnswer, CallerRequest,
+    KvHandle,
 };
 use smol_str::SmolStr;
 
@@ -143,7 +143,7 @@
             Ok(connection) => connection,
             Err(error) => return ended(AttemptEnd::NotSent, error.to_string()),
         };
-        if self.is_barred() {
+        if self.state.is_barred(&self.placement.backend) {
             let reason = "the backend server wants nothing more".to_owned();
             return ended(AttemptEnd::NotSent, reason);
         }
@@ -280,7 +280,8 @@
             let head = connection.read_head().await?;
             let answer = BackendAnswer::read(&head);
             if !answer.misdirected {
-                self.note_word(&head);
+                let state = self.state;
+                state.note_word(&self.placement.backend, &head, &self.caller.name);
             }
             let stray = answer.request.as_ref();
             if stray.is_none_or(|name| *name == self.caller.name) {
@@ -295,36 +296,6 @@
         Err(ConnectionFault::Broken(error))
     }
 
-    /// Returns whether the backend server has come to want nothing since the placement.
-    fn is_barred(&self) -> bool {
-        let table = self.state.table.borrow();
-        let row = table.get(&self.placement.backend);
-        row.is_none_or(|row| row.gate().is_barred(self.state.now()))
-    }
-
-    /// Takes in what the backend server says of itself.
-    fn note_word(&self, head: &ResponseHead) {
-        let word = BackendWord::read(head, self.state.own_wall());
-        let backend = &self.placement.backend;
-        if word.odd {
-            self.state.count_word("odd");
-            log::warn!(request = self.caller.name.as_str(), backend = backend.as_str(),
-                status = head.status; "word of a backend server ignored or cut");
-        }
-        if word.leaving {
-            self.state.count_word("leaving");
-            self.state
-                .apply(backend, SendEvent::SaidLeaving, &self.caller.name);
-        }
-        if let Some(rest) = word.rest {
-            self.state.count_word("rest");
-            let until = self.state.now() + rest;
-            let source = &self.caller.name;
-            self.state
-                .apply(backend, SendEvent::AskedRest(until), source);
-        }
-    }
-
     fn note_health(&self, result: &AttemptResult, begun: TimePoint) {
         let sample = match result {
             AttemptResult::Whole(..) | AttemptResult::Stream(_) | AttemptResult::Prefilled(_) => {
@@ -333,7 +304,11 @@
             // Whoever has the address now says so, which tells nothing of the one that was meant.
             AttemptResult::Ended(AttemptEnd::NotRun { misdirected: true }, _) => return,
             AttemptResult::Ended(AttemptEnd::NotRun { .. }, _) => HealthSample::Alive,
-            AttemptResult::Ended(AttemptEnd::NotSent, _) if self.is_barred() => return,
+            AttemptResult::Ended(AttemptEnd::NotSent, _)
+                if self.state.is_barred(&self.placement.backend) =>
+            {
+                return
+            }
             AttemptResult::Failed(..) | AttemptResult::Ended(..) => HealthSample::Failed,
         };
         let backend = &self.placement.backend;
--- a/crates/daemon/src/gateway/handoff.rs
+++ b/crates/daemon/src/gateway/handoff.rs
@@ -1,25 +1,36 @@
 //! KV caches that one engine keeps until another one answers from them.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::id::DomainId;
+use applefold_core::id::{BackendId, DomainId};
 use applefold_platform::{render_release, KvHandle};
 use eyre::Result;
 
 use super::connection::ClientConnection;
+use super::state::GatewayState;
 
 /// How long freeing a KV cache may take; the engine forgets it by itself later.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A KV cache at an engine, freed when it is dropped unless another engine took it.
 pub(crate) struct HandoffGuard {
+    state: Rc<GatewayState>,
+    backend: BackendId,
     handle: Option<KvHandle>,
     domain: DomainId,
 }
 
 impl HandoffGuard {
-    pub(crate) fn new(handle: KvHandle, domain: DomainId) -> Self {
+    pub(crate) fn new(
+        state: &Rc<GatewayState>,
+        backend: &BackendId,
+        handle: KvHandle,
+        domain: DomainId,
+    ) -> Self {
         Self {
+            state: Rc::clone(state),
+            backend: backend.clone(),
             handle: Some(handle),
             domain,
         }
@@ -46,6 +57,12 @@
         let Some(handle) = self.handle.take() else {
             return;
         };
+        // An engine that wants nothing forgets it by itself a little later.
+        if self.state.is_barred(&self.backend) {
+            let backend = self.backend.as_str();
+            log::debug!(handle = handle.name.as_str(), backend; "KV cache left to its engine");
+            return;
+        }
         actix_rt::spawn(async move {
             let freed = release(&handle).await;
             let error = freed
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -230,7 +230,8 @@
             row.map(|row| row.spec.domain.clone())
         };
         let domain = domain.unwrap_or_else(|| self.state.settings().domain.clone());
-        self.handoff = Some(HandoffGuard::new(handle, domain));
+        let backend = &placement.backend;
+        self.handoff = Some(HandoffGuard::new(self.state, backend, handle, domain));
         self.apart = false;
     }
 
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -16,7 +16,8 @@
 use applefold_core::lease::HolderName;
 use applefold_core::retry::{RetryBudget, RetryPolicy};
 use applefold_core::unit::{TimePoint, TimeSpan};
-use applefold_platform::PlatformSettings;
+use applefold_h1::ResponseHead;
+use applefold_platform::{BackendWord, PlatformSettings};
 use bytes::Bytes;
 use opentelemetry::KeyValue;
 use tokio::sync::watch;
@@ -283,8 +284,34 @@
         self.apply(id, event, "health");
     }
 
+    /// Returns whether a backend server wants nothing now; one that is not listed does not.
+    pub(crate) fn is_barred(&self, id: &BackendId) -> bool {
+        let table = self.table.borrow();
+        let row = table.get(id);
+        row.is_none_or(|row| row.gate().is_barred(self.now()))
+    }
+
+    /// Takes in what a backend server says of itself with an answer to `source`.
+    pub(crate) fn note_word(&self, backend: &BackendId, head: &ResponseHead, source: &str) {
+        let word = BackendWord::read(head, self.own_wall());
+        if word.odd {
+            self.count_word("odd");
+            log::warn!(request = source, backend = backend.as_str(), status = head.status;
+                "word of a backend server ignored or cut");
+        }
+        if word.leaving {
+            self.count_word("leaving");
+            self.apply(backend, SendEvent::SaidLeaving, source);
+        }
+        if let Some(rest) = word.rest {
+            self.count_word("rest");
+            let until = self.now() + rest;
+            self.apply(backend, SendEvent::AskedRest(until), source);
+        }
+    }
+
     /// Counts what a backend server said of itself.
-    pub(crate) fn count_word(&self, word: &'static str) {
+    fn count_word(&self, word: &'static str) {
         let word = KeyValue::new("word", word);
         self.metrics.backend_words.add(1, &[word]);
     }
