Tell the other entries what backend servers have said of themselves

Cause: each entry had to be turned away, or to send one request to a leaving one, itself. Told words are not told on, as each hop would lengthen a rest.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod suspects;
 mod talk;
 mod usage;
+mod words;
 
 use std::path::PathBuf;
 use std::rc::Rc;
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -10,6 +10,7 @@
 
 use super::reads::ReadNews;
 use super::state::GatewayState;
+use super::words::WordNews;
 
 /// The most bytes of a datagram that tell of loads or suspicions, and what each of them takes
 /// besides its name.
@@ -45,6 +46,8 @@
     Reads(Vec<ReadNews>),
     /// Requests during which backend servers went away, and requests that completed since.
     Suspects(Vec<CrashNews>),
+    /// What backend servers have said of themselves to the sender.
+    Words(Vec<WordNews>),
     /// What the sender has counted; figures only grow, so their order does not matter.
     Usage(Vec<UsageNews>),
 }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -17,7 +17,7 @@
 use applefold_core::retry::{RetryBudget, RetryPolicy};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_h1::ResponseHead;
-use applefold_platform::{BackendWord, PlatformSettings};
+use applefold_platform::{BackendWord, PlatformSettings, MAX_REST};
 use bytes::Bytes;
 use opentelemetry::KeyValue;
 use tokio::sync::watch;
@@ -29,6 +29,7 @@
 use crate::gateway::reads::ReadLog;
 use crate::gateway::store::StoreClient;
 use crate::gateway::suspects::SuspectBook;
+use crate::gateway::words::{WordBook, WordNews};
 use crate::logging::wall_micros;
 use crate::metrics::MetricSet;
 
@@ -67,6 +68,8 @@
     pub(crate) drain: RefCell<DrainState>,
     pub(crate) counter: RefCell<RunCounter>,
     pub(crate) suspects: SuspectBook,
+    /// What backend servers have said of themselves, to be told to the other entries.
+    pub(crate) words: RefCell<WordBook>,
     pub(crate) duty: DutyLease,
     pub(crate) sealer: RefCell<WindowSealer>,
     pub(crate) phases: RefCell<PhasePlanner>,
@@ -116,6 +119,7 @@
             drain: RefCell::new(DrainState::new(drain)),
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
             suspects: SuspectBook::new(metrics.clone()),
+            words: RefCell::default(),
             health: RefCell::new(HealthTracker::new(health)),
             budgets: RefCell::default(),
             entries: Cell::new(ASSUMED_ENTRIES),
@@ -294,6 +298,14 @@
     /// Takes in what a backend server says of itself with an answer to `source`.
     pub(crate) fn note_word(&self, backend: &BackendId, head: &ResponseHead, source: &str) {
         let word = BackendWord::read(head, self.own_wall());
+        let start = self
+            .table
+            .borrow()
+            .get(backend)
+            .map_or(0, |row| row.spec.born);
+        let mut words = self.words.borrow_mut();
+        words.note(backend, start, &word, self.now());
+        drop(words);
         if word.odd {
             self.count_word("odd");
             log::warn!(request = source, backend = backend.as_str(), status = head.status;
@@ -310,6 +322,30 @@
         }
     }
 
+    /// Takes in what a backend server has said to another entry, `age` ago.
+    pub(crate) fn note_told_word(&self, peer: &InstanceId, news: &WordNews, age: TimeSpan) {
+        let Ok(backend) = news.backend.parse::<BackendId>() else {
+            log::debug!(peer = peer.as_str(); "word of an unnamed backend server ignored");
+            return;
+        };
+        let table = self.table.borrow();
+        let same_run = table
+            .get(&backend)
+            .is_some_and(|row| row.spec.born == news.start);
+        drop(table);
+        if !same_run {
+            return;
+        }
+        let event = match news.rest_ms {
+            None => SendEvent::SaidLeaving,
+            Some(rest) => {
+                let rest = TimeSpan::from_millis(rest).min(MAX_REST);
+                SendEvent::AskedRest(self.now() + rest.saturating_sub(age))
+            }
+        };
+        self.apply(&backend, event, peer.as_str());
+    }
+
     /// Counts what a backend server said of itself.
     fn count_word(&self, word: &'static str) {
         let word = KeyValue::new("word", word);
--- a/crates/daemon/src/gateway/talk.rs
+++ b/crates/daemon/src/gateway/talk.rs
@@ -28,6 +28,8 @@
 const FULL_PACE_ENTRIES: u32 = 32;
 /// In which rounds prompts that have been read are told.
 const READ_ROUNDS: u64 = 2;
+/// In which rounds words of backend servers are told.
+const WORD_ROUNDS: u64 = 2;
 /// In which rounds suspicions are told.
 const SUSPECT_ROUNDS: u64 = 2;
 /// In which rounds the counts of usage are told.
@@ -120,6 +122,13 @@
             }
         }
         NewsContent::Suspects(suspects) => take_suspects(state, &id, suspects),
+        NewsContent::Words(words) => {
+            // News may have waited in the buffer of a process that was paused.
+            let age = state.wall().saturating_sub(told_at);
+            for word in words {
+                state.note_told_word(&id, word, age);
+            }
+        }
         NewsContent::Usage(usage) => {
             let mut peers = state.peers.borrow_mut();
             peers.note_usage(&source, told_at, usage);
@@ -171,6 +180,12 @@
             send(&state, &socket, &peers, NewsContent::Loads(loads)).await;
         }
         idle = empty;
+        if sequence % WORD_ROUNDS == 0 {
+            let words = state.words.borrow_mut().next_news(state.now());
+            if !words.is_empty() {
+                send(&state, &socket, &peers, NewsContent::Words(words)).await;
+            }
+        }
         if sequence % SUSPECT_ROUNDS == 0 {
             for part in suspect_news(&state) {
                 send(&state, &socket, &peers, NewsContent::Suspects(part)).await;
