Refuse a chunk without a size, and a long line also in one piece

Cause: the library reads a missing chunk size as zero, so an empty line ended a body early and what followed could be taken for another message. A line over the limit was refused when it came in pieces and accepted when it came at once, so two readers could differ. Change: a size begins with a digit; the limit holds for whole lines too. Evidence: a_chunk_without_a_size_is_refused and a_long_line_is_refused_in_any_pieces failed before and pass now.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -95,15 +95,21 @@
                     }
                     self.0 = DecoderState::ChunkEnd;
                 }
+                // The library takes a missing size for zero.
+                DecoderState::ChunkSize
+                    if input.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) =>
+                {
+                    return Err(HeadError::Malformed("the size of a chunk"));
+                }
                 DecoderState::ChunkSize => match httparse::parse_chunk_size(input) {
-                    Ok(httparse::Status::Complete((used, size))) => {
+                    Ok(httparse::Status::Complete((used, size))) if used <= MAX_LINE_BYTES => {
                         input.advance(used);
                         self.0 = match size {
                             0 => DecoderState::Trailer(0),
                             size => DecoderState::ChunkData(size),
                         };
                     }
-                    Ok(httparse::Status::Partial) if input.len() < MAX_LINE_BYTES => {
+                    Ok(httparse::Status::Partial) if input.len() <= MAX_LINE_BYTES => {
                         return Ok(false);
                     }
                     _ => return Err(HeadError::Malformed("the size of a chunk")),
@@ -119,10 +125,11 @@
                     self.0 = DecoderState::ChunkSize;
                 }
                 DecoderState::Trailer(lines) => {
-                    let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") else {
-                        if input.len() >= MAX_LINE_BYTES {
-                            return Err(HeadError::TooLarge);
-                        }
+                    let end = input.windows(2).position(|pair| pair == b"\r\n");
+                    if end.map_or(input.len(), |end| end + 2) > MAX_LINE_BYTES {
+                        return Err(HeadError::TooLarge);
+                    }
+                    let Some(end) = end else {
                         return Ok(false);
                     };
                     input.advance(end + 2);
--- a/crates/h1/tests/fuzz.rs
+++ b/crates/h1/tests/fuzz.rs
@@ -108,6 +108,15 @@
         }
     }
 
+    /// A line that is over the limit is refused also when it comes in one piece with its end.
+    #[test]
+    fn a_long_line_is_refused_in_any_pieces(length in 1_025_usize..1_500, step in 1_usize..2_000) {
+        let line = "x".repeat(length);
+        for text in [format!("0\r\n{line}\r\n\r\n"), format!("5;{line}\r\nhello\r\n0\r\n\r\n")] {
+            prop_assert!(decode(BodyFraming::Chunked, text.as_bytes(), step).is_err());
+        }
+    }
+
     #[test]
     fn lines_after_the_last_chunk_come_to_an_end(length in 0..900_usize) {
         let line = format!("X-T: {}\r\n", "y".repeat(length));
@@ -115,3 +124,17 @@
         prop_assert_eq!(decode(BodyFraming::Chunked, bytes.as_bytes(), 700), Err(HeadError::TooLarge));
     }
 }
+
+/// A missing size was read as the last chunk, after which another message could stand.
+#[test]
+fn a_chunk_without_a_size_is_refused() {
+    for text in [
+        "\r\n\r\n",
+        ";a=b\r\n\r\n",
+        " 0\r\n\r\n",
+        "5\r\nhello\r\n\r\n\r\n",
+    ] {
+        let decoded = decode(BodyFraming::Chunked, text.as_bytes(), 100);
+        assert!(decoded.is_err(), "{text:?}: {decoded:?}");
+    }
+}
