Start the retry budget of a new process with a part of it

Each start began with a full one, so entries that are killed twice within the ten seconds over which second attempts are counted could spend three. Change: a process starts with a quarter and earns the rest; four starts have one budget. Evidence: entries_that_start_again_and_again_stay_within_the_budget: with full budgets at each of four starts more than is allowed, with quarters within it for one to four starts.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -13,6 +13,9 @@
 
 /// What one whole retry costs in the budget's own unit, so that shares stay whole numbers.
 const RETRY_COST: u64 = 1_000;
+/// The part of a full budget that a process starts with: four starts within the time that second
+/// attempts are counted over have one full budget together.
+const STARTING_PARTS: u64 = 4;
 const BUDGET_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(1);
 
 /// How many second attempts a service may cause.
@@ -52,6 +55,15 @@
         }
     }
 
+    /// Creates the budget of a process that has just started. Its earlier runs may have spent
+    /// theirs a moment ago, so it begins with a part, and earns the rest.
+    pub fn starting(policy: RetryPolicy) -> Self {
+        Self {
+            policy,
+            balance: policy.burst * RETRY_COST / STARTING_PARTS,
+        }
+    }
+
     /// Goes by another policy; what is left is kept, up to the new burst.
     pub fn set_policy(&mut self, policy: RetryPolicy) {
         self.policy = policy;
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -2,7 +2,9 @@
 
 use applefold_core::code::{CallRefusal, ResultCode, RunState};
 use applefold_core::id::ServiceId;
-use applefold_core::retry::{RequestAttempts, RetryDecision, RetryLedger, RetryPolicy};
+use applefold_core::retry::{
+    RequestAttempts, RetryBudget, RetryDecision, RetryLedger, RetryPolicy,
+};
 use applefold_core::unit::TimeSpan;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -133,3 +135,37 @@
     assert_eq!(outage(boundless), 3_000);
     assert!(outage(RetryPolicy::default()) <= 1_110);
 }
+
+/// Second attempts of six entries that are all started so many times within ten seconds, while every
+/// attempt fails; the budget is a fixed part and a share of the requests.
+fn spent_over_starts(starts: u64, begin: fn(RetryPolicy) -> RetryBudget) -> (u64, u64) {
+    const ENTRIES: u64 = 6;
+    const SLACK: u64 = 58;
+    const REQUESTS: u64 = 372;
+    let policy = RetryPolicy {
+        share_permille: 140,
+        burst: SLACK * 7 / 10 / ENTRIES,
+        ..RetryPolicy::default()
+    };
+    let mut spent = 0;
+    for _ in 0..ENTRIES * starts {
+        let mut budget = begin(policy);
+        for _ in 0..REQUESTS / ENTRIES / starts {
+            budget.earn();
+            while budget.spend() {
+                spent += 1;
+            }
+        }
+    }
+    (spent, SLACK + REQUESTS / 5)
+}
+
+#[test]
+fn entries_that_start_again_and_again_stay_within_the_budget() {
+    for starts in 1..=4 {
+        let (spent, budget) = spent_over_starts(starts, RetryBudget::starting);
+        assert!(spent <= budget, "{spent} of {budget} with {starts} starts");
+    }
+    let (spent, budget) = spent_over_starts(4, RetryBudget::new);
+    assert!(spent > budget, "full budgets at each start are too much");
+}
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -220,7 +220,7 @@
     {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone());
-        act(budget.or_insert_with(|| RetryBudget::new(self.retry_policy())))
+        act(budget.or_insert_with(|| RetryBudget::starting(self.retry_policy())))
     }
 
     fn retry_policy(&self) -> RetryPolicy {
