Begin another crash a second after the first, however many follow

Cause: the second within which broken connections of one backend server are one crash was counted from the last of them, so a backend server that broke every connection for seconds made one crash without end, and a request was sent to it each 30 ms. Change: it is counted from the first.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -89,21 +89,29 @@
     pub age: TimeSpan,
 }
 
+/// The crash of one run, which may break several attempts.
+#[derive(Clone, Copy, Debug)]
+struct CrashSpan {
+    first: TimePoint,
+    last: TimePoint,
+}
+
 #[derive(Clone, Debug, Default)]
 struct SuspectRow {
-    crashes: BTreeMap<BackendRun, TimePoint>,
+    crashes: BTreeMap<BackendRun, CrashSpan>,
     /// When it last completed whole; earlier crashes do not count.
     completed: Option<TimePoint>,
 }
 
 impl SuspectRow {
     fn last_change(&self) -> Option<TimePoint> {
-        self.crashes.values().copied().chain(self.completed).max()
+        let crashes = self.crashes.values().map(|crash| crash.last);
+        crashes.chain(self.completed).max()
     }
 
     fn knows(&self, crashed: Option<&BackendRun>, at: TimePoint) -> bool {
         let known = match crashed {
-            Some(crashed) => self.crashes.get(crashed).copied(),
+            Some(crashed) => self.crashes.get(crashed).map(|crash| crash.last),
             None => self.completed,
         };
         known.is_some_and(|known| at <= known + SAME_EVENT)
@@ -115,7 +123,7 @@
         now: TimePoint,
     ) -> impl Iterator<Item = SuspectNews> + '_ {
         let crashes = self.crashes.iter();
-        let crashes = crashes.map(|(run, at)| (Some(run.clone()), *at));
+        let crashes = crashes.map(|(run, crash)| (Some(run.clone()), crash.last));
         let completed = self.completed.map(|at| (None, at));
         crashes
             .chain(completed)
@@ -129,21 +137,25 @@
     fn note(&mut self, crashed: Option<BackendRun>, at: TimePoint) {
         let Some(crashed) = crashed else {
             self.completed = self.completed.max(Some(at));
-            self.crashes.retain(|_, crash| *crash > at);
+            self.crashes.retain(|_, crash| crash.last > at);
             return;
         };
         if self.completed.is_some_and(|completed| at <= completed) {
             return;
         }
-        let crash = self.crashes.entry(crashed).or_insert(at);
-        *crash = at.max(*crash);
+        let crash = CrashSpan {
+            first: at,
+            last: at,
+        };
+        let crash = self.crashes.entry(crashed).or_insert(crash);
+        crash.last = at.max(crash.last);
     }
 
-    /// Returns the run that a crash at `at` ended: a later one than is known where the last
-    /// crash is so long ago that the backend server has started again since.
+    /// Returns the run that a crash at `at` ended: a later one than is known where its crash
+    /// began so long ago that the backend server has started again since.
     fn run_at(&self, mut run: BackendRun, at: TimePoint) -> BackendRun {
         while let Some(known) = self.crashes.get(&run) {
-            if at.since(*known) < ALIVE_AFTER {
+            if at.since(known.first) < ALIVE_AFTER {
                 break;
             }
             run.start += 1;
@@ -279,7 +291,7 @@
     /// Returns when the last of them was.
     pub fn last_crash(&self, fingerprint: RequestFingerprint) -> Option<TimePoint> {
         let row = self.rows.get(&fingerprint)?;
-        row.crashes.values().copied().max()
+        row.crashes.values().map(|crash| crash.last).max()
     }
 
     /// Returns what to tell others now. Where there is more than is told at one time, everything
@@ -343,7 +355,8 @@
                 true => options.remember,
                 false => options.doubt_for,
             };
-            row.crashes.retain(|_, at| now.since(*at) < remember);
+            row.crashes
+                .retain(|_, crash| now.since(crash.last) < remember);
             row.completed = row
                 .completed
                 .filter(|at| now.since(*at) < options.doubt_for);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -81,6 +81,22 @@
     assert_eq!(code(&there, CRASHER), Some(ResultCode::RequestQuarantined));
 }
 
+/// A backend server that breaks every connection for seconds is not one crash without end.
+#[test]
+fn crashes_in_quick_succession_do_not_run_into_one() {
+    let options = LedgerOptions {
+        crash_limit: 3,
+        count_runs: true,
+        ..LedgerOptions::default()
+    };
+    let mut ledger = CrashLedger::new(options);
+    for round in 0..12 {
+        let now = at(0) + TimeSpan::from_millis(300 * round);
+        ledger.note_crash(now, &run(1), &[CRASHER]);
+    }
+    assert_eq!(code(&ledger, CRASHER), Some(ResultCode::RequestQuarantined));
+}
+
 /// Answers that are lost, spoilt or reset look like crashes; the backend server's next answer
 /// tells them apart.
 #[test]
