Pause a rested backend server whose trial is turned away

Found by reading: while its one request was under way the state answered 'wait', which was taken for a pause already noted, so a refusal of that request made no pause and the next one followed at once. Change: only a pause with a known end counts as noted. Evidence: a_trial_that_is_turned_away_pauses fails before.

--- a/crates/core/src/direct/gate.rs
+++ b/crates/core/src/direct/gate.rs
@@ -138,6 +138,15 @@
         }
     }
 
+    /// Returns whether it is left alone until a time that is known.
+    pub fn is_paused(self, now: TimePoint) -> bool {
+        match self {
+            Self::Paused { until } | Self::Resting { until } => until > now,
+            Self::LeftOut { rest_until } => rest_until > now,
+            Self::Open | Self::Trial { .. } | Self::Draining { .. } | Self::Leaving => false,
+        }
+    }
+
     /// Returns whether a request that was placed earlier must not be sent any more.
     pub fn is_barred(self, now: TimePoint) -> bool {
         match self {
--- a/crates/core/src/direct/instance.rs
+++ b/crates/core/src/direct/instance.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::direct::estimate::blend;
-use crate::direct::{PromptPart, SendEvent, SendState, SendVerdict};
+use crate::direct::{PromptPart, SendEvent, SendState};
 use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
@@ -250,7 +250,7 @@
         let Some(row) = self.rows.get_mut(id) else {
             return;
         };
-        if matches!(row.verdict(now), SendVerdict::Wait(_)) {
+        if row.gate.is_paused(now) {
             return;
         }
         let until = now + TimeSpan(FULL_TIME.0 << row.refusals);
--- a/crates/core/tests/direct_gate.rs
+++ b/crates/core/tests/direct_gate.rs
@@ -192,3 +192,20 @@
     state = state.after(SendEvent::Answered(FlightId(2)), late);
     assert_eq!(state, SendState::Open);
 }
+
+#[test]
+fn a_trial_that_is_turned_away_pauses() {
+    let now = TimePoint::START + TimeSpan::from_secs(1);
+    let rested = now + TimeSpan::from_secs(1);
+    let mut table = InstanceTable::default();
+    let id = backend(0);
+    table.upsert(spec(0, Plain), now);
+    table.apply(&id, SendEvent::AskedRest(rested), now);
+    let flight = table
+        .begin(&id, TokenCount(1), rested)
+        .expect("a listed row");
+    table.note_full(&id, rested);
+    table.finish(flight, false, rested);
+    let verdict = table.get(&id).map(|row| row.verdict(rested));
+    assert!(matches!(verdict, Some(SendVerdict::Wait(until)) if until > rested));
+}
