--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -6,6 +6,8 @@
 //! refused with it.
 //! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers).
 
+mod row;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::claim::RequestFingerprint;
@@ -13,6 +15,8 @@
 use crate::id::BackendId;
 use crate::unit::{TimePoint, TimeSpan};
 
+use row::SuspectRow;
+
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
 
 /// News this close to what is known tell of the same event; each hop delays
@@ -89,81 +93,6 @@
     pub age: TimeSpan,
 }
 
-/// The crash of one run, which may break several attempts.
-#[derive(Clone, Copy, Debug)]
-struct CrashSpan {
-    first: TimePoint,
-    last: TimePoint,
-}
-
-#[derive(Clone, Debug, Default)]
-struct SuspectRow {
-    crashes: BTreeMap<BackendRun, CrashSpan>,
-    /// When it last completed whole; earlier crashes do not count.
-    completed: Option<TimePoint>,
-}
-
-impl SuspectRow {
-    fn last_change(&self) -> Option<TimePoint> {
-        let crashes = self.crashes.values().map(|crash| crash.last);
-        crashes.chain(self.completed).max()
-    }
-
-    fn knows(&self, crashed: Option<&BackendRun>, at: TimePoint) -> bool {
-        let known = match crashed {
-            Some(crashed) => self.crashes.get(crashed).map(|crash| crash.last),
-            None => self.completed,
-        };
-        known.is_some_and(|known| at <= known + SAME_EVENT)
-    }
-
-    fn news(
-        &self,
-        fingerprint: RequestFingerprint,
-        now: TimePoint,
-    ) -> impl Iterator<Item = SuspectNews> + '_ {
-        let crashes = self.crashes.iter();
-        let crashes = crashes.map(|(run, crash)| (Some(run.clone()), crash.last));
-        let completed = self.completed.map(|at| (None, at));
-        crashes
-            .chain(completed)
-            .map(move |(crashed, at)| SuspectNews {
-                fingerprint,
-                crashed,
-                age: now.since(at),
-            })
-    }
-
-    fn note(&mut self, crashed: Option<BackendRun>, at: TimePoint) {
-        let Some(crashed) = crashed else {
-            self.completed = self.completed.max(Some(at));
-            self.crashes.retain(|_, crash| crash.last > at);
-            return;
-        };
-        if self.completed.is_some_and(|completed| at <= completed) {
-            return;
-        }
-        let crash = CrashSpan {
-            first: at,
-            last: at,
-        };
-        let crash = self.crashes.entry(crashed).or_insert(crash);
-        crash.last = at.max(crash.last);
-    }
-
-    /// Returns the run that a crash at `at` ended: a later one than is known where its crash
-    /// began so long ago that the backend server has started again since.
-    fn run_at(&self, mut run: BackendRun, at: TimePoint) -> BackendRun {
-        while let Some(known) = self.crashes.get(&run) {
-            if at.since(known.first) < ALIVE_AFTER {
-                break;
-            }
-            run.start += 1;
-        }
-        run
-    }
-}
-
 /// Counts the crashes of backend servers against what they were running.
 #[derive(Debug)]
 pub struct CrashLedger {
--- /dev/null
+++ b/crates/core/src/quarantine/row.rs
@@ -0,0 +1,82 @@
+//! What is known of one fingerprint.
+
+use std::collections::BTreeMap;
+
+use super::{BackendRun, SuspectNews, ALIVE_AFTER, SAME_EVENT};
+use crate::claim::RequestFingerprint;
+use crate::unit::TimePoint;
+
+/// The crash of one run, which may break several attempts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CrashSpan {
+    first: TimePoint,
+    pub(super) last: TimePoint,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct SuspectRow {
+    pub(super) crashes: BTreeMap<BackendRun, CrashSpan>,
+    /// When it last completed whole; earlier crashes do not count.
+    pub(super) completed: Option<TimePoint>,
+}
+
+impl SuspectRow {
+    pub(super) fn last_change(&self) -> Option<TimePoint> {
+        let crashes = self.crashes.values().map(|crash| crash.last);
+        crashes.chain(self.completed).max()
+    }
+
+    pub(super) fn knows(&self, crashed: Option<&BackendRun>, at: TimePoint) -> bool {
+        let known = match crashed {
+            Some(crashed) => self.crashes.get(crashed).map(|crash| crash.last),
+            None => self.completed,
+        };
+        known.is_some_and(|known| at <= known + SAME_EVENT)
+    }
+
+    pub(super) fn news(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: TimePoint,
+    ) -> impl Iterator<Item = SuspectNews> + '_ {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.map(|(run, crash)| (Some(run.clone()), crash.last));
+        let completed = self.completed.map(|at| (None, at));
+        crashes
+            .chain(completed)
+            .map(move |(crashed, at)| SuspectNews {
+                fingerprint,
+                crashed,
+                age: now.since(at),
+            })
+    }
+
+    pub(super) fn note(&mut self, crashed: Option<BackendRun>, at: TimePoint) {
+        let Some(crashed) = crashed else {
+            self.completed = self.completed.max(Some(at));
+            self.crashes.retain(|_, crash| crash.last > at);
+            return;
+        };
+        if self.completed.is_some_and(|completed| at <= completed) {
+            return;
+        }
+        let crash = CrashSpan {
+            first: at,
+            last: at,
+        };
+        let crash = self.crashes.entry(crashed).or_insert(crash);
+        crash.last = at.max(crash.last);
+    }
+
+    /// Returns the run that a crash at `at` ended: a later one than is known where its crash
+    /// began so long ago that the backend server has started again since.
+    pub(super) fn run_at(&self, mut run: BackendRun, at: TimePoint) -> BackendRun {
+        while let Some(known) = self.crashes.get(&run) {
+            if at.since(known.first) < ALIVE_AFTER {
+                break;
+            }
+            run.start += 1;
+        }
+        run
+    }
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod reload;
 mod request;
 mod rules;
+mod standing;
 mod state;
 mod stop;
 mod store;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,8 +7,8 @@
 
 use applefold_core::code::ResultCode;
 use applefold_core::direct::{
-    InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, SendState,
-    WallReference, WindowSealer,
+    InstanceTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, WallReference,
+    WindowSealer,
 };
 use applefold_core::drain::{DrainOptions, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
@@ -16,10 +16,8 @@
 use applefold_core::lease::HolderName;
 use applefold_core::retry::{RetryBudget, RetryPolicy};
 use applefold_core::unit::{TimePoint, TimeSpan};
-use applefold_h1::ResponseHead;
-use applefold_platform::{BackendWord, PlatformSettings, MAX_REST};
+use applefold_platform::PlatformSettings;
 use bytes::Bytes;
-use opentelemetry::KeyValue;
 use tokio::sync::watch;
 
 use crate::clock::SuspendClock;
@@ -29,7 +27,7 @@
 use crate::gateway::reads::ReadLog;
 use crate::gateway::store::StoreClient;
 use crate::gateway::suspects::SuspectBook;
-use crate::gateway::words::{WordBook, WordNews};
+use crate::gateway::words::WordBook;
 use crate::logging::wall_micros;
 use crate::metrics::MetricSet;
 
@@ -287,84 +285,4 @@
         };
         self.apply(id, event, "health");
     }
-
-    /// Returns whether a backend server wants nothing now; one that is not listed does not.
-    pub(crate) fn is_barred(&self, id: &BackendId) -> bool {
-        let table = self.table.borrow();
-        let row = table.get(id);
-        row.is_none_or(|row| row.gate().is_barred(self.now()))
-    }
-
-    /// Takes in what a backend server says of itself with an answer to `source`.
-    pub(crate) fn note_word(&self, backend: &BackendId, head: &ResponseHead, source: &str) {
-        let word = BackendWord::read(head, self.own_wall());
-        let start = self
-            .table
-            .borrow()
-            .get(backend)
-            .map_or(0, |row| row.spec.born);
-        let mut words = self.words.borrow_mut();
-        words.note(backend, start, &word, self.now());
-        drop(words);
-        if word.odd {
-            self.count_word("odd");
-            log::warn!(request = source, backend = backend.as_str(), status = head.status;
-                "word of a backend server ignored or cut");
-        }
-        if word.leaving {
-            self.count_word("leaving");
-            self.apply(backend, SendEvent::SaidLeaving, source);
-        }
-        if let Some(rest) = word.rest {
-            self.count_word("rest");
-            let until = self.now() + rest;
-            self.apply(backend, SendEvent::AskedRest(until), source);
-        }
-    }
-
-    /// Takes in what a backend server has said to another entry, `age` ago.
-    pub(crate) fn note_told_word(&self, peer: &InstanceId, news: &WordNews, age: TimeSpan) {
-        let Ok(backend) = news.backend.parse::<BackendId>() else {
-            log::debug!(peer = peer.as_str(); "word of an unnamed backend server ignored");
-            return;
-        };
-        let table = self.table.borrow();
-        let same_run = table
-            .get(&backend)
-            .is_some_and(|row| row.spec.born == news.start);
-        drop(table);
-        if !same_run {
-            return;
-        }
-        let event = match news.rest_ms {
-            None => SendEvent::SaidLeaving,
-            Some(rest) => {
-                let rest = TimeSpan::from_millis(rest).min(MAX_REST);
-                SendEvent::AskedRest(self.now() + rest.saturating_sub(age))
-            }
-        };
-        self.apply(&backend, event, peer.as_str());
-    }
-
-    /// Counts what a backend server said of itself.
-    fn count_word(&self, word: &'static str) {
-        let word = KeyValue::new("word", word);
-        self.metrics.backend_words.add(1, &[word]);
-    }
-
-    /// Takes in what decides on what may be sent to a backend server.
-    pub(crate) fn apply(&self, id: &BackendId, event: SendEvent, source: &str) {
-        let now = self.now();
-        let applied = self.table.borrow_mut().apply(id, event, now);
-        let Some((before, after)) = applied.filter(|(before, after)| before != after) else {
-            return;
-        };
-        let to = KeyValue::new("to", after.name());
-        self.metrics.backend_states.add(1, &[to]);
-        log::info!(backend = id.as_str(), from = before.name(), to = after.name(), source,
-            rest_ms = after.rest_until().since(now).as_millis(); "what may be sent has changed");
-        if after == SendState::Leaving {
-            self.pool.forget(id);
-        }
-    }
 }
