Tell what is refused at once

Cause: a suspicion is told after a second without an answer, so that one which an answer ends does not come back. An entry that was paused and killed within that second had refused the request and told nobody; the others counted anew. Change: what is refused is told without the wait. A refusal that an answer would have ended stands at the others then; it takes three breaks of one request within a second.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -60,7 +60,7 @@
     /// The most news told at one time.
     pub news_limit: usize,
     /// How old a suspicion is before it is told, so that an answer of the backend server can
-    /// still end it.
+    /// still end it. What is refused is told at once: its teller may end within that time.
     pub tell_after: TimeSpan,
     /// How long a suspicion is told; what is refused is told for as long as it is remembered.
     pub tell_for: TimeSpan,
@@ -234,7 +234,6 @@
             }
         }
         let options = self.options;
-        refused.retain(|one| one.age >= options.tell_after);
         others.retain(|one| one.age >= options.tell_after && one.age < options.tell_for);
         let half = options.news_limit / 2;
         let refused_room = options.news_limit - others.len().min(half);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -166,6 +166,24 @@
     }
 }
 
+/// An entry may end within the second in which an answer could still disprove a crash.
+#[test]
+fn what_is_refused_is_told_at_once() {
+    let options = LedgerOptions {
+        crash_limit: 3,
+        count_runs: true,
+        tell_after: TimeSpan::from_secs(1),
+        tell_for: TimeSpan::from_secs(5),
+        ..LedgerOptions::default()
+    };
+    let mut ledger = CrashLedger::new(options);
+    for server in 0..3 {
+        assert_eq!(ledger.next_news(at(1)), []);
+        ledger.note_crash(at(1), &run(server), &[CRASHER]);
+    }
+    assert_eq!(ledger.next_news(at(1)).len(), 3);
+}
+
 /// What runs on a backend server breaks with it, and all of it is suspected at one moment.
 #[test]
 fn each_of_many_suspicions_of_one_moment_is_told() {
