Forget settled crashes where no answer is ever noted

Cause: crashes that an answer may still disprove were dropped only when an answer was noted. Entries with sidecars note none, so each crash stayed in memory for good. Change: they are dropped when a crash is noted too. Nothing decided changes.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -135,6 +135,7 @@
         crashed: &BackendRun,
         running: &[RequestFingerprint],
     ) {
+        self.settle_crashes(now);
         for fingerprint in running {
             let row = self.rows.get(fingerprint);
             let run = match (row, self.options.count_runs) {
@@ -169,12 +170,7 @@
         backend: &BackendId,
         sent_at: TimePoint,
     ) -> Vec<RequestFingerprint> {
-        while let Some(oldest) = self.fresh.front() {
-            if now.since(oldest.at) < ALIVE_AFTER {
-                break;
-            }
-            self.fresh.pop_front();
-        }
+        self.settle_crashes(now);
         let mut cleared = Vec::new();
         self.fresh.retain(|crash| {
             let disproved = crash.run.backend == *backend && crash.at < sent_at;
@@ -192,6 +188,16 @@
         cleared.collect()
     }
 
+    /// Forgets the crashes that no answer can disprove any more.
+    fn settle_crashes(&mut self, now: TimePoint) {
+        while let Some(oldest) = self.fresh.front() {
+            if now.since(oldest.at) < ALIVE_AFTER {
+                break;
+            }
+            self.fresh.pop_front();
+        }
+    }
+
     /// Takes what another process tells; returns whether it was new.
     pub fn learn(&mut self, now: TimePoint, news: SuspectNews) -> bool {
         let at = now - news.age;
