--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -64,5 +64,6 @@
     log::info!(instance = state.settings().instance.as_str(),
         domain = state.settings().domain.as_str(), run = state.run,
         store = state.settings().store.to_string(); "entry started");
+    reload::log_ignored(&state.settings());
     stop::wait(&state).await
 }
--- a/crates/daemon/src/gateway/reload.rs
+++ b/crates/daemon/src/gateway/reload.rs
@@ -39,7 +39,7 @@
         }
     };
     let current = state.settings();
-    match PlatformSettings::read(&text) {
+    match PlatformSettings::reread(&text, &current) {
         Ok(settings) if settings == *current => {
             if asked {
                 log::info!("settings reloaded, unchanged");
@@ -50,6 +50,7 @@
                 || settings.ready_listen != current.ready_listen
                 || settings.ip != current.ip
                 || settings.peer_ports != current.peer_ports;
+            log_ignored(&settings);
             log::info!(store = settings.store.to_string(), retry_slack = settings.retry_slack,
                 fixed; "settings reloaded");
             if fixed {
@@ -63,3 +64,11 @@
         }
     }
 }
+
+/// Names the fields of the settings file that say nothing that can be used.
+pub(crate) fn log_ignored(settings: &PlatformSettings) {
+    for field in &settings.ignored {
+        log::warn!(field = field.path.as_str(), value = field.value.as_str();
+            "field of the settings file ignored");
+    }
+}
