Answer what is being read when an entry stops

Operators of a similar system saw requests that had just been accepted cut off in a planned stop. Here, too: a stopping entry ended once nothing was admitted, while a request was half read, or had been sent on a connection that was accepted a moment before. Requests on their way in are now counted from their first byte, and fresh connections for 300 ms; the entry answers them, if only with a refusal that says when to come back.

--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -30,6 +30,9 @@
 const BODY_PAUSE: Duration = Duration::from_secs(5);
 /// How long bytes of a refused request are still taken, so that the refusal is not lost to a reset.
 const LINGER_TIME: Duration = Duration::from_millis(500);
+/// How long a connection that was just accepted is waited on for its first request once this
+/// process takes no more work: the request has mostly been sent already.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 const INTERIM_ANSWER: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Whether a connection may be used for another request.
@@ -74,6 +77,22 @@
     }
 }
 
+/// Counts a request on its way in until it is answered; a process that stops waits for it.
+struct ArrivalGuard(Rc<GatewayState>);
+
+impl ArrivalGuard {
+    fn new(state: &Rc<GatewayState>) -> Self {
+        state.arriving.set(state.arriving.get() + 1);
+        Self(Rc::clone(state))
+    }
+}
+
+impl Drop for ArrivalGuard {
+    fn drop(&mut self) {
+        self.0.arriving.set(self.0.arriving.get() - 1);
+    }
+}
+
 /// Accepts callers for as long as the process runs.
 pub(crate) async fn serve(state: &Rc<GatewayState>) -> Result<()> {
     let Some(address) = state.settings().caller_listen else {
@@ -114,8 +133,9 @@
         input: BytesMut::new(),
         closing: state.closing.subscribe(),
     };
+    let mut arrival = Some(ArrivalGuard::new(&state));
     loop {
-        let request = match reader.next(&state, &mut writer).await {
+        let request = match reader.next(&state, &mut writer, &mut arrival).await {
             Ok(request) => request,
             Err(ReadEnd::Closed) => return,
             Err(ReadEnd::Refused(refusal)) => {
@@ -129,6 +149,7 @@
             }
         };
         let fate = request::serve(&state, &request, &mut reader, &mut writer).await;
+        arrival = None;
         if fate == ConnectionFate::Close {
             return;
         }
@@ -157,17 +178,20 @@
         }
     }
 
+    /// Reads the next request; `arrival` is there where it is the first one of a connection.
     async fn next(
         &mut self,
-        state: &GatewayState,
+        state: &Rc<GatewayState>,
         writer: &mut OwnedWriteHalf,
+        arrival: &mut Option<ArrivalGuard>,
     ) -> Result<ReceivedRequest, ReadEnd> {
         let limits = state
             .rules()
             .map_or(CallerLimits::default(), |rules| rules.limits);
         if self.input.is_empty() {
-            self.wait_first(&limits).await?;
+            self.wait_first(&limits, arrival.is_some()).await?;
         }
+        arrival.get_or_insert_with(|| ArrivalGuard::new(state));
         let arrived = state.now();
         let limit = Duration::from_micros(limits.head_time.0);
         let head = tokio::time::timeout(limit, self.read_head(limits.head)).await;
@@ -183,13 +207,20 @@
         })
     }
 
-    async fn wait_first(&mut self, limits: &CallerLimits) -> Result<(), ReadEnd> {
+    async fn wait_first(&mut self, limits: &CallerLimits, fresh: bool) -> Result<(), ReadEnd> {
         self.input.reserve(READ_BYTES);
         let idle = Duration::from_micros(limits.idle_time.0);
+        let closing = &mut self.closing;
+        let closed = async {
+            let told = closing.wait_for(|closing| *closing).await.is_ok();
+            if fresh && told {
+                actix_rt::time::sleep(FIRST_REQUEST_TIME).await;
+            }
+        };
         let read = tokio::select! {
             biased;
             read = tokio::time::timeout(idle, self.half.read_buf(&mut self.input)) => read,
-            _ = self.closing.wait_for(|closing| *closing) => return Err(ReadEnd::Closed),
+            () = closed => return Err(ReadEnd::Closed),
         };
         match read {
             Ok(Ok(count)) if count > 0 => Ok(()),
--- a/crates/daemon/src/gateway/stop.rs
+++ b/crates/daemon/src/gateway/stop.rs
@@ -34,7 +34,9 @@
         if state.drain.borrow().phase() >= DrainPhase::Draining {
             state.closing.send_replace(true);
         }
-        let stopped = state.drain.borrow().phase() == DrainPhase::Stopped;
+        // A request that is still being read is answered, if only with a refusal.
+        let stopped =
+            state.drain.borrow().phase() == DrainPhase::Stopped && state.arriving.get() == 0;
         let over = now.since(begun) + GRACE_MARGIN >= state.settings().grace;
         if stopped || over {
             break;
@@ -42,8 +44,9 @@
         actix_rt::time::sleep(STEP_PERIOD).await;
     }
     let running = state.drain.borrow().running();
+    let arriving = state.arriving.get();
     let took_ms = state.now().since(begun).as_millis();
-    log::info!(running, took_ms; "entry stopped");
+    log::info!(running, arriving, took_ms; "entry stopped");
     signal::linger().await;
     Ok(())
 }
