--- a/crates/daemon/src/gateway/copies.rs
+++ b/crates/daemon/src/gateway/copies.rs
@@ -15,8 +15,8 @@
 const LIST_PAUSE: TimeSpan = TimeSpan::from_millis(500);
 /// How long the first reader of the configuration waits for a change with each call.
 pub(crate) const CONFIG_WAIT: TimeSpan = TimeSpan::from_millis(300);
-/// How long an entry that told nothing new is on its way to the others at most, besides two
-/// rounds of news.
+/// How long a datagram may be on its way and wait for a busy entry, besides the two rounds of
+/// which one may be lost.
 const NEWS_TRANSIT: TimeSpan = TimeSpan::from_millis(100);
 /// How much longer each further reader waits.
 const READER_STEP: TimeSpan = TimeSpan::from_millis(100);
--- a/crates/daemon/src/gateway/listing.rs
+++ b/crates/daemon/src/gateway/listing.rs
@@ -1,19 +1,16 @@
-//! The list of backend servers: what it says, and how it is passed on between entries.
+//! What this entry knows of the list of backend servers, from the store and from other entries.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet};
 
 use applefold_core::direct::{
     CopyPosition, InstanceChange, InstanceSpec, LineOrigin, ListDelta, ListLedger, ListedRow,
     ListedState,
 };
 use applefold_core::id::BackendId;
-use applefold_core::routing::BackendRole;
 use applefold_core::unit::{TimePoint, TimeSpan, TokenCount};
-use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
 
+use super::lines::{LineNews, ListNews, ToldLines};
 use super::state::GatewayState;
 
 /// How long after the store's return an entry that lapsed meanwhile may still come back;
@@ -22,122 +19,6 @@
 /// The oldest list that an entry begins with: an older one may hold backend servers that have
 /// left since.
 const FIRST_AGE: TimeSpan = TimeSpan::from_secs(2);
-/// In how many rounds of news a change is told, so that a datagram may be lost.
-const TELLINGS: u8 = 3;
-/// The most changes that wait to be told; entries that miss more fetch them.
-const MAX_WAITING: usize = 64;
-/// The most changes in one datagram.
-const MAX_TOLD: usize = 6;
-
-/// A line of the list, as entries pass it on.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct LineNews {
-    backend: SmolStr,
-    position: u64,
-    state: LineState,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-enum LineState {
-    Listed(LineFields),
-    Lapsed,
-    Gone,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct LineFields {
-    service: SmolStr,
-    address: SocketAddr,
-    domain: SmolStr,
-    role: u8,
-    slots: u32,
-    draining: bool,
-    born: u64,
-    models: Vec<SmolStr>,
-}
-
-/// Changes of the list, as entries pass them on.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct ListNews {
-    /// A copy that goes up to here is brought up to date by the lines; none needed where they
-    /// are all there are.
-    pub(crate) after: Option<u64>,
-    /// How far a copy goes with them.
-    pub(crate) position: u64,
-    /// How long ago the store confirmed that; none where more lines follow.
-    pub(crate) age_us: Option<u64>,
-    pub(crate) lines: Vec<LineNews>,
-}
-
-impl LineNews {
-    fn new(row: &ListedRow) -> Self {
-        Self {
-            backend: SmolStr::new(row.id.as_str()),
-            position: row.position.0,
-            state: match &row.state {
-                ListedState::Listed(spec) => LineState::Listed(LineFields::new(spec)),
-                ListedState::Lapsed => LineState::Lapsed,
-                ListedState::Gone => LineState::Gone,
-            },
-        }
-    }
-
-    /// Returns the change; `None` where a name cannot be one.
-    fn read(&self) -> Option<ListedRow> {
-        let id: BackendId = self.backend.parse().ok()?;
-        let state = match &self.state {
-            LineState::Listed(fields) => ListedState::Listed(fields.read(id.clone())?),
-            LineState::Lapsed => ListedState::Lapsed,
-            LineState::Gone => ListedState::Gone,
-        };
-        Some(ListedRow {
-            id,
-            position: CopyPosition(self.position),
-            state,
-        })
-    }
-}
-
-impl LineFields {
-    fn new(spec: &InstanceSpec) -> Self {
-        Self {
-            service: SmolStr::new(spec.service.as_str()),
-            address: spec.address,
-            domain: SmolStr::new(spec.domain.as_str()),
-            role: match spec.role {
-                BackendRole::Plain => 0,
-                BackendRole::Prefill => 1,
-                BackendRole::Decode => 2,
-                BackendRole::Both => 3,
-            },
-            slots: spec.slots,
-            draining: spec.draining,
-            born: spec.born,
-            models: spec.models.iter().cloned().collect(),
-        }
-    }
-
-    fn read(&self, id: BackendId) -> Option<InstanceSpec> {
-        Some(InstanceSpec {
-            id,
-            service: self.service.parse().ok()?,
-            address: self.address,
-            domain: self.domain.parse().ok()?,
-            role: match self.role {
-                0 => BackendRole::Plain,
-                1 => BackendRole::Prefill,
-                2 => BackendRole::Decode,
-                3 => BackendRole::Both,
-                _ => return None,
-            },
-            slots: self.slots,
-            draining: self.draining,
-            born: self.born,
-            models: self.models.iter().cloned().collect(),
-        })
-    }
-}
-
 /// Where a line of the list was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LineSource {
@@ -165,58 +46,6 @@
     }
 }
 
-/// Changes that are still to be told.
-#[derive(Debug, Default)]
-struct ToldLines {
-    /// In the order of the store's history, with how often they are still told.
-    waiting: VecDeque<(LineNews, u8)>,
-    /// All later changes are among those that wait.
-    after: u64,
-}
-
-impl ToldLines {
-    fn push(&mut self, line: LineNews) {
-        let place = self
-            .waiting
-            .partition_point(|(known, _)| known.position <= line.position);
-        self.waiting.insert(place, (line, TELLINGS));
-        if self.waiting.len() > MAX_WAITING {
-            let dropped = self.waiting.pop_front();
-            self.leave_out(dropped.map_or(0, |(line, _)| line.position));
-        }
-    }
-
-    /// Notes that a change at `position` is not told; entries that miss it fetch it.
-    fn leave_out(&mut self, position: u64) {
-        self.after = self.after.max(position);
-        let after = self.after;
-        self.waiting.retain(|(line, _)| line.position > after);
-    }
-
-    /// Returns the changes whose turn it is, and how far a copy goes with them; none of it
-    /// where they are the last.
-    fn next(&mut self) -> Option<(u64, Vec<LineNews>, Option<u64>)> {
-        let after = self.after;
-        let count = self.waiting.len().min(MAX_TOLD);
-        let later = self.waiting.get(count).map(|(line, _)| line.position);
-        let turn = self.waiting.iter_mut().take(count);
-        let lines: Vec<LineNews> = turn
-            .map(|(line, tellings)| {
-                *tellings -= 1;
-                line.clone()
-            })
-            .collect();
-        let told = self
-            .waiting
-            .iter()
-            .take_while(|(_, tellings)| *tellings == 0);
-        if let Some(last) = told.map(|(line, _)| line.position).last() {
-            self.leave_out(last);
-        }
-        (!lines.is_empty()).then(|| (after, lines, later.map(|later| later - 1)))
-    }
-}
-
 /// What this entry knows of the list.
 #[derive(Debug, Default)]
 pub(crate) struct ListBook {
@@ -243,13 +72,13 @@
     pub(crate) fn next_news(&self, state: &GatewayState) -> Option<ListNews> {
         let position = state.copies.list.position()?;
         let confirmed_at = state.copies.list.confirmed_at()?;
-        let (after, lines, up_to) = self.told.borrow_mut().next()?;
+        let turn = self.told.borrow_mut().next()?;
         let age = state.now().since(confirmed_at);
         Some(ListNews {
-            after: Some(after),
-            position: up_to.unwrap_or(position.0).min(position.0),
-            age_us: up_to.is_none().then_some(age.0),
-            lines,
+            after: Some(turn.after),
+            position: turn.up_to.unwrap_or(position.0).min(position.0),
+            age_us: turn.up_to.is_none().then_some(age.0),
+            lines: turn.lines,
         })
     }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod duty;
 mod handoff;
 mod instances;
+mod lines;
 mod listing;
 mod news;
 mod passing;
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use super::copies::CopyMarks;
-use super::listing::ListNews;
+use super::lines::ListNews;
 use super::reads::ReadNews;
 use super::state::GatewayState;
 use super::words::WordNews;
