Log how many engines were compared, and reuse the loads of the table

The log line of an attempt said that all engines were compared where the shortlist alone was; it now gives the number that was. The news of loads built again what `InstanceTable::own_loads` gives, in the same order; they use it. No choice and no byte of news changes.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -154,6 +154,7 @@
         let near = self.shortlist(&rows, request);
         let near_readers = self.shortlist(&readers, request);
         let mut best = self.best(&near, &near_readers, request, domain, now);
+        let mut compared = near.len() + near_readers.len();
         let whole = near.len() == rows.len() && near_readers.len() == readers.len();
         if !whole
             && best
@@ -161,6 +162,7 @@
                 .is_none_or(|best| best.cost > request.objective)
         {
             best = self.best(&rows, &readers, request, domain, now);
+            compared = rows.len() + readers.len();
         }
         let Some(best) = best else {
             return Err(self.missing());
@@ -171,7 +173,7 @@
             work: best.work,
             predicted: best.cost,
             uncached: best.uncached,
-            compared: rows.len() + readers.len(),
+            compared,
         })
     }
 
--- a/crates/daemon/src/gateway/listing.rs
+++ b/crates/daemon/src/gateway/listing.rs
@@ -19,6 +19,7 @@
 /// The oldest list that an entry begins with: an older one may hold backend servers that have
 /// left since.
 const FIRST_AGE: TimeSpan = TimeSpan::from_secs(2);
+
 /// Where a line of the list was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LineSource {
--- a/crates/daemon/src/gateway/news.rs
+++ b/crates/daemon/src/gateway/news.rs
@@ -135,9 +135,9 @@
 /// Returns what this entry has at the backend servers where it has most.
 pub(crate) fn load_news(state: &GatewayState, sequence: u64) -> LoadNews {
     let table = state.table.borrow();
-    let loads = table.rows().filter(|row| row.in_flight() > 0);
-    let mut loads: Vec<(BackendTag, PeerLoad)> =
-        loads.map(|row| (row.tag(), row.own_load())).collect();
+    let loads = table.own_loads().into_iter();
+    let loads = loads.filter_map(|(id, load)| Some((table.get(&id)?.tag(), load)));
+    let mut loads: Vec<(BackendTag, PeerLoad)> = loads.collect();
     loads.sort_by_key(|(_, load)| std::cmp::Reverse((load.backlog, load.flights)));
     let loads = loads.into_iter().take(MAX_LOADS);
     let loads = loads.map(|(tag, load)| BackendNews {
