--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -111,6 +111,10 @@
     /// Calls per second.
     CallRate
 }
+quantity! {
+    /// Requests per second, in thousandths: a backend server may take less than one.
+    RequestRate
+}
 quantity! {
     /// A length of time in microseconds.
     TimeSpan
@@ -137,6 +141,36 @@
     "a whole number of calls per second, such as 50 or 50/s"
 );
 
+/// The parts of a request per second that [`RequestRate`] counts.
+const RATE_PARTS: u64 = 1_000;
+/// The highest rate that is parsed; higher ones are lowered to it.
+const MAX_REQUEST_RATE: RequestRate = RequestRate(1_000_000 * RATE_PARTS);
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0 as f64 / RATE_PARTS as f64)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let error = UnitError {
+            expected: "a decimal number of requests per second, such as 5.8 or 5.8/s",
+        };
+        let is_digits = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+        let number = text.strip_suffix("/s").unwrap_or(text);
+        let (integer, fraction) = number.split_once('.').unwrap_or((number, "0"));
+        if !is_digits(integer) || !is_digits(fraction) {
+            return Err(error);
+        }
+        let rate: f64 = number.parse().map_err(|_| error)?;
+        let parts = (rate * RATE_PARTS as f64).round() as u64;
+        Ok(Self(parts).min(MAX_REQUEST_RATE))
+    }
+}
+
 const MICROS_PER_MILLI: u64 = 1_000;
 const MICROS_PER_SEC: u64 = 1_000_000;
 
--- a/crates/daemon/src/gateway/availability.rs
+++ b/crates/daemon/src/gateway/availability.rs
@@ -36,6 +36,11 @@
             log::warn!(request = source, backend = backend.as_str(), status = head.status;
                 "ignored an invalid notice of a backend server or capped its cooldown");
         }
+        if let Some(rate) = notice.rate_limit {
+            self.count_notice("limit");
+            log::info!(request = source, backend = backend.as_str(), limit = rate.to_string(),
+                incarnation; "backend server named a rate limit");
+        }
         if notice.leaving {
             self.count_notice("leaving");
             self.apply_send_event(backend, SendEvent::LeavingAnnounced, source);
