--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod count;
 mod estimate;
+mod permit;
 mod phase;
 mod placement;
 mod prompt;
@@ -21,6 +22,10 @@
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
+pub use permit::{
+    choose_issuer, IssuerChoice, LimitStatement, LimitedBackend, LiveShare, PeerReach,
+    PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
+};
 pub use phase::{PhaseChange, PhasePlanner, PhasePolicy};
 pub use placement::{Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork};
 pub use prompt::{PromptPart, PromptShape};
--- a/crates/core/src/direct/server/row.rs
+++ b/crates/core/src/direct/server/row.rs
@@ -6,7 +6,7 @@
 
 use super::{BackendHash, FlightRecord, LoadSample, PeerLoad, ServerSpec};
 use crate::direct::estimate::DecayingEstimate;
-use crate::direct::{PromptPart, SendDecision, SendState};
+use crate::direct::{PromptPart, RateLimit, SendDecision, SendState};
 use crate::rank::NameRank;
 use crate::routing::{BackendRole, FlightId};
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
@@ -48,6 +48,8 @@
     pub(in crate::direct) name_rank: NameRank,
     /// Which requests may be sent to it.
     pub(super) send_state: SendState,
+    /// The limit on the requests that all entries together send to it.
+    pub(super) rate_limit: RateLimit,
     /// Whether its registration is gone, perhaps only because the store was unavailable.
     pub expired: bool,
     /// The last reported load, and when it arrived.
@@ -74,6 +76,7 @@
             name_rank: NameRank::of("backend", spec.id.as_str()),
             spec,
             send_state: SendState::Available,
+            rate_limit: RateLimit::default(),
             expired: false,
             load: None,
             flights: BTreeMap::new(),
@@ -97,9 +100,27 @@
         self.send_state
     }
 
-    /// Returns whether one more request may be sent.
+    /// Returns the limit on the requests that all entries together send to it.
+    pub fn rate_limit(&self) -> RateLimit {
+        self.rate_limit
+    }
+
+    /// Returns the hash of its name, for its ranks.
+    pub fn name_rank(&self) -> NameRank {
+        self.name_rank
+    }
+
+    /// Returns whether one more request may be sent. Under a rate limit, it also needs a permit.
     pub fn decision(&self, now: TimePoint) -> SendDecision {
-        self.send_state.decision(now)
+        match (self.send_state.decision(now), self.rate_limit.wait(now)) {
+            (SendDecision::Send | SendDecision::LastResort, Some(until)) => {
+                SendDecision::Wait(until)
+            }
+            (SendDecision::Wait(until), Some(permit_at)) => {
+                SendDecision::Wait(until.max(permit_at))
+            }
+            (decision, _) => decision,
+        }
     }
 
     /// Returns the number of this entry's requests in flight.
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -19,6 +19,7 @@
 use super::accept::ReceivedRequest;
 use super::connection::{ClientConnection, ConnectionError};
 use super::in_flight::InFlightGuard;
+use super::permits::SendPermit;
 use super::state::GatewayState;
 
 /// How a failed prefill ends: nothing has run for the caller.
@@ -52,6 +53,9 @@
     Failed(ResponseHead, Vec<u8>),
     /// The prompt has been prefilled, and the engine keeps its KV cache.
     Prefilled(KvHandle),
+    /// The request was not sent, and the reason: the backend server became unavailable, or its rate
+    /// limit is used up.
+    Withheld(SmolStr),
     /// No usable response, and the reason.
     Ended(AttemptEnd, SmolStr),
 }
@@ -99,6 +103,8 @@
     pub(crate) team: Option<&'a TeamId>,
     pub(crate) urgency: u8,
     pub(crate) placement: &'a Placement,
+    /// The permit to send it, if the backend server has a rate limit.
+    pub(crate) permit: Option<SendPermit>,
     pub(crate) deadline: TimePoint,
     /// Whether another backend server may be tried after this attempt.
     pub(crate) others_left: bool,
@@ -111,7 +117,7 @@
 impl Attempt<'_> {
     /// Sends the request and waits for its response, until the deadline at most.
     pub(crate) async fn run(&self) -> AttemptResult {
-        let sent = Cell::new(false);
+        let sent = Cell::new(None);
         let started_at = self.state.now();
         let time_left = self.deadline.since(self.state.now());
         let limit = self.response_timeout(time_left);
@@ -119,9 +125,9 @@
         let result = tokio::time::timeout(Duration::from_micros(limit.0), exchange).await;
         let result = result.unwrap_or_else(|_| {
             let end = match (sent.get(), limit < time_left) {
-                (false, _) => AttemptEnd::NotSent,
-                (true, true) => AttemptEnd::Broken,
-                (true, false) => AttemptEnd::TimedOut,
+                (None, _) => AttemptEnd::NotSent,
+                (Some(_), true) => AttemptEnd::Broken,
+                (Some(_), false) => AttemptEnd::TimedOut,
             };
             AttemptResult::Ended(
                 end,
@@ -145,23 +151,30 @@
     }
 
     /// Connects, sends the request and reads its response, without a time limit.
-    async fn exchange(&self, sent: &Cell<bool>) -> AttemptResult {
+    async fn exchange(&self, sent: &Cell<Option<TimePoint>>) -> AttemptResult {
         let in_flight = InFlightGuard::begin(self.state, self.placement);
         let mut connection = match self.connect().await {
             Ok(connection) => connection,
             Err(error) => return ended(AttemptEnd::NotSent, error.to_string()),
         };
         if self.state.is_unavailable(&self.placement.backend) {
-            let reason =
-                "the backend server became unavailable before the request was sent".to_owned();
-            return ended(AttemptEnd::NotSent, reason);
+            let reason = "the backend server became unavailable before the request was sent";
+            return AttemptResult::Withheld(SmolStr::new_static(reason));
+        }
+        if !self
+            .state
+            .spend_permit(&self.placement.backend, self.permit.as_ref())
+        {
+            let reason = "no valid permit within the backend server's rate limit";
+            return AttemptResult::Withheld(SmolStr::new_static(reason));
         }
         let bytes = render_attempt(&self.request.head, &self.request.body, &self.fields());
-        sent.set(true);
+        let sent_at = self.state.now();
+        sent.set(Some(sent_at));
         if let Err(error) = connection.send(&bytes).await {
             return connection_failure(&error);
         }
-        let (head, response) = match self.read_response_head(&mut connection).await {
+        let (head, response) = match self.read_response_head(&mut connection, sent_at).await {
             Ok(read) => read,
             Err(error) => return connection_failure(&error),
         };
@@ -301,13 +314,14 @@
     async fn read_response_head(
         &self,
         connection: &mut ClientConnection,
+        sent_at: TimePoint,
     ) -> Result<(ResponseHead, BackendResponse), ConnectionError> {
         for _ in 0..MAX_STRAY_RESPONSES {
             let head = connection.read_head().await?;
             let response = BackendResponse::read(&head);
             if !response.misdirected {
                 let state = self.state;
-                state.handle_notice(&self.placement.backend, &head, &self.caller.id);
+                state.handle_notice(&self.placement.backend, &head, sent_at, &self.caller.id);
             }
             let stray = response.request.as_ref();
             if stray.is_none_or(|id| *id == self.caller.id) {
@@ -332,7 +346,8 @@
             | AttemptResult::Stream(_)
             | AttemptResult::Prefilled(_) => HealthSample::Answered(self.route.latency_objective),
             // Another server has this address now, which says nothing about the intended one.
-            AttemptResult::Ended(AttemptEnd::NotRun { misdirected: true }, _) => return,
+            AttemptResult::Ended(AttemptEnd::NotRun { misdirected: true }, _)
+            | AttemptResult::Withheld(_) => return,
             AttemptResult::Ended(AttemptEnd::NotRun { .. }, _) => HealthSample::Alive,
             AttemptResult::Ended(AttemptEnd::NotSent, _)
                 if self.state.is_unavailable(&self.placement.backend) =>
--- a/crates/daemon/src/gateway/availability.rs
+++ b/crates/daemon/src/gateway/availability.rs
@@ -2,7 +2,7 @@
 
 use applefold_core::direct::{SendEvent, SendState};
 use applefold_core::id::{BackendId, InstanceId};
-use applefold_core::unit::TimeSpan;
+use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_h1::ResponseHead;
 use applefold_platform::{BackendNotice, MAX_COOLDOWN};
 use opentelemetry::KeyValue;
@@ -20,8 +20,15 @@
     }
 
     /// Handles a notice that a backend server gives in the head of a response: that it is leaving,
-    /// or that it wants a cooldown. `source` is the request, for the log.
-    pub(crate) fn handle_notice(&self, backend: &BackendId, head: &ResponseHead, source: &str) {
+    /// that it wants a cooldown, or how many requests it takes. The request was sent at `sent_at`;
+    /// `source` is its name, for the log.
+    pub(crate) fn handle_notice(
+        &self,
+        backend: &BackendId,
+        head: &ResponseHead,
+        sent_at: TimePoint,
+        source: &str,
+    ) {
         let notice = BackendNotice::read(head, self.local_time());
         let incarnation = self
             .table
@@ -36,11 +43,7 @@
             log::warn!(request = source, backend = backend.as_str(), status = head.status;
                 "ignored an invalid notice of a backend server or capped its cooldown");
         }
-        if let Some(rate) = notice.rate_limit {
-            self.count_notice("limit");
-            log::info!(request = source, backend = backend.as_str(), limit = rate.to_string(),
-                incarnation; "backend server named a rate limit");
-        }
+        self.handle_limit(backend, notice.rate_limit, sent_at, source);
         if notice.leaving {
             self.count_notice("leaving");
             self.apply_send_event(backend, SendEvent::LeavingAnnounced, source);
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use applefold_core::direct::{BackendHash, PeerLoad};
-use applefold_core::id::{InstanceId, Revision};
+use applefold_core::id::{BackendId, InstanceId, Revision};
 use applefold_core::unit::{TimeSpan, TokenCount};
 use eyre::{Result, WrapErr};
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 
+use super::limits::LimitReport;
 use super::messages::{
     crash_reports, load_message, usage_counts, CrashReport, GossipMessage, GossipPayload,
     LoadMessage,
@@ -66,6 +67,7 @@
     let address = state.peer_address();
     let socket = UdpSocket::bind(address).await;
     let socket = Rc::new(socket.wrap_err_with(|| format!("could not listen on {address}"))?);
+    state.set_gossip_socket(Rc::clone(&socket));
     actix_rt::spawn(receive_loop(Rc::clone(state), Rc::clone(&socket)));
     actix_rt::spawn(send_loop(Rc::clone(state), socket));
     Ok(())
@@ -92,7 +94,7 @@
     }
 }
 
-fn handle_message(state: &GatewayState, message: &GossipMessage, from: SocketAddr) {
+fn handle_message(state: &Rc<GatewayState>, message: &GossipMessage, from: SocketAddr) {
     let id = match message.instance.parse::<InstanceId>() {
         Ok(id) => id,
         Err(error) => {
@@ -156,6 +158,13 @@
             peers.note_usage(&source, sent_at, usage);
         }
         GossipPayload::Heartbeat => {}
+        GossipPayload::RateLimits(reports) => apply_limits(state, &id, reports, delay),
+        GossipPayload::PermitRequest(ask) => state.answer_permit(&id, from, ask),
+        GossipPayload::Unheard(unheard) => {
+            let mut peers = state.peers.borrow_mut();
+            peers.note_unheard(&id, unheard, source.received_at);
+        }
+        GossipPayload::PermitAnswer(answer) => state.receive_permit(answer),
         GossipPayload::ListUpdate(update) => {
             // If the update does not apply, the digests below trigger a fetch from the sender.
             state.backend_list.apply_update(state, update, delay);
@@ -189,6 +198,20 @@
     }
 }
 
+fn apply_limits(state: &GatewayState, id: &InstanceId, reports: &[LimitReport], delay: TimeSpan) {
+    for report in reports {
+        let Ok(backend) = report.backend.parse::<BackendId>() else {
+            log::debug!(peer = id.as_str(); "rate limit ignored: invalid backend server name");
+            continue;
+        };
+        let statement = report.statement(delay, state.now());
+        let mut limits = state.limits.borrow_mut();
+        limits.note_peer(&backend, report.incarnation, &statement);
+        drop(limits);
+        state.apply_limit(&backend, report.incarnation, &statement, id.as_str());
+    }
+}
+
 fn apply_crash_reports(state: &GatewayState, id: &InstanceId, reports: &[CrashReport]) {
     let now = state.now();
     for report in reports {
@@ -228,6 +251,19 @@
                 send(&state, &socket, &peers, GossipPayload::Notices(notices)).await;
             }
         }
+        if sequence % NOTICE_ROUNDS == 0 {
+            let silent = state.peers.borrow().silent_peers(state.now());
+            if !silent.is_empty() {
+                send(&state, &socket, &peers, GossipPayload::Unheard(silent)).await;
+            }
+        }
+        let has_news = state.limits.borrow().has_news(state.now());
+        if has_news || sequence % NOTICE_ROUNDS == 0 {
+            let limits = state.limits.borrow_mut().next_batch(state.now());
+            if !limits.is_empty() {
+                send(&state, &socket, &peers, GossipPayload::RateLimits(limits)).await;
+            }
+        }
         if sequence % SUSPECT_ROUNDS == 0 {
             for part in crash_reports(&state) {
                 send(&state, &socket, &peers, GossipPayload::Suspects(part)).await;
@@ -254,6 +290,34 @@
     peers: &[SocketAddr],
     payload: GossipPayload,
 ) {
+    let Some(bytes) = encode(state, payload) else {
+        return;
+    };
+    for peer in peers {
+        if let Err(error) = socket.send_to(&bytes, peer).await {
+            log::debug!(peer = peer.to_string(), error = error.to_string();
+                "gossip message not sent");
+        }
+    }
+}
+
+/// Sends a message to one entry. It is dropped if the socket is not ready, like one that is lost on
+/// the way.
+pub(crate) fn send_to(state: &GatewayState, peer: SocketAddr, payload: GossipPayload) {
+    let Some(bytes) = encode(state, payload) else {
+        return;
+    };
+    let sent = state
+        .gossip_socket()
+        .map(|socket| socket.try_send_to(&bytes, peer));
+    if let Some(Err(error)) = sent {
+        log::debug!(peer = peer.to_string(), error = error.to_string();
+            "gossip message not sent");
+    }
+}
+
+/// Encodes a message; `None` if that fails, or if it is too long for a datagram.
+fn encode(state: &GatewayState, payload: GossipPayload) -> Option<Vec<u8>> {
     let message = GossipMessage {
         instance: SmolStr::new(state.settings().instance.as_str()),
         run: state.run,
@@ -263,21 +327,15 @@
         replicas: state.replicas.digests(state.now()),
         payload,
     };
-    let bytes = match postcard::to_stdvec(&message) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
+    match postcard::to_stdvec(&message) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => Some(bytes),
         Ok(bytes) => {
             log::warn!(length = bytes.len(); "gossip message dropped: too long for a datagram");
-            return;
+            None
         }
         Err(error) => {
             log::warn!(error = error.to_string(); "gossip message dropped: cannot be encoded");
-            return;
-        }
-    };
-    for peer in peers {
-        if let Err(error) = socket.send_to(&bytes, peer).await {
-            log::debug!(peer = peer.to_string(), error = error.to_string();
-                "gossip message not sent");
+            None
         }
     }
 }
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -8,8 +8,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::limits::LimitReport;
 use super::list_updates::ListUpdate;
 use super::notices::NoticeReport;
+use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
 use super::replicas::ReplicaDigests;
 use super::state::GatewayState;
@@ -67,6 +69,14 @@
     /// Nothing besides the fields of [`GossipMessage`].
     #[serde(rename = "Alive")]
     Heartbeat,
+    /// Rate limits that backend servers named to the sender.
+    RateLimits(Vec<LimitReport>),
+    /// Asks for a permit to send a request to a backend server with a rate limit.
+    PermitRequest(PermitRequest),
+    /// The reply to that.
+    PermitAnswer(PermitAnswer),
+    /// The hashes of the entries that the sender does not hear from.
+    Unheard(Vec<u32>),
 }
 
 /// The load that the sender puts on backend servers.
--- a/crates/daemon/src/gateway/notices.rs
+++ b/crates/daemon/src/gateway/notices.rs
@@ -4,7 +4,6 @@
 //! transit time.
 
 use std::collections::BTreeMap;
-use std::ops::Bound;
 
 use applefold_core::id::BackendId;
 use applefold_core::unit::{TimePoint, TimeSpan};
@@ -12,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::turn::next_turn;
+
 /// How long a drain notice is gossiped. By then the list shows the drain too.
 const DRAIN_GOSSIP_TIME: TimeSpan = TimeSpan::from_secs(30);
 /// The most notices in one datagram.
@@ -74,22 +75,12 @@
     /// Returns the next notices in round-robin order, and removes the expired ones.
     pub(crate) fn next_batch(&mut self, now: TimePoint) -> Vec<NoticeReport> {
         self.notices.retain(|_, active| active.expires_at > now);
-        let first = match &self.last {
-            Some(last) => Bound::Excluded(last.clone()),
-            None => Bound::Unbounded,
-        };
-        let later = self.notices.range((first, Bound::Unbounded));
-        let batch = later.chain(self.notices.iter());
-        let batch = batch.take(MAX_NOTICES.min(self.notices.len()));
-        let batch: Vec<(&BackendId, &ActiveNotice)> = batch.collect();
+        let batch = next_turn(&self.notices, &mut self.last, MAX_NOTICES);
         let reports = batch.iter().map(|(backend, active)| NoticeReport {
             backend: SmolStr::new(backend.as_str()),
             incarnation: active.incarnation,
             cooldown_ms: (!active.draining).then(|| active.expires_at.since(now).as_millis()),
         });
-        let reports = reports.collect();
-        let last = batch.last().map(|(backend, _)| (*backend).clone());
-        self.last = last;
-        reports
+        reports.collect()
     }
 }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -1,9 +1,9 @@
 //! The other entries, and the state received from them by gossip.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use applefold_core::direct::WindowCounts;
+use applefold_core::direct::{choose_issuer, IssuerChoice, PeerReach, WindowCounts};
 use applefold_core::id::{InstanceId, Revision, TeamId, WindowId};
 use applefold_core::rank::NameRank;
 use applefold_core::unit::{TimePoint, TimeSpan};
@@ -25,6 +25,16 @@
 /// The age of its last message up to which an entry counts as live in the read order.
 const MAX_LIVE_AGE: TimeSpan = TimeSpan::from_secs(1);
 
+/// The age up to which a peer's report counts of whom it does not hear.
+const MAX_UNHEARD_AGE: TimeSpan = TimeSpan::from_millis(1_500);
+/// The most entries in such a report.
+const MAX_UNHEARD: usize = 250;
+
+/// Returns the hash that stands for an entry's name in reports of whom a peer does not hear.
+fn name_hash(entry: &InstanceId) -> u32 {
+    reader_name_rank(entry).value() as u32
+}
+
 /// Returns the rank of an entry in the read order: the first live entry reads the store on behalf
 /// of all.
 pub(crate) fn reader_name_rank(entry: &InstanceId) -> NameRank {
@@ -32,7 +42,7 @@
 }
 
 /// The latest state received from one peer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct PeerState {
     run: u64,
     /// The highest sequence number of its load messages.
@@ -48,6 +58,26 @@
     /// The least difference seen between receive and send time, by the clocks of the two entries.
     /// Whatever exceeds it is transit time.
     least_lag_us: i64,
+    /// The hashes of the entries that it does not hear from, and when it said so.
+    unheard: BTreeSet<u32>,
+    unheard_at: TimePoint,
+}
+
+impl PeerState {
+    fn is_live(&self, now: TimePoint) -> bool {
+        now.since(self.received_at) <= MAX_LIVE_AGE
+    }
+
+    /// Returns the hashes of the entries that it does not hear from.
+    fn unheard(&self, now: TimePoint) -> impl Iterator<Item = &u32> {
+        let fresh = now.since(self.unheard_at) <= MAX_UNHEARD_AGE;
+        self.unheard.iter().filter(move |_| fresh)
+    }
+
+    /// Returns whether it does not hear from the entry whose name has this hash.
+    fn misses(&self, hash: u32, now: TimePoint) -> bool {
+        now.since(self.unheard_at) <= MAX_UNHEARD_AGE && self.unheard.contains(&hash)
+    }
 }
 
 /// The sender of a gossip message, and when the message was received.
@@ -106,12 +136,75 @@
     /// Returns the number of live peers that precede `own` in the read order; `None` if no peer is
     /// live.
     pub(crate) fn read_rank(&self, own: NameRank, now: TimePoint) -> Option<usize> {
-        let live = self.states.values();
-        let mut live = live
-            .filter(|state| now.since(state.received_at) <= MAX_LIVE_AGE)
-            .peekable();
+        let mut live = self.live(now).peekable();
         live.peek()?;
-        Some(live.filter(|state| state.rank < own).count())
+        Some(live.filter(|(_, state)| state.rank < own).count())
+    }
+
+    /// Returns the number of live peers that also hear from this entry.
+    pub(crate) fn mutual_count(&self, own: &InstanceId, now: TimePoint) -> u64 {
+        let own = name_hash(own);
+        let mutual = self.live(now).filter(|(_, state)| !state.misses(own, now));
+        mutual.count() as u64
+    }
+
+    /// Returns the peer that issues the permits of the backend server with this rank; `None` if this
+    /// entry, `own`, does.
+    pub(crate) fn permit_issuer(
+        &self,
+        own: &InstanceId,
+        backend: NameRank,
+        now: TimePoint,
+    ) -> Option<(InstanceId, SocketAddr)> {
+        let own_hash = name_hash(own);
+        let mut missed: BTreeMap<u32, usize> = BTreeMap::new();
+        for (_, state) in self.live(now) {
+            for hash in state.unheard(now) {
+                *missed.entry(*hash).or_default() += 1;
+            }
+        }
+        let known: Vec<(&InstanceId, &SocketAddr)> = self.peers.iter().collect();
+        let reach = known.iter().map(|(id, _)| {
+            let state = self.states.get(*id);
+            PeerReach {
+                rank: reader_name_rank(id),
+                heard: state.is_some_and(|state| state.is_live(now)),
+                deaf: state.is_some_and(|state| state.misses(own_hash, now)),
+                unheard_by: missed.get(&name_hash(id)).copied().unwrap_or(0),
+            }
+        });
+        let reach: Vec<PeerReach> = reach.collect();
+        match choose_issuer(reader_name_rank(own), &reach, backend) {
+            IssuerChoice::Own => None,
+            IssuerChoice::Peer(index) => known.get(index).map(|(id, address)| {
+                let heard = self.states.get(*id).map(|state| state.address);
+                ((*id).clone(), heard.unwrap_or(**address))
+            }),
+        }
+    }
+
+    /// Returns the hashes of the names of listed peers that have been silent.
+    pub(crate) fn silent_peers(&self, now: TimePoint) -> Vec<u32> {
+        let silent = self.peers.keys();
+        let silent = silent.filter(|id| {
+            let state = self.states.get(*id);
+            !state.is_some_and(|state| state.is_live(now))
+        });
+        silent.map(name_hash).take(MAX_UNHEARD).collect()
+    }
+
+    /// Records which entries a peer does not hear from.
+    pub(crate) fn note_unheard(&mut self, id: &InstanceId, unheard: &[u32], now: TimePoint) {
+        if let Some(state) = self.states.get_mut(id) {
+            state.unheard = unheard.iter().copied().collect();
+            state.unheard_at = now;
+        }
+    }
+
+    /// Returns the peers that were heard from recently.
+    fn live(&self, now: TimePoint) -> impl Iterator<Item = (&InstanceId, &PeerState)> {
+        let states = self.states.iter();
+        states.filter(move |(_, state)| state.is_live(now))
     }
 
     /// Records a message that an entry sent at `sent_at` by its own time since the Unix epoch.
@@ -125,6 +218,10 @@
         let lag_us = source.received_at.0 as i64 - sent_at.0 as i64;
         let known = self.states.get_mut(source.id);
         let Some(state) = known.filter(|state| state.run == source.run) else {
+            // A new entry needs gossip before the membership list is read again.
+            self.peers
+                .entry(source.id.clone())
+                .or_insert(source.address);
             return self.begin_run(source, lag_us).then_some(TimeSpan::ZERO);
         };
         state.least_lag_us = state.least_lag_us.min(lag_us);
@@ -154,6 +251,8 @@
             address: source.address,
             rank: reader_name_rank(source.id),
             least_lag_us: lag_us,
+            unheard: BTreeSet::new(),
+            unheard_at: TimePoint::START,
         };
         self.states.insert(source.id.clone(), state);
         true
--- a/crates/daemon/src/gateway/phases.rs
+++ b/crates/daemon/src/gateway/phases.rs
@@ -100,7 +100,8 @@
     };
     let holder = &state.settings().instance;
     let bytes = render_phase_order(holder, fencing, &change.backend, change.to);
+    let sent_at = state.now();
     let head = connection.call(&bytes, ORDER_TIMEOUT).await?;
-    state.handle_notice(&change.backend, &head, "order");
+    state.handle_notice(&change.backend, &head, sent_at, "order");
     Ok(read_order_reply(head.status))
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -24,6 +24,7 @@
 use super::accept::{CallerReader, ConnectionAction, ReceivedRequest};
 use super::attempt::{Attempt, AttemptClass, AttemptResult};
 use super::handoff::HandoffGuard;
+use super::permits::{PermitOutcome, SendPermit};
 use super::prepare::{count_request, keeps_alive, write_last, PreparedRequest};
 use super::sse::EventBuffer;
 use super::state::GatewayState;
@@ -106,12 +107,17 @@
                 Ok(placement) => placement,
                 Err(refusal) => return self.give_up(refusal, writer).await,
             };
+            let (backend, id) = (&placement.backend, &self.prepared.caller.id);
+            let permit = match self.state.acquire_permit(backend, id).await {
+                PermitOutcome::Allowed(permit) => permit,
+                PermitOutcome::Deferred => continue,
+            };
             if placement.work == PlacementWork::Run {
                 self.progress.begin();
             }
             self.last_backend = Some(placement.backend.clone());
             let started_at = self.state.now();
-            let result = self.attempt(&placement).await;
+            let result = self.attempt(&placement, permit).await;
             let end = match result {
                 AttemptResult::Complete(head, body) => {
                     self.log_attempt(&placement, started_at, AttemptClass::Answered, "answered");
@@ -167,6 +173,11 @@
                     self.failure = Some((head, body));
                     AttemptEnd::Failed
                 }
+                AttemptResult::Withheld(reason) => {
+                    let class = AttemptClass::Ended(AttemptEnd::NotSent);
+                    self.log_attempt(&placement, started_at, class, &reason);
+                    AttemptEnd::NotSent
+                }
                 AttemptResult::Ended(end, reason) => {
                     self.log_attempt(&placement, started_at, AttemptClass::Ended(end), &reason);
                     self.note_crash(end, &placement);
@@ -273,7 +284,7 @@
         self.prepared.caller.prompt.as_ref().filter(|_| engine)
     }
 
-    async fn attempt(&self, placement: &Placement) -> AttemptResult {
+    async fn attempt(&self, placement: &Placement, permit: Option<SendPermit>) -> AttemptResult {
         let runs = self.progress.runs;
         let attempt = Attempt {
             state: self.state,
@@ -283,6 +294,7 @@
             team: self.prepared.team.as_ref(),
             urgency: self.prepared.urgency,
             placement,
+            permit,
             deadline: self.prepared.deadline,
             work: match (placement.work, &self.handoff) {
                 (PlacementWork::Prefill, _) => AttemptWork::Prefill,
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! The state that the tasks of an entry share. All of them run on one thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,13 +18,16 @@
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_platform::PlatformSettings;
 use bytes::Bytes;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 use crate::clock::BoottimeClock;
 use crate::gateway::backend_list::BackendList;
 use crate::gateway::duty::DutyLease;
+use crate::gateway::limits::LimitTable;
 use crate::gateway::notices::NoticeTable;
 use crate::gateway::peers::{reader_name_rank, PeerTable};
+use crate::gateway::permits::PermitDesk;
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::prefills::PrefillQueue;
 use crate::gateway::replicas::ReplicaSet;
@@ -79,6 +82,10 @@
     pub(crate) suspects: SuspectTracker,
     /// Notices that backend servers sent to this entry, for gossip.
     pub(crate) notices: RefCell<NoticeTable>,
+    /// Rate limits that backend servers named to this entry, for gossip.
+    pub(crate) limits: RefCell<LimitTable>,
+    pub(crate) permits: PermitDesk,
+    gossip_socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) duty: DutyLease,
     pub(crate) sealer: RefCell<WindowSealer>,
     pub(crate) phases: RefCell<PhasePlanner>,
@@ -142,6 +149,9 @@
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
             suspects: SuspectTracker::new(metrics.clone()),
             notices: RefCell::default(),
+            limits: RefCell::default(),
+            permits: PermitDesk::default(),
+            gossip_socket: OnceCell::new(),
             health: RefCell::new(HealthTracker::new(health)),
             budgets: RefCell::default(),
             entry_count: Cell::new(ASSUMED_ENTRIES),
@@ -162,6 +172,23 @@
         SocketAddr::new(settings.ip, *settings.peer_ports.start())
     }
 
+    /// Sets the socket for messages to single entries, once it is bound.
+    pub(crate) fn set_gossip_socket(&self, socket: Rc<UdpSocket>) {
+        if self.gossip_socket.set(socket).is_err() {
+            log::warn!("gossip socket was bound twice; keeping the first one");
+        }
+    }
+
+    /// Returns the socket for messages to single entries, if it is bound.
+    pub(crate) fn gossip_socket(&self) -> Option<&Rc<UdpSocket>> {
+        self.gossip_socket.get()
+    }
+
+    /// Returns the number of entries by the membership list, this one included.
+    pub(crate) fn entry_count(&self) -> u64 {
+        self.entry_count.get()
+    }
+
     /// Returns this entry's rank in the read order: the number of live entries before it.
     pub(crate) fn read_rank(&self) -> usize {
         let now = self.now();
