--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -153,27 +153,10 @@
     /// Connects, sends the request and reads its response, without a time limit.
     async fn exchange(&self, sent: &Cell<Option<TimePoint>>) -> AttemptResult {
         let in_flight = InFlightGuard::begin(self.state, self.placement);
-        let mut connection = match self.connect().await {
-            Ok(connection) => connection,
-            Err(error) => return ended(AttemptEnd::NotSent, error.to_string()),
+        let (mut connection, sent_at) = match self.send(sent).await {
+            Ok(request) => request,
+            Err(result) => return result,
         };
-        if self.state.is_unavailable(&self.placement.backend) {
-            let reason = "the backend server became unavailable before the request was sent";
-            return AttemptResult::Withheld(SmolStr::new_static(reason));
-        }
-        if !self
-            .state
-            .spend_permit(&self.placement.backend, self.permit.as_ref())
-        {
-            let reason = "no valid permit within the backend server's rate limit";
-            return AttemptResult::Withheld(SmolStr::new_static(reason));
-        }
-        let bytes = render_attempt(&self.request.head, &self.request.body, &self.fields());
-        let sent_at = self.state.now();
-        sent.set(Some(sent_at));
-        if let Err(error) = connection.send(&bytes).await {
-            return connection_failure(&error);
-        }
         let (head, response) = match self.read_response_head(&mut connection, sent_at).await {
             Ok(read) => read,
             Err(error) => return connection_failure(&error),
@@ -197,6 +180,44 @@
             .await
     }
 
+    /// Sends the request; returns its connection and when that began. A kept connection that turns
+    /// out to have ended says nothing about the backend server, so another one is used.
+    async fn send(
+        &self,
+        sent: &Cell<Option<TimePoint>>,
+    ) -> Result<(ClientConnection, TimePoint), AttemptResult> {
+        let backend = &self.placement.backend;
+        loop {
+            let connected = self.connect().await;
+            let mut connection =
+                connected.map_err(|error| ended(AttemptEnd::NotSent, error.to_string()))?;
+            if self.state.is_unavailable(backend) {
+                let reason = "the backend server became unavailable before the request was sent";
+                return Err(AttemptResult::Withheld(SmolStr::new_static(reason)));
+            }
+            if !self.state.spend_permit(backend, self.permit.as_ref()) {
+                let reason = "no valid permit within the backend server's rate limit";
+                return Err(AttemptResult::Withheld(SmolStr::new_static(reason)));
+            }
+            let bytes = render_attempt(&self.request.head, &self.request.body, &self.fields());
+            let sent_at = self.state.now();
+            sent.set(Some(sent_at));
+            match connection.send(&bytes).await {
+                Ok(()) => return Ok((connection, sent_at)),
+                Err(error @ ConnectionError::NotSent(_)) => {
+                    sent.set(None);
+                    if let Some(permit) = &self.permit {
+                        permit.restore();
+                    }
+                    if !connection.is_reused() {
+                        return Err(connection_failure(&error));
+                    }
+                }
+                Err(error) => return Err(connection_failure(&error)),
+            }
+        }
+    }
+
     /// Reads the body of a response that is not streamed, and classifies the response.
     async fn read_complete(
         &self,
--- a/crates/daemon/src/gateway/connection.rs
+++ b/crates/daemon/src/gateway/connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 client connection that knows whether any byte of a request has been sent.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -71,6 +72,8 @@
     input: BytesMut,
     /// Whether a response began before its request had been sent completely.
     early_response: bool,
+    /// Whether it has served a request before.
+    reused: bool,
 }
 
 impl ClientConnection {
@@ -82,21 +85,45 @@
             stream,
             input: BytesMut::with_capacity(READ_BUFFER_BYTES),
             early_response: false,
+            reused: false,
         })
     }
 
+    /// Marks the connection as one that has served a request.
+    pub(crate) fn mark_reused(&mut self) {
+        self.reused = true;
+    }
+
+    /// Returns whether it has served a request before.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// Returns whether the connection is open and no byte was received since the last response.
     pub(crate) fn is_idle(&mut self) -> bool {
-        if self.early_response || !self.input.is_empty() {
-            return false;
+        !self.early_response && self.input.is_empty() && self.is_silent().is_ok()
+    }
+
+    /// Fails if the connection is closed or holds bytes that nobody has read. It asks the system,
+    /// since the runtime learns of new bytes only when it polls next.
+    fn is_silent(&self) -> io::Result<()> {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "received bytes that belong to no response",
+            )),
         }
-        let read = self.stream.try_read_buf(&mut self.input);
-        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Sends a complete request. Stops early, without an error, if a response begins before all of
     /// it has been sent.
     pub(crate) async fn send(&mut self, bytes: &[u8]) -> Result<(), ConnectionError> {
+        // These bytes cannot answer a request of which nothing has been sent.
+        self.is_silent().map_err(ConnectionError::NotSent)?;
         let mut sent = 0;
         while sent < bytes.len() {
             let wrap = |error| match sent {
@@ -108,6 +135,11 @@
             if ready.is_readable() {
                 match self.stream.try_read_buf(&mut self.input) {
                     Ok(0) => return Err(wrap(io::ErrorKind::UnexpectedEof.into())),
+                    Ok(_) if sent == 0 => {
+                        let error = "received bytes before the request was sent";
+                        let error = io::Error::new(io::ErrorKind::InvalidData, error);
+                        return Err(ConnectionError::NotSent(error));
+                    }
                     Ok(_) => {
                         self.early_response = true;
                         return Ok(());
--- a/crates/daemon/src/gateway/permits.rs
+++ b/crates/daemon/src/gateway/permits.rs
@@ -90,6 +90,11 @@
         let valid = self.permit.expires_at > self.state.now();
         !self.spent.replace(true) && valid
     }
+
+    /// Takes the use back, since no byte of the request was sent.
+    pub(crate) fn restore(&self) {
+        self.spent.set(false);
+    }
 }
 
 impl Drop for SendPermit {
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -55,6 +55,7 @@
         if !head.keep_alive || !connection.is_idle() {
             return;
         }
+        connection.mark_reused();
         let stated = head.idle_timeout_secs.map(TimeSpan::from_secs);
         let timeout = stated.unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let expires_at = now + timeout.saturating_sub(EXPIRY_MARGIN);
