--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod count;
 mod estimate;
+mod list_replica;
 mod permit;
 mod phase;
 mod placement;
@@ -22,6 +23,7 @@
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
+pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
 pub use permit::{
     choose_issuer, IssuerChoice, LimitStatement, LimitedBackend, LiveShare, PeerReach,
     PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
--- a/crates/core/src/direct/replica.rs
+++ b/crates/core/src/direct/replica.rs
@@ -12,6 +12,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StorePosition(pub u64);
 
+impl StorePosition {
+    /// Returns the position right before this one.
+    pub fn before(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+}
+
 /// The digest of an entry's replica, which it gossips to the other entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReplicaDigest {
--- a/crates/core/src/direct/versioned_list.rs
+++ b/crates/core/src/direct/versioned_list.rs
@@ -61,7 +61,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct VersionedList {
     rows: BTreeMap<BackendId, ListRow>,
-    /// The position up to which tombstones have been dropped. Changes up to it are incomplete.
+    /// The position up to which changes are incomplete: tombstones have been dropped, or the list was
+    /// read as a snapshot.
     compacted_to: StorePosition,
 }
 
@@ -92,6 +93,12 @@
         true
     }
 
+    /// Records that the changes up to `position` are not all known, since the list was read as a
+    /// snapshot.
+    pub fn forget_history(&mut self, position: StorePosition) {
+        self.compacted_to = self.compacted_to.max(position);
+    }
+
     /// Records that an expired backend server is removed.
     pub fn confirm_removed(&mut self, id: &BackendId) {
         if let Some(row) = self.rows.get_mut(id) {
@@ -118,7 +125,7 @@
     }
 
     /// Returns the changes that a replica at position `after` lacks. Returns the full list if
-    /// `after` is `None`, for an empty replica, or lies before the dropped tombstones.
+    /// `after` is `None`, for an empty replica, or lies before the known history.
     pub fn delta(&self, after: Option<StorePosition>) -> ListDelta {
         let after = after.filter(|after| *after >= self.compacted_to);
         let rows = self.rows.iter().filter(|(_, row)| match after {
--- a/crates/daemon/src/gateway/backend_list.rs
+++ b/crates/daemon/src/gateway/backend_list.rs
@@ -4,55 +4,21 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use applefold_core::direct::{
-    ChangeOrigin, ListChange, ListDelta, ListedState, ServerChange, ServerSpec, StorePosition,
-    VersionedList,
+    ChangeSource, ListChange, ListReplica, ListUpdate, ListedState, ServerChange, ServerSpec,
+    StorePosition,
 };
 use applefold_core::id::BackendId;
 use applefold_core::unit::{TimePoint, TimeSpan, TokenCount};
 
-use super::list_updates::{ChangeQueue, ChangeRecord, ListUpdate};
 use super::state::GatewayState;
 
 /// How long after a store outage a registration that expired meanwhile may still come back. The
 /// platform states about two seconds.
 pub(crate) const RETURN_TIME: TimeSpan = TimeSpan::from_millis(2_000);
-/// The age up to which an entry accepts its first list from a peer. An older one may still hold
-/// backend servers that are gone.
-const MAX_FIRST_AGE: TimeSpan = TimeSpan::from_secs(2);
-
-/// The source of a change of the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ChangeSource {
-    /// A change event of the store, which is gossiped to the other entries.
-    StoreEvent,
-    /// A full read of the store.
-    StoreScan,
-    /// Another entry.
-    Peer,
-}
-
-impl ChangeSource {
-    const fn origin(self) -> ChangeOrigin {
-        match self {
-            Self::StoreEvent | Self::Peer => ChangeOrigin::Change,
-            Self::StoreScan => ChangeOrigin::Snapshot,
-        }
-    }
-
-    const fn name(self) -> &'static str {
-        match self {
-            Self::StoreEvent | Self::StoreScan => "store",
-            Self::Peer => "another entry",
-        }
-    }
-}
-
 /// This entry's replica of the list of backend servers.
 #[derive(Debug, Default)]
 pub(crate) struct BackendList {
-    versions: RefCell<VersionedList>,
-    /// Changes to gossip.
-    unsent: RefCell<ChangeQueue>,
+    replica: RefCell<ListReplica>,
     /// Backend servers whose registrations expired during a store outage, and until when they may
     /// come back.
     expired: RefCell<BTreeMap<BackendId, TimePoint>>,
@@ -61,97 +27,62 @@
 impl BackendList {
     /// Returns the store position of the last change of the list.
     pub(crate) fn changed(&self) -> StorePosition {
-        self.versions.borrow().last_change()
+        self.replica.borrow().last_change()
     }
 
     /// Returns the backend servers on the list that are not in `present`.
     pub(crate) fn missing(&self, present: &BTreeSet<BackendId>) -> Vec<BackendId> {
-        let versions = self.versions.borrow();
-        let missing = versions.present_ids().filter(|id| !present.contains(*id));
-        missing.cloned().collect()
+        self.replica.borrow().missing(present)
+    }
+
+    /// Records that the list was read as a snapshot at `position`.
+    pub(crate) fn finish_snapshot(&self, position: StorePosition) {
+        self.replica.borrow_mut().finish_snapshot(position);
     }
 
     /// Returns the next changes to gossip, if any.
     pub(crate) fn next_update(&self, state: &GatewayState) -> Option<ListUpdate> {
         let position = state.replicas.list.position()?;
         let confirmed_at = state.replicas.list.confirmed_at()?;
-        let batch = self.unsent.borrow_mut().next()?;
         let age = state.now().since(confirmed_at);
-        Some(ListUpdate {
-            after: Some(batch.after),
-            position: batch.up_to.unwrap_or(position.0).min(position.0),
-            age_us: batch.up_to.is_none().then_some(age.0),
-            changes: batch.changes,
-        })
+        self.replica.borrow_mut().next_update(position, age)
     }
 
-    /// Returns what a replica at position `after` lacks, or the full list if `after` is `None` or
-    /// too old; `None` before the first read.
+    /// Returns what a replica at position `after` lacks, or the complete list if `after` is `None`
+    /// or too old; `None` before the first read.
     pub(crate) fn delta_since(
         &self,
         state: &GatewayState,
-        after: Option<u64>,
+        after: Option<StorePosition>,
     ) -> Option<ListUpdate> {
         let position = state.replicas.list.position()?;
         let confirmed_at = state.replicas.list.confirmed_at()?;
-        let ListDelta { complete, changes } =
-            self.versions.borrow().delta(after.map(StorePosition));
-        Some(ListUpdate {
-            after: after.filter(|_| !complete),
-            position: position.0,
-            age_us: Some(state.now().since(confirmed_at).0),
-            changes: changes.iter().map(ChangeRecord::new).collect(),
-        })
+        let age = state.now().since(confirmed_at);
+        Some(self.replica.borrow().delta_since(after, position, age))
     }
 
     /// Applies an update that another entry sent and that took `delay` to arrive. Returns `false`
-    /// if it leaves a gap to this replica, is too old for a first list, or cannot be decoded.
+    /// if it leaves a gap to this replica or is too old for a first list.
     pub(crate) fn apply_update(
         &self,
         state: &GatewayState,
         update: &ListUpdate,
         delay: TimeSpan,
     ) -> bool {
-        let replica = &state.replicas.list;
-        let own = replica.position();
-        if update
-            .after
-            .is_some_and(|after| own < Some(StorePosition(after)))
-        {
+        let tracker = &state.replicas.list;
+        let own = tracker.position();
+        let applied = self.replica.borrow_mut().apply_update(update, own, delay);
+        let Some(applied) = applied else {
             return false;
+        };
+        for change in applied {
+            self.show_change(state, change, ChangeSource::Peer);
         }
-        let age = update.age_us.map(|age| TimeSpan(age) + delay);
-        if own.is_none() && age.is_none_or(|age| age > MAX_FIRST_AGE) {
-            return false;
-        }
-        let mut present = BTreeSet::new();
-        for change in &update.changes {
-            let Some(change) = change.read() else {
-                log::warn!(backend = change.backend.as_str();
-                    "list update rejected: a change cannot be decoded");
-                return false;
-            };
-            present.insert(change.id.clone());
-            if own.is_none_or(|own| change.position > own) {
-                self.apply_change(state, change, ChangeSource::Peer);
-            }
-        }
-        let position = StorePosition(update.position);
-        if update.after.is_none() && own.is_none_or(|own| position > own) {
-            for id in self.missing(&present) {
-                let change = ListChange {
-                    id,
-                    position,
-                    state: ListedState::Removed,
-                };
-                self.apply_change(state, change, ChangeSource::Peer);
-            }
-        }
-        let at = match age {
-            Some(age) => TimePoint(state.now().0.saturating_sub(age.0)),
-            None => replica.confirmed_at().unwrap_or(TimePoint::START),
+        let at = match update.age {
+            Some(age) => state.now() - (age + delay),
+            None => tracker.confirmed_at().unwrap_or(TimePoint::START),
         };
-        replica.confirm(position, self.changed(), at);
+        tracker.confirm(update.position, self.changed(), at);
         state.list_loaded.set(true);
         true
     }
@@ -164,15 +95,13 @@
         change: ListChange,
         source: ChangeSource,
     ) {
-        if !self.versions.borrow_mut().apply(&change, source.origin()) {
-            return;
-        }
-        match source {
-            ChangeSource::StoreEvent => self.unsent.borrow_mut().push(ChangeRecord::new(&change)),
-            ChangeSource::StoreScan | ChangeSource::Peer => {
-                self.unsent.borrow_mut().skip_to(change.position.0);
-            }
+        if self.replica.borrow_mut().apply(&change, source) {
+            self.show_change(state, change, source);
         }
+    }
+
+    /// Brings the table of backend servers in line with a change of the list.
+    fn show_change(&self, state: &GatewayState, change: ListChange, source: ChangeSource) {
         match change.state {
             ListedState::Listed(spec) => self.upsert(state, spec, change.position, source),
             ListedState::Expired => self.keep_expired(state, change.id, source),
@@ -243,7 +172,7 @@
         drop(expired);
         for id in overdue {
             self.expired.borrow_mut().remove(&id);
-            self.versions.borrow_mut().confirm_removed(&id);
+            self.replica.borrow_mut().confirm_removed(&id);
             remove(state, &id, "no return");
         }
     }
--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::direct::{ListChange, ListedState, StorePosition};
+use applefold_core::direct::{ChangeSource, ListChange, ListedState, StorePosition};
 use applefold_core::id::BackendId;
 use applefold_core::unit::TimeSpan;
 use applefold_platform::{
@@ -12,7 +12,7 @@
     INSTANCE_PREFIX,
 };
 
-use super::backend_list::{ChangeSource, RETURN_TIME};
+use super::backend_list::RETURN_TIME;
 use super::replicas::list_policy;
 use super::state::GatewayState;
 use super::{gossip, peer_sync};
@@ -109,6 +109,7 @@
         for id in state.backend_list.missing(&present) {
             mark_missing(state, id, position, ChangeSource::StoreScan);
         }
+        state.backend_list.finish_snapshot(position);
         Ok(position)
     }
 
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -16,6 +16,7 @@
 use tokio::net::UdpSocket;
 
 use super::limits::LimitReport;
+use super::list_updates::UpdateRecord;
 use super::messages::{
     crash_reports, load_message, usage_counts, CrashReport, GossipMessage, GossipPayload,
     LoadMessage,
@@ -167,7 +168,13 @@
         GossipPayload::PermitAnswer(answer) => state.receive_permit(answer),
         GossipPayload::ListUpdate(update) => {
             // If the update does not apply, the digests below trigger a fetch from the sender.
-            state.backend_list.apply_update(state, update, delay);
+            match update.read() {
+                Some(update) => {
+                    state.backend_list.apply_update(state, &update, delay);
+                }
+                None => log::warn!(peer = id.as_str();
+                    "list update rejected: a change cannot be decoded"),
+            }
         }
     }
     let now = source.received_at;
@@ -233,7 +240,8 @@
         actix_rt::time::sleep(round_period(peers.len())).await;
         sequence += 1;
         if let Some(update) = state.backend_list.next_update(&state) {
-            send(&state, &socket, &peers, GossipPayload::ListUpdate(update)).await;
+            let update = GossipPayload::ListUpdate(UpdateRecord::new(&update));
+            send(&state, &socket, &peers, update).await;
         }
         let loads = load_message(&state, sequence);
         let empty = loads.is_empty();
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use super::limits::LimitReport;
-use super::list_updates::ListUpdate;
+use super::list_updates::UpdateRecord;
 use super::notices::NoticeReport;
 use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
@@ -65,7 +65,7 @@
     Usage(Vec<UsageCount>),
     /// Changes of the backend list that the sender has read from the store.
     #[serde(rename = "Listing")]
-    ListUpdate(ListUpdate),
+    ListUpdate(UpdateRecord),
     /// Nothing besides the fields of [`GossipMessage`].
     #[serde(rename = "Alive")]
     Heartbeat,
--- a/crates/daemon/src/gateway/peer_sync.rs
+++ b/crates/daemon/src/gateway/peer_sync.rs
@@ -13,11 +13,13 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
+use applefold_core::direct::StorePosition;
 use applefold_core::unit::{TimePoint, TimeSpan};
 use bytes::Bytes;
 use eyre::{eyre, Result};
 
 use super::connection::ClientConnection;
+use super::list_updates::UpdateRecord;
 use super::rules;
 use super::state::GatewayState;
 use super::store::MAX_RESPONSE_BYTES;
@@ -81,8 +83,10 @@
 /// Returns the encoded changes of the backend list after the position in the query.
 fn list_body(state: &GatewayState, query: Option<&str>) -> Option<Bytes> {
     let after = query.and_then(|after| after.parse().ok());
-    let update = state.backend_list.delta_since(state, after)?;
-    match postcard::to_stdvec(&update) {
+    let update = state
+        .backend_list
+        .delta_since(state, after.map(StorePosition))?;
+    match postcard::to_stdvec(&UpdateRecord::new(&update)) {
         Ok(body) => Some(Bytes::from(body)),
         Err(error) => {
             log::error!(error = error.to_string();
@@ -110,7 +114,10 @@
         None => LIST_PATH.to_owned(),
     };
     let body = get(address, &path).await?;
-    let update = postcard::from_bytes(&body)?;
+    let update: UpdateRecord = postcard::from_bytes(&body)?;
+    let update = update
+        .read()
+        .ok_or_else(|| eyre!("a change of the backend list cannot be decoded"))?;
     let delay = state.now().since(sent_at);
     match state.backend_list.apply_update(state, &update, delay) {
         true => Ok(()),
