--- a/crates/core/src/direct/list_replica.rs
+++ b/crates/core/src/direct/list_replica.rs
@@ -38,7 +38,8 @@
 impl ChangeSource {
     const fn origin(self) -> ChangeOrigin {
         match self {
-            Self::StoreEvent | Self::Peer => ChangeOrigin::Change,
+            Self::StoreEvent => ChangeOrigin::Change,
+            Self::Peer => ChangeOrigin::Replica,
             Self::StoreScan => ChangeOrigin::Snapshot,
         }
     }
@@ -214,12 +215,18 @@
             .cloned()
             .collect();
         if update.after.is_none() && own.is_none_or(|own| update.position > own) {
+            // A backend server that registered after the store's copy was taken may only not have
+            // written again yet.
+            let state = match own.is_some_and(|own| own.era() < update.position.era()) {
+                true => ListedState::Expired,
+                false => ListedState::Removed,
+            };
             let present = update.changes.iter().map(|change| change.id.clone());
             for id in self.missing(&present.collect()) {
                 let change = ListChange {
                     id,
                     position: update.position,
-                    state: ListedState::Removed,
+                    state: state.clone(),
                 };
                 if self.apply(&change, ChangeSource::Peer) {
                     applied.push(change);
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -31,7 +31,9 @@
 pub use phase::{PhaseChange, PhasePlanner, PhasePolicy};
 pub use placement::{Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork};
 pub use prompt::{PromptPart, PromptShape};
-pub use replica::{ReadPolicy, ReplicaAction, ReplicaDigest, StorePosition, StoreReplica};
+pub use replica::{
+    ReadPolicy, ReplicaAction, ReplicaDigest, StoreEra, StorePosition, StoreReplica,
+};
 pub use rule::{CallerLimits, RetryRule, RouteRule, RuleSet, ServiceRule, ServiceShare, TeamRule};
 pub use seal::{SealStep, WindowSealer};
 pub use send_state::{SendDecision, SendEvent, SendState, TrialCause};
--- a/crates/core/src/direct/permit.rs
+++ b/crates/core/src/direct/permit.rs
@@ -55,6 +55,15 @@
 }
 
 impl LiveShare {
+    /// Returns the share of an entry with these peers, which knows `known` entries.
+    pub fn of_peers(peers: &[PeerReach], known: u64) -> Self {
+        let mutual = peers.iter().filter(|peer| peer.heard && !peer.deaf);
+        Self {
+            live: mutual.count() as u64 + 1,
+            known,
+        }
+    }
+
     /// Returns this share of a rate.
     fn of(self, rate: RequestRate) -> RequestRate {
         let known = self.known.max(self.live).max(1);
--- a/crates/core/src/direct/replica.rs
+++ b/crates/core/src/direct/replica.rs
@@ -6,13 +6,57 @@
 //! election. See
 //! [docs/design/reading.md](../../../../docs/design/reading.md).
 
+use std::fmt;
+
 use crate::unit::{TimePoint, TimeSpan};
 
-/// A position in the store's history.
+/// The number of times that the store has come back from an older copy. A revision means something
+/// only within its era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreEra(u64);
+
+impl StoreEra {
+    /// Creates an era. It is counted modulo 2^20, so that it fits a position.
+    pub const fn new(number: u64) -> Self {
+        Self(number % (1 << (u64::BITS - REVISION_BITS)))
+    }
+
+    /// Returns the number.
+    pub const fn number(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// The bits of a position that hold the revision.
+const REVISION_BITS: u32 = 44;
+
+/// A position in the store's history: an era, and a revision within it. Later eras come after all
+/// revisions of earlier ones. A number without an era, as older builds send it, is of era 0.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StorePosition(pub u64);
 
 impl StorePosition {
+    /// Creates the position of a revision in an era.
+    pub const fn new(era: StoreEra, revision: u64) -> Self {
+        Self(era.0 << REVISION_BITS | revision)
+    }
+
+    /// Returns the era.
+    pub const fn era(self) -> StoreEra {
+        StoreEra(self.0 >> REVISION_BITS)
+    }
+
+    /// Returns the revision within the era.
+    pub const fn revision(self) -> u64 {
+        self.0 & ((1 << REVISION_BITS) - 1)
+    }
+
     /// Returns the position right before this one.
     pub fn before(self) -> Self {
         Self(self.0.saturating_sub(1))
--- a/crates/core/src/direct/seal.rs
+++ b/crates/core/src/direct/seal.rs
@@ -33,6 +33,9 @@
     /// The time after a window's end up to which a report is accepted.
     report_limit: TimeSpan,
     phases: BTreeMap<WindowId, SealPhase>,
+    /// The first window that is sealed. Earlier ones may have been reported before their seals were
+    /// lost.
+    first: WindowId,
 }
 
 impl WindowSealer {
@@ -44,6 +47,7 @@
             settle_delay,
             report_limit,
             phases: BTreeMap::new(),
+            first: WindowId(0),
         }
     }
 
@@ -56,6 +60,7 @@
         self.phases = self.phases.split_off(&WindowId(oldest));
         let windows = (oldest..newest).map(WindowId);
         let steps = windows.filter_map(|window| match self.phases.get(&window) {
+            None if window < self.first => None,
             None => Some(SealStep::Seal(window)),
             Some(SealPhase::Sealed) => Some(SealStep::Report(window)),
             Some(SealPhase::Reported) => None,
@@ -73,8 +78,13 @@
         self.phases.insert(window, SealPhase::Reported);
     }
 
-    /// Forgets all windows; called when the process loses its authority.
+    /// Leaves the windows before `first` as they are, unless their seals are known.
+    pub fn leave_before(&mut self, first: WindowId) {
+        self.first = self.first.max(first);
+    }
+
+    /// Forgets the windows that are not reported; called when the process loses its authority.
     pub fn reset(&mut self) {
-        self.phases.clear();
+        self.phases.retain(|_, phase| *phase == SealPhase::Reported);
     }
 }
--- a/crates/core/src/direct/versioned_list.rs
+++ b/crates/core/src/direct/versioned_list.rs
@@ -44,6 +44,8 @@
 pub enum ChangeOrigin {
     /// As a change event: all changes before it are known.
     Change,
+    /// From another entry's replica.
+    Replica,
     /// In a snapshot of the list: changes between it and what was known may have been missed.
     Snapshot,
 }
@@ -55,6 +57,26 @@
     /// The position up to which the row is known.
     known_to: StorePosition,
     state: ListedState,
+    /// The incarnation that was registered last: the start time of its process.
+    incarnation: Option<u64>,
+}
+
+impl ListRow {
+    /// Returns whether a row of a later era may only repeat an older copy of what is known: the same
+    /// incarnation, before it drained or was removed.
+    fn is_revived_by(&self, change: &ListChange) -> bool {
+        let ListedState::Listed(spec) = &change.state else {
+            return false;
+        };
+        let is_further = match &self.state {
+            ListedState::Listed(known) => known.draining && !spec.draining,
+            ListedState::Expired => false,
+            ListedState::Removed => true,
+        };
+        change.position.era() > self.known_to.era()
+            && self.incarnation == Some(spec.started_at_ms)
+            && is_further
+    }
 }
 
 /// The list of backend servers, with the position of each row's last change.
@@ -74,8 +96,12 @@
             if change.position < known.known_to {
                 return false;
             }
+            let revived = origin != ChangeOrigin::Change && known.is_revived_by(change);
             let is_newer = change.position > known.known_to;
             known.known_to = change.position;
+            if revived {
+                return false;
+            }
             if known.state == change.state {
                 if is_newer && origin == ChangeOrigin::Snapshot {
                     known.last_change = change.position;
@@ -83,10 +109,18 @@
                 return false;
             }
         }
+        let incarnation = match &change.state {
+            ListedState::Listed(spec) => Some(spec.started_at_ms),
+            ListedState::Expired | ListedState::Removed => {
+                let known = self.rows.get(&change.id);
+                known.and_then(|known| known.incarnation)
+            }
+        };
         let kept = ListRow {
             last_change: change.position,
             known_to: change.position,
             state: change.state.clone(),
+            incarnation,
         };
         self.rows.insert(change.id.clone(), kept);
         self.compact();
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -234,6 +234,12 @@
         self.crash_count(fingerprint) >= self.options.crash_limit
     }
 
+    /// Returns the quarantined fingerprints.
+    pub fn quarantined(&self) -> impl Iterator<Item = RequestFingerprint> + '_ {
+        let fingerprints = self.rows.keys().copied();
+        fingerprints.filter(|fingerprint| self.is_quarantined(*fingerprint))
+    }
+
     /// Returns the time of the last crash that a fingerprint is suspected of.
     pub fn last_crash(&self, fingerprint: RequestFingerprint) -> Option<TimePoint> {
         let row = self.rows.get(&fingerprint)?;
--- a/crates/core/tests/direct_ledger.rs
+++ b/crates/core/tests/direct_ledger.rs
@@ -6,8 +6,12 @@
 
 use std::collections::BTreeMap;
 
-use applefold_core::direct::{ChangeOrigin, ListChange, ListedState, StorePosition, VersionedList};
+use applefold_core::direct::{
+    ChangeOrigin, ChangeSource, ListChange, ListReplica, ListedState, StoreEra, StorePosition,
+    VersionedList,
+};
 use applefold_core::routing::BackendRole;
+use applefold_core::unit::TimeSpan;
 use direct_support::{backend, spec};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -132,3 +136,79 @@
     list.confirm_removed(&backend(1));
     assert_eq!(list.present_ids().count(), 0);
 }
+
+fn at(era: u64, revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra::new(era), revision)
+}
+
+fn change(number: usize, position: StorePosition, state: ListedState) -> ListChange {
+    ListChange {
+        id: backend(number),
+        position,
+        state,
+    }
+}
+
+fn draining(number: usize) -> ListedState {
+    let mut spec = spec(number, BackendRole::Decode);
+    spec.draining = true;
+    ListedState::Listed(spec)
+}
+
+#[test]
+fn positions_are_ordered_by_era_and_then_by_revision() {
+    assert!(at(1, 5) > at(0, 900_000));
+    assert!(at(1, 5) < at(1, 6));
+    assert_eq!((at(3, 7).era(), at(3, 7).revision()), (StoreEra::new(3), 7));
+    assert_eq!(at(0, 7), StorePosition(7), "as an older build sends it");
+}
+
+/// The store comes back from a copy in which a server that left is still registered.
+#[test]
+fn an_older_copy_does_not_undo_a_drain_or_a_removal() {
+    for state in [draining(1), ListedState::Removed] {
+        for origin in [ChangeOrigin::Snapshot, ChangeOrigin::Replica] {
+            let mut list = VersionedList::default();
+            apply(&mut list, &change(1, at(0, 50), listed(1, 1)));
+            apply(&mut list, &change(1, at(0, 90), state.clone()));
+            assert!(!list.apply(&change(1, at(1, 50), listed(1, 1)), origin));
+            // The server itself writes again, or a new incarnation registers.
+            assert!(apply(&mut list, &change(1, at(1, 60), listed(1, 1))));
+        }
+        let mut list = VersionedList::default();
+        apply(&mut list, &change(1, at(0, 50), listed(1, 1)));
+        apply(&mut list, &change(1, at(0, 90), state.clone()));
+        let reborn = change(1, at(1, 55), listed(1, 2));
+        assert!(list.apply(&reborn, ChangeOrigin::Snapshot));
+    }
+}
+
+#[test]
+fn a_change_of_a_former_era_is_ignored() {
+    let mut list = VersionedList::default();
+    apply(&mut list, &change(1, at(1, 10), listed(1, 2)));
+    assert!(!apply(
+        &mut list,
+        &change(1, at(0, 900), ListedState::Removed)
+    ));
+    assert_eq!(list.present_ids().count(), 1);
+}
+
+/// A peer's list of the new era lacks a server that registered after the copy was taken.
+#[test]
+fn a_list_of_a_new_era_keeps_servers_that_have_not_written_again() {
+    let (mut old, mut new) = (ListReplica::default(), ListReplica::default());
+    for number in 0..2 {
+        let row = change(number, at(0, 10 + number as u64), listed(number, 1));
+        old.apply(&row, ChangeSource::StoreEvent);
+    }
+    let row = change(0, at(1, 10), listed(0, 1));
+    new.apply(&row, ChangeSource::StoreScan);
+    new.finish_snapshot(at(1, 10));
+    let update = new.delta_since(Some(at(0, 11)), at(1, 10), TimeSpan::ZERO);
+    assert_eq!(update.after, None, "the complete list");
+    let applied = old.apply_update(&update, Some(at(0, 11)), TimeSpan::ZERO);
+    let applied = applied.expect("an update without a gap");
+    assert_eq!(applied.len(), 1);
+    assert_eq!(applied[0].state, ListedState::Expired);
+}
--- a/crates/core/tests/direct_permits.rs
+++ b/crates/core/tests/direct_permits.rs
@@ -293,12 +293,9 @@
             backend: "e-1".parse().unwrap(),
             incarnation: 1,
         };
-        let reach = self.reach(issuer, now);
-        let mutual = reach.iter().filter(|peer| peer.heard && !peer.deaf);
-        let share = LiveShare {
-            live: mutual.count() as u64 + 1,
-            known: self.entries.len() as u64,
-        };
+        let mut peers = self.reach(issuer, now);
+        peers.remove(issuer);
+        let share = LiveShare::of_peers(&peers, self.entries.len() as u64);
         let asker = self.names[asker].clone();
         let rate = RequestRate(self.rate);
         let issuer = &mut self.entries[issuer].issuer;
--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::direct::{ChangeSource, ListChange, ListedState, StorePosition};
+use applefold_core::direct::{ChangeSource, ListChange, ListedState, StoreEra, StorePosition};
 use applefold_core::id::BackendId;
 use applefold_core::unit::TimeSpan;
 use applefold_platform::{
@@ -71,7 +71,10 @@
     async fn poll(&mut self, state: &GatewayState) -> Result<(), StoreError> {
         let own = state.replicas.list.position();
         let asked_at = state.now();
-        let position = match own.filter(|_| !self.compacted) {
+        // A position of an earlier era means nothing to the store now.
+        let era = state.store.era();
+        let known = own.filter(|own| !self.compacted && own.era() == era);
+        let position = match known {
             None => self.read_all(state).await?,
             Some(after) => self.read_changes(state, after).await?,
         };
@@ -93,19 +96,24 @@
                 after: after.clone(),
                 stale: false,
             };
-            let StoreReply::Page(page) = state.store.call(&call).await? else {
+            let (reply, era) = state.store.call_in_era(&call).await?;
+            let StoreReply::Page(page) = reply else {
                 return Err(StoreError::Unreadable("no page".into()));
             };
-            start.get_or_insert(page.at);
+            let position = StorePosition::new(era, page.at.0);
+            if start.is_some_and(|start: StorePosition| start.era() != era) {
+                return Err(StoreError::Compacted);
+            }
+            start.get_or_insert(position);
             after = page.items.last().map(|item| item.key.clone());
             for item in &page.items {
-                present.extend(self.apply_item(state, item, ChangeSource::StoreScan));
+                present.extend(self.apply_item(state, item, era, ChangeSource::StoreScan));
             }
             if !page.truncated || after.is_none() {
                 break;
             }
         }
-        let position = StorePosition(start.unwrap_or_default().0);
+        let position = start.unwrap_or_default();
         for id in state.backend_list.missing(&present) {
             mark_missing(state, id, position, ChangeSource::StoreScan);
         }
@@ -121,16 +129,20 @@
     ) -> Result<StorePosition, StoreError> {
         let call = StoreCall::Watch {
             prefix: INSTANCE_PREFIX.to_owned(),
-            after: StoreRevision(after.0),
+            after: StoreRevision(after.revision()),
             wait: POLL_WAIT,
         };
-        let StoreReply::Events(events, at) = state.store.call(&call).await? else {
+        let (reply, era) = state.store.call_in_era(&call).await?;
+        if era != after.era() {
+            return Err(StoreError::Compacted);
+        }
+        let StoreReply::Events(events, at) = reply else {
             return Err(StoreError::Unreadable("no events".into()));
         };
         for event in events {
             match event {
                 StoreEvent::Written(item) => {
-                    self.apply_item(state, &item, ChangeSource::StoreEvent);
+                    self.apply_item(state, &item, era, ChangeSource::StoreEvent);
                 }
                 StoreEvent::Removed(key, revision) => {
                     let id = key.strip_prefix(INSTANCE_PREFIX).map(str::parse);
@@ -138,14 +150,14 @@
                         mark_missing(
                             state,
                             id,
-                            StorePosition(revision.0),
+                            StorePosition::new(era, revision.0),
                             ChangeSource::StoreEvent,
                         );
                     }
                 }
             }
         }
-        Ok(StorePosition(at.0).max(after))
+        Ok(StorePosition::new(era, at.0).max(after))
     }
 
     /// Applies the registration of one backend server; returns its name if it is valid.
@@ -153,6 +165,7 @@
         &mut self,
         state: &GatewayState,
         item: &StoreItem,
+        era: StoreEra,
         source: ChangeSource,
     ) -> Option<BackendId> {
         let name = item.key.strip_prefix(INSTANCE_PREFIX)?;
@@ -161,7 +174,7 @@
                 let id = spec.id.clone();
                 let change = ListChange {
                     id: id.clone(),
-                    position: StorePosition(item.revision.0),
+                    position: StorePosition::new(era, item.revision.0),
                     state: ListedState::Listed(spec),
                 };
                 state.backend_list.apply_change(state, change, source);
--- a/crates/daemon/src/gateway/duty.rs
+++ b/crates/daemon/src/gateway/duty.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::id::{FencingNumber, ScopeId};
+use applefold_core::direct::StoreEra;
+use applefold_core::id::{FencingNumber, ScopeId, WindowId};
 use applefold_core::lease::{
     HolderName, LeaseAction, LeaseCompletion, LeaseHolder, LeaseOptions, LeaseReply, TakeoverRule,
 };
@@ -30,6 +31,10 @@
 /// The time after which a lease held by another entry is checked again.
 const RECHECK_DELAY: TimeSpan = TimeSpan::from_secs(1);
 
+/// The fencing numbers of an era of the store. The first holder in an era begins above those of the
+/// former ones, which the store may have lost.
+const FENCING_PER_ERA: u64 = 1_000_000;
+
 /// The value of the lease key in the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct HolderRecord {
@@ -42,6 +47,8 @@
     holder: RefCell<LeaseHolder>,
     /// The store lease that the lease key is bound to, if this entry holds it or may hold it.
     lease: Cell<Option<StoreLease>>,
+    /// The era of the store in which the lease was granted.
+    era: Cell<StoreEra>,
 }
 
 impl DutyLease {
@@ -54,12 +61,18 @@
         Self {
             holder: RefCell::new(LeaseHolder::new(scope, holder, options)),
             lease: Cell::new(None),
+            era: Cell::default(),
         }
     }
 
     /// Returns the fencing number if this entry holds the lease now. Call it right before a send,
     /// with no await in between.
+    ///
+    /// A lease of an earlier era of the store is gone, although its time has not passed.
     pub(crate) fn authority(&self, state: &GatewayState) -> Option<FencingNumber> {
+        if self.era.get() != state.store.era() {
+            return None;
+        }
         let held = self.holder.borrow().authority(state.now());
         held.map(|authority| authority.fencing())
     }
@@ -69,6 +82,11 @@
     format!("{OWN_PREFIX}duty/holder")
 }
 
+/// The key of the first usage window that may be sealed in the current era of the store.
+fn era_key() -> String {
+    format!("{OWN_PREFIX}duty/era")
+}
+
 fn fencing_key() -> String {
     format!("{OWN_PREFIX}duty/fencing")
 }
@@ -129,7 +147,18 @@
 }
 
 /// Tries to acquire the lease, without a call to the store while a live peer claims to hold it.
+///
+/// In a new era of the store, a holder that has not heard of it may act until its lease of the
+/// former era would have ended.
 async fn acquire(state: &GatewayState, ttl: TimeSpan) -> LeaseReply {
+    let safe_at = state.store.era_since() + ttl;
+    if safe_at > state.now() {
+        return LeaseReply::Held {
+            holder: None,
+            fencing: FencingNumber(0),
+            remaining: safe_at.since(state.now()),
+        };
+    }
     if state.peers.borrow().is_lease_held(state.now()) {
         return LeaseReply::Held {
             holder: None,
@@ -146,12 +175,18 @@
 /// Acquires the lease unless it is held; `None` if the outcome is unknown or another entry won the
 /// race.
 async fn try_acquire(state: &GatewayState, ttl: TimeSpan) -> Option<LeaseReply> {
+    let era = state.store.era();
     let current = get(state, lease_key()).await?;
     if let Some(item) = current {
         return Some(held_by(&item));
     }
     let last = get(state, fencing_key()).await?;
     let fencing = last.as_ref().map_or(FencingNumber(0), read_fencing).next();
+    let first = FencingNumber(era.number() * FENCING_PER_ERA);
+    let new_era = fencing < first;
+    let may_have_sealed = last.is_some() || state.store.came_back();
+    let fencing = fencing.max(first);
+    let first_window = first_sealable(state, new_era && may_have_sealed).await?;
     let lease = match state.store.call(&StoreCall::Grant(ttl)).await.ok()? {
         StoreReply::Leased(Some(lease), _) => lease,
         _ => return None,
@@ -160,7 +195,7 @@
     let record = HolderRecord { holder, fencing };
     let record = serde_json::to_vec(&record).ok()?;
     let revision = last.map_or(StoreRevision(0), |item| item.revision);
-    let change = StoreChange {
+    let mut change = StoreChange {
         expected: vec![(lease_key(), StoreRevision(0)), (fencing_key(), revision)],
         puts: vec![
             (lease_key(), record, Some(lease)),
@@ -168,8 +203,18 @@
         ],
         removed: Vec::new(),
     };
+    if first_window > WindowId(0) {
+        let value = first_window.to_string().into_bytes();
+        change.puts.push((era_key(), value, None));
+    }
+    // A reply in another era tells nothing about this one, and a revision may be given out twice.
+    if state.store.era() != era {
+        return None;
+    }
+    state.duty.era.set(era);
     match state.store.call(&StoreCall::Change(change)).await {
         Ok(StoreReply::Changed(_)) => {
+            state.sealer.borrow_mut().leave_before(first_window);
             state.duty.lease.set(Some(lease));
             Some(LeaseReply::Granted { fencing })
         }
@@ -185,6 +230,20 @@
     }
 }
 
+/// Returns the first usage window that a holder in this era of the store may seal. In a new era, the
+/// windows that have ended may have been sealed and reported before, and the seals lost. `None` if
+/// the store did not say.
+async fn first_sealable(state: &GatewayState, new_era: bool) -> Option<WindowId> {
+    if new_era {
+        let counter = state.counter.borrow();
+        return Some(counter.window_at(state.cluster_time()));
+    }
+    let item = get(state, era_key()).await?;
+    let text = item.and_then(|item| String::from_utf8(item.value).ok());
+    let window = text.and_then(|text| text.parse().ok());
+    Some(window.unwrap_or_default())
+}
+
 async fn renew(state: &GatewayState, fencing: FencingNumber) -> LeaseReply {
     let lost = LeaseReply::Held {
         holder: None,
@@ -194,6 +253,12 @@
     let Some(lease) = state.duty.lease.get() else {
         return lost;
     };
+    if state.duty.era.get() != state.store.era() {
+        log::warn!(fencing = fencing.0, era = state.store.era().number();
+            "lease lost: the store is in a new era");
+        state.duty.lease.set(None);
+        return lost;
+    }
     match state.store.call(&StoreCall::Renew(lease)).await {
         Ok(StoreReply::Leased(..)) => LeaseReply::Granted { fencing },
         Ok(_) => {
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -178,6 +178,9 @@
         }
     }
     let now = source.received_at;
+    if let Some(era) = message.replicas.latest_era() {
+        state.store.note_era(era, id.as_str());
+    }
     state
         .replicas
         .note_digests(message.replicas, from, delay, now);
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -73,11 +73,6 @@
         let fresh = now.since(self.unheard_at) <= MAX_UNHEARD_AGE;
         self.unheard.iter().filter(move |_| fresh)
     }
-
-    /// Returns whether it does not hear from the entry whose name has this hash.
-    fn misses(&self, hash: u32, now: TimePoint) -> bool {
-        now.since(self.unheard_at) <= MAX_UNHEARD_AGE && self.unheard.contains(&hash)
-    }
 }
 
 /// The sender of a gossip message, and when the message was received.
@@ -141,46 +136,48 @@
         Some(live.filter(|(_, state)| state.rank < own).count())
     }
 
-    /// Returns the number of live peers that also hear from this entry.
-    pub(crate) fn mutual_count(&self, own: &InstanceId, now: TimePoint) -> u64 {
-        let own = name_hash(own);
-        let mutual = self.live(now).filter(|(_, state)| !state.misses(own, now));
-        mutual.count() as u64
+    /// Returns whether a peer was heard from recently.
+    pub(crate) fn has_live(&self, now: TimePoint) -> bool {
+        self.live(now).next().is_some()
     }
 
-    /// Returns the peer that issues the permits of the backend server with this rank; `None` if this
-    /// entry, `own`, does.
-    pub(crate) fn permit_issuer(
-        &self,
-        own: &InstanceId,
-        backend: NameRank,
-        now: TimePoint,
-    ) -> Option<(InstanceId, SocketAddr)> {
-        let own_hash = name_hash(own);
-        let mut missed: BTreeMap<u32, usize> = BTreeMap::new();
+    /// Returns what this entry, `own`, knows of the reach of each listed peer, in the order of names.
+    pub(crate) fn reach(&self, own: &InstanceId, now: TimePoint) -> Vec<PeerReach> {
+        let own = name_hash(own);
+        let mut unheard_by: BTreeMap<u32, usize> = BTreeMap::new();
         for (_, state) in self.live(now) {
             for hash in state.unheard(now) {
-                *missed.entry(*hash).or_default() += 1;
+                *unheard_by.entry(*hash).or_default() += 1;
             }
         }
-        let known: Vec<(&InstanceId, &SocketAddr)> = self.peers.iter().collect();
-        let reach = known.iter().map(|(id, _)| {
-            let state = self.states.get(*id);
+        let peers = self.peers.keys().map(|id| {
+            let state = self.states.get(id);
             PeerReach {
                 rank: reader_name_rank(id),
                 heard: state.is_some_and(|state| state.is_live(now)),
-                deaf: state.is_some_and(|state| state.misses(own_hash, now)),
-                unheard_by: missed.get(&name_hash(id)).copied().unwrap_or(0),
+                deaf: state.is_some_and(|state| state.unheard(now).any(|hash| *hash == own)),
+                unheard_by: unheard_by.get(&name_hash(id)).copied().unwrap_or(0),
             }
         });
-        let reach: Vec<PeerReach> = reach.collect();
-        match choose_issuer(reader_name_rank(own), &reach, backend) {
-            IssuerChoice::Own => None,
-            IssuerChoice::Peer(index) => known.get(index).map(|(id, address)| {
-                let heard = self.states.get(*id).map(|state| state.address);
-                ((*id).clone(), heard.unwrap_or(**address))
-            }),
-        }
+        peers.collect()
+    }
+
+    /// Returns the peer that issues the permits of the backend server with this rank; `None` if this
+    /// entry, `own`, does.
+    pub(crate) fn permit_issuer(
+        &self,
+        own: &InstanceId,
+        backend: NameRank,
+        now: TimePoint,
+    ) -> Option<(InstanceId, SocketAddr)> {
+        let reach = self.reach(own, now);
+        let IssuerChoice::Peer(index) = choose_issuer(reader_name_rank(own), &reach, backend)
+        else {
+            return None;
+        };
+        let (id, listed) = self.peers.iter().nth(index)?;
+        let heard_at = self.states.get(id).map(|state| state.address);
+        Some((id.clone(), heard_at.unwrap_or(*listed)))
     }
 
     /// Returns the hashes of the names of listed peers that have been silent.
--- a/crates/daemon/src/gateway/permits.rs
+++ b/crates/daemon/src/gateway/permits.rs
@@ -321,10 +321,8 @@
     ) -> PermitReply {
         let now = self.now();
         let own = &self.settings().instance;
-        let share = LiveShare {
-            live: self.peers.borrow().mutual_count(own, now) + 1,
-            known: self.entry_count(),
-        };
+        let reach = self.peers.borrow().reach(own, now);
+        let share = LiveShare::of_peers(&reach, self.entry_count());
         let mut issuer = self.permits.issuer.borrow_mut();
         issuer.issue(limited, limit, share, asker, now)
     }
--- a/crates/daemon/src/gateway/prepare.rs
+++ b/crates/daemon/src/gateway/prepare.rs
@@ -78,7 +78,8 @@
         };
         let work = state.drain.borrow().admit().map_err(refuse)?;
         let no_config = CallRefusal::retryable(ResultCode::ConfigMissing, NO_CONFIG_RETRY_AFTER);
-        let rules = state.rules().ok_or_else(|| refuse(no_config))?;
+        let rules = state.rules().filter(|_| state.is_config_current());
+        let rules = rules.ok_or_else(|| refuse(no_config))?;
         let route = rules.route(&caller.host, &caller.path).map_err(refuse)?;
         let team = rules
             .team(route, caller.api_key.as_deref())
--- a/crates/daemon/src/gateway/presence.rs
+++ b/crates/daemon/src/gateway/presence.rs
@@ -18,6 +18,10 @@
 /// The period while no other entry is known, as after a common start.
 const ALONE_PERIOD: Duration = Duration::from_secs(1);
 
+/// How often the registration checks for a new era of the store. Entries learn of one at different
+/// times, so they do not all register at once.
+const ERA_CHECK_PERIOD: Duration = Duration::from_millis(250);
+
 fn entries_prefix() -> String {
     format!("{OWN_PREFIX}entries/")
 }
@@ -26,14 +30,22 @@
 pub(crate) async fn run(state: Rc<GatewayState>) {
     let mut lease = None;
     loop {
-        lease = match lease {
+        let era = state.store.era();
+        let renewed = match lease {
             Some(held) => renew(&state, held).await,
+            None => None,
+        };
+        lease = match renewed {
+            Some(held) => Some(held),
             None => register(&state).await,
         };
         refresh_peers(&state).await;
         let alone = state.peers.borrow().is_empty();
         let period = if alone { ALONE_PERIOD } else { REFRESH_PERIOD };
-        actix_rt::time::sleep(period).await;
+        let next = state.now() + TimeSpan(period.as_micros() as u64);
+        while state.now() < next && state.store.era() == era {
+            actix_rt::time::sleep(ERA_CHECK_PERIOD).await;
+        }
     }
 }
 
--- a/crates/daemon/src/gateway/quarantine_store.rs
+++ b/crates/daemon/src/gateway/quarantine_store.rs
@@ -22,6 +22,9 @@
 const PERIODS_PER_READ: u64 = 4;
 /// The most records written per period, which bounds the calls to the store.
 const MAX_WRITES_PER_PERIOD: usize = 8;
+/// The number of entries that write the records again after the store has come back from an older
+/// copy.
+const MAX_REWRITERS: usize = 3;
 /// The most pages per read of all records.
 const MAX_PAGES: usize = 8;
 
@@ -45,8 +48,17 @@
             "could not read the quarantined requests at the start; trying again");
         actix_rt::time::sleep(PERSIST_PERIOD).await;
     }
+    let mut era = state.store.era();
     for period in 1_u64.. {
         actix_rt::time::sleep(PERSIST_PERIOD).await;
+        if state.store.era() != era {
+            era = state.store.era();
+            if state.read_rank() < MAX_REWRITERS {
+                let lost = state.suspects.forget_persisted();
+                log::info!(era = era.number(), lost;
+                    "writing the quarantined requests again: the store is in a new era");
+            }
+        }
         if period.is_multiple_of(PERIODS_PER_READ) {
             if let Err(error) = read_all(&state, true).await {
                 log::debug!(error = error.to_string();
--- a/crates/daemon/src/gateway/replicas.rs
+++ b/crates/daemon/src/gateway/replicas.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use applefold_core::direct::{
-    ReadPolicy, ReplicaAction, ReplicaDigest, StorePosition, StoreReplica,
+    ReadPolicy, ReplicaAction, ReplicaDigest, StoreEra, StorePosition, StoreReplica,
 };
 use applefold_core::unit::{TimePoint, TimeSpan};
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,14 @@
     config: Option<DigestFields>,
 }
 
+impl ReplicaDigests {
+    /// Returns the latest era of the store in the digests.
+    pub(crate) fn latest_era(&self) -> Option<StoreEra> {
+        let digests = [self.list, self.config].into_iter().flatten();
+        digests.map(|digest| digest.digest().position.era()).max()
+    }
+}
+
 /// The encoding of a [`ReplicaDigest`].
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct DigestFields {
--- a/crates/daemon/src/gateway/rules.rs
+++ b/crates/daemon/src/gateway/rules.rs
@@ -53,7 +53,11 @@
             true => CONFIG_WAIT,
             false => POLL_WAIT,
         };
-        let result = match tracker.position().filter(|_| !compacted) {
+        let era = state.store.era();
+        let known = tracker
+            .position()
+            .filter(|own| !compacted && own.era() == era);
+        let result = match known {
             None => read(&state).await,
             Some(after) => watch(&state, after, wait).await,
         };
@@ -76,7 +80,8 @@
         after: None,
         stale: false,
     };
-    let StoreReply::Page(page) = state.store.call(&call).await? else {
+    let (reply, era) = state.store.call_in_era(&call).await?;
+    let StoreReply::Page(page) = reply else {
         return Err(StoreError::Unreadable(
             "unexpected reply to a range read".into(),
         ));
@@ -84,9 +89,9 @@
     let mut changed = StorePosition::default();
     for item in page.items.iter().filter(|item| item.key == CONFIG_KEY) {
         apply_item(state, item);
-        changed = StorePosition(item.revision.0);
+        changed = StorePosition::new(era, item.revision.0);
     }
-    let position = StorePosition(page.at.0);
+    let position = StorePosition::new(era, page.at.0);
     state.replicas.config.confirm(position, changed, sent_at);
     Ok(())
 }
@@ -100,10 +105,14 @@
     let sent_at = state.now();
     let call = StoreCall::Watch {
         prefix: CONFIG_KEY.to_owned(),
-        after: StoreRevision(after.0),
+        after: StoreRevision(after.revision()),
         wait,
     };
-    let StoreReply::Events(events, at) = state.store.call(&call).await? else {
+    let (reply, era) = state.store.call_in_era(&call).await?;
+    if era != after.era() {
+        return Err(StoreError::Compacted);
+    }
+    let StoreReply::Events(events, at) = reply else {
         return Err(StoreError::Unreadable("unexpected reply to a watch".into()));
     };
     // If there is no change, the store has looked for the last time after the wait.
@@ -114,12 +123,12 @@
         match event {
             StoreEvent::Written(item) if item.key == CONFIG_KEY => {
                 apply_item(state, &item);
-                changed = changed.max(StorePosition(item.revision.0));
+                changed = changed.max(StorePosition::new(era, item.revision.0));
             }
             StoreEvent::Written(_) | StoreEvent::Removed(..) => {}
         }
     }
-    let position = StorePosition(at.0).max(after);
+    let position = StorePosition::new(era, at.0).max(after);
     state
         .replicas
         .config
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -46,6 +46,8 @@
 const LAME_DUCK_PERCENT: u64 = 35;
 /// The time after a common start by which entries have received gossip of each other.
 const DISCOVERY_TIME: TimeSpan = TimeSpan::from_secs(3);
+/// The time after its start by which an entry has received gossip of others that already run.
+const FIRST_GOSSIP_TIME: TimeSpan = TimeSpan::from_secs(1);
 /// The number of usage windows whose counts an entry keeps.
 const KEPT_WINDOWS: u64 = 8;
 /// The time after a window's end by which all entries have published their counts if nothing
@@ -75,6 +77,8 @@
     /// The freshness of the replicas of what all entries read from the store.
     pub(crate) replicas: ReplicaSet,
     pub(crate) backend_list: BackendList,
+    /// Whether the configuration has been as new as that of every peer.
+    config_current: Cell<bool>,
     /// Whether the backend list has been read once.
     pub(crate) list_loaded: Cell<bool>,
     pub(crate) drain: RefCell<DrainState>,
@@ -144,6 +148,7 @@
             table: RefCell::default(),
             replicas: ReplicaSet::default(),
             backend_list: BackendList::default(),
+            config_current: Cell::new(false),
             list_loaded: Cell::new(false),
             drain: RefCell::new(DrainState::new(drain)),
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
@@ -258,9 +263,23 @@
 
     /// Returns whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.rules.borrow().is_some()
-            && self.list_loaded.get()
-            && !self.drain.borrow().is_stopping()
+        self.is_config_current() && self.list_loaded.get() && !self.drain.borrow().is_stopping()
+    }
+
+    /// Returns whether the configuration has been as new as that of every peer since the start. The
+    /// store may hold an older one after it came back from a copy, so a starting entry waits for
+    /// the first gossip.
+    pub(crate) fn is_config_current(&self) -> bool {
+        if self.config_current.get() {
+            return true;
+        }
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let heard = peers.has_live(now) || now.since(self.started_at) >= FIRST_GOSSIP_TIME;
+        let newer = peers.newer_config(self.revision(), now);
+        let current = self.rules.borrow().is_some() && heard && newer.is_none();
+        self.config_current.set(current);
+        current
     }
 
     /// Sets the number of entries, which share the retry budget.
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use applefold_core::direct::StoreEra;
 use applefold_core::unit::{TimePoint, TimeSpan};
-use applefold_platform::{StoreCall, StoreError, StoreReply};
+use applefold_platform::{read_store_era, StoreCall, StoreError, StoreReply};
 use opentelemetry::KeyValue;
 
 use super::connection::{ClientConnection, ConnectionError};
@@ -40,6 +41,13 @@
     availability: Cell<StoreAvailability>,
     /// When the availability last changed.
     changed_at: Cell<TimePoint>,
+    /// The latest era that the store or a peer has named, and when this entry learned of it.
+    era: Cell<StoreEra>,
+    /// Whether the store has named its era to this process.
+    era_known: Cell<bool>,
+    /// Whether a new era has begun since.
+    came_back: Cell<bool>,
+    era_since: Cell<TimePoint>,
 }
 
 impl StoreClient {
@@ -51,6 +59,10 @@
             idle: RefCell::default(),
             availability: Cell::new(StoreAvailability::Unknown),
             changed_at: Cell::new(clock.now()),
+            era: Cell::default(),
+            era_known: Cell::new(false),
+            came_back: Cell::new(false),
+            era_since: Cell::new(clock.now()),
         }
     }
 
@@ -74,6 +86,18 @@
     /// Fails with [`StoreError::NoResponse`] if no response came. A change may have been made
     /// nevertheless.
     pub(crate) async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+        Ok(self.call_in_era(call).await?.0)
+    }
+
+    /// Sends a call to the store and returns its reply with the era that the store was in.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::call`].
+    pub(crate) async fn call_in_era(
+        &self,
+        call: &StoreCall,
+    ) -> Result<(StoreReply, StoreEra), StoreError> {
         let kind = KeyValue::new("call", call.kind());
         self.metrics.platform_calls.add(1, &[kind]);
         let wait = match call {
@@ -89,7 +113,7 @@
     }
 
     /// Sends the call and reads its reply, without a time limit.
-    async fn exchange(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+    async fn exchange(&self, call: &StoreCall) -> Result<(StoreReply, StoreEra), StoreError> {
         let lost = |error: ConnectionError| StoreError::NoResponse(error.to_string());
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
@@ -104,7 +128,49 @@
         if head.keep_alive && self.idle.borrow().len() < MAX_IDLE {
             self.idle.borrow_mut().push(connection);
         }
-        call.read(head.status, &body)
+        let era = read_store_era(&head).unwrap_or(self.era.get());
+        if era < self.era.get() {
+            let reason = format!("the reply is of era {era}, which has ended");
+            return Err(StoreError::NoResponse(reason));
+        }
+        self.note_era(era, "store");
+        self.era_known.set(true);
+        Ok((call.read(head.status, &body)?, era))
+    }
+
+    /// Returns the latest era of the store that this entry knows of.
+    pub(crate) fn era(&self) -> StoreEra {
+        self.era.get()
+    }
+
+    /// Returns when this entry learned of the latest era.
+    pub(crate) fn era_since(&self) -> TimePoint {
+        self.era_since.get()
+    }
+
+    /// Returns whether the store has come back from an older copy since this process started.
+    pub(crate) fn came_back(&self) -> bool {
+        self.came_back.get()
+    }
+
+    /// Records the era that the store or a peer has named. After a new one, registrations may be
+    /// missing that have not been written again yet, as after an outage.
+    pub(crate) fn note_era(&self, era: StoreEra, source: &str) {
+        let before = self.era.get();
+        if era <= before {
+            return;
+        }
+        self.era.set(era);
+        self.era_since.set(self.clock.now());
+        self.changed_at.set(self.clock.now());
+        if !self.era_known.get() {
+            log::info!(era = era.number(), source; "store named its era");
+            return;
+        }
+        self.came_back.set(true);
+        self.metrics.store_eras.add(1, &[]);
+        log::warn!(before = before.number(), era = era.number(), source;
+            "store is in a new era: it came back from an older copy");
     }
 
     /// Takes an idle connection that is still open.
@@ -119,7 +185,7 @@
     }
 
     /// Updates the availability after a call; logs it if it has changed.
-    fn note_result(&self, call: &StoreCall, result: &Result<StoreReply, StoreError>) {
+    fn note_result(&self, call: &StoreCall, result: &Result<(StoreReply, StoreEra), StoreError>) {
         let availability = match result {
             Ok(_) | Err(StoreError::Compacted) => StoreAvailability::Available,
             Err(_) => StoreAvailability::Unavailable,
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -164,6 +164,14 @@
         self.unpersisted.borrow_mut().remove(&fingerprint);
     }
 
+    /// Records that the store has lost the quarantined requests; returns their number.
+    pub(crate) fn forget_persisted(&self) -> usize {
+        let tracker = self.tracker.borrow();
+        let mut unpersisted = self.unpersisted.borrow_mut();
+        unpersisted.extend(tracker.quarantined());
+        unpersisted.len()
+    }
+
     /// Returns how long a request stays quarantined after its last crash.
     pub(crate) fn retention(&self) -> TimeSpan {
         crash_options().quarantine_ttl
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::direct::{SealStep, WindowCounts};
+use applefold_core::direct::{SealStep, StoreEra, WindowCounts};
 use applefold_core::id::{InstanceId, WindowId};
 use applefold_core::unit::TimeSpan;
 use applefold_platform::{
@@ -83,17 +83,26 @@
     first: WindowId,
     /// The records as written last, for as long as they may be updated.
     records: BTreeMap<WindowId, UsageRecord>,
+    /// The era of the store that holds them.
+    era: StoreEra,
 }
 
 impl PublishedWindows {
     fn new(first: WindowId) -> Self {
-        let records = BTreeMap::new();
-        Self { first, records }
+        Self {
+            first,
+            records: BTreeMap::new(),
+            era: StoreEra::default(),
+        }
     }
 
     /// Publishes the records of recently ended windows, and updates those where another process run
     /// has fallen silent since.
     async fn publish_ended(&mut self, state: &GatewayState) {
+        let era = state.store.era();
+        if std::mem::replace(&mut self.era, era) != era {
+            self.records.clear();
+        }
         let current = state.counter.borrow().window_at(state.cluster_time());
         let oldest = WindowId(current.0.saturating_sub(PUBLISHED_WINDOWS)).max(self.first);
         if oldest > self.first && !self.records.contains_key(&self.first) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -68,6 +68,8 @@
     pub(crate) backend_states: Counter<u64>,
     /// Drain and cooldown notices of backend servers, by kind.
     pub(crate) backend_notices: Counter<u64>,
+    /// New eras of the store.
+    pub(crate) store_eras: Counter<u64>,
     /// Requests for permits to send under a rate limit, by outcome.
     pub(crate) send_permits: Counter<u64>,
     /// Events about requests suspected of crashing backend servers, by kind.
@@ -97,6 +99,7 @@
             backend_failures: meter.u64_counter("applefold_backend_failures").build(),
             backend_states: meter.u64_counter("applefold_backend_states").build(),
             backend_notices: meter.u64_counter("applefold_backend_words").build(),
+            store_eras: meter.u64_counter("applefold_store_eras").build(),
             send_permits: meter.u64_counter("applefold_send_permits").build(),
             suspicions: meter.u64_counter("applefold_crash_suspicions").build(),
             first_byte: meter
