--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -25,7 +25,7 @@
 pub use count::{RunCounter, WindowCounts};
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
 pub use permit::{
-    choose_issuer, IssuerChoice, LimitStatement, LimitedBackend, LiveShare, PeerReach,
+    choose_issuer, IssuerChoice, LimitEffect, LimitStatement, LimitedBackend, LiveShare, PeerReach,
     PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
 };
 pub use phase::{PhaseChange, PhasePlanner, PhasePolicy};
--- a/crates/core/src/direct/permit.rs
+++ b/crates/core/src/direct/permit.rs
@@ -203,30 +203,40 @@
     pub sent_at: TimePoint,
 }
 
+/// The effect of a statement on what is known of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitEffect {
+    /// It is older than what is known and was ignored.
+    Outdated,
+    /// It repeats what is known.
+    Confirmed,
+    /// The limit changed.
+    Changed,
+}
+
 impl RateLimit {
     /// Returns the limit; `None` if there is none.
     pub fn rate(&self) -> Option<RequestRate> {
         self.rate
     }
 
-    /// Applies a statement; returns whether the limit changed. An older statement is ignored, and
-    /// so is the lack of a limit in the response to a request that was sent before the limit was
-    /// named.
-    pub fn apply(&mut self, statement: &LimitStatement) -> bool {
+    /// Applies a statement. An older one is ignored, and so is the lack of a limit in the response to
+    /// a request that was sent before the limit was named.
+    pub fn apply(&mut self, statement: &LimitStatement) -> LimitEffect {
         let outdated = match statement.rate {
             Some(_) => statement.stated_at < self.stated_at,
             None => self.rate.is_none() || statement.sent_at < self.stated_at,
         };
         if outdated {
-            return false;
+            return LimitEffect::Outdated;
         }
         self.stated_at = statement.stated_at;
         if self.rate == statement.rate {
-            return false;
+            return LimitEffect::Confirmed;
         }
         self.rate = statement.rate;
         self.next_ask_at = TimePoint::START;
-        true
+        LimitEffect::Changed
     }
 
     /// Sends nothing until this time, when the entry asks for a permit again.
--- a/crates/core/src/direct/server.rs
+++ b/crates/core/src/direct/server.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::direct::estimate::ewma;
-use crate::direct::{LimitStatement, PromptPart, SendEvent, SendState};
+use crate::direct::{LimitEffect, LimitStatement, PromptPart, SendEvent, SendState};
 use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
@@ -227,17 +227,17 @@
         Some((before, row.send_state))
     }
 
-    /// Applies a statement of an incarnation of a backend server about its rate limit; returns
-    /// whether the limit changed.
+    /// Applies a statement of an incarnation of a backend server about its rate limit. A statement
+    /// of an incarnation that is not listed is outdated.
     pub fn record_limit(
         &mut self,
         id: &BackendId,
         incarnation: u64,
         statement: &LimitStatement,
-    ) -> bool {
+    ) -> LimitEffect {
         let row = self.rows.get_mut(id);
         let row = row.filter(|row| row.spec.started_at_ms == incarnation);
-        row.is_some_and(|row| row.rate_limit.apply(statement))
+        row.map_or(LimitEffect::Outdated, |row| row.rate_limit.apply(statement))
     }
 
     /// Sends nothing to a backend server until this time, since its rate limit is used up.
--- a/crates/core/tests/direct_permits.rs
+++ b/crates/core/tests/direct_permits.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use applefold_core::direct::{
-    choose_issuer, IssuerChoice, LimitStatement, LimitedBackend, LiveShare, PeerReach,
+    choose_issuer, IssuerChoice, LimitEffect, LimitStatement, LimitedBackend, LiveShare, PeerReach,
     PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
 };
 use applefold_core::id::InstanceId;
@@ -542,20 +542,26 @@
         sent_at: TimePoint(sent_at),
     };
     let mut limit = RateLimit::default();
-    assert!(limit.apply(&statement(Some(5_000), 100, 50)));
-    assert!(
-        !limit.apply(&statement(None, 110, 90)),
-        "sent before the limit was named"
-    );
-    assert!(
-        !limit.apply(&statement(Some(9_000), 95, 40)),
-        "an older one"
-    );
-    assert_eq!(limit.rate(), Some(RequestRate(5_000)));
-    assert!(limit.apply(&statement(None, 150, 120)));
-    assert_eq!(limit.rate(), None);
-    assert!(!limit.apply(&statement(Some(5_000), 140, 130)), "overtaken");
-    assert!(limit.apply(&statement(Some(4_000), 160, 155)));
+    let steps = [
+        (Some(5_000), 100, 50, LimitEffect::Changed, "named"),
+        (Some(5_000), 105, 60, LimitEffect::Confirmed, "named again"),
+        (
+            None,
+            110,
+            90,
+            LimitEffect::Outdated,
+            "sent before it was named",
+        ),
+        (Some(9_000), 95, 40, LimitEffect::Outdated, "older"),
+        (None, 150, 120, LimitEffect::Changed, "ended"),
+        (Some(5_000), 140, 130, LimitEffect::Outdated, "overtaken"),
+        (Some(4_000), 160, 155, LimitEffect::Changed, "named anew"),
+    ];
+    for (rate, stated_at, sent_at, effect, text) in steps {
+        let statement = statement(rate, stated_at, sent_at);
+        assert_eq!(limit.apply(&statement), effect, "{text}");
+    }
+    assert_eq!(limit.rate(), Some(RequestRate(4_000)));
 }
 
 #[test]
--- a/crates/daemon/src/gateway/permits.rs
+++ b/crates/daemon/src/gateway/permits.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use applefold_core::direct::{
-    LimitStatement, LimitedBackend, LiveShare, PermitIssuer, PermitReply, PERMIT_TTL,
+    LimitEffect, LimitStatement, LimitedBackend, LiveShare, PermitIssuer, PermitReply, PERMIT_TTL,
 };
 use applefold_core::id::{BackendId, InstanceId};
 use applefold_core::rank::NameRank;
@@ -264,10 +264,11 @@
             stated_at: now,
             sent_at,
         };
-        self.limits
-            .borrow_mut()
-            .note(backend, incarnation, &statement);
-        self.apply_limit(backend, incarnation, &statement, request);
+        let effect = self.apply_limit(backend, incarnation, &statement, request);
+        if effect != LimitEffect::Outdated {
+            let mut limits = self.limits.borrow_mut();
+            limits.note(backend, incarnation, &statement);
+        }
     }
 
     /// Applies a statement of a backend server about its rate limit, and logs and counts a change.
@@ -278,13 +279,12 @@
         incarnation: u64,
         statement: &LimitStatement,
         source: &str,
-    ) {
-        let changed = self
-            .table
-            .borrow_mut()
-            .record_limit(backend, incarnation, statement);
-        if !changed {
-            return;
+    ) -> LimitEffect {
+        let mut table = self.table.borrow_mut();
+        let effect = table.record_limit(backend, incarnation, statement);
+        drop(table);
+        if effect != LimitEffect::Changed {
+            return effect;
         }
         let limit = statement
             .rate
@@ -294,6 +294,7 @@
             "backend server changed its rate limit");
         let label = KeyValue::new("word", "limit");
         self.metrics.backend_notices.add(1, &[label]);
+        effect
     }
 
     fn permit(self: &Rc<Self>, permit: SparePermit) -> SendPermit {
--- a/crates/daemon/src/gateway/presence.rs
+++ b/crates/daemon/src/gateway/presence.rs
@@ -30,7 +30,6 @@
 pub(crate) async fn run(state: Rc<GatewayState>) {
     let mut lease = None;
     loop {
-        let era = state.store.era();
         let renewed = match lease {
             Some(held) => renew(&state, held).await,
             None => None,
@@ -39,6 +38,7 @@
             Some(held) => Some(held),
             None => register(&state).await,
         };
+        let era = state.store.era();
         refresh_peers(&state).await;
         let alone = state.peers.borrow().is_empty();
         let period = if alone { ALONE_PERIOD } else { REFRESH_PERIOD };
