--- a/crates/core/src/direct/seal.rs
+++ b/crates/core/src/direct/seal.rs
@@ -83,8 +83,8 @@
         self.first = self.first.max(first);
     }
 
-    /// Forgets the windows that are not reported; called when the process loses its authority.
+    /// Forgets all windows; called when the process loses its authority.
     pub fn reset(&mut self) {
-        self.phases.retain(|_, phase| *phase == SealPhase::Reported);
+        self.phases.clear();
     }
 }
