--- a/crates/core/tests/direct_permits.rs
+++ b/crates/core/tests/direct_permits.rs
@@ -49,7 +49,7 @@
     Alone,
 }
 
-/// A disturbance of one or more entries.
+/// A fault of one or more entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
     /// The process is killed and starts again a second later.
--- a/crates/daemon/src/gateway/backend_list.rs
+++ b/crates/daemon/src/gateway/backend_list.rs
@@ -15,6 +15,7 @@
 /// How long after a store outage a registration that expired meanwhile may still come back. The
 /// platform states about two seconds.
 pub(crate) const RETURN_TIME: TimeSpan = TimeSpan::from_millis(2_000);
+
 /// This entry's replica of the list of backend servers.
 #[derive(Debug, Default)]
 pub(crate) struct BackendList {
