Log how the stream of a backend server is framed and where it ends

For the incident of broken-off streams. Logs named neither the framing of a response nor what was left of its last event, which is what distinguishes the hypotheses. Each stream now has one line with its framing, its complete events and the bytes of an incomplete one, and applefold_streams_total counts streams by framing and end. No decision changes.

--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -3,6 +3,7 @@
 use applefold_core::direct::{AttemptEnd, Placement, PromptPart};
 use applefold_h1::encode_chunk;
 use applefold_platform::{render_response_head, ResponseFraming};
+use opentelemetry::KeyValue;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
@@ -17,10 +18,44 @@
     Broken(AttemptEnd, String),
 }
 
+impl RelayEnd {
+    /// Returns the `end` label in the metrics.
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::CallerDisconnected => "caller disconnected",
+            Self::Broken(..) => "broken",
+        }
+    }
+}
+
 impl RequestDriver<'_> {
     /// Relays complete events as they are received, until the stream ends or breaks. The chunk that
     /// ends the body is left to the caller of this method.
     pub(super) async fn relay(
+        &mut self,
+        stream: OpenStream,
+        placement: &Placement,
+        writer: &mut OwnedWriteHalf,
+    ) -> RelayEnd {
+        let framing = stream.head.framing.name();
+        self.event_buffer.begin_stream();
+        let end = self.relay_events(stream, placement, writer).await;
+        let (framing_key, end_key) = (
+            KeyValue::new("framing", framing),
+            KeyValue::new("end", end.name()),
+        );
+        let metrics = &self.state.metrics;
+        metrics.streams.add(1, &[framing_key, end_key]);
+        log::info!(request = self.prepared.caller.id.as_str(),
+            backend = placement.backend.as_str(), framing,
+            events = self.event_buffer.event_count(),
+            partial_bytes = self.event_buffer.partial().len();
+            "stream of a backend server ended: {}", end.name());
+        end
+    }
+
+    async fn relay_events(
         &mut self,
         mut stream: OpenStream,
         placement: &Placement,
@@ -36,7 +71,6 @@
             let complete = match tokio::time::timeout(limit, read).await {
                 Ok(Ok(complete)) => complete,
                 Ok(Err(error)) => {
-                    self.event_buffer.discard_partial();
                     return RelayEnd::Broken(AttemptEnd::Broken, error.to_string());
                 }
                 Err(_) => {
@@ -47,12 +81,11 @@
             output.clear();
             let mut events = self.event_buffer.push(&body);
             if self.event_buffer.is_over_limit() {
-                self.event_buffer.discard_partial();
                 let reason = "an event of the stream is too large".to_owned();
                 return RelayEnd::Broken(AttemptEnd::Broken, reason);
             }
             if complete {
-                events.extend_from_slice(&self.event_buffer.take_rest());
+                events.extend_from_slice(self.event_buffer.partial());
             }
             if (complete || !events.is_empty()) && !self.head_sent {
                 self.begin_stream(&stream, &mut output);
--- a/crates/daemon/src/gateway/sse.rs
+++ b/crates/daemon/src/gateway/sse.rs
@@ -12,6 +12,8 @@
     pending: Vec<u8>,
     /// The `id` of the last complete event that had one.
     last_event: Option<SmolStr>,
+    /// The number of events of the current stream that were complete.
+    events: u64,
 }
 
 impl EventBuffer {
@@ -20,10 +22,21 @@
         self.last_event.as_ref()
     }
 
+    /// Begins the stream of another attempt.
+    pub(crate) fn begin_stream(&mut self) {
+        self.pending.clear();
+        self.events = 0;
+    }
+
+    /// Returns how many events of the current stream were complete.
+    pub(crate) fn event_count(&self) -> u64 {
+        self.events
+    }
+
     /// Adds received bytes and returns all complete events that are buffered.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.pending.extend_from_slice(bytes);
-        let Some(end) = end_of_events(&self.pending) else {
+        let Some(end) = event_ends(&self.pending).next() else {
             return Vec::new();
         };
         let partial = self.pending.split_off(end);
@@ -31,6 +44,7 @@
         if let Some(id) = last_id(&events) {
             self.last_event = Some(id);
         }
+        self.events += event_ends(&events).count() as u64;
         events
     }
 
@@ -39,29 +53,22 @@
         self.pending.len() > MAX_EVENT_BYTES
     }
 
-    /// Returns the bytes that are left at the end of a complete stream.
-    pub(crate) fn take_rest(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.pending)
-    }
-
-    /// Discards the incomplete event at the end of a broken stream.
-    pub(crate) fn discard_partial(&mut self) {
-        self.pending.clear();
+    /// Returns the bytes that follow the last complete event.
+    pub(crate) fn partial(&self) -> &[u8] {
+        &self.pending
     }
 }
 
-/// Returns the index after the last blank line, which ends an event.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
+/// Returns the indices after the blank lines, which end events, from the last one to the first.
+fn event_ends(bytes: &[u8]) -> impl Iterator<Item = usize> + '_ {
     let newlines = (0..bytes.len())
         .rev()
         .filter(|index| bytes[*index] == b'\n');
-    for index in newlines {
-        let before = &bytes[..index];
-        if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
-            return Some(index + 1);
-        }
-    }
-    None
+    let blank_lines = newlines.filter(|index| {
+        let before = &bytes[..*index];
+        before.ends_with(b"\n") || before.ends_with(b"\n\r")
+    });
+    blank_lines.map(|index| index + 1)
 }
 
 /// Returns the last `id` among the events.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -62,6 +62,8 @@
     pub(crate) requests: Counter<u64>,
     /// Attempts by outcome.
     pub(crate) attempts: Counter<u64>,
+    /// Streams of backend servers, by the framing of their body and how they ended.
+    pub(crate) streams: Counter<u64>,
     /// Attempts without a response or with an error response, by backend server.
     pub(crate) backend_failures: Counter<u64>,
     /// Transitions of the send state of backend servers, by new state.
@@ -96,6 +98,7 @@
         Self {
             requests: meter.u64_counter("applefold_requests").build(),
             attempts: meter.u64_counter("applefold_attempts").build(),
+            streams: meter.u64_counter("applefold_streams").build(),
             backend_failures: meter.u64_counter("applefold_backend_failures").build(),
             backend_states: meter.u64_counter("applefold_backend_states").build(),
             backend_notices: meter.u64_counter("applefold_backend_words").build(),
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -24,6 +24,17 @@
     UntilClose,
 }
 
+impl BodyFraming {
+    /// Returns the name of the framing, without the length.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until close",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DecoderState {
     /// The bytes that are left of a body of known length.
