Treat a stream that ends within an event as broken

Callers got truncated streams as complete: status 200, a part of an event, and the last chunk. A response may come without a length and without chunks and end with its connection. The relay took that end for the end of the stream, also when the backend server had crashed, and passed on the bytes of the incomplete event with it.

Evidence: both reported answers end 2 to 3 ms after the crash of their engine, with an attempt left that was not made.

A stream is now complete only if its body has ended by its framing and behind an event; a body that ends with its connection needs at least one event. Otherwise the attempt is broken like one whose connection was reset: it is counted as a crash, resumed where the route allows it, and else the caller's connection ends without the last chunk.

--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -50,7 +50,7 @@
         log::info!(request = self.prepared.caller.id.as_str(),
             backend = placement.backend.as_str(), framing,
             events = self.event_buffer.event_count(),
-            partial_bytes = self.event_buffer.partial().len();
+            partial_bytes = self.event_buffer.partial_len();
             "stream of a backend server ended: {}", end.name());
         end
     }
@@ -79,14 +79,15 @@
                 }
             };
             output.clear();
-            let mut events = self.event_buffer.push(&body);
+            let events = self.event_buffer.push(&body);
             if self.event_buffer.is_over_limit() {
                 let reason = "an event of the stream is too large".to_owned();
                 return RelayEnd::Broken(AttemptEnd::Broken, reason);
             }
-            if complete {
-                events.extend_from_slice(self.event_buffer.partial());
-            }
+            // Also where its framing is complete: a backend server that crashes may close its
+            // connection in the regular way.
+            let truncated = complete && self.event_buffer.is_truncated(stream.head.framing);
+            let complete = complete && !truncated;
             if (complete || !events.is_empty()) && !self.head_sent {
                 self.begin_stream(&stream, &mut output);
             }
@@ -94,6 +95,10 @@
             if !output.is_empty() && writer.write_all(&output).await.is_err() {
                 return RelayEnd::CallerDisconnected;
             }
+            if truncated {
+                let reason = "the stream ended within an event".to_owned();
+                return RelayEnd::Broken(AttemptEnd::Broken, reason);
+            }
             if complete {
                 let now = self.state.now();
                 stream.in_flight.complete();
--- a/crates/daemon/src/gateway/sse.rs
+++ b/crates/daemon/src/gateway/sse.rs
@@ -1,5 +1,6 @@
 //! Splits a stream of server-sent events at event boundaries.
 
+use applefold_h1::BodyFraming;
 use smol_str::SmolStr;
 
 const ID_FIELD: &[u8] = b"id:";
@@ -53,9 +54,16 @@
         self.pending.len() > MAX_EVENT_BYTES
     }
 
-    /// Returns the bytes that follow the last complete event.
-    pub(crate) fn partial(&self) -> &[u8] {
-        &self.pending
+    /// Returns how many bytes follow the last complete event.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Returns whether a stream whose body ended here is truncated: within an event, or before its
+    /// first one if only the end of the connection marks the end of the body.
+    pub(crate) fn is_truncated(&self, framing: BodyFraming) -> bool {
+        let nothing_received = framing == BodyFraming::UntilClose && self.events == 0;
+        nothing_received || !self.pending.is_empty()
     }
 }
 
