Name the prompt parts and the progress of a suspect in its log line

For the incident of a crashing prompt part. The log named neither the shared parts of a request under which a backend server ended nor how many events of its answer had come, which is what distinguishes the hypotheses: a part that is in each crash, against requests that only broke with it. No decision changes.

--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -28,6 +28,7 @@
 use super::prepare::{count_request, keeps_alive, write_last, PreparedRequest};
 use super::sse::EventBuffer;
 use super::state::GatewayState;
+use super::suspects::CrashProgress;
 use stream::RelayEnd;
 
 /// The most attempts per request, including those that did not run.
@@ -147,7 +148,8 @@
                                 AttemptClass::Ended(end),
                                 &reason,
                             );
-                            self.note_crash(end, &placement);
+                            let events = self.event_buffer.event_count();
+                            self.note_crash(end, &placement, events);
                             end
                         }
                     }
@@ -180,7 +182,7 @@
                 }
                 AttemptResult::Ended(end, reason) => {
                     self.log_attempt(&placement, started_at, AttemptClass::Ended(end), &reason);
-                    self.note_crash(end, &placement);
+                    self.note_crash(end, &placement, 0);
                     // A request whose connection broke after it was sent has run in most cases.
                     if end == AttemptEnd::Broken && placement.work == PlacementWork::Run {
                         self.count_usage();
@@ -325,8 +327,9 @@
         })
     }
 
-    /// Suspects the request of crashing the backend server if the connection broke.
-    fn note_crash(&self, end: AttemptEnd, placement: &Placement) {
+    /// Suspects the request of crashing the backend server if the connection broke, after this many
+    /// events.
+    fn note_crash(&self, end: AttemptEnd, placement: &Placement, events: u64) {
         if end == AttemptEnd::Broken {
             let table = self.state.table.borrow();
             let start = table
@@ -337,8 +340,14 @@
                 incarnation: start.unwrap_or_default(),
             };
             let (id, now) = (&self.prepared.caller.id, self.state.now());
+            let prompt = self.prepared.caller.prompt.as_ref();
+            let progress = CrashProgress {
+                work: placement.work,
+                events,
+                parts: prompt.map_or(&[], PromptShape::shared),
+            };
             let suspects = &self.state.suspects;
-            suspects.note_crash(id, self.prepared.fingerprint, &crashed, now);
+            suspects.note_crash(id, self.prepared.fingerprint, &crashed, &progress, now);
         }
     }
 
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -5,6 +5,7 @@
 
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::code::CallRefusal;
+use applefold_core::direct::{PlacementWork, PromptPart};
 use applefold_core::id::BackendId;
 use applefold_core::quarantine::{BackendRun, CrashOptions, CrashTracker, SuspectReport};
 use applefold_core::unit::{TimePoint, TimeSpan};
@@ -16,6 +17,8 @@
 const DISPROVE_TIME: TimeSpan = TimeSpan::from_secs(1);
 /// How long a suspicion is gossiped: longer than an entry takes to restart.
 const GOSSIP_TIME: TimeSpan = TimeSpan::from_secs(10);
+/// The most parts of a prompt that are named in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
 
 /// Options for crashes that are inferred from broken connections. They are weaker evidence than
 /// a crash that a sidecar observes: a request is quarantined one crash later, and fewer crashes
@@ -31,6 +34,23 @@
     }
 }
 
+/// How far a request had come when the connection to its backend server broke.
+pub(crate) struct CrashProgress<'a> {
+    /// The part of its work that the backend server was asked for.
+    pub(crate) work: PlacementWork,
+    /// The complete events that were received of this attempt.
+    pub(crate) events: u64,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) parts: &'a [PromptPart],
+}
+
+/// Returns the names of the parts for the log, up to [`MAX_LOGGED_PARTS`].
+fn part_names(parts: &[PromptPart]) -> String {
+    let names = parts.iter().take(MAX_LOGGED_PARTS);
+    let names: Vec<&str> = names.map(|part| part.name.as_str()).collect();
+    names.join(",")
+}
+
 /// The crash tracker of an entry, with metrics and logs, and the quarantined requests that are
 /// still to be written to the store.
 pub(crate) struct SuspectTracker {
@@ -72,12 +92,14 @@
         })
     }
 
-    /// Records that a connection to a backend server broke while it ran the request.
+    /// Records that a connection to a backend server broke while it ran the request. `progress` is
+    /// what the log says of the request besides.
     pub(crate) fn note_crash(
         &self,
         request: &str,
         fingerprint: RequestFingerprint,
         crashed: &BackendRun,
+        progress: &CrashProgress<'_>,
         now: TimePoint,
     ) {
         let mut tracker = self.tracker.borrow_mut();
@@ -86,7 +108,8 @@
         self.unpersisted.borrow_mut().insert(fingerprint);
         self.count("seen");
         log::info!(request, fingerprint = fingerprint.to_string(),
-            backend = crashed.backend.as_str(), crashes;
+            backend = crashed.backend.as_str(), crashes, events = progress.events,
+            work = format!("{:?}", progress.work), parts = part_names(progress.parts);
             "request suspected of crashing a backend server");
     }
 
