Quarantine prompt parts that crash engines

Crashes were counted by the fingerprint of the whole request, and no two of these requests are alike, so every count stayed at 1 or 2.

Crashes are now counted by shared prompt part too, since the last answer that began on it. Only attempts that broke before their first event count; parts that are known to be sound are suspected only if there is no other; and a part whose crashes another quarantined part explains is not held against a request without that one, so that the parts which sound requests share with the crashing ones stay in use. What is known is gossiped and stored like quarantined requests, under the same range read.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -7,6 +7,7 @@
 //! other until they complete, so that a further crash does not quarantine them all.
 //! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers).
 
+mod part;
 mod row;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -18,6 +19,8 @@
 
 use row::SuspectRow;
 
+pub use part::{part_fingerprint, PartTracker};
+
 /// When a caller may retry a suspect that was refused to isolate it.
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
 
--- /dev/null
+++ b/crates/core/src/quarantine/part.rs
@@ -0,0 +1,384 @@
+//! Quarantine of prompt parts that crash the engines that begin to write an answer on them.
+//!
+//! Requests with such a part have nothing else in common, so their fingerprints never add up. Crashes
+//! are counted by part instead, since the last answer that began on the part. Parts that are always
+//! sent together with it, and parts of requests that ran beside it, are counted with it: a part whose
+//! crashes another quarantined part explains is not held against a request without that part.
+//! See [docs/design/answers.md](../../../../docs/design/answers.md#prompt-parts).
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use sha2::{Digest, Sha256};
+
+use super::row::{CrashSpan, SuspectRow};
+use super::{take_round_robin, BackendRun, SuspectReport, DISPROOF_WINDOW, SAME_EVENT_TOLERANCE};
+use crate::claim::RequestFingerprint;
+use crate::id::BackendId;
+use crate::unit::{TimePoint, TimeSpan};
+
+/// The distinct crashes at which a part is quarantined.
+const CRASH_LIMIT: usize = 3;
+/// Crashes that begin within this time of each other count as one, since several backend servers
+/// may fail together for a reason of their own.
+const BURST_SPAN: TimeSpan = TimeSpan::from_millis(200);
+/// How long a part counts as sound after an answer began on it.
+const SOUND_TTL: TimeSpan = TimeSpan::from_secs(60);
+/// How long the crashes of a part that is not quarantined are remembered.
+const SUSPICION_TTL: TimeSpan = TimeSpan::from_secs(60);
+/// How long after its last crash a part is quarantined.
+const QUARANTINE_TTL: TimeSpan = TimeSpan::from_secs(600);
+/// The age up to which a suspicion is reported: longer than an entry takes to restart.
+const REPORT_TTL: TimeSpan = TimeSpan::from_secs(10);
+/// How long it is reported that an answer has begun on a suspected part.
+const ANSWER_REPORT_TIME: TimeSpan = TimeSpan::from_secs(2);
+/// The most reports sent at one time.
+const REPORT_LIMIT: usize = 32;
+/// The most parts tracked.
+const MAX_PARTS: usize = 4_096;
+
+/// Returns the fingerprint of a prompt part with this name.
+pub fn part_fingerprint(name: &str) -> RequestFingerprint {
+    let mut hash = Sha256::new();
+    hash.update("prompt part\0");
+    hash.update(name);
+    let digest = hash.finalize();
+    let (first, _) = digest.split_first_chunk().expect("a digest of 32 bytes");
+    RequestFingerprint(u64::from_be_bytes(*first))
+}
+
+#[derive(Clone, Debug, Default)]
+struct PartRow {
+    /// The crashes since the last answer that is known to have begun, and when that was.
+    suspect: SuspectRow,
+    /// When the last answer began here. Only this is reported: what others report, they send to all.
+    answered_here: Option<TimePoint>,
+    /// The time of the latest crash that this process saw or learned of, and when it did.
+    latest_crash: Option<(TimePoint, TimePoint)>,
+}
+
+impl PartRow {
+    /// Returns the number of crashes, of which those in one burst count once.
+    fn crash_count(&self) -> usize {
+        let mut times: Vec<TimePoint> = self.crashes().map(|(_, crash)| crash.first).collect();
+        times.sort_unstable();
+        let mut burst = None;
+        let mut count = 0;
+        for time in times {
+            if burst.is_none_or(|start| time.since(start) >= BURST_SPAN) {
+                burst = Some(time);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.suspect.crashes.len() >= CRASH_LIMIT && self.crash_count() >= CRASH_LIMIT
+    }
+
+    fn crashes(&self) -> impl Iterator<Item = (&BackendRun, &CrashSpan)> {
+        self.suspect.crashes.iter()
+    }
+
+    fn is_sound(&self, now: TimePoint) -> bool {
+        let answered = self.suspect.completed;
+        answered.is_some_and(|at| now.since(at) < SOUND_TTL)
+    }
+
+    /// Returns whether each crash of this part is one of `other` too.
+    fn is_explained_by(&self, other: &PartRow) -> bool {
+        self.crashes().all(|(run, crash)| {
+            other.crashes().any(|(other_run, other_crash)| {
+                let (earlier, later) = match crash.first < other_crash.first {
+                    true => (crash.first, other_crash.first),
+                    false => (other_crash.first, crash.first),
+                };
+                run.backend == other_run.backend && later.since(earlier) < DISPROOF_WINDOW
+            })
+        })
+    }
+
+    fn note_crash(&mut self, run: BackendRun, at: TimePoint, now: TimePoint) {
+        self.suspect.note(Some(run), at);
+        if self.latest_crash.is_none_or(|(latest, _)| latest < at) {
+            self.latest_crash = Some((at, now));
+        }
+    }
+
+    /// Returns when the last answer began here, if others should hear of it now: the part is
+    /// suspected of a crash before.
+    fn answer_to_report(&self, now: TimePoint) -> Option<TimePoint> {
+        let (crash, heard_at) = self.latest_crash?;
+        let answered = self.answered_here.filter(|at| *at > crash)?;
+        let news_at = answered.max(heard_at);
+        (now.since(news_at) < ANSWER_REPORT_TIME).then_some(answered)
+    }
+}
+
+#[derive(Debug)]
+struct RecentCrash {
+    at: TimePoint,
+    part: RequestFingerprint,
+    run: BackendRun,
+}
+
+/// Counts crashes of backend servers for each part of the prompts that they were to answer.
+#[derive(Debug, Default)]
+pub struct PartTracker {
+    rows: BTreeMap<RequestFingerprint, PartRow>,
+    /// Crashes that a response may still disprove, the latest one last.
+    recent: VecDeque<RecentCrash>,
+    quarantined_offset: usize,
+    other_offset: usize,
+}
+
+impl PartTracker {
+    /// Returns how many parts are tracked.
+    pub fn row_count(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Records that a backend server crashed before an answer began on a prompt with these parts.
+    /// Parts that are known to be sound are suspected only if all of them are. Returns the suspected
+    /// ones.
+    pub fn note_crash(
+        &mut self,
+        now: TimePoint,
+        crashed: &BackendRun,
+        parts: &[RequestFingerprint],
+    ) -> Vec<RequestFingerprint> {
+        self.drop_settled_crashes(now);
+        let is_sound = |part: &RequestFingerprint| {
+            let row = self.rows.get(part);
+            row.is_some_and(|row| row.is_sound(now))
+        };
+        let mut suspects: Vec<_> = parts
+            .iter()
+            .copied()
+            .filter(|part| !is_sound(part))
+            .collect();
+        if suspects.is_empty() {
+            suspects = parts.to_vec();
+        }
+        for part in &suspects {
+            let row = self.rows.entry(*part).or_default();
+            let run = row.suspect.run_at(crashed.clone(), now);
+            row.note_crash(run.clone(), now, now);
+            self.recent.push_back(RecentCrash {
+                at: now,
+                part: *part,
+                run,
+            });
+        }
+        self.limit_rows(now);
+        suspects
+    }
+
+    /// Records that an answer has begun on a prompt with these parts, which shows that none of them
+    /// crashes engines. Returns those that were suspected.
+    pub fn note_answer(
+        &mut self,
+        now: TimePoint,
+        parts: &[RequestFingerprint],
+    ) -> Vec<RequestFingerprint> {
+        let mut cleared = Vec::new();
+        for part in parts {
+            let row = self.rows.entry(*part).or_default();
+            if !row.suspect.crashes.is_empty() {
+                cleared.push(*part);
+            }
+            row.suspect.note(None, now);
+            row.answered_here = Some(now);
+        }
+        self.limit_rows(now);
+        cleared
+    }
+
+    /// Records that `backend` has responded to a request that was sent at `sent_at`, so that it has
+    /// not crashed shortly before. Returns the parts that have one suspected crash less.
+    pub fn note_response(
+        &mut self,
+        now: TimePoint,
+        backend: &BackendId,
+        sent_at: TimePoint,
+    ) -> Vec<RequestFingerprint> {
+        self.drop_settled_crashes(now);
+        let mut cleared = Vec::new();
+        let rows = &mut self.rows;
+        self.recent.retain(|crash| {
+            let disproved = crash.run.backend == *backend && crash.at < sent_at;
+            if disproved {
+                let row = rows.get_mut(&crash.part);
+                let removed = row.and_then(|row| row.suspect.crashes.remove(&crash.run));
+                cleared.extend(removed.map(|_| crash.part));
+            }
+            !disproved
+        });
+        cleared
+    }
+
+    /// Merges a report of another process; returns whether it was new.
+    pub fn merge_report(&mut self, now: TimePoint, report: SuspectReport) -> bool {
+        let at = now - report.age;
+        // A report that is about to expire everywhere must not be taken as a new one.
+        if report.age + SAME_EVENT_TOLERANCE >= QUARANTINE_TTL {
+            return false;
+        }
+        let row = self.rows.entry(report.fingerprint).or_default();
+        let new = match report.crashed {
+            None => {
+                let new = !row.suspect.crashes.is_empty();
+                row.suspect.note(None, at);
+                new
+            }
+            Some(run) => {
+                let known = row.suspect.contains(Some(&run), at);
+                if !known {
+                    row.note_crash(run.clone(), at, now);
+                }
+                !known && row.suspect.crashes.contains_key(&run)
+            }
+        };
+        self.limit_rows(now);
+        new
+    }
+
+    /// Returns the part for which a prompt with these parts is refused, if there is one.
+    pub fn blamed_part(&self, parts: &[RequestFingerprint]) -> Option<RequestFingerprint> {
+        let mut quarantined = parts.iter().filter(|part| self.is_quarantined(**part));
+        let blamed = quarantined.find(|part| {
+            let row = &self.rows[*part];
+            let mut others = self.quarantined_rows();
+            !others
+                .any(|(other, other_row)| !parts.contains(other) && row.is_explained_by(other_row))
+        });
+        blamed.copied()
+    }
+
+    /// Returns how many crashes a part is suspected of.
+    pub fn crash_count(&self, part: RequestFingerprint) -> usize {
+        self.rows.get(&part).map_or(0, PartRow::crash_count)
+    }
+
+    /// Returns the time of the last crash that a part is suspected of.
+    pub fn last_crash(&self, part: RequestFingerprint) -> Option<TimePoint> {
+        let row = self.rows.get(&part)?;
+        row.crashes().map(|(_, crash)| crash.last).max()
+    }
+
+    /// Returns the quarantined parts that no other part explains, or at most equally well while
+    /// neither was sound before.
+    pub fn culprits(&self) -> Vec<RequestFingerprint> {
+        let quarantined: Vec<_> = self.quarantined_rows().collect();
+        let is_culprit = |(part, row): &(&RequestFingerprint, &PartRow)| {
+            !quarantined.iter().any(|(other, other_row)| {
+                let equal = other_row.is_explained_by(row);
+                let was_sound = row.suspect.completed.is_some();
+                let other_was_sound = other_row.suspect.completed.is_some();
+                let is_better = !equal || (was_sound && !other_was_sound);
+                other != part && is_better && row.is_explained_by(other_row)
+            })
+        };
+        let culprits = quarantined.iter().filter(|entry| is_culprit(entry));
+        culprits.map(|(part, _)| **part).collect()
+    }
+
+    /// Returns the reports to send now. If there are more than fit, they take turns; quarantines get
+    /// at least half of the places.
+    pub fn next_reports(&mut self, now: TimePoint) -> Vec<SuspectReport> {
+        let (mut quarantined, mut others) = (Vec::new(), Vec::new());
+        for (part, row) in &self.rows {
+            let reports = row.suspect.reports(*part, now);
+            let crashes = reports.filter(|report| report.crashed.is_some());
+            match row.is_quarantined() {
+                true => quarantined.extend(crashes),
+                false => others.extend(
+                    crashes
+                        .filter(|report| report.age >= DISPROOF_WINDOW && report.age < REPORT_TTL),
+                ),
+            }
+            others.extend(row.answer_to_report(now).map(|at| SuspectReport {
+                fingerprint: *part,
+                crashed: None,
+                age: now.since(at),
+            }));
+        }
+        let quarantined_room = REPORT_LIMIT - others.len().min(REPORT_LIMIT / 2);
+        let mut reports =
+            take_round_robin(quarantined, quarantined_room, &mut self.quarantined_offset);
+        let other_room = REPORT_LIMIT - reports.len();
+        reports.extend(take_round_robin(others, other_room, &mut self.other_offset));
+        reports
+    }
+
+    /// Returns a report for each crash that a part is suspected of.
+    pub fn reports_for(&self, part: RequestFingerprint, now: TimePoint) -> Vec<SuspectReport> {
+        let row = self.rows.get(&part).into_iter();
+        let reports = row.flat_map(|row| row.suspect.reports(part, now));
+        reports.filter(|report| report.crashed.is_some()).collect()
+    }
+
+    /// Returns how long a part stays quarantined after its last crash.
+    pub const fn retention(&self) -> TimeSpan {
+        QUARANTINE_TTL
+    }
+
+    /// Removes expired crashes and answers.
+    pub fn tick(&mut self, now: TimePoint) {
+        for row in self.rows.values_mut() {
+            let ttl = match row.is_quarantined() {
+                true => QUARANTINE_TTL,
+                false => SUSPICION_TTL,
+            };
+            let suspect = &mut row.suspect;
+            suspect
+                .crashes
+                .retain(|_, crash| now.since(crash.last) < ttl);
+            suspect.completed = suspect.completed.filter(|at| now.since(*at) < SOUND_TTL);
+        }
+        self.rows
+            .retain(|_, row| row.suspect.last_change().is_some());
+    }
+
+    fn is_quarantined(&self, part: RequestFingerprint) -> bool {
+        self.rows.get(&part).is_some_and(PartRow::is_quarantined)
+    }
+
+    fn quarantined_rows(&self) -> impl Iterator<Item = (&RequestFingerprint, &PartRow)> {
+        self.rows.iter().filter(|(_, row)| row.is_quarantined())
+    }
+
+    /// Drops the crashes that a response can no longer disprove from the recent ones.
+    fn drop_settled_crashes(&mut self, now: TimePoint) {
+        let is_settled = |crash: &RecentCrash| now.since(crash.at) >= DISPROOF_WINDOW;
+        while self.recent.front().is_some_and(is_settled) {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Drops expired rows once there are too many, and then half of those without a crash, or else
+    /// the rows with the oldest last change. Quarantined parts are dropped last.
+    fn limit_rows(&mut self, now: TimePoint) {
+        if self.rows.len() <= MAX_PARTS {
+            return;
+        }
+        self.tick(now);
+        let mut order: Vec<_> = self
+            .rows
+            .iter()
+            .map(|(part, row)| {
+                let suspected = !row.suspect.crashes.is_empty();
+                (
+                    row.is_quarantined(),
+                    suspected,
+                    row.suspect.last_change(),
+                    *part,
+                )
+            })
+            .collect();
+        order.sort_unstable();
+        let excess = self.rows.len().saturating_sub(MAX_PARTS / 2);
+        let dropped: BTreeSet<_> = order.iter().take(excess).map(|(.., part)| *part).collect();
+        self.rows.retain(|part, _| !dropped.contains(part));
+    }
+}
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -9,7 +9,7 @@
 /// The crash of one incarnation. It may break several attempts, at different times.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CrashSpan {
-    first: TimePoint,
+    pub(super) first: TimePoint,
     pub(super) last: TimePoint,
 }
 
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -382,6 +382,8 @@
         if !matches!(sample, HealthSample::Failed) {
             let now = self.state.now();
             self.state.suspects.note_response(backend, started_at, now);
+            let suspect_parts = &self.state.suspect_parts;
+            suspect_parts.note_response(backend, started_at, now);
         }
     }
 }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -10,6 +10,7 @@
 
 use applefold_core::direct::{BackendHash, PeerLoad};
 use applefold_core::id::{BackendId, InstanceId, Revision};
+use applefold_core::quarantine::SuspectReport;
 use applefold_core::unit::{TimeSpan, TokenCount};
 use eyre::{Result, WrapErr};
 use smol_str::SmolStr;
@@ -146,7 +147,18 @@
                 }
             }
         }
-        GossipPayload::Suspects(reports) => apply_crash_reports(state, &id, reports),
+        GossipPayload::Suspects(reports) => {
+            apply_crash_reports(&id, reports, |report| {
+                let now = source.received_at;
+                state.suspects.merge_report(id.as_str(), report, now);
+            });
+        }
+        GossipPayload::SuspectParts(reports) => {
+            apply_crash_reports(&id, reports, |report| {
+                let now = source.received_at;
+                state.suspect_parts.merge_report(id.as_str(), report, now);
+            });
+        }
         GossipPayload::Notices(notices) => {
             // The message may have waited in the socket buffer while this process was paused.
             let age = state.cluster_time().saturating_sub(sent_at);
@@ -222,11 +234,13 @@
     }
 }
 
-fn apply_crash_reports(state: &GatewayState, id: &InstanceId, reports: &[CrashReport]) {
-    let now = state.now();
+fn apply_crash_reports<Merge>(id: &InstanceId, reports: &[CrashReport], merge: Merge)
+where
+    Merge: Fn(SuspectReport),
+{
     for report in reports {
         match report.read() {
-            Some(report) => state.suspects.merge_report(id.as_str(), report, now),
+            Some(report) => merge(report),
             None => {
                 log::debug!(peer = id.as_str();
                     "crash report ignored: invalid backend server name");
@@ -276,9 +290,12 @@
             }
         }
         if sequence % SUSPECT_ROUNDS == 0 {
-            for part in crash_reports(&state) {
+            for part in crash_reports(state.suspects.next_reports(state.now())) {
                 send(&state, &socket, &peers, GossipPayload::Suspects(part)).await;
             }
+            for part in crash_reports(state.suspect_parts.next_reports(state.now())) {
+                send(&state, &socket, &peers, GossipPayload::SuspectParts(part)).await;
+            }
         }
         if sequence % PREFILL_ROUNDS == 0 {
             let prefills = state.prefills.borrow_mut().next_batch();
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -77,6 +77,8 @@
     PermitAnswer(PermitAnswer),
     /// The hashes of the entries that the sender does not hear from.
     Unheard(Vec<u32>),
+    /// Prompt parts suspected of crashing engines, and suspects on which an answer has begun since.
+    SuspectParts(Vec<CrashReport>),
 }
 
 /// The load that the sender puts on backend servers.
@@ -184,11 +186,11 @@
     }
 }
 
-/// Returns the crash reports that are due, in parts that fit a datagram.
-pub(crate) fn crash_reports(state: &GatewayState) -> Vec<Vec<CrashReport>> {
+/// Returns crash reports in parts that fit a datagram.
+pub(crate) fn crash_reports(reports: Vec<SuspectReport>) -> Vec<Vec<CrashReport>> {
     let mut parts: Vec<Vec<CrashReport>> = Vec::new();
     let mut length = 0;
-    for report in state.suspects.next_reports(state.now()) {
+    for report in reports {
         let report = CrashReport::new(report);
         let bytes = CRASH_REPORT_BYTES + report.backend.as_ref().map_or(0, SmolStr::len);
         length += bytes;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod state;
 mod stop;
 mod store;
+mod suspect_parts;
 mod suspects;
 mod turn;
 mod usage;
--- a/crates/daemon/src/gateway/prepare.rs
+++ b/crates/daemon/src/gateway/prepare.rs
@@ -4,7 +4,7 @@
 
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::code::{CallRefusal, ResultCode};
-use applefold_core::direct::{RouteRule, RuleSet};
+use applefold_core::direct::{PromptShape, RouteRule, RuleSet};
 use applefold_core::drain::WorkGuard;
 use applefold_core::id::{ServiceId, TeamId};
 use applefold_core::unit::{TimePoint, TimeSpan};
@@ -16,6 +16,7 @@
 
 use super::accept::{ConnectionAction, ReceivedRequest};
 use super::state::GatewayState;
+use super::suspect_parts::part_fingerprints;
 
 /// `Retry-After` of an entry that has no configuration yet.
 const NO_CONFIG_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
@@ -58,6 +59,8 @@
     pub(super) team: Option<TeamId>,
     pub(super) urgency: u8,
     pub(super) fingerprint: RequestFingerprint,
+    /// The fingerprints of the parts of the prompt that other requests may share.
+    pub(super) shared_parts: Vec<RequestFingerprint>,
     pub(super) deadline: TimePoint,
     /// Keeps a draining process running until the request ends.
     _work: WorkGuard,
@@ -91,6 +94,8 @@
         let owner = team.map_or("", TeamId::as_str);
         let fingerprint =
             RequestFingerprint::digest(owner, &head.method, &head.target, &request.body);
+        let prompt = caller.prompt.as_ref();
+        let shared_parts = part_fingerprints(prompt.map_or(&[], PromptShape::shared));
         let timeout = caller.timeout.unwrap_or(route.timeout);
         Ok(Self {
             service: service.clone(),
@@ -98,6 +103,7 @@
             urgency: rules.priority(route, team),
             route: route.clone(),
             fingerprint,
+            shared_parts,
             deadline: request.arrived + timeout.min(route.timeout),
             rules: Rc::clone(&rules),
             _work: work,
--- a/crates/daemon/src/gateway/quarantine_store.rs
+++ b/crates/daemon/src/gateway/quarantine_store.rs
@@ -1,10 +1,11 @@
-//! Persists quarantined requests in the platform's store, so that the quarantine outlives the
-//! entries.
+//! Persists quarantined requests and prompt parts in the platform's store, so that the quarantine
+//! outlives the entries.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use applefold_core::claim::RequestFingerprint;
+use applefold_core::quarantine::SuspectReport;
 use applefold_core::unit::TimeSpan;
 use applefold_platform::{
     StoreCall, StoreChange, StoreError, StoreItem, StoreReply, StoreRevision, OWN_PREFIX,
@@ -28,7 +29,96 @@
 /// The most pages per read of all records.
 const MAX_PAGES: usize = 8;
 
-/// The stored record of a quarantined request.
+/// What the name of a prompt part's record begins with.
+const PART_MARK: &str = "part-";
+
+/// What is quarantined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum QuarantineKind {
+    Request,
+    PromptPart,
+}
+
+impl QuarantineKind {
+    const ALL: [Self; 2] = [Self::Request, Self::PromptPart];
+
+    /// Returns the name in log lines.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::PromptPart => "prompt part",
+        }
+    }
+
+    /// Returns the kind of the record under a key.
+    fn of_key(key: &str) -> Self {
+        let name = key.strip_prefix(&record_prefix()).unwrap_or(key);
+        match name.starts_with(PART_MARK) {
+            true => Self::PromptPart,
+            false => Self::Request,
+        }
+    }
+
+    /// Returns the key of a record.
+    fn key(self, fingerprint: RequestFingerprint) -> String {
+        let mark = match self {
+            Self::Request => "",
+            Self::PromptPart => PART_MARK,
+        };
+        format!("{}{mark}{fingerprint}", record_prefix())
+    }
+
+    fn unpersisted(self, state: &GatewayState) -> Vec<RequestFingerprint> {
+        let (limit, now) = (MAX_WRITES_PER_PERIOD, state.now());
+        match self {
+            Self::Request => state.suspects.unpersisted(limit, now),
+            Self::PromptPart => state.suspect_parts.unpersisted(limit, now),
+        }
+    }
+
+    fn mark_persisted(self, state: &GatewayState, fingerprint: RequestFingerprint) {
+        match self {
+            Self::Request => state.suspects.mark_persisted(fingerprint),
+            Self::PromptPart => state.suspect_parts.mark_persisted(fingerprint),
+        }
+    }
+
+    /// Records that the store has lost the records; returns their number.
+    fn forget_persisted(self, state: &GatewayState) -> usize {
+        match self {
+            Self::Request => state.suspects.forget_persisted(),
+            Self::PromptPart => state.suspect_parts.forget_persisted(),
+        }
+    }
+
+    fn merge_report(self, state: &GatewayState, report: SuspectReport) {
+        let (source, now) = ("store", state.now());
+        match self {
+            Self::Request => state.suspects.merge_report(source, report, now),
+            Self::PromptPart => state.suspect_parts.merge_report(source, report, now),
+        }
+    }
+
+    fn reports_for(
+        self,
+        state: &GatewayState,
+        fingerprint: RequestFingerprint,
+    ) -> Vec<SuspectReport> {
+        match self {
+            Self::Request => state.suspects.reports_for(fingerprint, state.now()),
+            Self::PromptPart => state.suspect_parts.reports_for(fingerprint, state.now()),
+        }
+    }
+
+    fn retention(self, state: &GatewayState) -> TimeSpan {
+        match self {
+            Self::Request => state.suspects.retention(),
+            Self::PromptPart => state.suspect_parts.retention(),
+        }
+    }
+}
+
+/// The stored record of a quarantine.
 #[derive(Debug, Serialize, Deserialize)]
 struct QuarantineRecord {
     /// When it was written, in microseconds since the Unix epoch.
@@ -37,7 +127,8 @@
     crashes: Vec<CrashReport>,
 }
 
-fn key_prefix() -> String {
+/// Returns the prefix of the keys of all records, which one range read returns.
+fn record_prefix() -> String {
     format!("{OWN_PREFIX}refused/")
 }
 
@@ -45,7 +136,7 @@
 pub(crate) async fn run(state: Rc<GatewayState>) {
     while let Err(error) = read_all(&state, false).await {
         log::debug!(error = error.to_string();
-            "could not read the quarantined requests at the start; trying again");
+            "could not read the quarantine at the start; trying again");
         actix_rt::time::sleep(PERSIST_PERIOD).await;
     }
     let mut era = state.store.era();
@@ -54,29 +145,36 @@
         if state.store.era() != era {
             era = state.store.era();
             if state.read_rank() < MAX_REWRITERS {
-                let lost = state.suspects.forget_persisted();
-                log::info!(era = era.number(), lost;
-                    "writing the quarantined requests again: the store is in a new era");
+                for kind in QuarantineKind::ALL {
+                    let lost = kind.forget_persisted(&state);
+                    log::info!(kind = kind.name(), era = era.number(), lost;
+                        "writing the quarantine again: the store is in a new era");
+                }
             }
         }
         if period.is_multiple_of(PERIODS_PER_READ) {
             if let Err(error) = read_all(&state, true).await {
                 log::debug!(error = error.to_string();
-                    "could not read the quarantined requests; trying again in a later period");
+                    "could not read the quarantine; trying again in a later period");
             }
         }
-        for fingerprint in state
-            .suspects
-            .unpersisted(MAX_WRITES_PER_PERIOD, state.now())
-        {
-            if let Err(error) = persist(&state, fingerprint).await {
-                log::warn!(fingerprint = fingerprint.to_string(), error = error.to_string();
-                    "could not store the quarantine of a request; trying again");
-                break;
-            }
-            state.suspects.mark_persisted(fingerprint);
-            log::info!(fingerprint = fingerprint.to_string(); "stored the quarantine of a request");
+        for kind in QuarantineKind::ALL {
+            persist_due(&state, kind).await;
+        }
+    }
+}
+
+/// Writes the records that are due.
+async fn persist_due(state: &GatewayState, kind: QuarantineKind) {
+    for fingerprint in kind.unpersisted(state) {
+        if let Err(error) = persist(state, kind, fingerprint).await {
+            log::warn!(kind = kind.name(), fingerprint = fingerprint.to_string(),
+                error = error.to_string(); "could not store a quarantine; trying again");
+            return;
         }
+        kind.mark_persisted(state, fingerprint);
+        log::info!(kind = kind.name(), fingerprint = fingerprint.to_string();
+            "stored a quarantine");
     }
 }
 
@@ -84,7 +182,7 @@
     let mut after = None;
     for _ in 0..MAX_PAGES {
         let call = StoreCall::Range {
-            prefix: key_prefix(),
+            prefix: record_prefix(),
             after: after.clone(),
             stale,
         };
@@ -105,11 +203,12 @@
 }
 
 fn merge_item(state: &GatewayState, item: &StoreItem) {
+    let kind = QuarantineKind::of_key(&item.key);
     let record: QuarantineRecord = match serde_json::from_slice(&item.value) {
         Ok(record) => record,
         Err(error) => {
             log::warn!(key = item.key.as_str(), error = error.to_string();
-                "ignored an unreadable record of a quarantined request");
+                "ignored an unreadable record of a quarantine");
             return;
         }
     };
@@ -122,32 +221,35 @@
         };
         report.age += TimeSpan(written_ago);
         let fingerprint = report.fingerprint;
-        state.suspects.merge_report("store", report, state.now());
-        state.suspects.mark_persisted(fingerprint);
+        kind.merge_report(state, report);
+        kind.mark_persisted(state, fingerprint);
     }
 }
 
 /// Writes the record of one fingerprint under a lease that lasts as long as the quarantine, unless
 /// another entry has written it.
-async fn persist(state: &GatewayState, fingerprint: RequestFingerprint) -> Result<(), StoreError> {
+async fn persist(
+    state: &GatewayState,
+    kind: QuarantineKind,
+    fingerprint: RequestFingerprint,
+) -> Result<(), StoreError> {
     let record = QuarantineRecord {
         wall_us: state.cluster_time().0,
-        crashes: state
-            .suspects
-            .reports_for(fingerprint, state.now())
+        crashes: kind
+            .reports_for(state, fingerprint)
             .into_iter()
             .map(CrashReport::new)
             .collect(),
     };
     let value = serde_json::to_vec(&record);
     let value = value.map_err(|error| StoreError::Unreadable(error.to_string()))?;
-    let grant = StoreCall::Grant(state.suspects.retention());
+    let grant = StoreCall::Grant(kind.retention(state));
     let StoreReply::Leased(Some(lease), _) = state.store.call(&grant).await? else {
         return Err(StoreError::Unreadable(
             "unexpected reply to a lease grant".into(),
         ));
     };
-    let key = format!("{}{fingerprint}", key_prefix());
+    let key = kind.key(fingerprint);
     let change = StoreChange {
         expected: vec![(key.clone(), StoreRevision(0))],
         puts: vec![(key, value, Some(lease))],
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -121,6 +121,9 @@
             let result = self.attempt(&placement, permit).await;
             let end = match result {
                 AttemptResult::Complete(head, body) => {
+                    if (200..300).contains(&head.status) {
+                        self.note_answer_begun();
+                    }
                     self.log_attempt(&placement, started_at, AttemptClass::Answered, "answered");
                     return self.deliver(&head, &body, writer).await;
                 }
@@ -220,6 +223,8 @@
         let id = &self.prepared.caller.id;
         let suspects = &self.state.suspects;
         suspects.check(id, self.prepared.fingerprint, now)?;
+        let suspect_parts = &self.state.suspect_parts;
+        suspect_parts.check(id, &self.prepared.shared_parts, now)?;
         let time_left = self.prepared.deadline.since(now);
         // A stream that has begun is resumed wherever the deadline allows.
         let objective = match self.head_sent {
@@ -348,9 +353,20 @@
             };
             let suspects = &self.state.suspects;
             suspects.note_crash(id, self.prepared.fingerprint, &crashed, &progress, now);
+            if events == 0 && placement.work == PlacementWork::Run {
+                let suspect_parts = &self.state.suspect_parts;
+                suspect_parts.note_crash(id, &self.prepared.shared_parts, &crashed, now);
+            }
         }
     }
 
+    /// Records that a backend server has begun to answer the prompt.
+    fn note_answer_begun(&self) {
+        let (id, parts) = (&self.prepared.caller.id, &self.prepared.shared_parts);
+        let suspect_parts = &self.state.suspect_parts;
+        suspect_parts.note_answer(id, parts, self.state.now());
+    }
+
     /// Counts the request for the usage report of its team, at most once.
     fn count_usage(&mut self) {
         if std::mem::replace(&mut self.usage_counted, true) {
--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -79,7 +79,11 @@
                 }
             };
             output.clear();
+            let had_event = self.event_buffer.event_count() > 0;
             let events = self.event_buffer.push(&body);
+            if !had_event && !events.is_empty() {
+                self.note_answer_begun();
+            }
             if self.event_buffer.is_over_limit() {
                 let reason = "an event of the stream is too large".to_owned();
                 return RelayEnd::Broken(AttemptEnd::Broken, reason);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -32,6 +32,7 @@
 use crate::gateway::prefills::PrefillQueue;
 use crate::gateway::replicas::ReplicaSet;
 use crate::gateway::store::StoreClient;
+use crate::gateway::suspect_parts::SuspectParts;
 use crate::gateway::suspects::SuspectTracker;
 use crate::logging::unix_micros;
 use crate::metrics::MetricSet;
@@ -84,6 +85,7 @@
     pub(crate) drain: RefCell<DrainState>,
     pub(crate) counter: RefCell<RunCounter>,
     pub(crate) suspects: SuspectTracker,
+    pub(crate) suspect_parts: SuspectParts,
     /// Notices that backend servers sent to this entry, for gossip.
     pub(crate) notices: RefCell<NoticeTable>,
     /// Rate limits that backend servers named to this entry, for gossip.
@@ -153,6 +155,7 @@
             drain: RefCell::new(DrainState::new(drain)),
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
             suspects: SuspectTracker::new(metrics.clone()),
+            suspect_parts: SuspectParts::new(metrics.clone()),
             notices: RefCell::default(),
             limits: RefCell::default(),
             permits: PermitDesk::default(),
@@ -348,6 +351,7 @@
             self.act_on_health(Some(action));
         }
         self.suspects.expire(self.now());
+        self.suspect_parts.expire(self.now());
     }
 
     /// Logs a health action and applies it to the send state. A probe is not sent from here: the
--- /dev/null
+++ b/crates/daemon/src/gateway/suspect_parts.rs
@@ -0,0 +1,181 @@
+//! Tracks prompt parts that are suspected of crashing engines, and logs each change.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+
+use applefold_core::claim::RequestFingerprint;
+use applefold_core::code::{CallRefusal, ResultCode};
+use applefold_core::direct::PromptPart;
+use applefold_core::id::BackendId;
+use applefold_core::quarantine::{part_fingerprint, BackendRun, PartTracker, SuspectReport};
+use applefold_core::unit::{TimePoint, TimeSpan};
+use opentelemetry::KeyValue;
+
+use super::suspects::DISPROVE_TIME;
+use crate::metrics::MetricSet;
+
+/// Returns the fingerprints of prompt parts.
+pub(crate) fn part_fingerprints(parts: &[PromptPart]) -> Vec<RequestFingerprint> {
+    let names = parts.iter().map(|part| part.name.as_str());
+    names.map(part_fingerprint).collect()
+}
+
+/// The part tracker of an entry, with metrics and logs, and the quarantined parts that are still to
+/// be written to the store.
+pub(crate) struct SuspectParts {
+    tracker: RefCell<PartTracker>,
+    /// Parts under which this entry has seen a crash, and that it has not yet written to the store.
+    unpersisted: RefCell<BTreeSet<RequestFingerprint>>,
+    metrics: MetricSet,
+}
+
+impl SuspectParts {
+    pub(crate) fn new(metrics: MetricSet) -> Self {
+        Self {
+            tracker: RefCell::default(),
+            unpersisted: RefCell::default(),
+            metrics,
+        }
+    }
+
+    /// Refuses a request if a part of its prompt is quarantined.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with [`ResultCode::RequestQuarantined`].
+    pub(crate) fn check(
+        &self,
+        request: &str,
+        parts: &[RequestFingerprint],
+        now: TimePoint,
+    ) -> Result<(), CallRefusal> {
+        let tracker = self.tracker.borrow();
+        let Some(part) = tracker.blamed_part(parts) else {
+            return Ok(());
+        };
+        let age = tracker.last_crash(part).map(|at| now.since(at));
+        self.count("refused");
+        log::info!(request, part = part.to_string(), crashes = tracker.crash_count(part),
+            crash_age_ms = age.map_or(0, TimeSpan::as_millis);
+            "request refused: a part of its prompt is quarantined because it crashed engines");
+        Err(CallRefusal::permanent(ResultCode::RequestQuarantined))
+    }
+
+    /// Records that a connection to an engine broke before it had begun to answer a prompt with
+    /// these parts.
+    pub(crate) fn note_crash(
+        &self,
+        request: &str,
+        parts: &[RequestFingerprint],
+        crashed: &BackendRun,
+        now: TimePoint,
+    ) {
+        let mut tracker = self.tracker.borrow_mut();
+        for part in tracker.note_crash(now, crashed, parts) {
+            self.unpersisted.borrow_mut().insert(part);
+            self.count("seen");
+            log::info!(request, part = part.to_string(), backend = crashed.backend.as_str(),
+                crashes = tracker.crash_count(part);
+                "prompt part suspected of crashing an engine");
+        }
+    }
+
+    /// Records that an engine has begun to answer a prompt with these parts, which clears them.
+    pub(crate) fn note_answer(&self, request: &str, parts: &[RequestFingerprint], now: TimePoint) {
+        for part in self.tracker.borrow_mut().note_answer(now, parts) {
+            self.count("completed");
+            log::info!(request, part = part.to_string();
+                "suspicion of a prompt part cleared: an answer has begun");
+        }
+    }
+
+    /// Records a response to a request that was sent at `sent_at`: the backend server has not
+    /// crashed shortly before that time.
+    pub(crate) fn note_response(&self, backend: &BackendId, sent_at: TimePoint, now: TimePoint) {
+        let cleared = self
+            .tracker
+            .borrow_mut()
+            .note_response(now, backend, sent_at);
+        for part in cleared {
+            self.count("cleared");
+            log::info!(part = part.to_string(), backend = backend.as_str();
+                "suspicion of a prompt part cleared: the backend server still responds");
+        }
+    }
+
+    /// Merges a report from another entry or from the store; `source` is named in the log.
+    pub(crate) fn merge_report(&self, source: &str, report: SuspectReport, now: TimePoint) {
+        let part = report.fingerprint;
+        let crashed = report.crashed.clone();
+        let age_ms = report.age.as_millis();
+        let mut tracker = self.tracker.borrow_mut();
+        if !tracker.merge_report(now, report) {
+            return;
+        }
+        self.count("learned");
+        log::info!(source, part = part.to_string(),
+            backend = crashed.as_ref().map_or("", |run| run.backend.as_str()), age_ms,
+            crashes = tracker.crash_count(part); "state of a prompt part learned from elsewhere");
+    }
+
+    /// Returns the reports for the next round of gossip.
+    pub(crate) fn next_reports(&self, now: TimePoint) -> Vec<SuspectReport> {
+        self.tracker.borrow_mut().next_reports(now)
+    }
+
+    /// Returns the reports about the crashes of one part.
+    pub(crate) fn reports_for(
+        &self,
+        part: RequestFingerprint,
+        now: TimePoint,
+    ) -> Vec<SuspectReport> {
+        self.tracker.borrow().reports_for(part, now)
+    }
+
+    /// Returns up to `limit` quarantined parts that are to be written to the store: those that
+    /// crashed engines by themselves. A part waits as long as a response may still disprove its
+    /// last crash.
+    pub(crate) fn unpersisted(&self, limit: usize, now: TimePoint) -> Vec<RequestFingerprint> {
+        let unpersisted = self.unpersisted.borrow();
+        if unpersisted.is_empty() {
+            return Vec::new();
+        }
+        let tracker = self.tracker.borrow();
+        let is_due = |part: &RequestFingerprint| {
+            let last = tracker.last_crash(*part);
+            unpersisted.contains(part) && last.is_some_and(|at| now.since(at) >= DISPROVE_TIME)
+        };
+        let culprits = tracker.culprits().into_iter();
+        culprits.filter(is_due).take(limit).collect()
+    }
+
+    /// Records that the store holds the quarantine of a part.
+    pub(crate) fn mark_persisted(&self, part: RequestFingerprint) {
+        self.unpersisted.borrow_mut().remove(&part);
+    }
+
+    /// Records that the store has lost the quarantined parts; returns their number.
+    pub(crate) fn forget_persisted(&self) -> usize {
+        let mut unpersisted = self.unpersisted.borrow_mut();
+        unpersisted.extend(self.tracker.borrow().culprits());
+        unpersisted.len()
+    }
+
+    /// Returns how long a part stays quarantined after its last crash.
+    pub(crate) fn retention(&self) -> TimeSpan {
+        self.tracker.borrow().retention()
+    }
+
+    /// Drops expired crashes.
+    pub(crate) fn expire(&self, now: TimePoint) {
+        let mut tracker = self.tracker.borrow_mut();
+        tracker.tick(now);
+        let mut unpersisted = self.unpersisted.borrow_mut();
+        unpersisted.retain(|part| tracker.crash_count(*part) > 0);
+    }
+
+    fn count(&self, event: &'static str) {
+        let event = KeyValue::new("event", event);
+        self.metrics.part_suspicions.add(1, &[event]);
+    }
+}
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -14,7 +14,7 @@
 use crate::metrics::MetricSet;
 
 /// How long after a crash a response of the backend server may still disprove it.
-const DISPROVE_TIME: TimeSpan = TimeSpan::from_secs(1);
+pub(crate) const DISPROVE_TIME: TimeSpan = TimeSpan::from_secs(1);
 /// How long a suspicion is gossiped: longer than an entry takes to restart.
 const GOSSIP_TIME: TimeSpan = TimeSpan::from_secs(10);
 /// The most parts of a prompt that are named in a log line.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -76,6 +76,8 @@
     pub(crate) send_permits: Counter<u64>,
     /// Events about requests suspected of crashing backend servers, by kind.
     pub(crate) suspicions: Counter<u64>,
+    /// Events about prompt parts suspected of crashing engines, by kind.
+    pub(crate) part_suspicions: Counter<u64>,
     /// Seconds until the first byte of a response.
     pub(crate) first_byte: Histogram<f64>,
     /// Seconds until the end of a response that is not streamed.
@@ -105,6 +107,7 @@
             store_eras: meter.u64_counter("applefold_store_eras").build(),
             send_permits: meter.u64_counter("applefold_send_permits").build(),
             suspicions: meter.u64_counter("applefold_crash_suspicions").build(),
+            part_suspicions: meter.u64_counter("applefold_part_suspicions").build(),
             first_byte: meter
                 .f64_histogram("applefold_first_byte_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
