Believe no response that names no request on a reused connection

Callers could be told 'not run, try again' for a request that an engine had run, or such a request ran twice: a faulty engine repeats an earlier refusal on a kept connection, and the copy came without Request-Id, so it was taken for the response to the request that waited there. Reported by other operators; shown here by a_repeated_refusal_that_names_no_request_is_not_believed, which failed before ('r-1 ran 2 times').

Backend servers echo the identifier, so a response without one proves nothing about the request on a connection that has served others: the attempt is now broken, which is never told as not run. A copy that names its request was and is skipped.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -331,7 +331,9 @@
         }
     }
 
-    /// Reads the head of the response to this request, and skips late responses to others.
+    /// Reads the head of the response to this request, and skips late responses to others. Of a
+    /// response that names no request, on a connection that has served others, nobody knows whose
+    /// it is.
     async fn read_response_head(
         &self,
         connection: &mut ClientConnection,
@@ -345,6 +347,11 @@
                 state.handle_notice(&self.placement.backend, &head, sent_at, &self.caller.id);
             }
             let stray = response.request.as_ref();
+            if stray.is_none() && connection.is_reused() {
+                let error = "received a response that names no request on a reused connection";
+                let error = io::Error::new(io::ErrorKind::InvalidData, error);
+                return Err(ConnectionError::Broken(error));
+            }
             if stray.is_none_or(|id| *id == self.caller.id) {
                 return Ok((head, response));
             }
