Count crashes at the largest incarnation without an overflow

A registration may name any start time. A second crash of a backend server whose entry names the largest number overflowed, which ends a build with overflow checks (the test panicked before); the incarnation now wraps. Found while looking for odd entries of the backend list, as other operators reported them.

--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -79,7 +79,7 @@
             if at.since(known.first) < DISPROOF_WINDOW {
                 break;
             }
-            run.incarnation += 1;
+            run.incarnation = run.incarnation.wrapping_add(1);
         }
         run
     }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -95,6 +95,25 @@
     assert_eq!(code(&there, CRASHER), Some(ResultCode::RequestQuarantined));
 }
 
+/// A registration may name any start time, also the largest number.
+#[test]
+fn crashes_are_counted_at_the_largest_incarnation() {
+    let options = CrashOptions {
+        crash_limit: 3,
+        count_each_run: true,
+        ..CrashOptions::default()
+    };
+    let mut tracker = CrashTracker::new(options);
+    let last = BackendRun {
+        backend: backend(1),
+        incarnation: u64::MAX,
+    };
+    for round in 0..3 {
+        tracker.note_crash(at(3 * round), &last, &[CRASHER]);
+    }
+    assert_eq!(tracker.crash_count(CRASHER), 3);
+}
+
 /// A backend server that breaks every connection for seconds is not one crash.
 #[test]
 fn crashes_in_quick_succession_are_not_merged_into_one() {
