Read every page of the backend list or fail

A full reading stopped after 64 pages and took all backend servers behind them as gone; a truncated page without items ended it in the same way. Read in the code, shown by a_backend_server_on_the_last_of_many_pages_is_used, which failed before (503, as the only backend server stood on the last of 81 pages). The reading now has no limit but fails on a truncated page that leads no further, so that a part of the list never reads as removals.

--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -22,8 +22,6 @@
 const POLL_WAIT: TimeSpan = TimeSpan::from_millis(1);
 /// The longest pause between two runs of the timers.
 const TICK_PERIOD: TimeSpan = TimeSpan::from_millis(400);
-/// The most pages that a full read of the list takes.
-const MAX_PAGES: usize = 64;
 
 /// Keeps the table of backend servers in step with the list, for as long as the process runs.
 pub(crate) async fn run(state: Rc<GatewayState>) {
@@ -85,12 +83,13 @@
         Ok(())
     }
 
-    /// Reads the full list; returns the store position of its first page.
+    /// Reads the full list; returns the store position of its first page. It reads every page or
+    /// fails: what is missing from a part of the list is not gone.
     async fn read_all(&mut self, state: &GatewayState) -> Result<StorePosition, StoreError> {
         let mut start = None;
         let mut after = None;
         let mut present = BTreeSet::new();
-        for _ in 0..MAX_PAGES {
+        loop {
             let call = StoreCall::Range {
                 prefix: INSTANCE_PREFIX.to_owned(),
                 after: after.clone(),
@@ -105,11 +104,17 @@
                 return Err(StoreError::Compacted);
             }
             start.get_or_insert(position);
-            after = page.items.last().map(|item| item.key.clone());
+            let last = page.items.last().map(|item| item.key.clone());
+            if page.truncated && last <= after {
+                return Err(StoreError::Unreadable(
+                    "a page that leads no further".into(),
+                ));
+            }
+            after = last;
             for item in &page.items {
                 present.extend(self.apply_item(state, item, era, ChangeSource::StoreScan));
             }
-            if !page.truncated || after.is_none() {
+            if !page.truncated {
                 break;
             }
         }
