Revoke the lease of a quarantine that another entry has stored

Each entry that stored a quarantine took a lease of ten minutes first, and kept it when another entry had written the record before. Read in the code, shown by a_quarantine_that_several_entries_store_takes_one_lease, which failed before (3 leases for one record of four entries; 1 now).

--- a/crates/daemon/src/gateway/quarantine_store.rs
+++ b/crates/daemon/src/gateway/quarantine_store.rs
@@ -256,7 +256,15 @@
         ..StoreChange::default()
     };
     match state.store.call(&StoreCall::Change(change)).await? {
-        StoreReply::Changed(_) | StoreReply::Conflict(_) => Ok(()),
+        StoreReply::Changed(_) => Ok(()),
+        StoreReply::Conflict(_) => {
+            if let Err(error) = state.store.call(&StoreCall::Revoke(lease)).await {
+                log::debug!(fingerprint = fingerprint.to_string(), error = error.to_string();
+                    "could not revoke the lease of a quarantine that another entry stored; \
+                     it expires");
+            }
+            Ok(())
+        }
         _ => Err(StoreError::Unreadable("unexpected reply to a write".into())),
     }
 }
