--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -41,10 +41,8 @@
         let framing = stream.head.framing.name();
         self.event_buffer.begin_stream();
         let end = self.relay_events(stream, placement, writer).await;
-        let (framing_key, end_key) = (
-            KeyValue::new("framing", framing),
-            KeyValue::new("end", end.name()),
-        );
+        let framing_key = KeyValue::new("framing", framing);
+        let end_key = KeyValue::new("end", end.name());
         let metrics = &self.state.metrics;
         metrics.streams.add(1, &[framing_key, end_key]);
         log::info!(request = self.prepared.caller.id.as_str(),
