--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -50,10 +50,18 @@
 struct PartRow {
     /// The crashes since the last answer that is known to have begun, and when that was.
     suspect: SuspectRow,
-    /// When the last answer began here. Only this is reported: what others report, they send to all.
+    /// When the last answer began here. Answers at other processes are not passed on, since each
+    /// process reports its own to all.
     answered_here: Option<TimePoint>,
-    /// The time of the latest crash that this process saw or learned of, and when it did.
-    latest_crash: Option<(TimePoint, TimePoint)>,
+    /// The latest crash that this process saw or learned of.
+    latest_crash: Option<HeardCrash>,
+}
+
+/// When a backend server crashed, and when this process heard of it.
+#[derive(Clone, Copy, Debug)]
+struct HeardCrash {
+    at: TimePoint,
+    heard_at: TimePoint,
 }
 
 impl PartRow {
@@ -100,17 +108,17 @@
 
     fn note_crash(&mut self, run: BackendRun, at: TimePoint, now: TimePoint) {
         self.suspect.note(Some(run), at);
-        if self.latest_crash.is_none_or(|(latest, _)| latest < at) {
-            self.latest_crash = Some((at, now));
+        if self.latest_crash.is_none_or(|latest| latest.at < at) {
+            self.latest_crash = Some(HeardCrash { at, heard_at: now });
         }
     }
 
     /// Returns when the last answer began here, if others should hear of it now: the part is
     /// suspected of a crash before.
     fn answer_to_report(&self, now: TimePoint) -> Option<TimePoint> {
-        let (crash, heard_at) = self.latest_crash?;
-        let answered = self.answered_here.filter(|at| *at > crash)?;
-        let news_at = answered.max(heard_at);
+        let crash = self.latest_crash?;
+        let answered = self.answered_here.filter(|at| *at > crash.at)?;
+        let news_at = answered.max(crash.heard_at);
         (now.since(news_at) < ANSWER_REPORT_TIME).then_some(answered)
     }
 }
