Keep disprovable crashes, turns of reports and digests once for both trackers

Cause: the tracker of prompt parts had written again what the tracker of requests had: the list of crashes that a response may still disprove, the turns in which reports share the places of a datagram, and the truncated hash.

Change: quarantine/recent.rs and quarantine/turns.rs serve both, and the fingerprint of a part is made beside that of a request. A round of reports passes over rows without a crash before it looks at their crashes. No decision changes.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -58,6 +58,14 @@
         hash.update(body);
         Self(truncate_hash(hash))
     }
+
+    /// Returns the fingerprint that stands for all requests whose prompt has a part of this name.
+    pub fn of_prompt_part(name: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update("prompt part\0");
+        hash.update(name);
+        Self(truncate_hash(hash))
+    }
 }
 
 impl fmt::Display for RequestFingerprint {
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -8,18 +8,22 @@
 //! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers).
 
 mod part;
+mod recent;
 mod row;
+mod turns;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::claim::RequestFingerprint;
 use crate::code::{CallRefusal, ResultCode};
 use crate::id::BackendId;
 use crate::unit::{TimePoint, TimeSpan};
 
+use recent::RecentCrashes;
 use row::SuspectRow;
+use turns::ReportTurns;
 
-pub use part::{part_fingerprint, PartTracker};
+pub use part::PartTracker;
 
 /// When a caller may retry a suspect that was refused to isolate it.
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
@@ -109,19 +113,8 @@
 pub struct CrashTracker {
     options: CrashOptions,
     rows: BTreeMap<RequestFingerprint, SuspectRow>,
-    /// Crashes that an answer may still disprove, the latest one last.
-    recent: VecDeque<RecentCrash>,
-    /// Where the next round of reports on quarantined fingerprints begins.
-    quarantined_offset: usize,
-    /// Where the next round of other reports begins.
-    other_offset: usize,
-}
-
-#[derive(Debug)]
-struct RecentCrash {
-    at: TimePoint,
-    fingerprint: RequestFingerprint,
-    run: BackendRun,
+    recent: RecentCrashes,
+    turns: ReportTurns,
 }
 
 impl CrashTracker {
@@ -130,9 +123,8 @@
         Self {
             options,
             rows: BTreeMap::new(),
-            recent: VecDeque::new(),
-            quarantined_offset: 0,
-            other_offset: 0,
+            recent: RecentCrashes::default(),
+            turns: ReportTurns::default(),
         }
     }
 
@@ -148,7 +140,6 @@
         crashed: &BackendRun,
         running: &[RequestFingerprint],
     ) {
-        self.drop_settled_crashes(now);
         for fingerprint in running {
             let row = self.rows.get(fingerprint);
             let run = match (row, self.options.count_each_run) {
@@ -157,11 +148,7 @@
                 (_, false) => crashed.backend.clone().into(),
             };
             self.note(now, *fingerprint, Some(run.clone()), now);
-            self.recent.push_back(RecentCrash {
-                at: now,
-                fingerprint: *fingerprint,
-                run,
-            });
+            self.recent.push(now, *fingerprint, run);
         }
     }
 
@@ -184,15 +171,7 @@
         backend: &BackendId,
         sent_at: TimePoint,
     ) -> Vec<RequestFingerprint> {
-        self.drop_settled_crashes(now);
-        let mut cleared = Vec::new();
-        self.recent.retain(|crash| {
-            let disproved = crash.run.backend == *backend && crash.at < sent_at;
-            if disproved {
-                cleared.push((crash.fingerprint, crash.run.clone()));
-            }
-            !disproved
-        });
+        let mut cleared = self.recent.take_disproved(now, backend, sent_at);
         cleared.retain(|(fingerprint, run)| {
             let row = self.rows.get_mut(fingerprint);
             row.is_some_and(|row| row.crashes.remove(run).is_some())
@@ -202,16 +181,6 @@
         cleared.collect()
     }
 
-    /// Drops the crashes that an answer can no longer disprove from the recent ones.
-    fn drop_settled_crashes(&mut self, now: TimePoint) {
-        while let Some(oldest) = self.recent.front() {
-            if now.since(oldest.at) < DISPROOF_WINDOW {
-                break;
-            }
-            self.recent.pop_front();
-        }
-    }
-
     /// Merges a report of another process; returns whether it was new.
     pub fn merge_report(&mut self, now: TimePoint, report: SuspectReport) -> bool {
         let at = now - report.age;
@@ -262,13 +231,7 @@
         let options = self.options;
         others
             .retain(|report| report.age >= options.gossip_delay && report.age < options.gossip_ttl);
-        let half = options.gossip_limit / 2;
-        let quarantined_room = options.gossip_limit - others.len().min(half);
-        let mut reports =
-            take_round_robin(quarantined, quarantined_room, &mut self.quarantined_offset);
-        let other_room = options.gossip_limit - reports.len();
-        reports.extend(take_round_robin(others, other_room, &mut self.other_offset));
-        reports
+        self.turns.take(quarantined, others, options.gossip_limit)
     }
 
     /// Returns all reports on one fingerprint.
@@ -375,23 +338,3 @@
         }
     }
 }
-
-/// Returns up to `room` of the reports, continuing at `offset`. Each pass begins a little later than
-/// the one before, so that several peers that get reports in turn do not always get the same part.
-fn take_round_robin(
-    reports: Vec<SuspectReport>,
-    room: usize,
-    offset: &mut usize,
-) -> Vec<SuspectReport> {
-    if reports.len() <= room {
-        return reports;
-    }
-    let count = reports.len();
-    let first = *offset % count;
-    let next = first + room;
-    *offset = match next < count {
-        true => next,
-        false => next - count + room / 2 + 1,
-    };
-    reports.into_iter().cycle().skip(first).take(room).collect()
-}
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -6,12 +6,12 @@
 //! crashes another quarantined part explains is not held against a request without that part.
 //! See [docs/design/answers.md](../../../../docs/design/answers.md#prompt-parts).
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
-use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, BTreeSet};
 
+use super::recent::RecentCrashes;
 use super::row::{CrashSpan, SuspectRow};
-use super::{take_round_robin, BackendRun, SuspectReport, DISPROOF_WINDOW, SAME_EVENT_TOLERANCE};
+use super::turns::ReportTurns;
+use super::{BackendRun, SuspectReport, DISPROOF_WINDOW, SAME_EVENT_TOLERANCE};
 use crate::claim::RequestFingerprint;
 use crate::id::BackendId;
 use crate::unit::{TimePoint, TimeSpan};
@@ -36,16 +36,6 @@
 /// The most parts tracked.
 const MAX_PARTS: usize = 4_096;
 
-/// Returns the fingerprint of a prompt part with this name.
-pub fn part_fingerprint(name: &str) -> RequestFingerprint {
-    let mut hash = Sha256::new();
-    hash.update("prompt part\0");
-    hash.update(name);
-    let digest = hash.finalize();
-    let (first, _) = digest.split_first_chunk().expect("a digest of 32 bytes");
-    RequestFingerprint(u64::from_be_bytes(*first))
-}
-
 #[derive(Clone, Debug, Default)]
 struct PartRow {
     /// The crashes since the last answer that is known to have begun, and when that was.
@@ -123,21 +113,12 @@
     }
 }
 
-#[derive(Debug)]
-struct RecentCrash {
-    at: TimePoint,
-    part: RequestFingerprint,
-    run: BackendRun,
-}
-
 /// Counts crashes of backend servers for each part of the prompts that they were to answer.
 #[derive(Debug, Default)]
 pub struct PartTracker {
     rows: BTreeMap<RequestFingerprint, PartRow>,
-    /// Crashes that a response may still disprove, the latest one last.
-    recent: VecDeque<RecentCrash>,
-    quarantined_offset: usize,
-    other_offset: usize,
+    recent: RecentCrashes,
+    turns: ReportTurns,
 }
 
 impl PartTracker {
@@ -155,7 +136,6 @@
         crashed: &BackendRun,
         parts: &[RequestFingerprint],
     ) -> Vec<RequestFingerprint> {
-        self.drop_settled_crashes(now);
         let is_sound = |part: &RequestFingerprint| {
             let row = self.rows.get(part);
             row.is_some_and(|row| row.is_sound(now))
@@ -172,11 +152,7 @@
             let row = self.rows.entry(*part).or_default();
             let run = row.suspect.run_at(crashed.clone(), now);
             row.note_crash(run.clone(), now, now);
-            self.recent.push_back(RecentCrash {
-                at: now,
-                part: *part,
-                run,
-            });
+            self.recent.push(now, *part, run);
         }
         self.limit_rows(now);
         suspects
@@ -210,19 +186,12 @@
         backend: &BackendId,
         sent_at: TimePoint,
     ) -> Vec<RequestFingerprint> {
-        self.drop_settled_crashes(now);
-        let mut cleared = Vec::new();
-        let rows = &mut self.rows;
-        self.recent.retain(|crash| {
-            let disproved = crash.run.backend == *backend && crash.at < sent_at;
-            if disproved {
-                let row = rows.get_mut(&crash.part);
-                let removed = row.and_then(|row| row.suspect.crashes.remove(&crash.run));
-                cleared.extend(removed.map(|_| crash.part));
-            }
-            !disproved
+        let mut disproved = self.recent.take_disproved(now, backend, sent_at);
+        disproved.retain(|(part, run)| {
+            let row = self.rows.get_mut(part);
+            row.is_some_and(|row| row.suspect.crashes.remove(run).is_some())
         });
-        cleared
+        disproved.into_iter().map(|(part, _)| part).collect()
     }
 
     /// Merges a report of another process; returns whether it was new.
@@ -295,7 +264,8 @@
     /// at least half of the places.
     pub fn next_reports(&mut self, now: TimePoint) -> Vec<SuspectReport> {
         let (mut quarantined, mut others) = (Vec::new(), Vec::new());
-        for (part, row) in &self.rows {
+        let suspected = |row: &PartRow| row.latest_crash.is_some();
+        for (part, row) in self.rows.iter().filter(|(_, row)| suspected(row)) {
             let reports = row.suspect.reports(*part, now);
             let crashes = reports.filter(|report| report.crashed.is_some());
             match row.is_quarantined() {
@@ -311,12 +281,7 @@
                 age: now.since(at),
             }));
         }
-        let quarantined_room = REPORT_LIMIT - others.len().min(REPORT_LIMIT / 2);
-        let mut reports =
-            take_round_robin(quarantined, quarantined_room, &mut self.quarantined_offset);
-        let other_room = REPORT_LIMIT - reports.len();
-        reports.extend(take_round_robin(others, other_room, &mut self.other_offset));
-        reports
+        self.turns.take(quarantined, others, REPORT_LIMIT)
     }
 
     /// Returns a report for each crash that a part is suspected of.
@@ -356,14 +321,6 @@
         self.rows.iter().filter(|(_, row)| row.is_quarantined())
     }
 
-    /// Drops the crashes that a response can no longer disprove from the recent ones.
-    fn drop_settled_crashes(&mut self, now: TimePoint) {
-        let is_settled = |crash: &RecentCrash| now.since(crash.at) >= DISPROOF_WINDOW;
-        while self.recent.front().is_some_and(is_settled) {
-            self.recent.pop_front();
-        }
-    }
-
     /// Drops expired rows once there are too many, and then half of those without a crash, or else
     /// the rows with the oldest last change. Quarantined parts are dropped last.
     fn limit_rows(&mut self, now: TimePoint) {
--- a/crates/core/tests/quarantine_parts.rs
+++ b/crates/core/tests/quarantine_parts.rs
@@ -2,7 +2,7 @@
 
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::{part_fingerprint, BackendRun, PartTracker};
+use applefold_core::quarantine::{BackendRun, PartTracker};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -34,7 +34,10 @@
 }
 
 fn parts(names: &[&str]) -> Vec<RequestFingerprint> {
-    names.iter().map(|name| part_fingerprint(name)).collect()
+    names
+        .iter()
+        .map(|name| RequestFingerprint::of_prompt_part(name))
+        .collect()
 }
 
 fn is_refused(tracker: &PartTracker, names: &[&str]) -> bool {
@@ -102,7 +105,10 @@
         let now = at_ms(1_000 + 20 * number as u64);
         tracker.note_crash(now, &run(number, 1), &parts(&["new"]));
     }
-    assert_eq!(tracker.crash_count(part_fingerprint("new")), 1);
+    assert_eq!(
+        tracker.crash_count(RequestFingerprint::of_prompt_part("new")),
+        1
+    );
     assert!(!is_refused(&tracker, &["new"]));
 }
 
--- a/crates/daemon/src/gateway/suspect_parts.rs
+++ b/crates/daemon/src/gateway/suspect_parts.rs
@@ -7,7 +7,7 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::PromptPart;
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::{part_fingerprint, BackendRun, PartTracker, SuspectReport};
+use applefold_core::quarantine::{BackendRun, PartTracker, SuspectReport};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
 
@@ -17,7 +17,7 @@
 /// Returns the fingerprints of prompt parts.
 pub(crate) fn part_fingerprints(parts: &[PromptPart]) -> Vec<RequestFingerprint> {
     let names = parts.iter().map(|part| part.name.as_str());
-    names.map(part_fingerprint).collect()
+    names.map(RequestFingerprint::of_prompt_part).collect()
 }
 
 /// The part tracker of an entry, with metrics and logs, and the quarantined parts that are still to
