Add failing tests of sound requests that are refused as crashing ones

- an answer on a suspected part, and a suspicion of the entry's own, are lost among 400 suspicions that it only heard of.

--- a/crates/core/tests/quarantine_parts.rs
+++ b/crates/core/tests/quarantine_parts.rs
@@ -2,7 +2,7 @@
 
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::{BackendRun, PartTracker};
+use applefold_core::quarantine::{BackendRun, PartTracker, SuspectReport};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -304,3 +304,42 @@
         );
     }
 }
+
+#[test]
+fn an_answer_is_reported_first_among_many_suspicions() {
+    let mut tracker = PartTracker::default();
+    for number in 0..400_u64 {
+        let report = SuspectReport {
+            fingerprint: RequestFingerprint::of_prompt_part(&format!("part-{number}")),
+            crashed: Some(run(number as usize % ENGINES, 1)),
+            age: TimeSpan::from_millis(1_200),
+        };
+        tracker.merge_report(at_ms(5_000), report);
+    }
+    tracker.note_answer(at_ms(5_010), &parts(&["part-7"]));
+    let reports = tracker.next_reports(at_ms(5_020));
+    let answered = parts(&["part-7"])[0];
+    assert!(
+        reports
+            .iter()
+            .any(|report| report.fingerprint == answered && report.crashed.is_none()),
+        "other entries go on refusing the part"
+    );
+}
+
+#[test]
+fn what_an_entry_saw_itself_is_reported_before_what_it_heard() {
+    let mut tracker = PartTracker::default();
+    for number in 0..400_u64 {
+        let report = SuspectReport {
+            fingerprint: RequestFingerprint::of_prompt_part(&format!("part-{number}")),
+            crashed: Some(run(number as usize % ENGINES, 1)),
+            age: TimeSpan::from_millis(1_200),
+        };
+        tracker.merge_report(at_ms(5_000), report);
+    }
+    tracker.note_crash(at_ms(5_010), &run(3, 1), &parts(&["seen here"]));
+    let reports = tracker.next_reports(at_ms(6_100));
+    let seen = parts(&["seen here"])[0];
+    assert!(reports.iter().any(|report| report.fingerprint == seen));
+}
