Disprove crashes by the answers of all entries

Cause: a reset is taken for a crash until the engine answers something that was sent within the next second, but only an answer at the entry that saw the break counted. The share falls with entries times engines, while gossip adds up the suspicions of all entries.

Now an entry that hears of a suspicion reports the answer that disproves it, and a sign of life clears suspicions that were heard as well as those of the entry itself. note_answer and note_response lose their time of reading: what counts is that the request was sent within a second of the crash, which the tests still check.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -7,6 +7,7 @@
 //! other until they complete, so that a further crash does not quarantine them all.
 //! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers).
 
+mod life;
 mod part;
 mod recent;
 mod row;
@@ -23,6 +24,7 @@
 use row::SuspectRow;
 use turns::ReportTurns;
 
+pub use life::{LifeReport, LifeSigns};
 pub use part::PartTracker;
 
 /// When a caller may retry a suspect that was refused to isolate it.
@@ -32,7 +34,8 @@
 /// reports, and this must not extend the life of an event.
 const SAME_EVENT_TOLERANCE: TimeSpan = TimeSpan::from_secs(30);
 
-/// A backend server that answers within this time after a connection to it broke has not crashed.
+/// A backend server that answers a request sent within this time after a connection to it broke has
+/// not crashed: one that crashes takes longer to serve again.
 const DISPROOF_WINDOW: TimeSpan = TimeSpan::from_secs(1);
 
 /// One incarnation of a backend server, from its start to its end.
@@ -148,7 +151,7 @@
                 (_, false) => crashed.backend.clone().into(),
             };
             self.note(now, *fingerprint, Some(run.clone()), now);
-            self.recent.push(now, *fingerprint, run);
+            self.recent.push(now, now, *fingerprint, run);
         }
     }
 
@@ -159,22 +162,21 @@
         }
     }
 
-    /// Records that `backend` has answered a request that was sent at `sent_at`. This disproves a
-    /// crash that was recorded for it before `sent_at`, and less than a second before `now`: only a
+    /// Records that `backend` has answered a request that was sent at `sent_at`, here or at another
+    /// process. This disproves a crash that was recorded for it less than a second before: only a
     /// connection broke. An answer to an earlier request proves nothing, since it may have been
     /// under way when the backend server crashed.
     ///
     /// Returns the fingerprints that have one suspected crash less.
     pub fn note_answer(
         &mut self,
-        now: TimePoint,
         backend: &BackendId,
         sent_at: TimePoint,
     ) -> Vec<RequestFingerprint> {
-        let mut cleared = self.recent.take_disproved(now, backend, sent_at);
+        let mut cleared = self.recent.take_disproved(backend, sent_at);
         cleared.retain(|(fingerprint, run)| {
             let row = self.rows.get_mut(fingerprint);
-            row.is_some_and(|row| row.crashes.remove(run).is_some())
+            row.is_some_and(|row| row.remove_before(run, sent_at))
         });
         self.rows.retain(|_, row| row.last_change().is_some());
         let cleared = cleared.into_iter().map(|(fingerprint, _)| fingerprint);
@@ -190,6 +192,9 @@
         let unexpired = report.age + SAME_EVENT_TOLERANCE < self.options.quarantine_ttl;
         let new = unexpired && !known;
         if new {
+            if let Some(run) = &report.crashed {
+                self.recent.push(now, at, report.fingerprint, run.clone());
+            }
             self.note(now, report.fingerprint, report.crashed, at);
         }
         new
@@ -277,6 +282,7 @@
 
     /// Removes expired crashes and completions.
     pub fn tick(&mut self, now: TimePoint) {
+        self.recent.tick(now);
         let options = self.options;
         for row in self.rows.values_mut() {
             let ttl = match row.crashes.len() >= options.crash_limit {
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -152,7 +152,7 @@
             let row = self.rows.entry(*part).or_default();
             let run = row.suspect.run_at(crashed.clone(), now);
             row.note_crash(run.clone(), now, now);
-            self.recent.push(now, *part, run);
+            self.recent.push(now, now, *part, run);
         }
         self.limit_rows(now);
         suspects
@@ -178,18 +178,18 @@
         cleared
     }
 
-    /// Records that `backend` has responded to a request that was sent at `sent_at`, so that it has
-    /// not crashed shortly before. Returns the parts that have one suspected crash less.
+    /// Records that `backend` has responded to a request that was sent at `sent_at`, here or at
+    /// another process, so that it has not crashed shortly before. Returns the parts that have one
+    /// suspected crash less.
     pub fn note_response(
         &mut self,
-        now: TimePoint,
         backend: &BackendId,
         sent_at: TimePoint,
     ) -> Vec<RequestFingerprint> {
-        let mut disproved = self.recent.take_disproved(now, backend, sent_at);
+        let mut disproved = self.recent.take_disproved(backend, sent_at);
         disproved.retain(|(part, run)| {
             let row = self.rows.get_mut(part);
-            row.is_some_and(|row| row.suspect.crashes.remove(run).is_some())
+            row.is_some_and(|row| row.suspect.remove_before(run, sent_at))
         });
         disproved.into_iter().map(|(part, _)| part).collect()
     }
@@ -213,7 +213,11 @@
                 if !known {
                     row.note_crash(run.clone(), at, now);
                 }
-                !known && row.suspect.crashes.contains_key(&run)
+                let new = !known && row.suspect.crashes.contains_key(&run);
+                if new {
+                    self.recent.push(now, at, report.fingerprint, run);
+                }
+                new
             }
         };
         self.limit_rows(now);
@@ -298,6 +302,7 @@
 
     /// Removes expired crashes and answers.
     pub fn tick(&mut self, now: TimePoint) {
+        self.recent.tick(now);
         for row in self.rows.values_mut() {
             let ttl = match row.is_quarantined() {
                 true => QUARANTINE_TTL,
--- a/crates/core/src/quarantine/recent.rs
+++ b/crates/core/src/quarantine/recent.rs
@@ -1,11 +1,15 @@
 //! Crashes that a response may still disprove.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
-use super::{BackendRun, DISPROOF_WINDOW};
+use super::life::disproves;
+use super::BackendRun;
 use crate::claim::RequestFingerprint;
 use crate::id::BackendId;
-use crate::unit::TimePoint;
+use crate::unit::{TimePoint, TimeSpan};
+
+/// How long a response may take that disproves a crash, and reach this process from another one.
+const RETENTION: TimeSpan = TimeSpan::from_secs(10);
 
 #[derive(Debug)]
 struct RecentCrash {
@@ -14,20 +18,23 @@
     run: BackendRun,
 }
 
-/// The crashes of the last [`DISPROOF_WINDOW`], the latest one last.
+/// The crashes of the last [`RETENTION`] by backend server.
 #[derive(Debug, Default)]
-pub(super) struct RecentCrashes(VecDeque<RecentCrash>);
+pub(super) struct RecentCrashes(BTreeMap<BackendId, VecDeque<RecentCrash>>);
 
 impl RecentCrashes {
+    /// Records a crash at `at`, which this process saw or heard of at `now`.
     pub(super) fn push(
         &mut self,
         now: TimePoint,
+        at: TimePoint,
         fingerprint: RequestFingerprint,
         run: BackendRun,
     ) {
-        self.drop_settled(now);
-        self.0.push_back(RecentCrash {
-            at: now,
+        let crashes = self.0.entry(run.backend.clone()).or_default();
+        crashes.retain(|crash| now.since(crash.at) < RETENTION);
+        crashes.push_back(RecentCrash {
+            at,
             fingerprint,
             run,
         });
@@ -37,14 +44,15 @@
     /// `sent_at` disproves.
     pub(super) fn take_disproved(
         &mut self,
-        now: TimePoint,
         backend: &BackendId,
         sent_at: TimePoint,
     ) -> Vec<(RequestFingerprint, BackendRun)> {
-        self.drop_settled(now);
+        let Some(crashes) = self.0.get_mut(backend) else {
+            return Vec::new();
+        };
         let mut disproved = Vec::new();
-        self.0.retain(|crash| {
-            let is_disproved = crash.run.backend == *backend && crash.at < sent_at;
+        crashes.retain(|crash| {
+            let is_disproved = disproves(sent_at, crash.at);
             if is_disproved {
                 disproved.push((crash.fingerprint, crash.run.clone()));
             }
@@ -54,12 +62,10 @@
     }
 
     /// Drops the crashes that a response can no longer disprove.
-    fn drop_settled(&mut self, now: TimePoint) {
-        while let Some(oldest) = self.0.front() {
-            if now.since(oldest.at) < DISPROOF_WINDOW {
-                break;
-            }
-            self.0.pop_front();
+    pub(super) fn tick(&mut self, now: TimePoint) {
+        for crashes in self.0.values_mut() {
+            crashes.retain(|crash| now.since(crash.at) < RETENTION);
         }
+        self.0.retain(|_, crashes| !crashes.is_empty());
     }
 }
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -72,6 +72,13 @@
         crash.last = at.max(crash.last);
     }
 
+    /// Removes the crash of `run` if it lasted no longer than `time`; returns whether it did.
+    pub(super) fn remove_before(&mut self, run: &BackendRun, time: TimePoint) -> bool {
+        let known = self.crashes.get(run);
+        let is_over = known.is_some_and(|crash| crash.last < time);
+        is_over && self.crashes.remove(run).is_some()
+    }
+
     /// Returns the incarnation that crashed at `at`. It is a later one than `run` if the recorded
     /// crash of `run` began so long ago that the backend server must have restarted since.
     pub(super) fn run_at(&self, mut run: BackendRun, at: TimePoint) -> BackendRun {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -139,11 +139,10 @@
 fn a_backend_server_that_still_answers_has_not_crashed() {
     let mut tracker = CrashTracker::new(CrashOptions::default());
     tracker.note_crash(at(0), &run(1), &[CRASHER]);
-    let (sent_at, now) = (TimeSpan::from_millis(100), TimeSpan::from_millis(300));
-    tracker.note_answer(at(0) + now, &backend(1), at(0) + sent_at);
+    tracker.note_answer(&backend(1), at(0) + TimeSpan::from_millis(100));
     tracker.note_crash(at(2), &run(2), &[CRASHER]);
     assert_eq!(code(&tracker, CRASHER), None);
-    tracker.note_answer(at(4), &backend(2), at(3));
+    tracker.note_answer(&backend(2), at(3));
     tracker.note_crash(at(5), &run(3), &[CRASHER]);
     let quarantined = Some(ResultCode::RequestQuarantined);
     assert_eq!(
@@ -157,12 +156,11 @@
 #[test]
 fn an_answer_to_a_request_sent_before_a_crash_disproves_nothing() {
     let mut tracker = CrashTracker::new(CrashOptions::default());
-    let read_at = at(1) + TimeSpan::from_millis(2);
     tracker.note_crash(at(1), &run(1), &[CRASHER]);
-    assert_eq!(tracker.note_answer(read_at, &backend(1), at(0)), []);
-    assert_eq!(tracker.note_answer(read_at, &backend(1), at(1)), []);
+    assert_eq!(tracker.note_answer(&backend(1), at(0)), []);
+    assert_eq!(tracker.note_answer(&backend(1), at(1)), []);
     let sent_at = at(1) + TimeSpan::from_millis(1);
-    let cleared = tracker.note_answer(read_at, &backend(1), sent_at);
+    let cleared = tracker.note_answer(&backend(1), sent_at);
     assert_eq!(cleared, [CRASHER]);
 }
 
--- a/crates/core/tests/quarantine_fleet/mod.rs
+++ b/crates/core/tests/quarantine_fleet/mod.rs
@@ -2,7 +2,7 @@
 
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::{BackendRun, PartTracker, SuspectReport};
+use applefold_core::quarantine::{BackendRun, LifeReport, LifeSigns, PartTracker, SuspectReport};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -28,6 +28,8 @@
 const CRASHING_RATE: f64 = 3.0;
 /// How long a crashed engine is down.
 const DOWNTIME: TimeSpan = TimeSpan::from_millis(2_500);
+/// The most signs of life in a datagram.
+const SIGN_LIMIT: usize = 100;
 /// The share of datagrams that is lost.
 const LOSS: f64 = 0.01;
 /// The crash after which all entries have to know the part, and how long that may take.
@@ -77,26 +79,49 @@
 #[derive(Default)]
 struct EntryBelief {
     tracker: PartTracker,
+    signs: LifeSigns,
+}
+
+/// What an entry sends in one round.
+struct GossipRound {
+    suspects: Vec<SuspectReport>,
+    signs: Vec<LifeReport>,
 }
 
 impl EntryBelief {
     fn note_crash(&mut self, now: TimePoint, run: &BackendRun, parts: &[RequestFingerprint]) {
         self.tracker.note_crash(now, run, parts);
+        self.signs.note_suspicion(now, &run.backend, now);
     }
 
     fn note_answer(&mut self, now: TimePoint, request: &WaitingRequest, backend: &BackendId) {
         self.tracker.note_answer(now, &request.parts);
-        self.tracker.note_response(now, backend, request.sent_at);
+        self.tracker.note_response(backend, request.sent_at);
+        self.signs.note_response(now, backend, request.sent_at);
     }
 
-    fn next_reports(&mut self, now: TimePoint) -> Vec<SuspectReport> {
-        self.tracker.next_reports(now)
+    fn next_round(&mut self, now: TimePoint) -> GossipRound {
+        GossipRound {
+            suspects: self.tracker.next_reports(now),
+            signs: self.signs.next_reports(now, SIGN_LIMIT),
+        }
     }
 
-    fn receive(&mut self, now: TimePoint, reports: &[SuspectReport]) {
-        for report in reports {
+    fn receive(&mut self, now: TimePoint, round: &GossipRound) {
+        for report in &round.suspects {
+            let crashed_at = now - report.age;
+            if let Some(run) = &report.crashed {
+                self.signs.note_suspicion(now, &run.backend, crashed_at);
+                if self.signs.is_disproved(&run.backend, crashed_at) {
+                    continue;
+                }
+            }
             self.tracker.merge_report(now, report.clone());
         }
+        for report in &round.signs {
+            let sent_at = self.signs.merge_report(now, report);
+            self.tracker.note_response(&report.backend, sent_at);
+        }
     }
 }
 
@@ -279,10 +304,10 @@
 
     fn gossip(&mut self, now: TimePoint) {
         for sender in 0..self.size.entries {
-            let reports = self.entries[sender].next_reports(now);
+            let round = self.entries[sender].next_round(now);
             for receiver in 0..self.size.entries {
                 if receiver != sender && !self.rng.gen_bool(LOSS) {
-                    self.entries[receiver].receive(now + TICK, &reports);
+                    self.entries[receiver].receive(now + TICK, &round);
                 }
             }
         }
--- a/crates/core/tests/quarantine_parts.rs
+++ b/crates/core/tests/quarantine_parts.rs
@@ -139,7 +139,7 @@
     for number in 0..6 {
         let now = 1_000 * number as u64;
         tracker.note_crash(at_ms(now), &run(number, 1), &parts(&["new"]));
-        tracker.note_response(at_ms(now + 200), &backend(number), at_ms(now + 100));
+        tracker.note_response(&backend(number), at_ms(now + 100));
     }
     assert!(!is_refused(&tracker, &["new"]));
 }
@@ -251,7 +251,7 @@
                 return true;
             }
             tracker.note_answer(now, &parts(&names));
-            tracker.note_response(now, &backend(request.engine), request.sent_at);
+            tracker.note_response(&backend(request.engine), request.sent_at);
             false
         });
         for engine in crashed {
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -387,10 +387,7 @@
         let backend = &self.placement.backend;
         self.state.note_health(backend, sample);
         if !matches!(sample, HealthSample::Failed) {
-            let now = self.state.now();
-            self.state.suspects.note_response(backend, started_at, now);
-            let suspect_parts = &self.state.suspect_parts;
-            suspect_parts.note_response(backend, started_at, now);
+            self.state.note_life_sign(backend, started_at);
         }
     }
 }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -20,7 +20,7 @@
 use super::list_updates::UpdateRecord;
 use super::messages::{
     crash_reports, load_message, usage_counts, CrashReport, GossipMessage, GossipPayload,
-    LoadMessage,
+    LifeSignReport, LoadMessage,
 };
 use super::peers::MessageSource;
 use super::state::GatewayState;
@@ -36,6 +36,8 @@
 const NOTICE_ROUNDS: u64 = 2;
 /// Crash reports are sent every this many rounds.
 const SUSPECT_ROUNDS: u64 = 2;
+/// The most signs of life in one datagram.
+const MAX_LIFE_SIGNS: usize = 40;
 /// Usage counts are sent every this many rounds.
 const USAGE_ROUNDS: u64 = 8;
 /// The largest datagram that is sent, in bytes. It fits one packet, without fragmentation.
@@ -148,17 +150,26 @@
             }
         }
         GossipPayload::Suspects(reports) => {
-            apply_crash_reports(&id, reports, |report| {
+            apply_crash_reports(state, &source, delay, reports, |report| {
                 let now = source.received_at;
                 state.suspects.merge_report(id.as_str(), report, now);
             });
         }
         GossipPayload::SuspectParts(reports) => {
-            apply_crash_reports(&id, reports, |report| {
+            apply_crash_reports(state, &source, delay, reports, |report| {
                 let now = source.received_at;
                 state.suspect_parts.merge_report(id.as_str(), report, now);
             });
         }
+        GossipPayload::LifeSigns(reports) => {
+            for report in reports {
+                match report.read(delay) {
+                    Some(report) => state.merge_life_sign(id.as_str(), &report),
+                    None => log::debug!(peer = id.as_str();
+                        "sign of life ignored: invalid backend server name"),
+                }
+            }
+        }
         GossipPayload::Notices(notices) => {
             // The message may have waited in the socket buffer while this process was paused.
             let age = state.cluster_time().saturating_sub(sent_at);
@@ -234,15 +245,32 @@
     }
 }
 
-fn apply_crash_reports<Merge>(id: &InstanceId, reports: &[CrashReport], merge: Merge)
-where
+/// Merges the crash reports of a message that was in transit for `delay`, but for those that a sign
+/// of life disproves.
+fn apply_crash_reports<Merge>(
+    state: &GatewayState,
+    source: &MessageSource<'_>,
+    delay: TimeSpan,
+    reports: &[CrashReport],
+    merge: Merge,
+) where
     Merge: Fn(SuspectReport),
 {
     for report in reports {
         match report.read() {
-            Some(report) => merge(report),
+            Some(mut report) => {
+                report.age += delay;
+                let crashed_at = source.received_at - report.age;
+                let disproved = report.crashed.as_ref().is_some_and(|run| {
+                    state.note_suspicion(&run.backend, crashed_at);
+                    state.is_disproved(&run.backend, crashed_at)
+                });
+                if !disproved {
+                    merge(report);
+                }
+            }
             None => {
-                log::debug!(peer = id.as_str();
+                log::debug!(peer = source.id.as_str();
                     "crash report ignored: invalid backend server name");
             }
         }
@@ -296,6 +324,11 @@
             for part in crash_reports(state.suspect_parts.next_reports(state.now())) {
                 send(&state, &socket, &peers, GossipPayload::SuspectParts(part)).await;
             }
+            let signs = state.next_life_reports(MAX_LIFE_SIGNS);
+            if !signs.is_empty() {
+                let signs = signs.iter().map(LifeSignReport::new).collect();
+                send(&state, &socket, &peers, GossipPayload::LifeSigns(signs)).await;
+            }
         }
         if sequence % PREFILL_ROUNDS == 0 {
             let prefills = state.prefills.borrow_mut().next_batch();
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -3,7 +3,7 @@
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::direct::{BackendHash, PeerLoad};
 use applefold_core::id::WindowId;
-use applefold_core::quarantine::{BackendRun, SuspectReport};
+use applefold_core::quarantine::{BackendRun, LifeReport, SuspectReport};
 use applefold_core::unit::TimeSpan;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -79,6 +79,8 @@
     Unheard(Vec<u32>),
     /// Prompt parts suspected of crashing engines, and suspects on which an answer has begun since.
     SuspectParts(Vec<CrashReport>),
+    /// Backend servers that were suspected of a crash and have answered the sender since.
+    LifeSigns(Vec<LifeSignReport>),
 }
 
 /// The load that the sender puts on backend servers.
@@ -137,6 +139,33 @@
     }
 }
 
+/// The encoding of a [`LifeReport`].
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct LifeSignReport {
+    /// The backend server.
+    pub(crate) backend: SmolStr,
+    /// The time since the answered request was sent, in microseconds.
+    pub(crate) age_us: u64,
+}
+
+impl LifeSignReport {
+    pub(crate) fn new(report: &LifeReport) -> Self {
+        Self {
+            backend: SmolStr::new(report.backend.as_str()),
+            age_us: report.age.0,
+        }
+    }
+
+    /// Decodes the report, which was in transit for `delay`; `None` if the name of the backend
+    /// server is invalid.
+    pub(crate) fn read(&self, delay: TimeSpan) -> Option<LifeReport> {
+        Some(LifeReport {
+            backend: self.backend.parse().ok()?,
+            age: TimeSpan(self.age_us) + delay,
+        })
+    }
+}
+
 impl LoadMessage {
     pub(crate) fn is_empty(&self) -> bool {
         self.loads.is_empty() && self.changing_role.is_empty()
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -349,6 +349,7 @@
                 events,
                 parts: prompt.map_or(&[], PromptShape::shared),
             };
+            self.state.note_suspicion(&crashed.backend, now);
             let suspects = &self.state.suspects;
             suspects.note_crash(id, self.prepared.fingerprint, &crashed, &progress, now);
             if events == 0 && placement.work == PlacementWork::Run {
--- a/crates/daemon/src/gateway/suspect_parts.rs
+++ b/crates/daemon/src/gateway/suspect_parts.rs
@@ -89,16 +89,13 @@
         }
     }
 
-    /// Records a response to a request that was sent at `sent_at`: the backend server has not
-    /// crashed shortly before that time.
-    pub(crate) fn note_response(&self, backend: &BackendId, sent_at: TimePoint, now: TimePoint) {
-        let cleared = self
-            .tracker
-            .borrow_mut()
-            .note_response(now, backend, sent_at);
+    /// Records a response to a request that was sent at `sent_at`, here or by the entry `source`:
+    /// the backend server has not crashed shortly before that time.
+    pub(crate) fn note_response(&self, source: &str, backend: &BackendId, sent_at: TimePoint) {
+        let cleared = self.tracker.borrow_mut().note_response(backend, sent_at);
         for part in cleared {
             self.count("cleared");
-            log::info!(part = part.to_string(), backend = backend.as_str();
+            log::info!(source, part = part.to_string(), backend = backend.as_str();
                 "suspicion of a prompt part cleared: the backend server still responds");
         }
     }
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -124,13 +124,15 @@
         tracker.note_completion(now, fingerprint);
     }
 
-    /// Records a response to a request that was sent at `sent_at`. The backend server has not
-    /// crashed shortly before that time, so suspicions of such a crash are cleared.
-    pub(crate) fn note_response(&self, backend: &BackendId, sent_at: TimePoint, now: TimePoint) {
-        let cleared = self.tracker.borrow_mut().note_answer(now, backend, sent_at);
+    /// Records a response to a request that was sent at `sent_at`, here or by the entry `source`.
+    /// The backend server has not crashed shortly before that time, so suspicions of such a crash
+    /// are cleared.
+    pub(crate) fn note_response(&self, source: &str, backend: &BackendId, sent_at: TimePoint) {
+        let cleared = self.tracker.borrow_mut().note_answer(backend, sent_at);
         for fingerprint in cleared {
             self.count("cleared");
-            log::info!(fingerprint = fingerprint.to_string(), backend = backend.as_str();
+            log::info!(source, fingerprint = fingerprint.to_string(),
+                backend = backend.as_str();
                 "suspicion cleared: the backend server still responds");
         }
     }
