Remove the stored record of a quarantine that has ended

Cause: a quarantine is written to the store for ten minutes, and nothing removed it when an answer, a completion or a sign of life ended it. Entries that start read it and know of no answer; since they refuse, none can begin that would end it.

Now an entry that reads a record compares its crashes with the answers and signs of life that it knows; if too few are left, the first three entries of the read order remove the record at the revision that they read.

a_quarantine_that_an_answer_has_ended_does_not_return_after_a_restart fails without the change (422 after the restart) and passes with it.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -214,6 +214,16 @@
         self.crash_count(fingerprint) >= self.options.crash_limit
     }
 
+    /// Returns the time of the last completion that cleared a fingerprint, if it is remembered.
+    pub fn cleared_at(&self, fingerprint: RequestFingerprint) -> Option<TimePoint> {
+        self.rows.get(&fingerprint)?.completed
+    }
+
+    /// Returns the number of crashes at which a fingerprint is quarantined.
+    pub fn crash_limit(&self) -> usize {
+        self.options.crash_limit
+    }
+
     /// Returns the quarantined fingerprints.
     pub fn quarantined(&self) -> impl Iterator<Item = RequestFingerprint> + '_ {
         let fingerprints = self.rows.keys().copied();
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -248,6 +248,16 @@
         row.crashes().map(|(_, crash)| crash.last).max()
     }
 
+    /// Returns when the last answer began on a part, if that is remembered.
+    pub fn cleared_at(&self, part: RequestFingerprint) -> Option<TimePoint> {
+        self.rows.get(&part)?.suspect.completed
+    }
+
+    /// Returns the number of crashes at which a part is quarantined.
+    pub const fn crash_limit(&self) -> usize {
+        CRASH_LIMIT
+    }
+
     /// Returns the quarantined parts that no other part explains, or at most equally well while
     /// neither was sound before.
     pub fn culprits(&self) -> Vec<RequestFingerprint> {
--- a/crates/daemon/src/gateway/quarantine_store.rs
+++ b/crates/daemon/src/gateway/quarantine_store.rs
@@ -6,7 +6,7 @@
 
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::quarantine::SuspectReport;
-use applefold_core::unit::TimeSpan;
+use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_platform::{
     StoreCall, StoreChange, StoreError, StoreItem, StoreReply, StoreRevision, OWN_PREFIX,
 };
@@ -23,8 +23,8 @@
 const PERIODS_PER_READ: u64 = 4;
 /// The most records written per period, which bounds the calls to the store.
 const MAX_WRITES_PER_PERIOD: usize = 8;
-/// The number of entries that write the records again after the store has come back from an older
-/// copy.
+/// The number of entries that remove the records of ended quarantines, and write the others again after
+/// the store has come back from an older copy.
 const MAX_REWRITERS: usize = 3;
 /// The most pages per read of all records.
 const MAX_PAGES: usize = 8;
@@ -99,6 +99,22 @@
         }
     }
 
+    /// Returns whether a quarantine has ended that was stored for `recorded` crashes, of which those
+    /// at these times are not disproved.
+    fn has_ended(
+        self,
+        state: &GatewayState,
+        fingerprint: RequestFingerprint,
+        crashes: &[TimePoint],
+        recorded: usize,
+    ) -> bool {
+        let (suspects, suspect_parts) = (&state.suspects, &state.suspect_parts);
+        match self {
+            Self::Request => suspects.has_ended(fingerprint, crashes, recorded),
+            Self::PromptPart => suspect_parts.has_ended(fingerprint, crashes, recorded),
+        }
+    }
+
     fn reports_for(
         self,
         state: &GatewayState,
@@ -178,8 +194,18 @@
     }
 }
 
+/// A record whose quarantine has ended.
+struct EndedRecord {
+    kind: QuarantineKind,
+    key: String,
+    revision: StoreRevision,
+}
+
+/// Reads the records of all entries, and removes those whose quarantine has ended. Otherwise entries
+/// that start later would take them up again.
 async fn read_all(state: &GatewayState, stale: bool) -> Result<(), StoreError> {
     let mut after = None;
+    let mut ended = Vec::new();
     for _ in 0..MAX_PAGES {
         let call = StoreCall::Range {
             prefix: record_prefix(),
@@ -191,28 +217,54 @@
                 "unexpected reply to a range read".into(),
             ));
         };
-        for item in &page.items {
-            merge_item(state, item);
-        }
+        ended.extend(page.items.iter().filter_map(|item| merge_item(state, item)));
         after = page.items.last().map(|item| item.key.clone());
         if !page.truncated || after.is_none() {
             break;
         }
     }
+    if state.read_rank() < MAX_REWRITERS {
+        for record in ended.into_iter().take(MAX_WRITES_PER_PERIOD) {
+            remove_ended(state, record).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Removes a record unless it has changed since it was read.
+async fn remove_ended(state: &GatewayState, record: EndedRecord) -> Result<(), StoreError> {
+    let EndedRecord {
+        kind,
+        key,
+        revision,
+    } = record;
+    let change = StoreChange {
+        expected: vec![(key.clone(), revision)],
+        removed: vec![key.clone()],
+        ..StoreChange::default()
+    };
+    let reply = state.store.call(&StoreCall::Change(change)).await?;
+    let removed = matches!(reply, StoreReply::Changed(_));
+    log::info!(kind = kind.name(), key, removed;
+        "stored quarantine has ended: an answer or a sign of life has cleared it");
     Ok(())
 }
 
-fn merge_item(state: &GatewayState, item: &StoreItem) {
+/// Merges the crashes of a record; returns the record if its quarantine has ended.
+fn merge_item(state: &GatewayState, item: &StoreItem) -> Option<EndedRecord> {
     let kind = QuarantineKind::of_key(&item.key);
     let record: QuarantineRecord = match serde_json::from_slice(&item.value) {
         Ok(record) => record,
         Err(error) => {
             log::warn!(key = item.key.as_str(), error = error.to_string();
                 "ignored an unreadable record of a quarantine");
-            return;
+            return None;
         }
     };
     let written_ago = state.cluster_time().0.saturating_sub(record.wall_us);
+    let now = state.now();
+    let mut fingerprint = None;
+    let mut crashes = Vec::new();
     for crash in &record.crashes {
         let Some(mut report) = crash.read() else {
             log::warn!(key = item.key.as_str();
@@ -220,10 +272,24 @@
             continue;
         };
         report.age += TimeSpan(written_ago);
-        let fingerprint = report.fingerprint;
-        kind.merge_report(state, report);
-        kind.mark_persisted(state, fingerprint);
+        fingerprint = Some(report.fingerprint);
+        kind.mark_persisted(state, report.fingerprint);
+        let Some(run) = &report.crashed else {
+            continue;
+        };
+        let crashed_at = now - report.age;
+        if !state.is_disproved(&run.backend, crashed_at) {
+            crashes.push(crashed_at);
+            kind.merge_report(state, report);
+        }
     }
+    let recorded = record.crashes.len();
+    let ended = kind.has_ended(state, fingerprint?, &crashes, recorded);
+    ended.then(|| EndedRecord {
+        kind,
+        key: item.key.clone(),
+        revision: item.revision,
+    })
 }
 
 /// Writes the record of one fingerprint under a lease that lasts as long as the quarantine, unless
--- a/crates/daemon/src/gateway/suspect_parts.rs
+++ b/crates/daemon/src/gateway/suspect_parts.rs
@@ -146,6 +146,22 @@
         culprits.filter(is_due).take(limit).collect()
     }
 
+    /// Returns whether a quarantine has ended that was stored for `recorded` crashes, of which those at
+    /// these times are not disproved: too few are later than the last answer, and there are no others.
+    pub(crate) fn has_ended(
+        &self,
+        part: RequestFingerprint,
+        crashes: &[TimePoint],
+        recorded: usize,
+    ) -> bool {
+        let tracker = self.tracker.borrow();
+        let cleared_at = tracker.cleared_at(part);
+        let left = crashes.iter().filter(|at| Some(**at) > cleared_at);
+        let left = left.count();
+        let limit = tracker.crash_limit();
+        left < limit && left < recorded && tracker.crash_count(part) < limit
+    }
+
     /// Records that the store holds the quarantine of a part.
     pub(crate) fn mark_persisted(&self, part: RequestFingerprint) {
         self.unpersisted.borrow_mut().remove(&part);
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -184,6 +184,22 @@
             .collect()
     }
 
+    /// Returns whether a quarantine has ended that was stored for `recorded` crashes, of which those at
+    /// these times are not disproved: too few are later than the last completion, and there are no others.
+    pub(crate) fn has_ended(
+        &self,
+        fingerprint: RequestFingerprint,
+        crashes: &[TimePoint],
+        recorded: usize,
+    ) -> bool {
+        let tracker = self.tracker.borrow();
+        let cleared_at = tracker.cleared_at(fingerprint);
+        let left = crashes.iter().filter(|at| Some(**at) > cleared_at);
+        let left = left.count();
+        let limit = tracker.crash_limit();
+        left < limit && left < recorded && tracker.crash_count(fingerprint) < limit
+    }
+
     /// Records that the store holds the quarantine of a fingerprint.
     pub(crate) fn mark_persisted(&self, fingerprint: RequestFingerprint) {
         self.unpersisted.borrow_mut().remove(&fingerprint);
