--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -18,6 +18,7 @@
 mod seal;
 mod send_state;
 mod server;
+mod version;
 mod versioned_list;
 mod wall_clock;
 
@@ -41,5 +42,6 @@
     BackendHash, FlightId, FlightRecord, LoadSample, PeerLoad, ServerChange, ServerRow, ServerSpec,
     ServerTable,
 };
+pub use version::{SoftwareVersion, VersionError};
 pub use versioned_list::{ChangeOrigin, ListChange, ListDelta, ListedState, VersionedList};
 pub use wall_clock::WallClock;
--- a/crates/core/src/direct/server.rs
+++ b/crates/core/src/direct/server.rs
@@ -8,7 +8,9 @@
 use smol_str::SmolStr;
 
 use crate::direct::estimate::ewma;
-use crate::direct::{LimitEffect, LimitStatement, PromptPart, SendEvent, SendState};
+use crate::direct::{
+    LimitEffect, LimitStatement, PromptPart, SendEvent, SendState, SoftwareVersion,
+};
 use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
@@ -45,8 +47,10 @@
     /// Whether its registration states that it is draining.
     pub draining: bool,
     /// The start time in milliseconds since the Unix epoch, which identifies the incarnation. All
-    /// state is dropped when it changes.
+    /// state is dropped when it changes, or the software version does.
     pub started_at_ms: u64,
+    /// The version of its software; `None` if the registration states none, or no valid one.
+    pub version: Option<SoftwareVersion>,
     /// The models that it has loaded.
     pub models: BTreeSet<SmolStr>,
 }
@@ -134,7 +138,10 @@
             self.insert(spec);
             return Some(ServerChange::Added);
         };
-        if row.spec.started_at_ms != spec.started_at_ms || row.spec.service != spec.service {
+        let restarted = row.spec.started_at_ms != spec.started_at_ms
+            || row.spec.service != spec.service
+            || row.spec.version != spec.version;
+        if restarted {
             self.remove(&spec.id.clone());
             self.insert(spec);
             return Some(ServerChange::Restarted);
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -33,6 +33,7 @@
         slots: 8,
         draining: false,
         started_at_ms: 1,
+        version: None,
         models: BTreeSet::new(),
     }
 }
--- a/crates/daemon/src/gateway/list_updates.rs
+++ b/crates/daemon/src/gateway/list_updates.rs
@@ -36,6 +36,7 @@
     draining: bool,
     born: u64,
     models: Vec<SmolStr>,
+    version: Option<SmolStr>,
 }
 
 /// The encoding of a [`ListUpdate`].
@@ -114,6 +115,10 @@
             draining: spec.draining,
             born: spec.started_at_ms,
             models: spec.models.iter().cloned().collect(),
+            version: spec
+                .version
+                .as_ref()
+                .map(|version| SmolStr::new(version.as_str())),
         }
     }
 
@@ -134,6 +139,7 @@
             draining: self.draining,
             started_at_ms: self.born,
             models: self.models.iter().cloned().collect(),
+            version: self.version.as_ref().and_then(|text| text.parse().ok()),
         })
     }
 }
