Resume a stream within its response only at the version that began it

What callers saw: one answer held events of two software versions, after the backend server that began it had broken off and another one had resumed it.

Cause: the next attempt was placed at any backend server of the service.

Change: a placement names the version of its backend server and can be bound to one version. The driver binds all later attempts to the version of the first event that it relayed; a stream without an event may begin anew anywhere. An unknown version is bound to none. If no backend server has the version, the refusal has the new code 1022, if the version cannot be known 1023; both are 503 and not run. A request is withheld if its backend server was replaced by one of another version since it was chosen.

Before, a placement could not be bound to a version.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -98,6 +98,8 @@
     MemoryExceeded = 1019, 413, NotRun, "The request needs more memory than a backend server has.";
     ServiceShutting = 1020, 503, NotRun, "The backend server is leaving and takes no new work.";
     ConfigMissing = 1021, 503, NotRun, "The instance has no configuration yet.";
+    VersionMissing = 1022, 503, NotRun, "No backend server has the version that began the stream.";
+    OriginUnknown = 1023, 503, NotRun, "The version that began the stream is not known.";
     OutcomeUnknown = 2001, 504, Unknown, "Whether the request was run cannot be known.";
     AnswerBroken = 2002, 502, Ran, "The answer broke off and is not whole.";
     AlreadyRan = 2003, 409, Ran, "The request ran before and its answer is no longer kept.";
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -42,6 +42,6 @@
     BackendHash, FlightId, FlightRecord, LoadSample, PeerLoad, ServerChange, ServerRow, ServerSpec,
     ServerTable,
 };
-pub use version::{SoftwareVersion, VersionError};
+pub use version::{SoftwareVersion, StreamBinding, VersionBound, VersionError};
 pub use versioned_list::{ChangeOrigin, ListChange, ListDelta, ListedState, VersionedList};
 pub use wall_clock::WallClock;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeSet;
 
 use crate::code::{CallRefusal, ResultCode};
-use crate::direct::{PromptShape, SendDecision, ServerRow, ServerTable};
+use crate::direct::{
+    PromptShape, SendDecision, ServerRow, ServerTable, SoftwareVersion, VersionBound,
+};
 use crate::id::{BackendId, DomainId, ServiceId};
 use crate::rank::NameRank;
 use crate::routing::BackendRole;
@@ -90,6 +92,8 @@
     pub stage: PlacementStage<'a>,
     /// The backend servers that have failed the request, which are not chosen again.
     pub excluded: &'a BTreeSet<BackendId>,
+    /// The software versions that may run it.
+    pub versions: VersionBound<'a>,
     /// The time left before the deadline.
     pub time_left: TimeSpan,
     /// The time within which the response, or the first event of a stream, is on time.
@@ -110,6 +114,8 @@
 pub struct Placement {
     /// The chosen backend server.
     pub backend: BackendId,
+    /// The software version that it is listed with.
+    pub version: Option<SoftwareVersion>,
     /// The work that it gets.
     pub work: PlacementWork,
     /// The predicted time to the response, or to its first token.
@@ -138,7 +144,8 @@
     ///
     /// # Errors
     ///
-    /// Refuses with [`ResultCode::BackendMissing`] if no backend server may be used, with
+    /// Refuses with [`ResultCode::VersionMissing`] if no backend server has the version that began
+    /// the stream, with [`ResultCode::BackendMissing`] if no backend server may be used, with
     /// [`ResultCode::BackendBusy`] if none is available but one may be soon, after a backoff, a
     /// cooldown or a trial request, and with [`ResultCode::DeadlineHopeless`] if none would respond
     /// in time.
@@ -150,6 +157,7 @@
         now: TimePoint,
     ) -> Result<Placement, CallRefusal> {
         let listed = drop_expired(table.of_service(request.service).collect());
+        let listed = self.of_version(listed, request, now)?;
         let rows = self.usable(&listed, request, now)?;
         let prefill_rows = self.prefill_engines(&listed, request, now);
         let shortlist = self.shortlist(&rows, request);
@@ -172,6 +180,7 @@
         self.check_time(&best, request)?;
         Ok(Placement {
             backend: best.row.spec.id.clone(),
+            version: best.row.spec.version.clone(),
             work: best.work,
             predicted: best.cost,
             uncached: best.uncached,
@@ -179,6 +188,30 @@
         })
     }
 
+    /// Returns the backend servers whose software version may run the request.
+    fn of_version<'a>(
+        &self,
+        listed: Vec<&'a ServerRow>,
+        request: &PlacementRequest<'_>,
+        now: TimePoint,
+    ) -> Result<Vec<&'a ServerRow>, CallRefusal> {
+        let versions = request.versions;
+        let allowed = listed.iter().copied();
+        let allowed = allowed.filter(|row| versions.allows(row.spec.version.as_ref()));
+        let allowed: Vec<&ServerRow> = allowed.collect();
+        match versions {
+            VersionBound::Any => Ok(listed),
+            VersionBound::Avoid(_) => match self.usable(&allowed, request, now) {
+                Ok(_) => Ok(allowed),
+                Err(_) => Ok(listed),
+            },
+            VersionBound::Only(_) if allowed.is_empty() => {
+                Err(CallRefusal::permanent(ResultCode::VersionMissing))
+            }
+            VersionBound::Only(_) => Ok(allowed),
+        }
+    }
+
     /// Returns the candidate with the lowest cost among `rows`, which may run the request, and
     /// `prefill_rows`, which may prefill its prompt.
     fn best<'a>(
--- a/crates/core/tests/direct_herd.rs
+++ b/crates/core/tests/direct_herd.rs
@@ -12,6 +12,7 @@
 
 use applefold_core::direct::{
     PlacementPolicy, PlacementRequest, PlacementStage, PromptPart, PromptShape, ServerTable,
+    VersionBound,
 };
 use applefold_core::id::{BackendId, InstanceId};
 use applefold_core::routing::BackendRole::{Decode, Prefill};
@@ -119,6 +120,7 @@
             prompt: Some(&prompt),
             stage: PlacementStage::Splittable,
             excluded: &BTreeSet::new(),
+            versions: VersionBound::Any,
             time_left: TimeSpan::from_secs(8),
             latency_objective: TimeSpan::from_millis(400),
         };
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -7,7 +7,7 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
     Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork, PromptPart,
-    PromptShape, SendDecision, SendEvent, ServerTable,
+    PromptShape, SendDecision, SendEvent, ServerTable, VersionBound,
 };
 use applefold_core::id::BackendId;
 use applefold_core::routing::BackendRole::{self, Decode, Plain, Prefill};
@@ -46,6 +46,7 @@
         prompt,
         stage,
         excluded,
+        versions: VersionBound::Any,
         time_left: TimeSpan::from_secs(2),
         latency_objective: OBJECTIVE,
     };
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -195,6 +195,10 @@
                 let reason = "the backend server became unavailable before the request was sent";
                 return Err(AttemptResult::Withheld(SmolStr::new_static(reason)));
             }
+            if self.is_replaced() {
+                let reason = "the backend server was replaced by one of another software version";
+                return Err(AttemptResult::Withheld(SmolStr::new_static(reason)));
+            }
             if !self.state.spend_permit(backend, self.permit.as_ref()) {
                 let reason = "no valid permit within the backend server's rate limit";
                 return Err(AttemptResult::Withheld(SmolStr::new_static(reason)));
@@ -218,6 +222,14 @@
         }
     }
 
+    /// Returns whether the backend server is listed with another software version than when it was
+    /// chosen.
+    fn is_replaced(&self) -> bool {
+        let table = self.state.table.borrow();
+        let row = table.get(&self.placement.backend);
+        row.is_some_and(|row| row.spec.version != self.placement.version)
+    }
+
     /// Reads the body of a response that is not streamed, and classifies the response.
     async fn read_complete(
         &self,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -9,7 +9,7 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
     AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, PlacementStage,
-    PlacementWork, PromptShape, RequestProgress,
+    PlacementWork, PromptShape, RequestProgress, StreamBinding,
 };
 use applefold_core::id::BackendId;
 use applefold_core::quarantine::BackendRun;
@@ -54,6 +54,7 @@
         prepared: &prepared,
         progress: RequestProgress::default(),
         excluded: BTreeSet::new(),
+        binding: StreamBinding::default(),
         failure: None,
         head_sent: false,
         usage_counted: false,
@@ -81,6 +82,8 @@
     progress: RequestProgress,
     /// Backend servers at which an attempt has ended without success.
     excluded: BTreeSet<BackendId>,
+    /// The software version that began the stream of the response.
+    binding: StreamBinding,
     /// The last server error from a backend server, which is relayed if no attempt succeeds.
     failure: Option<(ResponseHead, Vec<u8>)>,
     /// Whether the caller was sent the head of a stream.
@@ -229,12 +232,14 @@
             true => time_left,
             false => self.prepared.route.latency_objective,
         };
+        let avoided = BTreeSet::new();
         let request = PlacementRequest {
             name: &self.prepared.caller.id,
             service: &self.prepared.service,
             prompt: self.prompt(),
             stage: self.stage(),
             excluded: &self.excluded,
+            versions: self.binding.bound(&avoided)?,
             time_left,
             latency_objective: objective,
         };
--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -1,6 +1,6 @@
 //! Relays the events of a stream to the caller.
 
-use applefold_core::direct::{AttemptEnd, Placement, PromptPart};
+use applefold_core::direct::{AttemptEnd, Placement, PromptPart, StreamBinding};
 use applefold_h1::encode_chunk;
 use applefold_platform::{render_response_head, ResponseFraming};
 use opentelemetry::KeyValue;
@@ -81,6 +81,9 @@
             let events = self.event_buffer.push(&body);
             if !had_event && !events.is_empty() {
                 self.note_answer_begun();
+                if self.binding == StreamBinding::Unbound {
+                    self.binding = StreamBinding::begun_at(placement.version.as_ref());
+                }
             }
             if self.event_buffer.is_over_limit() {
                 let reason = "an event of the stream is too large".to_owned();
