Remember where streams began, and which versions can have begun others

What callers saw: a stream that they took up again went on at another software version than the one that began it.

Cause: nothing remembered the version of a stream beyond its response.

Change: OriginTable keeps the service and version of each stream by a hash of its team and request, for at least 30 s and at most 200,000 streams; two statements about one stream make it unknown. VersionHistory keeps which versions of a service have served, and names the only one that can have begun a stream of which nothing is known, if all versions of the last 30 s are known and the list is at most 1.5 s old; a list that went unconfirmed for longer makes the history incomplete. No stream begins at a new version for 1.5 s, nor before the store names it, while another one serves. OriginMemory decides with both.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod count;
 mod estimate;
 mod list_replica;
+mod origin_memory;
 mod permit;
 mod phase;
 mod placement;
@@ -18,13 +19,16 @@
 mod seal;
 mod send_state;
 mod server;
+mod stream_origin;
 mod version;
+mod version_history;
 mod versioned_list;
 mod wall_clock;
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
+pub use origin_memory::{FindingSource, OriginFinding, OriginMemory};
 pub use permit::{
     choose_issuer, IssuerChoice, LimitEffect, LimitStatement, LimitedBackend, LiveShare, PeerReach,
     PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
@@ -42,6 +46,10 @@
     BackendHash, FlightId, FlightRecord, LoadSample, PeerLoad, ServerChange, ServerRow, ServerSpec,
     ServerTable,
 };
+pub use stream_origin::{
+    KnownStream, OriginSource, OriginTable, StreamKey, StreamOrigin, MIN_STREAM_LIFE,
+};
 pub use version::{SoftwareVersion, StreamBinding, VersionBound, VersionError};
+pub use version_history::{UnknownCause, VersionHistory, VersionSpan, MAX_LIST_AGE, SETTLE_TIME};
 pub use versioned_list::{ChangeOrigin, ListChange, ListDelta, ListedState, VersionedList};
 pub use wall_clock::WallClock;
--- a/crates/core/tests/direct_versions.rs
+++ b/crates/core/tests/direct_versions.rs
@@ -84,7 +84,7 @@
         begun.bound(&avoided).map(|_| ()).unwrap_err(),
         CallRefusal::permanent(ResultCode::OriginUnknown)
     );
-    let engines = table(&["", ""]);
+    let engines = direct_support::table(&[Plain, Plain]);
     assert!(place(&engines, VersionBound::Any, &[]).is_ok());
     assert!(place(&engines, VersionBound::Only(&version("v1")), &[]).is_err());
 }
