Resume a caller's stream only at the version that began it

What callers saw: after a break, or after all entries were killed, a stream that was taken up with Last-Event-Id went on at another software version.

Cause: an entry placed such a request like a new one.

Change: an entry records each resumable stream at its first event and binds a request that resumes one to its version and service. While several versions of a service have served within the life of a stream, entries gossip the streams that they begin (twice each, 60 to a datagram) and the versions that they have seen, and each run of an entry keeps its own streams under applefold/streams/, rewritten each 100 ms for up to 20 entries and less often for more. applefold/versions records which versions serve, by compare-and-swap and anew in each era of the store. An entry that starts, or whose list went unconfirmed, reads both; a stream that is not known is looked up there once, with one read for all that wait. What is still unknown is refused as not run: with Retry-After if it may become known, without if several versions can have begun it. Each decision is logged and counted in applefold_resumptions_total{source,outcome}.

--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -177,6 +177,9 @@
             let mut peers = state.peers.borrow_mut();
             peers.note_unheard(&id, unheard, source.received_at);
         }
+        GossipPayload::StreamOrigins(reports) => {
+            state.origins.receive_gossip(state, &id, reports, delay);
+        }
         GossipPayload::PermitAnswer(answer) => state.receive_permit(answer),
         GossipPayload::ListUpdate(update) => {
             // If the update does not apply, the digests below trigger a fetch from the sender.
@@ -260,6 +263,10 @@
             let update = GossipPayload::ListUpdate(UpdateRecord::new(&update));
             send(&state, &socket, &peers, update).await;
         }
+        state.origins.refresh(&state);
+        for part in state.origins.next_reports(&state) {
+            send(&state, &socket, &peers, GossipPayload::StreamOrigins(part)).await;
+        }
         let loads = load_message(&state, sequence);
         let empty = loads.is_empty();
         // One empty message tells the peers that this entry has become idle.
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -11,6 +11,7 @@
 use super::limits::LimitReport;
 use super::list_updates::UpdateRecord;
 use super::notices::NoticeReport;
+use super::origins::OriginReport;
 use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
 use super::replicas::ReplicaDigests;
@@ -79,6 +80,8 @@
     Unheard(Vec<u32>),
     /// Prompt parts suspected of crashing engines, and suspects on which an answer has begun since.
     SuspectParts(Vec<CrashReport>),
+    /// Streams that began at the sender, and the software versions that it has seen.
+    StreamOrigins(Vec<OriginReport>),
 }
 
 /// The load that the sender puts on backend servers.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -20,6 +20,8 @@
 mod list_updates;
 mod messages;
 mod notices;
+mod origin_store;
+mod origins;
 mod peer_sync;
 mod peers;
 mod permits;
@@ -33,6 +35,7 @@
 mod reload;
 mod replicas;
 mod request;
+mod resume;
 mod rules;
 mod sse;
 mod state;
@@ -42,6 +45,7 @@
 mod suspects;
 mod turn;
 mod usage;
+mod version_record;
 
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -71,6 +75,7 @@
     actix_rt::spawn(phases::run(Rc::clone(&state)));
     actix_rt::spawn(usage::run(Rc::clone(&state)));
     actix_rt::spawn(quarantine_store::run(Rc::clone(&state)));
+    actix_rt::spawn(origin_store::run(Rc::clone(&state)));
     actix_rt::spawn(reload::run(Rc::clone(&state), hangups, path));
     log::info!(instance = state.settings().instance.as_str(),
         domain = state.settings().domain.as_str(), run = state.run,
--- a/crates/daemon/src/gateway/prepare.rs
+++ b/crates/daemon/src/gateway/prepare.rs
@@ -31,6 +31,14 @@
 }
 
 impl EarlyRefusal {
+    /// Refuses a request with this valid ID.
+    pub(super) fn new(id: &SmolStr, refusal: CallRefusal) -> Self {
+        Self {
+            id: Some(id.clone()),
+            refusal,
+        }
+    }
+
     /// Logs the refusal and sends it to the caller.
     pub(super) async fn respond(
         self,
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -22,8 +22,10 @@
 use super::accept::{CallerReader, ConnectionAction, ReceivedRequest};
 use super::attempt::{Attempt, AttemptClass, AttemptResult};
 use super::handoff::HandoffGuard;
+use super::origins::is_resumable;
 use super::permits::{PermitOutcome, SendPermit};
 use super::prepare::{keeps_alive, write_last, PreparedRequest};
+use super::resume;
 use super::sse::EventBuffer;
 use super::state::GatewayState;
 use super::suspects::CrashProgress;
@@ -44,17 +46,21 @@
     reader: &mut CallerReader,
     writer: &mut OwnedWriteHalf,
 ) -> ConnectionAction {
-    let prepared = match PreparedRequest::new(state, request) {
+    let mut prepared = match PreparedRequest::new(state, request) {
         Ok(prepared) => prepared,
         Err(refusal) => return refusal.respond(state, request, writer).await,
     };
+    let binding = match resume::bind(state, &mut prepared).await {
+        Ok(binding) => binding,
+        Err(refusal) => return refusal.respond(state, request, writer).await,
+    };
     let mut driver = RequestDriver {
         state,
         request,
         prepared: &prepared,
         progress: RequestProgress::default(),
         excluded: BTreeSet::new(),
-        binding: StreamBinding::default(),
+        binding,
         failure: None,
         head_sent: false,
         usage_counted: false,
@@ -232,7 +238,10 @@
             true => time_left,
             false => self.prepared.route.latency_objective,
         };
-        let avoided = BTreeSet::new();
+        let avoided = match is_resumable(self.prepared.route.retry_rule) {
+            true => self.state.origins.unsettled(&self.prepared.service, now),
+            false => BTreeSet::new(),
+        };
         let request = PlacementRequest {
             name: &self.prepared.caller.id,
             service: &self.prepared.service,
--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -9,6 +9,7 @@
 
 use super::RequestDriver;
 use crate::gateway::attempt::OpenStream;
+use crate::gateway::origins::is_resumable;
 use crate::gateway::prepare::keeps_alive;
 
 /// How the relay of a stream ended.
@@ -81,9 +82,7 @@
             let events = self.event_buffer.push(&body);
             if !had_event && !events.is_empty() {
                 self.note_answer_begun();
-                if self.binding == StreamBinding::Unbound {
-                    self.binding = StreamBinding::begun_at(placement.version.as_ref());
-                }
+                self.note_stream_begun(placement);
             }
             if self.event_buffer.is_over_limit() {
                 let reason = "an event of the stream is too large".to_owned();
@@ -116,6 +115,22 @@
         }
     }
 
+    /// Binds the stream to the version of the backend server that has sent its first event, and
+    /// remembers that for callers who resume it.
+    fn note_stream_begun(&mut self, placement: &Placement) {
+        if self.head_sent {
+            return;
+        }
+        let version = placement.version.as_ref();
+        if self.binding == StreamBinding::Unbound {
+            self.binding = StreamBinding::begun_at(version);
+        }
+        if is_resumable(self.prepared.route.retry_rule) {
+            let now = self.state.now();
+            self.state.origins.record(self.prepared, version, now);
+        }
+    }
+
     /// Renders the head of the response and records the first byte.
     fn begin_stream(&mut self, stream: &OpenStream, output: &mut Vec<u8>) {
         self.head_sent = true;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -26,6 +26,7 @@
 use crate::gateway::duty::DutyLease;
 use crate::gateway::limits::LimitTable;
 use crate::gateway::notices::NoticeTable;
+use crate::gateway::origins::StreamOrigins;
 use crate::gateway::peers::{reader_name_rank, PeerTable};
 use crate::gateway::permits::PermitDesk;
 use crate::gateway::pool::ConnectionPool;
@@ -91,6 +92,8 @@
     /// Rate limits that backend servers named to this entry, for gossip.
     pub(crate) limits: RefCell<LimitTable>,
     pub(crate) permits: PermitDesk,
+    /// The streams that began lately, which callers may resume.
+    pub(crate) origins: StreamOrigins,
     gossip_socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) duty: DutyLease,
     pub(crate) sealer: RefCell<WindowSealer>,
@@ -159,6 +162,7 @@
             notices: RefCell::default(),
             limits: RefCell::default(),
             permits: PermitDesk::default(),
+            origins: StreamOrigins::default(),
             gossip_socket: OnceCell::new(),
             health: RefCell::new(HealthTracker::new(health)),
             budgets: RefCell::default(),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -78,6 +78,8 @@
     pub(crate) suspicions: Counter<u64>,
     /// Events about prompt parts suspected of crashing engines, by kind.
     pub(crate) part_suspicions: Counter<u64>,
+    /// Streams that callers resumed, by how their origin was found and by outcome.
+    pub(crate) resumptions: Counter<u64>,
     /// Seconds until the first byte of a response.
     pub(crate) first_byte: Histogram<f64>,
     /// Seconds until the end of a response that is not streamed.
@@ -108,6 +110,7 @@
             send_permits: meter.u64_counter("applefold_send_permits").build(),
             suspicions: meter.u64_counter("applefold_crash_suspicions").build(),
             part_suspicions: meter.u64_counter("applefold_part_suspicions").build(),
+            resumptions: meter.u64_counter("applefold_resumptions").build(),
             first_byte: meter
                 .f64_histogram("applefold_first_byte_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
