Merge the binding of streams to the software version that began them

Resolves the two new payloads of gossip: signs of life come before origins of streams, whose order is part of the format.

--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -11,6 +11,7 @@
 use super::limits::LimitReport;
 use super::list_updates::UpdateRecord;
 use super::notices::NoticeReport;
+use super::origins::OriginReport;
 use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
 use super::replicas::ReplicaDigests;
@@ -81,6 +82,8 @@
     SuspectParts(Vec<CrashReport>),
     /// Backend servers that were suspected of a crash and have answered the sender since.
     LifeSigns(Vec<LifeSignReport>),
+    /// Streams that began at the sender, and the software versions that it has seen.
+    StreamOrigins(Vec<OriginReport>),
 }
 
 /// The load that the sender puts on backend servers.
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -9,7 +9,7 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
     AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, PlacementStage,
-    PlacementWork, PromptShape, RequestProgress,
+    PlacementWork, PromptShape, RequestProgress, StreamBinding,
 };
 use applefold_core::id::BackendId;
 use applefold_core::quarantine::BackendRun;
@@ -22,8 +22,10 @@
 use super::accept::{CallerReader, ConnectionAction, ReceivedRequest};
 use super::attempt::{Attempt, AttemptClass, AttemptResult};
 use super::handoff::HandoffGuard;
+use super::origins::is_resumable;
 use super::permits::{PermitOutcome, SendPermit};
 use super::prepare::{keeps_alive, write_last, PreparedRequest};
+use super::resume;
 use super::sse::EventBuffer;
 use super::state::GatewayState;
 use super::suspects::CrashProgress;
@@ -44,16 +46,21 @@
     reader: &mut CallerReader,
     writer: &mut OwnedWriteHalf,
 ) -> ConnectionAction {
-    let prepared = match PreparedRequest::new(state, request) {
+    let mut prepared = match PreparedRequest::new(state, request) {
         Ok(prepared) => prepared,
         Err(refusal) => return refusal.respond(state, request, writer).await,
     };
+    let binding = match resume::bind(state, &mut prepared).await {
+        Ok(binding) => binding,
+        Err(refusal) => return refusal.respond(state, request, writer).await,
+    };
     let mut driver = RequestDriver {
         state,
         request,
         prepared: &prepared,
         progress: RequestProgress::default(),
         excluded: BTreeSet::new(),
+        binding,
         failure: None,
         head_sent: false,
         usage_counted: false,
@@ -81,6 +88,8 @@
     progress: RequestProgress,
     /// Backend servers at which an attempt has ended without success.
     excluded: BTreeSet<BackendId>,
+    /// The software version that began the stream of the response.
+    binding: StreamBinding,
     /// The last server error from a backend server, which is relayed if no attempt succeeds.
     failure: Option<(ResponseHead, Vec<u8>)>,
     /// Whether the caller was sent the head of a stream.
@@ -229,12 +238,17 @@
             true => time_left,
             false => self.prepared.route.latency_objective,
         };
+        let avoided = match is_resumable(self.prepared.route.retry_rule) {
+            true => self.state.origins.unsettled(&self.prepared.service, now),
+            false => BTreeSet::new(),
+        };
         let request = PlacementRequest {
             name: &self.prepared.caller.id,
             service: &self.prepared.service,
             prompt: self.prompt(),
             stage: self.stage(),
             excluded: &self.excluded,
+            versions: self.binding.bound(&avoided)?,
             time_left,
             latency_objective: objective,
         };
