Let streams begin at all versions that the first list names

What callers saw: at an entry that had just started, a stream that broke before its first event could be refused since the retry budget was spent: all streams went to the first version for 1.5 s, also while its backend servers failed.

Cause: every version but the first on the first list counted as new to the other entries.

Change: the record in the store says since when each version serves. An entry that reads it, or finds that none was ever written, uses these versions at once. A new version is avoided only while a backend server of another one is available.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -201,10 +201,13 @@
         let allowed: Vec<&ServerRow> = allowed.collect();
         match versions {
             VersionBound::Any => Ok(listed),
-            VersionBound::Avoid(_) => match self.usable(&allowed, request, now) {
-                Ok(_) => Ok(allowed),
-                Err(_) => Ok(listed),
-            },
+            VersionBound::Avoid(_) => {
+                let mut runs = allowed.iter().filter(|row| may_run(row, request));
+                match runs.any(|row| row.decision(now) == SendDecision::Send) {
+                    true => Ok(allowed),
+                    false => Ok(listed),
+                }
+            }
             VersionBound::Only(_) if allowed.is_empty() => {
                 Err(CallRefusal::permanent(ResultCode::VersionMissing))
             }
--- a/crates/core/src/direct/version.rs
+++ b/crates/core/src/direct/version.rs
@@ -57,7 +57,7 @@
 pub enum VersionBound<'a> {
     /// Any version.
     Any,
-    /// Any version but these, unless no backend server has another one.
+    /// Any version but these, unless no backend server of another one is available.
     Avoid(&'a BTreeSet<SoftwareVersion>),
     /// This version only, since it has begun the stream.
     Only(&'a SoftwareVersion),
--- a/crates/core/src/direct/version_history.rs
+++ b/crates/core/src/direct/version_history.rs
@@ -17,7 +17,8 @@
 /// When a version of a service was seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VersionSpan {
-    /// When it was listed first; [`TimePoint::START`] if it was the only one then.
+    /// When it was listed first; [`TimePoint::START`] if it was the only one then, or if all entries
+    /// have had the time to learn of it.
     pub first_seen: TimePoint,
     /// When it was listed last.
     pub last_seen: TimePoint,
@@ -120,6 +121,14 @@
         }
     }
 
+    /// Records that all other entries have had the time to learn of a version that is known here.
+    pub fn note_settled(&mut self, service: &ServiceId, version: Option<&SoftwareVersion>) {
+        let versions = self.services.get_mut(service);
+        if let Some(span) = versions.and_then(|versions| versions.get_mut(&version.cloned())) {
+            span.first_seen = TimePoint::START;
+        }
+    }
+
     /// Records that the platform's store may have lost what it named.
     pub fn forget_recorded(&mut self) {
         let spans = self.services.values_mut().flat_map(BTreeMap::values_mut);
--- a/crates/core/tests/direct_versions.rs
+++ b/crates/core/tests/direct_versions.rs
@@ -99,6 +99,8 @@
     let bound = VersionBound::Avoid(&avoided);
     assert_eq!(place(&engines, bound, &[]).unwrap().backend, backend(0));
     assert_eq!(place(&engines, bound, &[0]).unwrap().backend, backend(1));
+    engines.apply(&backend(0), SendEvent::Ejected, NOW);
+    assert_eq!(place(&engines, bound, &[]).unwrap().backend, backend(1));
     engines.apply(&backend(0), SendEvent::ListedDraining, NOW);
     assert_eq!(place(&engines, bound, &[]).unwrap().backend, backend(1));
 }
--- a/crates/daemon/src/gateway/version_record.rs
+++ b/crates/daemon/src/gateway/version_record.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use applefold_core::direct::{SoftwareVersion, StoreEra, MAX_LIST_AGE};
+use applefold_core::direct::{SoftwareVersion, StoreEra, MAX_LIST_AGE, SETTLE_TIME};
 use applefold_core::id::ServiceId;
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_platform::{
@@ -27,6 +27,8 @@
     service: SmolStr,
     /// The version; `None` if it is unknown.
     version: Option<SmolStr>,
+    /// Since when it serves, in microseconds since the Unix epoch.
+    since_us: u64,
     /// When it no longer served, in microseconds since the Unix epoch; `None` while it serves.
     gone_us: Option<u64>,
 }
@@ -41,6 +43,13 @@
 
 type VersionName = (ServiceId, Option<SoftwareVersion>);
 
+/// Since when a version serves and when it no longer served, in microseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct VersionTimes {
+    since_us: u64,
+    gone_us: Option<u64>,
+}
+
 impl RecordedVersion {
     fn name(&self) -> Option<VersionName> {
         let version = self.version.as_ref();
@@ -66,8 +75,7 @@
     let Some(item) = item else {
         // Before the first write to a store that has lost nothing, no other version has served.
         if era.number() == 0 {
-            let origins = &state.origins;
-            origins.with_memory(|memory| memory.history.note_complete());
+            settle_first(state);
         }
         return Ok((VersionRecord::default(), StoreRevision(0), era));
     };
@@ -83,6 +91,23 @@
     Ok((record, item.revision, era))
 }
 
+/// Records that no version has served before those on the first list.
+fn settle_first(state: &GatewayState) {
+    let listed = listed_versions(state);
+    let (now, life) = (state.now(), stream_life(state));
+    state.origins.with_memory(|memory| {
+        let history = &mut memory.history;
+        if history.is_complete(now, life) {
+            return;
+        }
+        for (service, version) in &listed {
+            history.note_seen(service, version.as_ref(), now, now);
+            history.note_settled(service, version.as_ref());
+        }
+        history.note_complete();
+    });
+}
+
 /// Learns the versions in a record. One of an earlier era may lack versions.
 fn learn(state: &GatewayState, record: &VersionRecord, era: StoreEra) {
     let (now, wall) = (state.now(), state.cluster_time());
@@ -100,6 +125,9 @@
             history.note_seen(&service, version.as_ref(), now - TimeSpan(ago), now);
             if current && gone.is_none() {
                 history.note_recorded(&service, version.as_ref());
+                if wall.0.saturating_sub(recorded.since_us) >= SETTLE_TIME.0 {
+                    history.note_settled(&service, version.as_ref());
+                }
             }
         }
         if current {
@@ -178,20 +206,35 @@
         rank: usize,
     ) -> Result<(), StoreError> {
         let (record, revision, era) = read_record(state).await?;
+        let wall = state.cluster_time();
         let names = record.versions.iter();
-        let names = names.filter_map(|recorded| Some((recorded.name()?, recorded.gone_us)));
-        let before: BTreeMap<VersionName, Option<u64>> = names.collect();
+        let names = names.filter_map(|recorded| {
+            let times = VersionTimes {
+                since_us: recorded.since_us,
+                gone_us: recorded.gone_us,
+            };
+            Some((recorded.name()?, times))
+        });
+        let before: BTreeMap<VersionName, VersionTimes> = names.collect();
         let mut versions = before.clone();
-        versions.extend(listed.iter().map(|name| (name.clone(), None)));
+        for name in listed {
+            let times = versions.get(name);
+            if times.is_none_or(|times| times.gone_us.is_some()) {
+                let times = VersionTimes {
+                    since_us: wall.0,
+                    gone_us: None,
+                };
+                versions.insert(name.clone(), times);
+            }
+        }
         if rank < MAX_WRITERS {
-            let wall = state.cluster_time();
             let oldest = wall.saturating_sub(TimeSpan(2 * stream_life(state).0));
-            for (name, gone_us) in &mut versions {
-                if !listed.contains(name) && gone_us.is_none() {
-                    *gone_us = Some(wall.0);
+            for (name, times) in &mut versions {
+                if !listed.contains(name) && times.gone_us.is_none() {
+                    times.gone_us = Some(wall.0);
                 }
             }
-            versions.retain(|_, gone_us| gone_us.is_none_or(|gone| gone >= oldest.0));
+            versions.retain(|_, times| times.gone_us.is_none_or(|gone| gone >= oldest.0));
         }
         let outdated = versions != before || record.era != era.number();
         if outdated || revision == StoreRevision(0) {
@@ -202,7 +245,7 @@
                 "recorded the software versions that serve");
         }
         let serving = versions.into_iter();
-        let serving = serving.filter(|(_, gone_us)| gone_us.is_none());
+        let serving = serving.filter(|(_, times)| times.gone_us.is_none());
         self.serving = serving.map(|(name, _)| name).collect();
         self.differs_since = None;
         state.origins.with_memory(|memory| {
@@ -225,16 +268,17 @@
 /// Writes the record unless it has changed since it was read; returns whether it was written.
 async fn write(
     state: &GatewayState,
-    versions: &BTreeMap<VersionName, Option<u64>>,
+    versions: &BTreeMap<VersionName, VersionTimes>,
     revision: StoreRevision,
     era: StoreEra,
 ) -> Result<bool, StoreError> {
-    let versions = versions.iter().map(|((service, version), gone_us)| {
+    let versions = versions.iter().map(|((service, version), times)| {
         let version = version.as_ref();
         RecordedVersion {
             service: SmolStr::new(service.as_str()),
             version: version.map(|version| SmolStr::new(version.as_str())),
-            gone_us: *gone_us,
+            since_us: times.since_us,
+            gone_us: times.gone_us,
         }
     });
     let record = VersionRecord {
