--- a/crates/daemon/src/gateway/origin_store.rs
+++ b/crates/daemon/src/gateway/origin_store.rs
@@ -22,6 +22,8 @@
 const FULL_RATE_ENTRIES: u64 = 20;
 /// The shortest interval between two reads for streams that this entry does not know.
 const READ_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
+/// The pause after a failed call.
+const RETRY_PAUSE: TimeSpan = TimeSpan::from_millis(500);
 /// How long a request waits for such a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// The most pages per read of all streams.
@@ -57,7 +59,7 @@
         let periods = u32::try_from(periods).unwrap_or(u32::MAX);
         actix_rt::time::sleep(WRITE_PERIOD * periods).await;
         let now = state.now();
-        let backing_off = failed_at.is_some_and(|at| now.since(at) < READ_INTERVAL);
+        let backing_off = failed_at.is_some_and(|at| now.since(at) < RETRY_PAUSE);
         if backing_off || !state.list_loaded.get() {
             continue;
         }
