Tell the other entries where streams begin while the list is not confirmed

What callers saw: while the store was away for all entries, a stream that they took up at another entry was refused, though one version alone had served.

Cause: an entry believes in a single version only with a list of at most 1.5 s, and streams were told only while several versions serve.

--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -25,6 +25,9 @@
 const MAX_REPORTS_PER_ROUND: usize = 3;
 /// The versions that have served are told every this many rounds.
 const VERSION_ROUNDS: u64 = 4;
+/// The age of the backend list from which the other entries are told of all streams. It is less
+/// than the age up to which one version alone is believed to have begun a stream.
+const TELLING_AGE: TimeSpan = TimeSpan::from_millis(1_000);
 /// The time between the end of a stream and its resumption by the caller for which its origin is
 /// remembered.
 const RESUME_MARGIN: TimeSpan = TimeSpan::from_secs(10);
@@ -77,6 +80,9 @@
     queue: VecDeque<(StreamKey, u8)>,
     /// The services that several versions have served lately.
     mixed: BTreeSet<ServiceId>,
+    /// Whether the list has gone unconfirmed, so that the other entries cannot rule out that an
+    /// unknown version has begun a stream.
+    list_old: bool,
     round: u64,
 }
 
@@ -117,6 +123,17 @@
             .map(|(service, ..)| service.clone())
             .collect();
         let mut news = self.news.borrow_mut();
+        let list_old = now.since(confirmed_at) > TELLING_AGE;
+        if std::mem::replace(&mut news.list_old, list_old) != list_old {
+            if list_old {
+                let own = memory.streams.own();
+                let own = own.filter(|(_, stream)| !news.mixed.contains(&stream.origin.service));
+                let own: Vec<_> = own.map(|(key, _)| (key, SENDS_PER_STREAM)).collect();
+                news.queue.extend(own);
+            }
+            log::info!(list_old, queued = news.queue.len();
+                "telling the other entries where all streams begin while the list is not confirmed");
+        }
         for service in services {
             let mixed = memory.history.is_mixed(&service, now - life);
             let changed = mixed != news.mixed.contains(&service);
@@ -196,7 +213,7 @@
         memory.history.note_seen(&origin.service, version, now, now);
         memory.streams.record(key, &origin, now, OriginSource::Own);
         let mut news = self.news.borrow_mut();
-        if news.mixed.contains(&origin.service) {
+        if news.list_old || news.mixed.contains(&origin.service) {
             news.queue.push_back((key, SENDS_PER_STREAM));
         }
     }
