Test responses that end within their head

Operators of other systems told of callers that got a 200 with an empty or short body, framed as whole, after a backend server had stopped in the middle of the head of its response (MIXED, ORDER).

It cannot happen here: a head is complete only at its empty line, and a connection that ends before is a broken attempt. So the tests pass on the current code.

--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -86,6 +86,29 @@
     }
 }
 
+/// A cut head taken for a whole one would make a shorter body look complete.
+#[test]
+fn a_head_is_complete_only_at_its_empty_line() {
+    let framings = [
+        "Content-Length: 800\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "Connection: close\r\n",
+        "",
+    ];
+    for framing in framings {
+        let text = format!("HTTP/1.1 200 OK\r\nRequest-Id: r\r\nServer-Stamp: s\r\n{framing}\r\n");
+        for text in [text.clone(), text.replace("\r\n", "\n")] {
+            for end in 0..text.len() {
+                let parsed = parse_response(&text.as_bytes()[..end], MAX_HEAD_BYTES);
+                assert!(matches!(parsed, Ok(None)), "{:?}: {parsed:?}", &text[..end]);
+            }
+            let parsed = parse_response(text.as_bytes(), MAX_HEAD_BYTES);
+            let (_, used) = parsed.unwrap().unwrap();
+            assert_eq!(used, text.len());
+        }
+    }
+}
+
 #[test]
 fn bytes_after_a_body_stay_in_the_input() {
     let mut input = BytesMut::from(&b"hello HTTP/1.1 200 OK"[..]);
