Answer what still runs when the grace period ends

Callers of a stopping entry got no answer (LOST): the process left 7.6 s after the stop and closed the connections of all requests that backend servers still ran, of streams without an event, and of requests that were still being read. The caller of a request that may not be repeated could not tell whether it was run.

Cause: the drain waits for running work, and only the exit of the process limited the wait. Nothing told the requests about it.

The drain gets a limit for its work and a phase Ending, in which each request gets its last response 0.4 s before the grace period ends: 503 if no attempt was in progress or it was still being read, 504 (outcome unknown) if a backend server may run it, the error of an earlier attempt if there is one. A stream that has begun is closed without its last chunk, and a response that was being written is not followed by another one. The process exits once these are written, at the latest 0.25 s before the end. Connections follow the phase itself instead of a flag.

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -1,4 +1,4 @@
-//! Graceful shutdown, in which no running request is aborted.
+//! Graceful shutdown, in which no running request is aborted without an answer.
 //!
 //! A process announces that it stops, refuses new work, finishes its running work, and hands
 //! over what it holds before it exits. See
@@ -21,6 +21,8 @@
     pub lame_duck: TimeSpan,
     /// The code of refusals after that time.
     pub refusal: ResultCode,
+    /// How long after the announcement work may still run; `None` if it runs to its end.
+    pub work_limit: Option<TimeSpan>,
 }
 
 impl DrainOptions {
@@ -29,6 +31,7 @@
         Self {
             lame_duck: TimeSpan::from_secs(5),
             refusal: ResultCode::InstanceDraining,
+            work_limit: None,
         }
     }
 
@@ -37,6 +40,7 @@
         Self {
             lame_duck: TimeSpan::ZERO,
             refusal: ResultCode::ServiceShutting,
+            work_limit: None,
         }
     }
 }
@@ -50,6 +54,8 @@
     LameDuck,
     /// It refuses new work and finishes its running work.
     Draining,
+    /// The time for its running work is over, and what has not finished is ended with an answer.
+    Ending,
     /// It has finished and may exit.
     Stopped,
 }
@@ -84,6 +90,8 @@
     phase: DrainPhase,
     /// When the lame duck phase ends.
     refuse_from: TimePoint,
+    /// When running work is ended, if it is limited.
+    end_from: Option<TimePoint>,
     handed_over: bool,
     running: Rc<Cell<usize>>,
 }
@@ -95,6 +103,7 @@
             options,
             phase: DrainPhase::Serving,
             refuse_from: TimePoint::START,
+            end_from: None,
             handed_over: false,
             running: Rc::new(Cell::new(0)),
         }
@@ -122,19 +131,25 @@
     /// Refuses work as not run, with the code of the options, once the process drains.
     pub fn admit(&self) -> Result<WorkGuard, CallRefusal> {
         if self.phase >= DrainPhase::Draining {
-            return Err(CallRefusal::retryable(self.options.refusal, RETRY_AFTER));
+            return Err(self.refusal());
         }
         self.running.set(self.running.get() + 1);
         let running = Rc::clone(&self.running);
         Ok(WorkGuard { running })
     }
 
+    /// Returns the refusal of work that has not begun.
+    pub fn refusal(&self) -> CallRefusal {
+        CallRefusal::retryable(self.options.refusal, RETRY_AFTER)
+    }
+
     /// Begins the shutdown; later calls have no effect.
     pub fn begin(&mut self, now: TimePoint) -> Vec<DrainAction> {
         if self.phase != DrainPhase::Serving {
             return Vec::new();
         }
         self.refuse_from = now + self.options.lame_duck;
+        self.end_from = self.options.work_limit.map(|limit| now + limit);
         self.phase = match self.options.lame_duck {
             TimeSpan::ZERO => DrainPhase::Draining,
             _ => DrainPhase::LameDuck,
@@ -147,7 +162,12 @@
         if self.phase == DrainPhase::LameDuck && now >= self.refuse_from {
             self.phase = DrainPhase::Draining;
         }
-        if self.phase != DrainPhase::Draining || self.running() > 0 {
+        let overdue = self.end_from.is_some_and(|end_from| now >= end_from);
+        if overdue && matches!(self.phase, DrainPhase::LameDuck | DrainPhase::Draining) {
+            self.phase = DrainPhase::Ending;
+        }
+        let refusing = matches!(self.phase, DrainPhase::Draining | DrainPhase::Ending);
+        if !refusing || self.running() > 0 {
             return Vec::new();
         }
         if !self.handed_over {
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -1,4 +1,4 @@
-//! Graceful shutdown, in which no running request is aborted.
+//! Graceful shutdown, in which no running request is aborted without an answer.
 
 use applefold_core::code::{ResultCode, RunState};
 use applefold_core::drain::{DrainAction, DrainOptions, DrainPhase, DrainState, WorkGuard};
@@ -39,6 +39,45 @@
     assert_eq!(state.admit().unwrap_err().code, ResultCode::ServiceShutting);
 }
 
+#[test]
+fn work_that_outlasts_its_limit_is_ended_before_the_process_exits() {
+    let limited = DrainOptions {
+        work_limit: Some(TimeSpan::from_millis(7_600)),
+        ..DrainOptions::entry()
+    };
+    for finishes in [true, false] {
+        let mut state = DrainState::new(limited);
+        let work = state.admit().unwrap();
+        state.begin(at(0));
+        state.tick(at(5_000), true);
+        state.tick(at(7_599), true);
+        assert_eq!(state.phase(), DrainPhase::Draining);
+        let kept = if finishes {
+            drop(work);
+            None
+        } else {
+            Some(work)
+        };
+        let actions = state.tick(at(7_600), true);
+        assert_eq!(state.phase(), DrainPhase::Ending);
+        assert_eq!(actions.is_empty(), kept.is_some());
+        assert_eq!(state.admit().unwrap_err(), state.refusal());
+        drop(kept);
+        let mut rest = actions;
+        rest.extend(state.tick(at(7_650), true));
+        rest.extend(state.tick(at(7_700), true));
+        assert_eq!(rest, [DrainAction::HandOver, DrainAction::Exit]);
+    }
+    // A limit below the lame duck phase ends work all the same.
+    let mut state = DrainState::new(DrainOptions {
+        work_limit: Some(TimeSpan::from_millis(100)),
+        ..DrainOptions::entry()
+    });
+    state.begin(at(0));
+    state.tick(at(100), true);
+    assert!(state.phase() >= DrainPhase::Ending);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Admit,
--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -6,6 +6,7 @@
 
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::CallerLimits;
+use applefold_core::drain::DrainPhase;
 use applefold_core::unit::{ByteSize, TimePoint};
 use applefold_h1::{parse_request, BodyDecoder, ParseError, RequestHead};
 use applefold_platform::render_refusal;
@@ -14,11 +15,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use super::connection::configure_socket;
 use super::request;
 use super::state::GatewayState;
+use super::stop;
 
 /// The pause after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -60,7 +61,8 @@
     /// The caller closed the connection, a timeout passed, or this process is draining. Nothing is
     /// sent.
     Closed,
-    /// The request is invalid. The caller gets this refusal, and the connection is closed.
+    /// The request is invalid, or was still being read when this process had to end. The caller
+    /// gets this refusal, and the connection is closed.
     Refused(CallRefusal),
 }
 
@@ -143,7 +145,6 @@
     let mut reader = CallerReader {
         half,
         input: BytesMut::new(),
-        closing: state.closing.subscribe(),
     };
     let mut arrival = Some(ArrivalGuard::new(&state));
     loop {
@@ -152,7 +153,7 @@
             Err(ReadError::Closed) => return,
             Err(ReadError::Refused(refusal)) => {
                 log::info!(code = refusal.code.number();
-                    "refused a malformed or oversized request");
+                    "refused a request before it was read: {}", refusal.code.meaning());
                 let mut bytes = Vec::new();
                 render_refusal(&refusal, None, false, &mut bytes);
                 if writer.write_all(&bytes).await.is_ok() {
@@ -173,7 +174,6 @@
 pub(crate) struct CallerReader {
     half: OwnedReadHalf,
     input: BytesMut,
-    closing: watch::Receiver<bool>,
 }
 
 impl CallerReader {
@@ -204,9 +204,26 @@
             .rules()
             .map_or(CallerLimits::default(), |rules| rules.limits);
         if self.input.is_empty() {
-            self.wait_first_byte(&limits, arrival.is_some()).await?;
+            self.wait_first_byte(state, &limits, arrival.is_some())
+                .await?;
         }
         arrival.get_or_insert_with(|| ArrivalGuard::new(state));
+        tokio::select! {
+            biased;
+            request = self.read_request(state, &limits, writer) => request,
+            () = stop::reached(state, DrainPhase::Ending) => {
+                Err(ReadError::Refused(state.drain.borrow().refusal()))
+            }
+        }
+    }
+
+    /// Reads the request whose first byte has been received.
+    async fn read_request(
+        &mut self,
+        state: &GatewayState,
+        limits: &CallerLimits,
+        writer: &mut OwnedWriteHalf,
+    ) -> Result<ReceivedRequest, ReadError> {
         let arrived = state.now();
         let limit = Duration::from_micros(limits.head_timeout.0);
         let head = tokio::time::timeout(limit, self.read_head(limits.max_head)).await;
@@ -226,15 +243,15 @@
     /// drains.
     async fn wait_first_byte(
         &mut self,
+        state: &GatewayState,
         limits: &CallerLimits,
         is_first: bool,
     ) -> Result<(), ReadError> {
         self.input.reserve(READ_BUFFER_BYTES);
         let idle = Duration::from_micros(limits.idle_timeout.0);
-        let closing = &mut self.closing;
         let closed = async {
-            let signalled = closing.wait_for(|closing| *closing).await.is_ok();
-            if is_first && signalled {
+            stop::reached(state, DrainPhase::Draining).await;
+            if is_first {
                 actix_rt::time::sleep(FIRST_REQUEST_GRACE).await;
             }
         };
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -11,6 +11,7 @@
     AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, PlacementStage,
     PlacementWork, PromptShape, RequestProgress,
 };
+use applefold_core::drain::DrainPhase;
 use applefold_core::id::BackendId;
 use applefold_core::quarantine::BackendRun;
 use applefold_core::unit::TimeSpan;
@@ -26,6 +27,7 @@
 use super::prepare::{keeps_alive, write_last, PreparedRequest};
 use super::sse::EventBuffer;
 use super::state::GatewayState;
+use super::stop;
 use super::suspects::CrashProgress;
 use stream::RelayEnd;
 
@@ -56,6 +58,8 @@
         excluded: BTreeSet::new(),
         failure: None,
         head_sent: false,
+        attempting: false,
+        response_begun: false,
         usage_counted: false,
         first_byte: None,
         event_buffer: EventBuffer::default(),
@@ -70,6 +74,7 @@
             driver.log_end(499, "the caller disconnected");
             ConnectionAction::Close
         }
+        () = stop::reached(state, DrainPhase::Ending) => driver.end_unfinished(writer).await,
     }
 }
 
@@ -85,6 +90,10 @@
     failure: Option<(ResponseHead, Vec<u8>)>,
     /// Whether the caller was sent the head of a stream.
     head_sent: bool,
+    /// Whether an attempt is in progress, or a stream that it has begun.
+    attempting: bool,
+    /// Whether a response that is not a stream has begun to be written.
+    response_begun: bool,
     /// Whether the request has been counted for the usage report.
     usage_counted: bool,
     /// The time from the arrival to the first byte for the caller.
@@ -102,6 +111,7 @@
         let service = &self.prepared.service;
         self.state.with_budget(service, |budget| budget.deposit());
         loop {
+            self.attempting = false;
             let placement = match self.place() {
                 Ok(placement) => placement,
                 Err(refusal) => return self.give_up(refusal, writer).await,
@@ -116,6 +126,7 @@
             }
             self.last_backend = Some(placement.backend.clone());
             let started_at = self.state.now();
+            self.attempting = true;
             let result = self.attempt(&placement, permit).await;
             let end = match result {
                 AttemptResult::Complete(head, body) => {
--- a/crates/daemon/src/gateway/request/respond.rs
+++ b/crates/daemon/src/gateway/request/respond.rs
@@ -26,6 +26,7 @@
             self.log_end(head.status, "the stream could not be resumed");
             return ConnectionAction::Close;
         }
+        self.response_begun = true;
         self.count_usage();
         let now = self.state.now();
         if head.status < 500 {
@@ -69,6 +70,7 @@
             true => CallRefusal::permanent(ResultCode::OutcomeUnknown),
             false => refusal,
         };
+        self.response_begun = true;
         let keep = keeps_alive(self.state, self.request);
         let mut bytes = Vec::new();
         render_refusal(&refusal, Some(&self.prepared.caller.id), keep, &mut bytes);
@@ -76,6 +78,20 @@
         write_last(writer, &bytes, keep).await
     }
 
+    /// Ends the request when the process has to exit. A backend server may still run the attempt in
+    /// progress, so the refusal of such a request does not say that it was not run.
+    pub(super) async fn end_unfinished(&mut self, writer: &mut OwnedWriteHalf) -> ConnectionAction {
+        if self.response_begun {
+            self.log_end(499, "the caller read too slowly until the entry stopped");
+            return ConnectionAction::Close;
+        }
+        let refusal = match self.attempting {
+            true => CallRefusal::permanent(ResultCode::OutcomeUnknown),
+            false => self.state.drain.borrow().refusal(),
+        };
+        self.give_up(refusal, writer).await
+    }
+
     /// Logs and counts an attempt; `outcome` is the detail for the log.
     pub(super) fn log_attempt(
         &self,
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -10,7 +10,7 @@
     PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, ServerTable, WallClock,
     WindowSealer,
 };
-use applefold_core::drain::{DrainOptions, DrainState};
+use applefold_core::drain::{DrainOptions, DrainPhase, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
 use applefold_core::id::{BackendId, InstanceId, Revision, ServiceId};
 use applefold_core::lease::HolderName;
@@ -98,8 +98,8 @@
     /// The number of requests that are being read or served, plus the connections that still wait
     /// for their first request.
     pub(crate) arriving: Cell<usize>,
-    /// Set to close idle connections of callers.
-    pub(crate) closing: watch::Sender<bool>,
+    /// The phase of the shutdown, for the connections of callers.
+    pub(crate) stop_phase: watch::Sender<DrainPhase>,
     health: RefCell<HealthTracker>,
     budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     entry_count: Cell<u64>,
@@ -121,6 +121,7 @@
         let drain = DrainOptions {
             lame_duck: TimeSpan(settings.shutdown_grace.0 * LAME_DUCK_PERCENT / 100),
             refusal: ResultCode::InstanceDraining,
+            work_limit: Some(super::stop::work_limit(settings.shutdown_grace)),
         };
         let health = HealthPolicy {
             silence_timeout: NO_SILENCE_TIMEOUT,
@@ -142,7 +143,7 @@
             sealer: RefCell::new(sealer),
             phases: RefCell::default(),
             arriving: Cell::new(0),
-            closing: watch::Sender::new(false),
+            stop_phase: watch::Sender::new(DrainPhase::Serving),
             store: StoreClient::new(settings.store, clock, metrics.clone()),
             pool: ConnectionPool::default(),
             policy: PlacementPolicy::default(),
--- a/crates/daemon/src/gateway/stop.rs
+++ b/crates/daemon/src/gateway/stop.rs
@@ -1,4 +1,4 @@
-//! Graceful shutdown: requests in flight are completed before the process ends.
+//! Graceful shutdown: requests in flight are completed, or else answered, before the process ends.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,9 +12,24 @@
 use crate::signal;
 
 const TICK_PERIOD: Duration = Duration::from_millis(50);
+/// How long before the end of its grace period the process ends the requests that still run.
+const END_MARGIN: TimeSpan = TimeSpan::from_millis(400);
 /// How long before the end of its grace period the process exits by itself, so that the platform
-/// does not kill it.
-const GRACE_MARGIN: TimeSpan = TimeSpan::from_millis(400);
+/// does not kill it. The time since `END_MARGIN` is for the last responses.
+const EXIT_MARGIN: TimeSpan = TimeSpan::from_millis(250);
+
+/// Returns how long after the stop signal requests may run.
+pub(super) fn work_limit(grace: TimeSpan) -> TimeSpan {
+    grace.saturating_sub(END_MARGIN)
+}
+
+/// Returns once the shutdown has reached this phase.
+pub(super) async fn reached(state: &GatewayState, phase: DrainPhase) {
+    let mut current = state.stop_phase.subscribe();
+    if current.wait_for(|current| *current >= phase).await.is_err() {
+        std::future::pending().await
+    }
+}
 
 /// Waits for the stop signal, then drains until no request is left or the grace period is almost
 /// over.
@@ -33,13 +48,15 @@
                 usage::flush(state).await;
             }
         }
-        if state.drain.borrow().phase() >= DrainPhase::Draining {
-            state.closing.send_replace(true);
+        let phase = state.drain.borrow().phase();
+        if state.stop_phase.send_replace(phase) != phase && phase == DrainPhase::Ending {
+            let running = state.drain.borrow().running();
+            let arriving = state.arriving.get();
+            log::info!(running, arriving; "entry ends the requests that still run");
         }
         // A request that is still being read gets a response, even if it is only a refusal.
-        let drained =
-            state.drain.borrow().phase() == DrainPhase::Stopped && state.arriving.get() == 0;
-        let grace_over = now.since(started_at) + GRACE_MARGIN >= state.settings().shutdown_grace;
+        let drained = phase == DrainPhase::Stopped && state.arriving.get() == 0;
+        let grace_over = now.since(started_at) + EXIT_MARGIN >= state.settings().shutdown_grace;
         if drained || grace_over {
             break;
         }
