Count the end of a stopping entry as the deadline of its last requests

A backend server was told more time than a stopping entry had left: 8.0 s for a request that came 1 s after the stop, of which 6.6 s remained. It worked on for nobody, and a request that was predicted to end later was passed on instead of being refused.

Cause: the deadline of a request was its own and its route's only. A request that comes after the stop has begun now ends with the entry at the latest, so placement refuses it as not run if its first response is predicted for later, and the backend server learns the time that is really left.

a_request_that_comes_after_the_stop_is_given_no_more_time_than_the_entry_has failed before (8.0 s given) and passes now.

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -119,6 +119,11 @@
         self.phase != DrainPhase::Serving
     }
 
+    /// Returns when running work is ended, once the shutdown has begun and if it is limited.
+    pub fn work_end(&self) -> Option<TimePoint> {
+        self.end_from
+    }
+
     /// Returns how many units of work are running.
     pub fn running(&self) -> usize {
         self.running.get()
--- a/crates/daemon/src/gateway/prepare.rs
+++ b/crates/daemon/src/gateway/prepare.rs
@@ -68,7 +68,7 @@
 
 impl PreparedRequest {
     /// Finds the route, team and service of a request, or refuses it. Its deadline is the timeout
-    /// of the route, or an earlier one that the caller states.
+    /// of the route, or an earlier one that the caller states, or the end of a stopping process.
     pub(super) fn new(
         state: &GatewayState,
         request: &ReceivedRequest,
@@ -80,6 +80,7 @@
             refusal,
         };
         let work = state.drain.borrow().admit().map_err(refuse)?;
+        let work_end = state.drain.borrow().work_end();
         let no_config = CallRefusal::retryable(ResultCode::ConfigMissing, NO_CONFIG_RETRY_AFTER);
         let rules = state.rules().filter(|_| state.is_config_current());
         let rules = rules.ok_or_else(|| refuse(no_config))?;
@@ -97,6 +98,7 @@
         let prompt = caller.prompt.as_ref();
         let shared_parts = part_fingerprints(prompt.map_or(&[], PromptShape::shared));
         let timeout = caller.timeout.unwrap_or(route.timeout);
+        let deadline = request.arrived + timeout.min(route.timeout);
         Ok(Self {
             service: service.clone(),
             team: team.cloned(),
@@ -104,7 +106,7 @@
             route: route.clone(),
             fingerprint,
             shared_parts,
-            deadline: request.arrived + timeout.min(route.timeout),
+            deadline: work_end.map_or(deadline, |end| deadline.min(end)),
             rules: Rc::clone(&rules),
             _work: work,
             caller,
