Refuse what may not be repeated and would outlast a stopping entry

In a planned stop, callers of a stream that may not be resumed got a part of it and then the end of the connection: it was passed on 2.6 s after the stop, on a route whose streams take 5.6 s, though the entry had 5.0 s left. Such a request may not be sent again, while one that is refused as not run is served by another entry.

Cause: for 35% of the grace period every request was passed on, however long it was going to take.

The entry now keeps the mean and the mean deviation of the durations of complete requests by route (as RFC 6298 does for round trips). After the stop, a request that may not be repeated is refused (503, not run) if its deadline lies beyond the end of the work and mean plus two deviations do too. Repeatable requests and resumable streams are passed on as before, since their callers may ask again, and so is everything on a route that has completed nothing yet: refusing all that could last longer by its deadline alone would turn away most requests that end in time.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod count;
+mod duration;
 mod estimate;
 mod list_replica;
 mod permit;
@@ -23,6 +24,7 @@
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
+pub use duration::DurationTable;
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
 pub use permit::{
     choose_issuer, IssuerChoice, LimitEffect, LimitStatement, LimitedBackend, LiveShare, PeerReach,
--- a/crates/daemon/src/gateway/prepare.rs
+++ b/crates/daemon/src/gateway/prepare.rs
@@ -99,6 +99,9 @@
         let shared_parts = part_fingerprints(prompt.map_or(&[], PromptShape::shared));
         let timeout = caller.timeout.unwrap_or(route.timeout);
         let deadline = request.arrived + timeout.min(route.timeout);
+        if !can_end(state, route, deadline) {
+            return Err(refuse(state.drain.borrow().refusal()));
+        }
         Ok(Self {
             service: service.clone(),
             team: team.cloned(),
@@ -114,6 +117,17 @@
     }
 }
 
+/// Returns whether a stopping process may pass on a request of this route. One that may not be
+/// repeated would be lost if it outlasted the process, and another entry can serve it.
+fn can_end(state: &GatewayState, route: &RouteRule, deadline: TimePoint) -> bool {
+    let work_end = state.drain.borrow().work_end();
+    let Some(work_end) = work_end.filter(|_| !route.retry_rule.allows_retry()) else {
+        return true;
+    };
+    let expected = state.durations.borrow().expected(&route.name);
+    deadline <= work_end || expected.is_none_or(|expected| state.now() + expected <= work_end)
+}
+
 /// Returns whether the caller connection stays open after the response.
 pub(super) fn keeps_alive(state: &GatewayState, request: &ReceivedRequest) -> bool {
     request.head.keep_alive && !state.drain.borrow().is_stopping()
--- a/crates/daemon/src/gateway/request/respond.rs
+++ b/crates/daemon/src/gateway/request/respond.rs
@@ -120,6 +120,10 @@
     pub(super) fn log_end(&self, status: u16, outcome: &str) {
         count_request(self.state, status);
         let took = self.state.now().since(self.request.arrived);
+        if (200..300).contains(&status) {
+            let mut durations = self.state.durations.borrow_mut();
+            durations.record(&self.prepared.route.name, took);
+        }
         log::info!(request = self.prepared.caller.id.as_str(),
             route = self.prepared.route.name.as_str(),
             service = self.prepared.service.as_str(),
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,8 +7,8 @@
 
 use applefold_core::code::ResultCode;
 use applefold_core::direct::{
-    PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, ServerTable, WallClock,
-    WindowSealer,
+    DurationTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, ServerTable,
+    WallClock, WindowSealer,
 };
 use applefold_core::drain::{DrainOptions, DrainPhase, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
@@ -83,6 +83,8 @@
     /// Whether the backend list has been read once.
     pub(crate) list_loaded: Cell<bool>,
     pub(crate) drain: RefCell<DrainState>,
+    /// How long complete requests took, by route.
+    pub(crate) durations: RefCell<DurationTable>,
     pub(crate) counter: RefCell<RunCounter>,
     pub(crate) suspects: SuspectTracker,
     pub(crate) suspect_parts: SuspectParts,
@@ -154,6 +156,7 @@
             config_current: Cell::new(false),
             list_loaded: Cell::new(false),
             drain: RefCell::new(DrainState::new(drain)),
+            durations: RefCell::default(),
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
             suspects: SuspectTracker::new(metrics.clone()),
             suspect_parts: SuspectParts::new(metrics.clone()),
