Read slow requests to their end while an entry stops

A caller that still wrote its request to a stopping entry got a 503 some 3 s after the stop, and could lose it with the connection, since the entry closes that soon after. This happened only where nothing else ran: the drain then reached Stopped, which connections take for the end of all work, while the process waited for the requests that were being read.

These requests now keep the drain from settling, so Stopped means that the process exits, and Ending comes only with the end of the grace period. a_request_that_arrives_slowly_is_read_to_its_end_before_it_is_refused failed before (a response after 3 s) and passes now.

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -162,7 +162,8 @@
         vec![DrainAction::Announce]
     }
 
-    /// Continues the shutdown. `settled` says that no data kept for others is left to deliver.
+    /// Continues the shutdown. `settled` says that nothing else is left that the process must do
+    /// before it exits, such as delivering data that it keeps for others.
     pub fn tick(&mut self, now: TimePoint, settled: bool) -> Vec<DrainAction> {
         if self.phase == DrainPhase::LameDuck && now >= self.refuse_from {
             self.phase = DrainPhase::Draining;
--- a/crates/daemon/src/gateway/stop.rs
+++ b/crates/daemon/src/gateway/stop.rs
@@ -42,7 +42,9 @@
     duty::release(state).await;
     loop {
         let now = state.now();
-        let actions = state.drain.borrow_mut().tick(now, true);
+        // A request that is still being read gets a response, even if it is only a refusal.
+        let settled = state.arriving.get() == 0;
+        let actions = state.drain.borrow_mut().tick(now, settled);
         for action in actions {
             if action == DrainAction::HandOver {
                 usage::flush(state).await;
@@ -54,10 +56,8 @@
             let arriving = state.arriving.get();
             log::info!(running, arriving; "entry ends the requests that still run");
         }
-        // A request that is still being read gets a response, even if it is only a refusal.
-        let drained = phase == DrainPhase::Stopped && state.arriving.get() == 0;
         let grace_over = now.since(started_at) + EXIT_MARGIN >= state.settings().shutdown_grace;
-        if drained || grace_over {
+        if phase == DrainPhase::Stopped || grace_over {
             break;
         }
         actix_rt::time::sleep(TICK_PERIOD).await;
