Let the store not delay the end of a stopping entry

A stopping entry stayed 8.4 s where it is killed after 8, so requests that were still being read could be cut without an answer. It waited for the store when it released its lease and when it published its last counts, up to 0.9 s each, and meanwhile no phase of the shutdown began or ended.

Both now run beside the shutdown, which waits for them as for anything that must be delivered, and no longer than its grace period. a_stopping_entry_does_not_outlive_its_grace_while_the_store_is_silent failed before (8.4 s) and passes now.

--- a/crates/daemon/src/gateway/stop.rs
+++ b/crates/daemon/src/gateway/stop.rs
@@ -39,15 +39,23 @@
     state.drain.borrow_mut().begin(started_at);
     let running = state.drain.borrow().running();
     log::info!(running; "entry stopping");
-    duty::release(state).await;
+    // The store may take long to respond, and callers do not wait for it.
+    let releasing = Rc::clone(state);
+    let mut deliveries = vec![actix_rt::spawn(async move {
+        duty::release(&releasing).await;
+    })];
     loop {
         let now = state.now();
         // A request that is still being read gets a response, even if it is only a refusal.
-        let settled = state.arriving.get() == 0;
+        let delivered = deliveries.iter().all(|delivery| delivery.is_finished());
+        let settled = delivered && state.arriving.get() == 0;
         let actions = state.drain.borrow_mut().tick(now, settled);
         for action in actions {
             if action == DrainAction::HandOver {
-                usage::flush(state).await;
+                let flushing = Rc::clone(state);
+                deliveries.push(actix_rt::spawn(async move {
+                    usage::flush(&flushing).await;
+                }));
             }
         }
         let phase = state.drain.borrow().phase();
@@ -65,7 +73,8 @@
     let running = state.drain.borrow().running();
     let arriving = state.arriving.get();
     let took_ms = state.now().since(started_at).as_millis();
-    log::info!(running, arriving, took_ms; "entry stopped");
+    let delivered = deliveries.iter().all(|delivery| delivery.is_finished());
+    log::info!(running, arriving, delivered, took_ms; "entry stopped");
     signal::linger().await;
     Ok(())
 }
