--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod count;
+mod duration;
 mod estimate;
 mod list_replica;
 mod origin_memory;
@@ -27,6 +28,7 @@
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use count::{RunCounter, WindowCounts};
+pub use duration::DurationTable;
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
 pub use origin_memory::{FindingSource, OriginFinding, OriginMemory};
 pub use permit::{
--- a/crates/daemon/src/gateway/prepare.rs
+++ b/crates/daemon/src/gateway/prepare.rs
@@ -76,7 +76,7 @@
 
 impl PreparedRequest {
     /// Finds the route, team and service of a request, or refuses it. Its deadline is the timeout
-    /// of the route, or an earlier one that the caller states.
+    /// of the route, or an earlier one that the caller states, or the end of a stopping process.
     pub(super) fn new(
         state: &GatewayState,
         request: &ReceivedRequest,
@@ -88,6 +88,7 @@
             refusal,
         };
         let work = state.drain.borrow().admit().map_err(refuse)?;
+        let work_end = state.drain.borrow().work_end();
         let no_config = CallRefusal::retryable(ResultCode::ConfigMissing, NO_CONFIG_RETRY_AFTER);
         let rules = state.rules().filter(|_| state.is_config_current());
         let rules = rules.ok_or_else(|| refuse(no_config))?;
@@ -105,6 +106,10 @@
         let prompt = caller.prompt.as_ref();
         let shared_parts = part_fingerprints(prompt.map_or(&[], PromptShape::shared));
         let timeout = caller.timeout.unwrap_or(route.timeout);
+        let deadline = request.arrived + timeout.min(route.timeout);
+        if !can_end(state, route, deadline) {
+            return Err(refuse(state.drain.borrow().refusal()));
+        }
         Ok(Self {
             service: service.clone(),
             team: team.cloned(),
@@ -112,7 +117,7 @@
             route: route.clone(),
             fingerprint,
             shared_parts,
-            deadline: request.arrived + timeout.min(route.timeout),
+            deadline: work_end.map_or(deadline, |end| deadline.min(end)),
             rules: Rc::clone(&rules),
             _work: work,
             caller,
@@ -120,6 +125,17 @@
     }
 }
 
+/// Returns whether a stopping process may pass on a request of this route. One that may not be
+/// repeated would be lost if it outlasted the process, and another entry can serve it.
+fn can_end(state: &GatewayState, route: &RouteRule, deadline: TimePoint) -> bool {
+    let work_end = state.drain.borrow().work_end();
+    let Some(work_end) = work_end.filter(|_| !route.retry_rule.allows_retry()) else {
+        return true;
+    };
+    let expected = state.durations.borrow().expected(&route.name);
+    deadline <= work_end || expected.is_none_or(|expected| state.now() + expected <= work_end)
+}
+
 /// Returns whether the caller connection stays open after the response.
 pub(super) fn keeps_alive(state: &GatewayState, request: &ReceivedRequest) -> bool {
     request.head.keep_alive && !state.drain.borrow().is_stopping()
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,10 +7,10 @@
 
 use applefold_core::code::ResultCode;
 use applefold_core::direct::{
-    PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, ServerTable, WallClock,
-    WindowSealer,
+    DurationTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, ServerTable,
+    WallClock, WindowSealer,
 };
-use applefold_core::drain::{DrainOptions, DrainState};
+use applefold_core::drain::{DrainOptions, DrainPhase, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
 use applefold_core::id::{BackendId, InstanceId, Revision, ServiceId};
 use applefold_core::lease::HolderName;
@@ -85,6 +85,8 @@
     /// Whether the backend list has been read once.
     pub(crate) list_loaded: Cell<bool>,
     pub(crate) drain: RefCell<DrainState>,
+    /// How long complete requests took, by route.
+    pub(crate) durations: RefCell<DurationTable>,
     pub(crate) counter: RefCell<RunCounter>,
     pub(crate) suspects: SuspectTracker,
     pub(crate) suspect_parts: SuspectParts,
@@ -104,8 +106,8 @@
     /// The number of requests that are being read or served, plus the connections that still wait
     /// for their first request.
     pub(crate) arriving: Cell<usize>,
-    /// Set to close idle connections of callers.
-    pub(crate) closing: watch::Sender<bool>,
+    /// The phase of the shutdown, for the connections of callers.
+    pub(crate) stop_phase: watch::Sender<DrainPhase>,
     health: RefCell<HealthTracker>,
     budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     entry_count: Cell<u64>,
@@ -127,6 +129,7 @@
         let drain = DrainOptions {
             lame_duck: TimeSpan(settings.shutdown_grace.0 * LAME_DUCK_PERCENT / 100),
             refusal: ResultCode::InstanceDraining,
+            work_limit: Some(super::stop::work_limit(settings.shutdown_grace)),
         };
         let health = HealthPolicy {
             silence_timeout: NO_SILENCE_TIMEOUT,
@@ -148,7 +151,7 @@
             sealer: RefCell::new(sealer),
             phases: RefCell::default(),
             arriving: Cell::new(0),
-            closing: watch::Sender::new(false),
+            stop_phase: watch::Sender::new(DrainPhase::Serving),
             store: StoreClient::new(settings.store, clock, metrics.clone()),
             pool: ConnectionPool::default(),
             policy: PlacementPolicy::default(),
@@ -159,6 +162,7 @@
             config_current: Cell::new(false),
             list_loaded: Cell::new(false),
             drain: RefCell::new(DrainState::new(drain)),
+            durations: RefCell::default(),
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
             suspects: SuspectTracker::new(metrics.clone()),
             suspect_parts: SuspectParts::new(metrics.clone()),
