Tell signs of life again to entries that missed them

An entry that was cut off for some seconds never heard the signs that disproved its suspicions, since each is told twice only; after 12 s the others had forgotten them too, learned the quarantine from the healed entry and refused sound requests for ten minutes.

A disproved crash is now remembered as long as a quarantine may be told for it, and its sign is told again, at most once a second, each time that the suspicion is heard. A response disproves a crash however late it comes, if its request was sent within a second of it (before, within 10 s only). Signs are no longer dropped because another one is 50 ms older; their number per backend server is bounded instead. A datagram carries 16 signs, which fits the longest names.

Five tests of quarantine_disproof.rs failed before and pass; quarantine.rs, quarantine_parts.rs and quarantine_scale.rs pass at 6 and 103 entries.

--- a/crates/core/src/quarantine/life.rs
+++ b/crates/core/src/quarantine/life.rs
@@ -12,11 +12,19 @@
 
 /// How long signs of life and suspected crashes are remembered: longer than suspicions are reported.
 const RETENTION: TimeSpan = TimeSpan::from_secs(12);
-/// Of signs, or of suspected crashes, that are closer to each other one is kept, which bounds their
-/// number.
-const SIGN_SPACING: TimeSpan = TimeSpan::from_millis(50);
-/// How many times a sign is reported, since a datagram may be lost.
+/// How long a disproved crash is remembered: as long as a quarantine for it may be told by a process
+/// that did not hear of the sign.
+const DISPROOF_RETENTION: TimeSpan = TimeSpan::from_secs(600);
+/// The most signs, and the most disproved crashes, that are remembered of a backend server.
+const MAX_SIGNS: usize = 256;
+const MAX_DISPROVED: usize = 64;
+/// Two reports of a crash of one backend server within this time are about the same crash, since each
+/// process sees it at another time.
+const SAME_CRASH_TOLERANCE: TimeSpan = TimeSpan::from_millis(50);
+/// How many times a sign is reported, since a datagram may be lost, and how long after that it is
+/// reported again if the suspicion is heard again.
 const REPORTS_PER_SIGN: u8 = 2;
+const REPEAT_PAUSE: TimeSpan = TimeSpan::from_secs(1);
 
 /// A backend server has answered a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,7 +35,7 @@
     pub age: TimeSpan,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct LifeSign {
     /// When the answered request was sent.
     sent_at: TimePoint,
@@ -42,29 +50,71 @@
     reports_left: u8,
 }
 
+/// A suspected crash that a sign has disproved.
+#[derive(Clone, Copy, Debug)]
+struct DisprovedCrash {
+    crashed_at: TimePoint,
+    /// When the answered request was sent.
+    sent_at: TimePoint,
+    /// When the sign was last queued to be reported.
+    reported_at: Option<TimePoint>,
+}
+
 /// The signs of life of one backend server, and when it was suspected of a crash.
 #[derive(Debug, Default)]
 struct LifeRow {
     signs: VecDeque<LifeSign>,
     crashes: VecDeque<TimePoint>,
+    disproved: VecDeque<DisprovedCrash>,
 }
 
 impl LifeRow {
-    /// Records a sign; returns whether it is new.
-    fn insert(&mut self, sign: LifeSign) -> bool {
-        let known = self.signs.iter().any(|known| {
-            known.seen_here == sign.seen_here && gap(known.sent_at, sign.sent_at) < SIGN_SPACING
-        });
-        if !known {
-            self.signs.push_back(sign);
+    /// Records a sign, and the suspected crashes that it disproves.
+    fn insert(&mut self, sign: LifeSign) {
+        if self.signs.contains(&sign) {
+            return;
+        }
+        if self.signs.len() >= MAX_SIGNS {
+            self.signs.pop_front();
+        }
+        self.signs.push_back(sign);
+        let crashes = self.crashes.iter().copied();
+        let crashes: Vec<TimePoint> = crashes.filter(|at| disproves(sign.sent_at, *at)).collect();
+        for crashed_at in crashes {
+            self.mark_disproved(crashed_at, sign.sent_at);
+        }
+    }
+
+    fn mark_disproved(&mut self, crashed_at: TimePoint, sent_at: TimePoint) {
+        if self.disproof(crashed_at).is_some() {
+            return;
+        }
+        if self.disproved.len() >= MAX_DISPROVED {
+            self.disproved.pop_front();
         }
-        !known
+        self.disproved.push_back(DisprovedCrash {
+            crashed_at,
+            sent_at,
+            reported_at: None,
+        });
+    }
+
+    /// Returns the record of a crash that has been disproved.
+    fn disproof(&mut self, crashed_at: TimePoint) -> Option<&mut DisprovedCrash> {
+        let mut disproved = self.disproved.iter_mut();
+        disproved.find(|known| gap(known.crashed_at, crashed_at) < SAME_CRASH_TOLERANCE)
     }
 
     fn expire(&mut self, now: TimePoint) {
         self.signs
             .retain(|sign| now.since(sign.sent_at) < RETENTION);
         self.crashes.retain(|at| now.since(*at) < RETENTION);
+        self.disproved
+            .retain(|known| now.since(known.crashed_at) < DISPROOF_RETENTION);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.signs.is_empty() && self.crashes.is_empty() && self.disproved.is_empty()
     }
 }
 
@@ -99,7 +149,8 @@
             seen_here: true,
         };
         let awaited = row.crashes.iter().any(|at| disproves(sent_at, *at));
-        if row.insert(sign) && awaited {
+        row.insert(sign);
+        if awaited {
             self.report(backend, sent_at);
         }
     }
@@ -116,36 +167,52 @@
         sent_at
     }
 
-    /// Records that `backend` is suspected of a crash at `crashed_at`. If this process has seen a
-    /// sign that disproves it, that sign is reported.
+    /// Records that `backend` is suspected of a crash at `crashed_at`. If a known sign disproves it,
+    /// that sign is reported, also each time that the suspicion is heard again.
     pub fn note_suspicion(&mut self, now: TimePoint, backend: &BackendId, crashed_at: TimePoint) {
         let row = self.rows.entry(backend.clone()).or_default();
         row.expire(now);
         let mut known = row.crashes.iter();
-        let known = known.any(|at| gap(*at, crashed_at) < SIGN_SPACING);
-        if known || now.since(crashed_at) >= RETENTION {
-            return;
+        let known = known.any(|at| gap(*at, crashed_at) < SAME_CRASH_TOLERANCE);
+        if !known && now.since(crashed_at) < RETENTION {
+            row.crashes.push_back(crashed_at);
+        }
+        let signs = row.signs.iter().map(|sign| sign.sent_at);
+        // The latest sign disproves crashes that followed closely, too.
+        let sign = signs
+            .filter(|sent_at| disproves(*sent_at, crashed_at))
+            .max();
+        if let Some(sent_at) = sign {
+            row.mark_disproved(crashed_at, sent_at);
         }
-        row.crashes.push_back(crashed_at);
-        let mut signs = row.signs.iter().filter(|sign| sign.seen_here);
-        let sign = signs.find(|sign| disproves(sign.sent_at, crashed_at));
-        if let Some(sent_at) = sign.map(|sign| sign.sent_at) {
+        let Some(disproof) = row.disproof(crashed_at) else {
+            return;
+        };
+        let repeats = disproof
+            .reported_at
+            .filter(|at| now.since(*at) < REPEAT_PAUSE);
+        if repeats.is_none() {
+            disproof.reported_at = Some(now);
+            let sent_at = disproof.sent_at;
             self.report(backend, sent_at);
         }
     }
 
     /// Returns whether a known sign disproves a crash of `backend` at `crashed_at`.
     pub fn is_disproved(&self, backend: &BackendId, crashed_at: TimePoint) -> bool {
-        let row = self.rows.get(backend);
-        row.is_some_and(|row| {
-            let mut signs = row.signs.iter();
-            signs.any(|sign| disproves(sign.sent_at, crashed_at))
-        })
+        let Some(row) = self.rows.get(backend) else {
+            return false;
+        };
+        let mut signs = row.signs.iter();
+        let mut disproved = row.disproved.iter();
+        signs.any(|sign| disproves(sign.sent_at, crashed_at))
+            || disproved.any(|known| gap(known.crashed_at, crashed_at) < SAME_CRASH_TOLERANCE)
     }
 
     /// Returns up to `limit` reports to send now.
     pub fn next_reports(&mut self, now: TimePoint, limit: usize) -> Vec<LifeReport> {
-        self.due.retain(|due| now.since(due.sent_at) < RETENTION);
+        self.due
+            .retain(|due| now.since(due.sent_at) < DISPROOF_RETENTION);
         let mut reports = Vec::new();
         for _ in 0..limit.min(self.due.len()) {
             let Some(mut due) = self.due.pop_front() else {
@@ -168,8 +235,7 @@
         for row in self.rows.values_mut() {
             row.expire(now);
         }
-        self.rows
-            .retain(|_, row| !row.signs.is_empty() || !row.crashes.is_empty());
+        self.rows.retain(|_, row| !row.is_empty());
     }
 
     fn report(&mut self, backend: &BackendId, sent_at: TimePoint) {
--- a/crates/core/src/quarantine/recent.rs
+++ b/crates/core/src/quarantine/recent.rs
@@ -8,8 +8,10 @@
 use crate::id::BackendId;
 use crate::unit::{TimePoint, TimeSpan};
 
-/// How long a response may take that disproves a crash, and reach this process from another one.
-const RETENTION: TimeSpan = TimeSpan::from_secs(10);
+/// How long a crash can be disproved: as long as something may be quarantined for it.
+const RETENTION: TimeSpan = TimeSpan::from_secs(600);
+/// The most crashes that are kept of one backend server. The oldest ones are dropped first.
+const MAX_CRASHES: usize = 256;
 
 #[derive(Debug)]
 struct RecentCrash {
@@ -33,6 +35,9 @@
     ) {
         let crashes = self.0.entry(run.backend.clone()).or_default();
         crashes.retain(|crash| now.since(crash.at) < RETENTION);
+        if crashes.len() >= MAX_CRASHES {
+            crashes.pop_front();
+        }
         crashes.push_back(RecentCrash {
             at,
             fingerprint,
--- a/crates/core/tests/quarantine_fleet/mod.rs
+++ b/crates/core/tests/quarantine_fleet/mod.rs
@@ -29,7 +29,7 @@
 /// How long a crashed engine is down.
 const DOWNTIME: TimeSpan = TimeSpan::from_millis(2_500);
 /// The most signs of life in a datagram.
-const SIGN_LIMIT: usize = 100;
+const SIGN_LIMIT: usize = 16;
 /// The share of datagrams that is lost.
 const LOSS: f64 = 0.01;
 /// The crash after which all entries have to know the part, and how long that may take.
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -36,8 +36,8 @@
 const NOTICE_ROUNDS: u64 = 2;
 /// Crash reports are sent every this many rounds.
 const SUSPECT_ROUNDS: u64 = 2;
-/// The most signs of life in one datagram.
-const MAX_LIFE_SIGNS: usize = 40;
+/// The most signs of life in one datagram, which fits them whatever their backend servers are called.
+const MAX_LIFE_SIGNS: usize = 16;
 /// Usage counts are sent every this many rounds.
 const USAGE_ROUNDS: u64 = 8;
 /// The largest datagram that is sent, in bytes. It fits one packet, without fragmentation.
