Remember an answer as long as a stored quarantine that it ended

The record of a quarantine lives for ten minutes in the store, an answer was remembered for one. If the entries that remove ended records were not there in that time, even the entry that saw the answer refused sound requests again.

an_answer_outlives_the_record_of_the_quarantine_that_it_ended failed before (refused again after 66 s) and passes.

--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -327,7 +327,12 @@
             suspect
                 .crashes
                 .retain(|_, crash| now.since(crash.last) < ttl);
-            suspect.completed = suspect.completed.filter(|at| now.since(*at) < SOUND_TTL);
+            // A report of a crash before the answer may come as long as a quarantine is told.
+            let answer_ttl = match row.latest_crash {
+                Some(_) => QUARANTINE_TTL,
+                None => SOUND_TTL,
+            };
+            suspect.completed = suspect.completed.filter(|at| now.since(*at) < answer_ttl);
         }
         self.rows
             .retain(|_, row| row.suspect.last_change().is_some());
