Let completions of whole requests clear crashes that are reported later

A request that several callers send alike is refused for ten minutes at entries that have seen it complete: a completion was forgotten if no crash was known yet, so a report that came later counted; and of two completions within 30 s the second was taken for the first, so the crashes between them stayed.

An entry remembers completions without crashes for 12 s, and a completion that clears a recorded crash is always new.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -38,6 +38,10 @@
 /// not crashed: one that crashes takes longer to serve again.
 const DISPROOF_WINDOW: TimeSpan = TimeSpan::from_secs(1);
 
+/// How long the completion of a fingerprint without crashes is remembered: longer than a crash is
+/// reported that is not quarantined.
+const COMPLETION_RETENTION: TimeSpan = TimeSpan::from_secs(12);
+
 /// One incarnation of a backend server, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendRun {
@@ -116,6 +120,8 @@
 pub struct CrashTracker {
     options: CrashOptions,
     rows: BTreeMap<RequestFingerprint, SuspectRow>,
+    /// When fingerprints without a row completed last, in case that an earlier crash is reported.
+    completions: BTreeMap<RequestFingerprint, TimePoint>,
     recent: RecentCrashes,
     turns: ReportTurns,
 }
@@ -126,6 +132,7 @@
         Self {
             options,
             rows: BTreeMap::new(),
+            completions: BTreeMap::new(),
             recent: RecentCrashes::default(),
             turns: ReportTurns::default(),
         }
@@ -162,6 +169,8 @@
     pub fn note_completion(&mut self, now: TimePoint, fingerprint: RequestFingerprint) {
         if self.rows.contains_key(&fingerprint) {
             self.note(now, fingerprint, None, now);
+        } else if self.completions.len() < self.options.max_fingerprints {
+            self.completions.insert(fingerprint, now);
         }
     }
 
@@ -195,6 +204,9 @@
         let unexpired = report.age + SAME_EVENT_TOLERANCE < self.options.quarantine_ttl;
         let new = unexpired && !known;
         if new {
+            if let Some(completed_at) = self.completions.remove(&report.fingerprint) {
+                self.note(now, report.fingerprint, None, completed_at);
+            }
             if let Some(run) = &report.crashed {
                 self.recent.push(now, at, report.fingerprint, run.clone());
             }
@@ -311,6 +323,8 @@
     pub fn tick(&mut self, now: TimePoint) {
         self.recent.tick(now);
         let options = self.options;
+        self.completions
+            .retain(|_, at| now.since(*at) < COMPLETION_RETENTION);
         for row in self.rows.values_mut() {
             let ttl = match row.crashes.len() >= options.crash_limit {
                 true => options.quarantine_ttl,
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -29,10 +29,12 @@
         crashes.chain(self.completed).max()
     }
 
-    /// Returns whether an event at `at`, a crash or else a completion, is recorded already.
+    /// Returns whether an event at `at`, a crash or else a completion, is recorded already. A completion
+    /// that clears a recorded crash is not.
     pub(super) fn contains(&self, crashed: Option<&BackendRun>, at: TimePoint) -> bool {
         let known = match crashed {
             Some(crashed) => self.crashes.get(crashed).map(|crash| crash.last),
+            None if self.crashes.values().any(|crash| crash.last <= at) => None,
             None => self.completed,
         };
         known.is_some_and(|known| at <= known + SAME_EVENT_TOLERANCE)
