--- a/crates/core/tests/quarantine_parts.rs
+++ b/crates/core/tests/quarantine_parts.rs
@@ -305,8 +305,8 @@
     }
 }
 
-#[test]
-fn an_answer_is_reported_first_among_many_suspicions() {
+/// Returns a tracker that has heard of a crash of each of 400 parts, at 3.8 s.
+fn tracker_with_suspicions() -> PartTracker {
     let mut tracker = PartTracker::default();
     for number in 0..400_u64 {
         let report = SuspectReport {
@@ -316,6 +316,12 @@
         };
         tracker.merge_report(at_ms(5_000), report);
     }
+    tracker
+}
+
+#[test]
+fn an_answer_is_reported_first_among_many_suspicions() {
+    let mut tracker = tracker_with_suspicions();
     tracker.note_answer(at_ms(5_010), &parts(&["part-7"]));
     let reports = tracker.next_reports(at_ms(5_020));
     let answered = parts(&["part-7"])[0];
@@ -329,15 +335,7 @@
 
 #[test]
 fn what_an_entry_saw_itself_is_reported_before_what_it_heard() {
-    let mut tracker = PartTracker::default();
-    for number in 0..400_u64 {
-        let report = SuspectReport {
-            fingerprint: RequestFingerprint::of_prompt_part(&format!("part-{number}")),
-            crashed: Some(run(number as usize % ENGINES, 1)),
-            age: TimeSpan::from_millis(1_200),
-        };
-        tracker.merge_report(at_ms(5_000), report);
-    }
+    let mut tracker = tracker_with_suspicions();
     tracker.note_crash(at_ms(5_010), &run(3, 1), &parts(&["seen here"]));
     let reports = tracker.next_reports(at_ms(6_100));
     let seen = parts(&["seen here"])[0];
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod gossip;
 mod handoff;
 mod in_flight;
+mod life_signs;
 mod limits;
 mod list_updates;
 mod messages;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -14,7 +14,7 @@
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
 use applefold_core::id::{BackendId, InstanceId, Revision, ServiceId};
 use applefold_core::lease::HolderName;
-use applefold_core::quarantine::{LifeReport, LifeSigns};
+use applefold_core::quarantine::LifeSigns;
 use applefold_core::retry::{RetryBudget, RetryPolicy};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_platform::PlatformSettings;
@@ -91,7 +91,7 @@
     pub(crate) suspects: SuspectTracker,
     pub(crate) suspect_parts: SuspectParts,
     /// The signs of life that disprove suspected crashes.
-    life_signs: RefCell<LifeSigns>,
+    pub(super) life_signs: RefCell<LifeSigns>,
     /// Notices that backend servers sent to this entry, for gossip.
     pub(crate) notices: RefCell<NoticeTable>,
     /// Rate limits that backend servers named to this entry, for gossip.
@@ -367,44 +367,6 @@
         self.life_signs.borrow_mut().tick(self.now());
     }
 
-    /// Records that a backend server has answered a request that this entry sent at `sent_at`.
-    pub(crate) fn note_life_sign(&self, backend: &BackendId, sent_at: TimePoint) {
-        let mut signs = self.life_signs.borrow_mut();
-        signs.note_response(self.now(), backend, sent_at);
-        self.clear_suspicions("", backend, sent_at);
-    }
-
-    /// Merges a sign of life that the entry `source` has seen.
-    pub(crate) fn merge_life_sign(&self, source: &str, report: &LifeReport) {
-        let mut signs = self.life_signs.borrow_mut();
-        let sent_at = signs.merge_report(self.now(), report);
-        self.clear_suspicions(source, &report.backend, sent_at);
-    }
-
-    /// Records that a backend server is suspected of a crash at `crashed_at`, for which this entry
-    /// reports signs of life.
-    pub(crate) fn note_suspicion(&self, backend: &BackendId, crashed_at: TimePoint) {
-        let mut signs = self.life_signs.borrow_mut();
-        signs.note_suspicion(self.now(), backend, crashed_at);
-    }
-
-    /// Returns whether a known sign of life disproves a crash of a backend server at `crashed_at`.
-    pub(crate) fn is_disproved(&self, backend: &BackendId, crashed_at: TimePoint) -> bool {
-        let signs = self.life_signs.borrow();
-        signs.is_disproved(backend, crashed_at)
-    }
-
-    /// Returns the signs of life for the next round of gossip, at most `limit`.
-    pub(crate) fn next_life_reports(&self, limit: usize) -> Vec<LifeReport> {
-        let mut signs = self.life_signs.borrow_mut();
-        signs.next_reports(self.now(), limit)
-    }
-
-    fn clear_suspicions(&self, source: &str, backend: &BackendId, sent_at: TimePoint) {
-        self.suspects.note_response(source, backend, sent_at);
-        self.suspect_parts.note_response(source, backend, sent_at);
-    }
-
     /// Logs a health action and applies it to the send state. A probe is not sent from here: the
     /// next request that is placed on the backend server serves as one.
     fn act_on_health(&self, action: Option<HealthAction>) {
