--- a/crates/core/src/quarantine/life.rs
+++ b/crates/core/src/quarantine/life.rs
@@ -1,7 +1,7 @@
 //! Signs of life of backend servers, which processes share to disprove crashes.
 //!
 //! The larger the fleet, the fewer processes see both a broken connection and a response that shows
-//! that the backend server has not crashed. A process that hears of a suspicion reports the responses
+//! that the backend server has not crashed. A process that receives a suspicion reports the responses
 //! that disprove it. See [docs/design/answers.md](../../../../docs/design/answers.md#signs-of-life).
 
 use std::collections::{BTreeMap, VecDeque};
@@ -12,8 +12,8 @@
 
 /// How long signs of life and suspected crashes are remembered: longer than suspicions are reported.
 const RETENTION: TimeSpan = TimeSpan::from_secs(12);
-/// How long a disproved crash is remembered: as long as a quarantine for it may be told by a process
-/// that did not hear of the sign.
+/// How long a disproved crash is remembered: as long as a process that missed the sign
+/// may report a quarantine for it.
 const DISPROOF_RETENTION: TimeSpan = TimeSpan::from_secs(600);
 /// The most signs, and the most disproved crashes, that are remembered of a backend server.
 const MAX_SIGNS: usize = 256;
@@ -22,7 +22,7 @@
 /// process sees it at another time.
 const SAME_CRASH_TOLERANCE: TimeSpan = TimeSpan::from_millis(50);
 /// How many times a sign is reported, since a datagram may be lost, and how long after that it is
-/// reported again if the suspicion is heard again.
+/// reported again if the suspicion is received again.
 const REPORTS_PER_SIGN: u8 = 2;
 const REPEAT_PAUSE: TimeSpan = TimeSpan::from_secs(1);
 
@@ -132,7 +132,7 @@
     crashed_at < sent_at && sent_at.since(crashed_at) < DISPROOF_WINDOW
 }
 
-/// The signs of life that this process saw, and those that it heard of.
+/// The signs of life that this process saw, and those that others reported.
 #[derive(Debug, Default)]
 pub struct LifeSigns {
     rows: BTreeMap<BackendId, LifeRow>,
@@ -168,7 +168,7 @@
     }
 
     /// Records that `backend` is suspected of a crash at `crashed_at`. If a known sign disproves it,
-    /// that sign is reported, also each time that the suspicion is heard again.
+    /// that sign is reported, also each time that the suspicion is received again.
     pub fn note_suspicion(&mut self, now: TimePoint, backend: &BackendId, crashed_at: TimePoint) {
         let row = self.rows.entry(backend.clone()).or_default();
         row.expire(now);
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -327,7 +327,7 @@
             suspect
                 .crashes
                 .retain(|_, crash| now.since(crash.last) < ttl);
-            // A report of a crash before the answer may come as long as a quarantine is told.
+            // Another process may report a crash before the answer as long as it is quarantined.
             let answer_ttl = match row.latest_crash {
                 Some(_) => QUARANTINE_TTL,
                 None => SOUND_TTL,
--- a/crates/core/src/quarantine/recent.rs
+++ b/crates/core/src/quarantine/recent.rs
@@ -25,7 +25,7 @@
 pub(super) struct RecentCrashes(BTreeMap<BackendId, VecDeque<RecentCrash>>);
 
 impl RecentCrashes {
-    /// Records a crash at `at`, which this process saw or heard of at `now`.
+    /// Records a crash at `at`, which this process saw or received at `now`.
     pub(super) fn push(
         &mut self,
         now: TimePoint,
--- a/crates/core/src/quarantine/turns.rs
+++ b/crates/core/src/quarantine/turns.rs
@@ -13,10 +13,10 @@
     pub(super) quarantined: Vec<SuspectReport>,
     /// Answers and completions, which end suspicions at other processes.
     pub(super) cleared: Vec<SuspectReport>,
-    /// Crashes that this process saw, which others may not have heard of.
+    /// Crashes that this process saw, which others may not know.
     pub(super) seen: Vec<SuspectReport>,
-    /// Crashes that this process heard of.
-    pub(super) heard: Vec<SuspectReport>,
+    /// Crashes that other processes reported.
+    pub(super) received: Vec<SuspectReport>,
 }
 
 impl DueReports {
@@ -25,7 +25,7 @@
         let crashed = report.crashed.as_ref();
         match crashed.is_some_and(|run| row.has_seen(run)) {
             true => self.seen.push(report),
-            false => self.heard.push(report),
+            false => self.received.push(report),
         }
     }
 }
@@ -36,7 +36,7 @@
     quarantined_offset: usize,
     cleared_offset: usize,
     seen_offset: usize,
-    heard_offset: usize,
+    received_offset: usize,
 }
 
 impl ReportTurns {
@@ -46,7 +46,7 @@
             (due.quarantined, &mut self.quarantined_offset),
             (due.cleared, &mut self.cleared_offset),
             (due.seen, &mut self.seen_offset),
-            (due.heard, &mut self.heard_offset),
+            (due.received, &mut self.received_offset),
         ];
         let mut waiting: usize = kinds.iter().map(|(reports, _)| reports.len()).sum();
         let mut room = limit;
--- a/crates/daemon/src/gateway/origins.rs
+++ b/crates/daemon/src/gateway/origins.rs
@@ -1,5 +1,5 @@
-//! The streams that began lately, what the other entries are told of them, and where a stream goes
-//! on that a caller resumes.
+//! The streams that began lately, their gossip to the other entries, and where a stream goes on that
+//! a caller resumes.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -23,16 +23,16 @@
 const MAX_STREAMS_PER_REPORT: usize = 60;
 /// The most datagrams about streams in one gossip round.
 const MAX_REPORTS_PER_ROUND: usize = 3;
-/// The versions that have served are told every this many rounds.
+/// The versions that have served are gossiped every this many rounds.
 const VERSION_ROUNDS: u64 = 4;
-/// The age of the backend list from which the other entries are told of all streams. It is less
+/// The age of the backend list from which the origins of all streams are gossiped. It is less
 /// than the age up to which one version alone is believed to have begun a stream.
-const TELLING_AGE: TimeSpan = TimeSpan::from_millis(1_000);
+const UNCONFIRMED_AGE: TimeSpan = TimeSpan::from_millis(1_000);
 /// The time between the end of a stream and its resumption by the caller for which its origin is
 /// remembered.
 const RESUME_MARGIN: TimeSpan = TimeSpan::from_secs(10);
 
-/// Streams that began at one version of a service, as entries tell each other.
+/// Streams that began at one version of a service, as entries gossip them.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct OriginReport {
     service: SmolStr,
@@ -73,7 +73,7 @@
     }
 }
 
-/// The streams that are still to be told, and the services of which they are told.
+/// The streams that are still to be gossiped, and the services for which that is done.
 #[derive(Debug, Default)]
 struct OriginNews {
     /// The streams, each with its number of remaining sends.
@@ -105,8 +105,8 @@
         act(&mut self.memory.borrow_mut())
     }
 
-    /// Records the versions on the list, forgets old streams, and starts to tell the other entries
-    /// of the streams of a service that a second version has begun to serve.
+    /// Records the versions on the list, forgets old streams, and starts to gossip the streams of a
+    /// service that a second version has begun to serve.
     pub(crate) fn refresh(&self, state: &GatewayState) {
         let Some(confirmed_at) = state.replicas.list.confirmed_at() else {
             return;
@@ -123,7 +123,7 @@
             .map(|(service, ..)| service.clone())
             .collect();
         let mut news = self.news.borrow_mut();
-        let list_old = now.since(confirmed_at) > TELLING_AGE;
+        let list_old = now.since(confirmed_at) > UNCONFIRMED_AGE;
         if std::mem::replace(&mut news.list_old, list_old) != list_old {
             if list_old {
                 let own = memory.streams.own();
@@ -132,7 +132,7 @@
                 news.queue.extend(own);
             }
             log::info!(list_old, queued = news.queue.len();
-                "telling the other entries where all streams begin while the list is not confirmed");
+                "gossip of the origins of all streams changed with the age of the backend list");
         }
         for service in services {
             let mixed = memory.history.is_mixed(&service, now - life);
@@ -147,12 +147,12 @@
                         .extend(own.map(|(key, _)| (key, SENDS_PER_STREAM)));
                     let streams = news.queue.len() - before;
                     log::info!(service = service.as_str(), streams;
-                        "several software versions serve: telling the other entries where streams began");
+                        "several software versions serve: gossiping the origins of streams");
                     news.mixed.insert(service);
                 }
                 (false, true) => {
                     log::info!(service = service.as_str();
-                        "one software version serves: no longer telling where streams begin");
+                        "one software version serves: no longer gossiping the origins of streams");
                     news.mixed.remove(&service);
                 }
             }
@@ -231,7 +231,7 @@
         memory.find(key, &prepared.route, now, life)
     }
 
-    /// Returns what to tell the other entries in this gossip round, in parts that fit a datagram.
+    /// Returns the reports of this gossip round, in parts that fit a datagram.
     pub(crate) fn next_reports(&self, state: &GatewayState) -> Vec<Vec<OriginReport>> {
         let (now, life) = (state.now(), stream_life(state));
         let memory = self.memory.borrow();
@@ -268,7 +268,7 @@
         parts
     }
 
-    /// Records what another entry or the platform's store tells, which is `age` old.
+    /// Merges a report of another entry or of the platform's store, which is `age` old.
     pub(crate) fn receive(
         &self,
         state: &GatewayState,
@@ -369,7 +369,7 @@
     matches!(rule, RetryRule::Stream { resumable: true })
 }
 
-/// Returns whether the store may tell more of a stream than this entry knows.
+/// Returns whether the store may hold the origin of a stream that this entry does not know.
 pub(super) fn is_worth_reading(finding: &OriginFinding, prepared: &PreparedRequest) -> bool {
     let FindingSource::Unknown(cause) = finding.source else {
         return false;
