--- a/review/1/case.py
+++ b/review/1/case.py
@@ -63,7 +63,7 @@
     tasks = [asyncio.create_task(consumer(0, "POST", "/enroll/2f", 0.05)),
              asyncio.create_task(consumer(1, "POST", "/enroll/2f", 0.05)),
              *(asyncio.create_task(consumer(index, "GET", "/roster/start", 0.2))
-               for index in range(2, 6))]
+               for index in range(2, 10))]
     await asyncio.sleep(3)
     if trouble:
         await asyncio.gather(*(engine.go_dark(DARK_S) for engine in engines))
@@ -76,7 +76,7 @@
     record.note(f"{len(asked)} proper requests, {served} served, {len(denied)} ended with a 4xx of "
                 f"an entry's own, {len(late_denied)} of these later than 5 s after the engines "
                 f"were back; {allowed:.1f} are allowed")
-    if len(asked) < 200 or served < 0.4 * len(asked):
+    if len(asked) < 200 or served < 0.3 * len(asked):
         raise CantRun(f"{served} of {len(asked)} requests were served")
     if len(denied) <= allowed:
         return []
