Hold silence and invalid bytes against the engine, not against the request

Cause: every lost response counted as a crash that the request had caused. The log shows an attempt that ended by the time limit before each suspicion, all within the outage, and no read sent after the quarantine, so that nothing could clear it. Ruled out: connections that break when the engines come back, crashes counted twice by gossip, completions that are not heard.

Change: an attempt ends as Broken (connection closed or reset), Silent or Invalid, and only the first is evidence.

--- a/crates/core/src/direct/attempt.rs
+++ b/crates/core/src/direct/attempt.rs
@@ -18,14 +18,34 @@
         /// Whether the request reached another backend server, which has taken over the address.
         misdirected: bool,
     },
-    /// The request was sent, but no complete response came back.
+    /// The request was sent, and the connection was closed or reset before a complete response came.
     Broken,
+    /// The request was sent, and the backend server fell silent: no response within the time that a
+    /// retry leaves, or nothing acknowledged until the connection was given up.
+    Silent,
+    /// The request was sent, and what came back is no valid response.
+    Invalid,
     /// The backend server ran the request and responded with an error.
     Failed,
     /// No response came before the request's deadline.
     TimedOut,
 }
 
+impl AttemptEnd {
+    /// Returns whether the request may have crashed the backend server. A process that ends closes
+    /// its connections. One that is silent may be frozen or cut off, and one that sends invalid bytes
+    /// still runs. See
+    /// [docs/design/quarantine.md](../../../../docs/design/quarantine.md#what-counts-as-a-crash).
+    pub const fn is_crash_evidence(self) -> bool {
+        matches!(self, Self::Broken)
+    }
+
+    /// Returns whether the request was sent and its response lost, so that it has run in most cases.
+    pub const fn is_lost_response(self) -> bool {
+        matches!(self, Self::Broken | Self::Silent | Self::Invalid)
+    }
+}
+
 /// Limits on the attempts at one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptLimits {
@@ -97,7 +117,11 @@
         match end {
             AttemptEnd::NotSent => {}
             AttemptEnd::NotRun { .. } => self.arrivals += 1,
-            AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::TimedOut => {
+            AttemptEnd::Broken
+            | AttemptEnd::Silent
+            | AttemptEnd::Invalid
+            | AttemptEnd::Failed
+            | AttemptEnd::TimedOut => {
                 self.arrivals += 1;
                 self.runs += 1;
             }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -5,12 +5,14 @@
 //! [`CrashOptions::crash_limit`] crashed is refused everywhere for a time. The other
 //! requests that were running then are suspects too. Suspects are isolated from each
 //! other until they complete, so that a further crash does not quarantine them all.
-//! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers).
+//! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers), and
+//! [docs/design/quarantine.md](../../../docs/design/quarantine.md) for what is evidence and what is not.
 
 mod life;
 mod part;
 mod recent;
 mod row;
+mod sound;
 mod turns;
 
 use std::collections::BTreeMap;
@@ -22,6 +24,7 @@
 
 use recent::RecentCrashes;
 use row::SuspectRow;
+use sound::SoundMemory;
 use turns::{DueReports, ReportTurns};
 
 pub use life::{LifeReport, LifeSigns};
@@ -38,10 +41,14 @@
 /// not crashed: one that crashes takes longer to serve again.
 const DISPROOF_WINDOW: TimeSpan = TimeSpan::from_secs(1);
 
-/// How long the completion of a fingerprint without crashes is remembered: longer than a crash is
-/// reported that is not quarantined.
+/// How long the completion of a fingerprint without crashes is remembered at least: longer than a
+/// crash is reported that is not quarantined.
 const COMPLETION_RETENTION: TimeSpan = TimeSpan::from_secs(12);
 
+/// Of a fingerprint that is known to be sound, crashes within this time count as one, since what
+/// fails there is the fleet.
+const OUTAGE_SPAN: TimeSpan = TimeSpan::from_secs(2);
+
 /// One incarnation of a backend server, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendRun {
@@ -85,6 +92,26 @@
     pub gossip_delay: TimeSpan,
     /// The age up to which a suspicion is reported. A quarantine is reported while it lasts.
     pub gossip_ttl: TimeSpan,
+    /// How long a fingerprint counts as sound after it completed. Zero if its crashes are observed
+    /// and not inferred.
+    pub sound_ttl: TimeSpan,
+}
+
+impl CrashOptions {
+    /// Returns the options for crashes that are inferred from closed connections. They are weaker
+    /// evidence than a crash that a sidecar observes: a request is quarantined one crash later, fewer
+    /// crashes than that are forgotten sooner, and an earlier completion counts for it.
+    pub fn inferred() -> Self {
+        Self {
+            crash_limit: 3,
+            count_each_run: true,
+            gossip_delay: DISPROOF_WINDOW,
+            gossip_ttl: TimeSpan::from_secs(10),
+            suspicion_ttl: TimeSpan::from_secs(60),
+            sound_ttl: TimeSpan::from_secs(600),
+            ..Self::default()
+        }
+    }
 }
 
 impl Default for CrashOptions {
@@ -99,6 +126,7 @@
             gossip_limit: 32,
             gossip_delay: TimeSpan::ZERO,
             gossip_ttl: TimeSpan::from_secs(600),
+            sound_ttl: TimeSpan::ZERO,
         }
     }
 }
@@ -120,8 +148,8 @@
 pub struct CrashTracker {
     options: CrashOptions,
     rows: BTreeMap<RequestFingerprint, SuspectRow>,
-    /// When fingerprints without a row completed last, in case that an earlier crash is reported.
-    completions: BTreeMap<RequestFingerprint, TimePoint>,
+    /// When fingerprints completed last, in case that a crash is seen or reported.
+    completions: SoundMemory,
     recent: RecentCrashes,
     turns: ReportTurns,
 }
@@ -132,7 +160,7 @@
         Self {
             options,
             rows: BTreeMap::new(),
-            completions: BTreeMap::new(),
+            completions: SoundMemory::new(options.max_fingerprints),
             recent: RecentCrashes::default(),
             turns: ReportTurns::default(),
         }
@@ -151,6 +179,7 @@
         running: &[RequestFingerprint],
     ) {
         for fingerprint in running {
+            self.recall_completion(now, *fingerprint);
             let row = self.rows.get(fingerprint);
             let run = match (row, self.options.count_each_run) {
                 (Some(row), true) => row.run_at(crashed.clone(), now),
@@ -169,9 +198,8 @@
     pub fn note_completion(&mut self, now: TimePoint, fingerprint: RequestFingerprint) {
         if self.rows.contains_key(&fingerprint) {
             self.note(now, fingerprint, None, now);
-        } else if self.completions.len() < self.options.max_fingerprints {
-            self.completions.insert(fingerprint, now);
         }
+        self.completions.insert(fingerprint, now);
     }
 
     /// Records that `backend` has answered a request that was sent at `sent_at`, here or at another
@@ -204,9 +232,7 @@
         let unexpired = report.age + SAME_EVENT_TOLERANCE < self.options.quarantine_ttl;
         let new = unexpired && !known;
         if new {
-            if let Some(completed_at) = self.completions.remove(&report.fingerprint) {
-                self.note(now, report.fingerprint, None, completed_at);
-            }
+            self.recall_completion(now, report.fingerprint);
             if let Some(run) = &report.crashed {
                 self.recent.push(now, at, report.fingerprint, run.clone());
             }
@@ -215,10 +241,11 @@
         new
     }
 
-    /// Returns how many crashes a fingerprint is suspected of.
+    /// Returns how many crashes a fingerprint is suspected of. If it is known to be sound, those that
+    /// are close together count as one.
     pub fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
         let row = self.rows.get(&fingerprint);
-        row.map_or(0, |row| row.crashes.len())
+        row.map_or(0, |row| self.evidence(row))
     }
 
     /// Returns whether a fingerprint is quarantined.
@@ -268,6 +295,13 @@
                 };
                 report.age >= delay && report.age < options.gossip_ttl
             };
+            // Others that hear of the crash have to know that the fingerprint completed before it.
+            let last_crash = row.crashes.values().map(|crash| crash.last).max();
+            let is_news = |at: TimePoint| now.since(at) < options.gossip_ttl;
+            let is_suspected = last_crash.is_some_and(is_news);
+            let is_due = |report: &SuspectReport| {
+                is_due(report) || (report.crashed.is_none() && is_suspected)
+            };
             for report in reports.filter(is_due) {
                 match report.crashed {
                     None => due.cleared.push(report),
@@ -323,21 +357,34 @@
     pub fn tick(&mut self, now: TimePoint) {
         self.recent.tick(now);
         let options = self.options;
-        self.completions
-            .retain(|_, at| now.since(*at) < COMPLETION_RETENTION);
+        let retention = options.sound_ttl.max(COMPLETION_RETENTION);
+        self.completions.tick(now, retention);
         for row in self.rows.values_mut() {
-            let ttl = match row.crashes.len() >= options.crash_limit {
+            let ttl = match evidence(row, &options) >= options.crash_limit {
                 true => options.quarantine_ttl,
                 false => options.suspicion_ttl,
             };
             row.crashes.retain(|_, crash| now.since(crash.last) < ttl);
-            row.completed = row
-                .completed
-                .filter(|at| now.since(*at) < options.suspicion_ttl);
+            let completed_ttl = match row.crashes.is_empty() {
+                true => options.suspicion_ttl,
+                false => options.suspicion_ttl.max(options.sound_ttl),
+            };
+            row.completed = row.completed.filter(|at| now.since(*at) < completed_ttl);
         }
         self.rows.retain(|_, row| row.last_change().is_some());
     }
 
+    fn evidence(&self, row: &SuspectRow) -> usize {
+        evidence(row, &self.options)
+    }
+
+    /// Takes a completion that is remembered into the row of a fingerprint that is suspected now.
+    fn recall_completion(&mut self, now: TimePoint, fingerprint: RequestFingerprint) {
+        if let Some(completed_at) = self.completions.get(fingerprint) {
+            self.note(now, fingerprint, None, completed_at);
+        }
+    }
+
     fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
         let row = self.rows.get(&fingerprint);
         row.is_some_and(|row| !row.crashes.is_empty())
@@ -375,9 +422,9 @@
         if self.rows.len() <= self.options.max_fingerprints {
             return;
         }
-        let limit = self.options.crash_limit;
+        let options = self.options;
         let oldest = self.rows.iter().min_by_key(|(_, row)| {
-            let quarantined = row.crashes.len() >= limit;
+            let quarantined = evidence(row, &options) >= options.crash_limit;
             (quarantined, row.last_change())
         });
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
@@ -385,3 +432,11 @@
         }
     }
 }
+
+/// Returns how many crashes of a fingerprint count as evidence against it.
+fn evidence(row: &SuspectRow, options: &CrashOptions) -> usize {
+    match row.is_sound_before_crashes(options.sound_ttl) {
+        true => row.crashes_apart(OUTAGE_SPAN),
+        false => row.crashes.len(),
+    }
+}
--- a/crates/core/src/quarantine/life.rs
+++ b/crates/core/src/quarantine/life.rs
@@ -119,7 +119,7 @@
 }
 
 /// Returns the time between two points, whichever is the later one.
-fn gap(one: TimePoint, other: TimePoint) -> TimeSpan {
+pub(super) fn gap(one: TimePoint, other: TimePoint) -> TimeSpan {
     match one < other {
         true => other.since(one),
         false => one.since(other),
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -8,10 +8,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::life::gap;
 use super::recent::RecentCrashes;
 use super::row::{CrashSpan, SuspectRow};
 use super::turns::{DueReports, ReportTurns};
-use super::{BackendRun, SuspectReport, DISPROOF_WINDOW, SAME_EVENT_TOLERANCE};
+use super::{BackendRun, SuspectReport, DISPROOF_WINDOW, OUTAGE_SPAN, SAME_EVENT_TOLERANCE};
 use crate::claim::RequestFingerprint;
 use crate::id::BackendId;
 use crate::unit::{TimePoint, TimeSpan};
@@ -55,19 +56,14 @@
 }
 
 impl PartRow {
-    /// Returns the number of crashes, of which those in one burst count once.
+    /// Returns the number of crashes, of which those in one burst count once. If the part is known to
+    /// be sound, those in one outage do.
     fn crash_count(&self) -> usize {
-        let mut times: Vec<TimePoint> = self.crashes().map(|(_, crash)| crash.first).collect();
-        times.sort_unstable();
-        let mut burst = None;
-        let mut count = 0;
-        for time in times {
-            if burst.is_none_or(|start| time.since(start) >= BURST_SPAN) {
-                burst = Some(time);
-                count += 1;
-            }
-        }
-        count
+        let span = match self.suspect.is_sound_before_crashes(SOUND_TTL) {
+            true => OUTAGE_SPAN,
+            false => BURST_SPAN,
+        };
+        self.suspect.crashes_apart(span)
     }
 
     fn is_quarantined(&self) -> bool {
@@ -87,11 +83,8 @@
     fn is_explained_by(&self, other: &PartRow) -> bool {
         self.crashes().all(|(run, crash)| {
             other.crashes().any(|(other_run, other_crash)| {
-                let (earlier, later) = match crash.first < other_crash.first {
-                    true => (crash.first, other_crash.first),
-                    false => (other_crash.first, crash.first),
-                };
-                run.backend == other_run.backend && later.since(earlier) < DISPROOF_WINDOW
+                run.backend == other_run.backend
+                    && gap(crash.first, other_crash.first) < DISPROOF_WINDOW
             })
         })
     }
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -4,7 +4,7 @@
 
 use super::{BackendRun, SuspectReport, DISPROOF_WINDOW, SAME_EVENT_TOLERANCE};
 use crate::claim::RequestFingerprint;
-use crate::unit::TimePoint;
+use crate::unit::{TimePoint, TimeSpan};
 
 /// The crash of one incarnation. It may break several attempts, at different times.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +29,29 @@
         crashes.chain(self.completed).max()
     }
 
+    /// Returns the number of crashes, of which those that begin within `span` of the first one of
+    /// them count once.
+    pub(super) fn crashes_apart(&self, span: TimeSpan) -> usize {
+        let mut times: Vec<TimePoint> = self.crashes.values().map(|crash| crash.first).collect();
+        times.sort_unstable();
+        let mut first = None;
+        let mut count = 0;
+        for time in times {
+            if first.is_none_or(|first| time.since(first) >= span) {
+                first = Some(time);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Returns whether it completed less than `sound_ttl` before the first of its crashes.
+    pub(super) fn is_sound_before_crashes(&self, sound_ttl: TimeSpan) -> bool {
+        let first = self.crashes.values().map(|crash| crash.first).min();
+        let completed = self.completed;
+        completed.is_some_and(|at| first.is_none_or(|first| first.since(at) < sound_ttl))
+    }
+
     /// Returns whether an event at `at`, a crash or else a completion, is recorded already. A completion
     /// that clears a recorded crash is not.
     pub(super) fn contains(&self, crashed: Option<&BackendRun>, at: TimePoint) -> bool {
--- a/crates/core/tests/quarantine_fleet/mod.rs
+++ b/crates/core/tests/quarantine_fleet/mod.rs
@@ -1,8 +1,12 @@
-//! A fleet of entries and engines in virtual time, whose entries track crashes by prompt part.
+//! A fleet of entries and engines in virtual time, whose entries track crashes by request and by prompt
+//! part.
 
 use applefold_core::claim::RequestFingerprint;
+use applefold_core::direct::AttemptEnd;
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::{BackendRun, LifeReport, LifeSigns, PartTracker, SuspectReport};
+use applefold_core::quarantine::{
+    BackendRun, CrashOptions, CrashTracker, LifeReport, LifeSigns, PartTracker, SuspectReport,
+};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -36,6 +40,23 @@
 const CRASHES_TO_LEARN: usize = 5;
 const LEARN_TIME: TimeSpan = TimeSpan::from_secs(3);
 
+/// How long engines that fail together are down, and within which time they fail.
+const OUTAGE_TIME: TimeSpan = TimeSpan::from_millis(4_500);
+const OUTAGE_SPREAD_TICKS: u64 = 120;
+/// The share of requests that ask for one page, as a start page, without a prompt.
+const PAGE_SHARE: f64 = 0.2;
+/// The tick of the first crashing request, and of the others, each with a retry by the entry and one
+/// by the caller.
+const CRASHING_REQUEST_TICK: u64 = 450;
+const CRASHING_REQUEST_PERIOD: u64 = 300;
+/// The sound requests per second with the part that the crashing request has, once it has crashed
+/// engines.
+const RARE_RATE: f64 = 2.0;
+/// How long an entry waits for an engine that sends nothing.
+const SILENCE_LIMIT: TimeSpan = TimeSpan::from_millis(450);
+/// How long after its third crash a crashing request may still be sent without limit.
+const GRACE_TIME: TimeSpan = TimeSpan::from_secs(3);
+
 /// The size of a fleet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FleetSize {
@@ -50,6 +71,30 @@
     Resets,
     /// One part crashes each engine that begins to answer a prompt with it.
     CrashingPart,
+    /// All engines crash shortly one after the other, and their connections are closed.
+    Crashes,
+    /// All engines fall silent shortly one after the other, and their connections stay.
+    Silence,
+    /// One request crashes each engine that runs it. Its prompt has a part that few others have.
+    CrashingRequest,
+}
+
+/// What a request does to its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestKind {
+    Sound,
+    /// Sound, and shares the part of the crashing request.
+    Rare,
+    /// Crashes the engine by one of its parts.
+    CrashingPart,
+    /// Crashes the engine by itself.
+    CrashingRequest,
+}
+
+impl RequestKind {
+    fn is_crashing(self) -> bool {
+        matches!(self, Self::CrashingPart | Self::CrashingRequest)
+    }
 }
 
 /// What was seen in a play.
@@ -58,7 +103,10 @@
     /// Sound requests, and those of them that were refused.
     pub(crate) sound: usize,
     pub(crate) refused: usize,
-    /// Crashes by the part, and requests with it that were sent late.
+    /// Of these, requests that share a part with the crashing request.
+    pub(crate) rare: usize,
+    pub(crate) rare_refused: usize,
+    /// Crashes by the part or the request, and requests that were sent late.
     pub(crate) crashes: usize,
     pub(crate) late: usize,
 }
@@ -69,32 +117,59 @@
     entry: usize,
     engine: usize,
     parts: Vec<RequestFingerprint>,
+    fingerprint: RequestFingerprint,
     sent_at: TimePoint,
     begins_at: TimePoint,
-    crashing: bool,
-    is_retry: bool,
+    kind: RequestKind,
+    attempt: u32,
 }
 
 /// What an entry believes.
-#[derive(Default)]
 struct EntryBelief {
+    requests: CrashTracker,
     tracker: PartTracker,
     signs: LifeSigns,
 }
 
 /// What an entry sends in one round.
 struct GossipRound {
+    requests: Vec<SuspectReport>,
     suspects: Vec<SuspectReport>,
     signs: Vec<LifeReport>,
 }
 
 impl EntryBelief {
-    fn note_crash(&mut self, now: TimePoint, run: &BackendRun, parts: &[RequestFingerprint]) {
-        self.tracker.note_crash(now, run, parts);
+    fn new() -> Self {
+        Self {
+            requests: CrashTracker::new(CrashOptions::inferred()),
+            tracker: PartTracker::default(),
+            signs: LifeSigns::default(),
+        }
+    }
+
+    fn refuses(&self, request: &WaitingRequest) -> bool {
+        self.requests.is_quarantined(request.fingerprint)
+            || self.tracker.blamed_part(&request.parts).is_some()
+    }
+
+    fn note_end(
+        &mut self,
+        now: TimePoint,
+        run: &BackendRun,
+        request: &WaitingRequest,
+        end: AttemptEnd,
+    ) {
+        if !end.is_crash_evidence() {
+            return;
+        }
+        self.requests.note_crash(now, run, &[request.fingerprint]);
+        self.tracker.note_crash(now, run, &request.parts);
         self.signs.note_suspicion(now, &run.backend, now);
     }
 
     fn note_answer(&mut self, now: TimePoint, request: &WaitingRequest, backend: &BackendId) {
+        self.requests.note_completion(now, request.fingerprint);
+        self.requests.note_answer(backend, request.sent_at);
         self.tracker.note_answer(now, &request.parts);
         self.tracker.note_response(backend, request.sent_at);
         self.signs.note_response(now, backend, request.sent_at);
@@ -102,27 +177,37 @@
 
     fn next_round(&mut self, now: TimePoint) -> GossipRound {
         GossipRound {
+            requests: self.requests.next_reports(now),
             suspects: self.tracker.next_reports(now),
             signs: self.signs.next_reports(now, SIGN_LIMIT),
         }
     }
 
     fn receive(&mut self, now: TimePoint, round: &GossipRound) {
+        for report in &round.requests {
+            if !self.is_disproved(now, report) {
+                self.requests.merge_report(now, report.clone());
+            }
+        }
         for report in &round.suspects {
-            let crashed_at = now - report.age;
-            if let Some(run) = &report.crashed {
-                self.signs.note_suspicion(now, &run.backend, crashed_at);
-                if self.signs.is_disproved(&run.backend, crashed_at) {
-                    continue;
-                }
+            if !self.is_disproved(now, report) {
+                self.tracker.merge_report(now, report.clone());
             }
-            self.tracker.merge_report(now, report.clone());
         }
         for report in &round.signs {
             let sent_at = self.signs.merge_report(now, report);
+            self.requests.note_answer(&report.backend, sent_at);
             self.tracker.note_response(&report.backend, sent_at);
         }
     }
+
+    fn is_disproved(&mut self, now: TimePoint, report: &SuspectReport) -> bool {
+        let crashed_at = now - report.age;
+        report.crashed.as_ref().is_some_and(|run| {
+            self.signs.note_suspicion(now, &run.backend, crashed_at);
+            self.signs.is_disproved(&run.backend, crashed_at)
+        })
+    }
 }
 
 pub(crate) struct QuarantineFleet {
@@ -133,6 +218,9 @@
     incarnations: Vec<u64>,
     down_until: Vec<TimePoint>,
     waiting: Vec<WaitingRequest>,
+    /// Whether engines that are down keep their connections.
+    silent: bool,
+    last_request: u64,
     crash_times: Vec<TimePoint>,
     crashing_sends: Vec<TimePoint>,
     outcome: FleetOutcome,
@@ -147,11 +235,13 @@
         Self {
             size,
             rng: Pcg64::seed_from_u64(seed),
-            entries: (0..size.entries).map(|_| EntryBelief::default()).collect(),
+            entries: (0..size.entries).map(|_| EntryBelief::new()).collect(),
             backends: backends.collect(),
             incarnations: vec![1; size.engines],
             down_until: vec![TimePoint::START; size.engines],
             waiting: Vec::new(),
+            silent: false,
+            last_request: 0,
             crash_times: Vec::new(),
             crashing_sends: Vec::new(),
             outcome: FleetOutcome::default(),
@@ -160,23 +250,39 @@
 
     /// Plays the fleet to its end.
     pub(crate) fn play(mut self, trouble: Trouble) -> FleetOutcome {
+        self.silent = trouble == Trouble::Silence;
         // Beyond 64 entries, gossip rounds become longer with their number.
         let gossip_ticks = 10 * self.size.entries.div_ceil(64) as u64;
         for tick in 0..PLAY_TICKS {
             let now = TimePoint::START + TimeSpan(TICK.0 * (tick + 1));
             self.send_requests(now);
-            if trouble == Trouble::CrashingPart && tick >= TROUBLE_TICKS.start {
-                self.send_crashing(now);
+            match trouble {
+                Trouble::CrashingPart if tick >= TROUBLE_TICKS.start => self.send_crashing(now),
+                Trouble::CrashingRequest => self.send_crashing_request(tick, now),
+                _ => {}
             }
             let resets = trouble == Trouble::Resets && TROUBLE_TICKS.contains(&tick);
-            self.finish_requests(now, resets);
+            let failing = match trouble {
+                Trouble::Crashes | Trouble::Silence => self.failing_engines(tick),
+                _ => Vec::new(),
+            };
+            self.finish_requests(now, resets, failing);
             if tick % gossip_ticks == 0 {
                 self.gossip(now);
             }
+            if tick % 10 == 0 {
+                self.expire(now);
+            }
         }
         self.outcome.crashes = self.crash_times.len();
-        if let Some(fifth) = self.crash_times.get(CRASHES_TO_LEARN - 1) {
-            let limit = *fifth + LEARN_TIME;
+        let last_free = match trouble {
+            Trouble::CrashingRequest => self.crash_times.get(2).map(|at| *at + GRACE_TIME),
+            _ => {
+                let fifth = self.crash_times.get(CRASHES_TO_LEARN - 1);
+                fifth.map(|at| *at + LEARN_TIME)
+            }
+        };
+        if let Some(limit) = last_free {
             let late = self.crashing_sends.iter().filter(|sent| **sent > limit);
             self.outcome.late = late.count();
         }
@@ -192,6 +298,11 @@
 
     fn send_requests(&mut self, now: TimePoint) {
         for _ in 0..self.draw_count(ENGINE_RATE * self.size.engines as f64) {
+            if self.rng.gen_bool(PAGE_SHARE) {
+                let page = RequestFingerprint(0);
+                self.ask(now, Vec::new(), Some(page), RequestKind::Sound);
+                continue;
+            }
             let first = match self.rng.gen_bool(FREQUENT_SHARE) {
                 true => self.rng.gen_range(0..FREQUENT_FIRST_PARTS),
                 false => self.rng.gen_range(FREQUENT_FIRST_PARTS..FIRST_PARTS),
@@ -199,76 +310,125 @@
             let own = self
                 .rng
                 .gen_range(0..OWN_PARTS_PER_ENGINE * self.size.engines);
-            let names = [format!("first-{first}"), format!("own-{own}")];
-            self.outcome.sound += 1;
-            if !self.send(now, &names, false, false) {
-                self.outcome.refused += 1;
-            }
+            let parts = part_fingerprints(&[&format!("first-{first}"), &format!("own-{own}")]);
+            self.ask(now, parts, None, RequestKind::Sound);
         }
     }
 
     fn send_crashing(&mut self, now: TimePoint) {
         for _ in 0..self.draw_count(CRASHING_RATE) {
-            let names = ["first-0".to_owned(), "bad".to_owned()];
-            if self.send(now, &names, true, false) {
-                self.crashing_sends.push(now);
-            }
+            let parts = part_fingerprints(&["first-0", "bad"]);
+            self.ask(now, parts, None, RequestKind::CrashingPart);
         }
     }
 
-    fn send(&mut self, now: TimePoint, names: &[String], crashing: bool, is_retry: bool) -> bool {
-        let parts = names
-            .iter()
-            .map(|name| RequestFingerprint::of_prompt_part(name));
-        self.send_parts(now, parts.collect(), crashing, is_retry)
+    fn send_crashing_request(&mut self, tick: u64, now: TimePoint) {
+        let started = tick >= CRASHING_REQUEST_TICK;
+        if tick >= CRASHING_REQUEST_TICK + CRASHING_REQUEST_PERIOD / 2 {
+            for _ in 0..self.draw_count(RARE_RATE) {
+                let parts = part_fingerprints(&["first-0", "rare"]);
+                self.ask(now, parts, None, RequestKind::Rare);
+            }
+        }
+        if started && (tick - CRASHING_REQUEST_TICK).is_multiple_of(CRASHING_REQUEST_PERIOD) {
+            let parts = part_fingerprints(&["first-0", "rare"]);
+            let request = RequestFingerprint(1);
+            self.ask(now, parts, Some(request), RequestKind::CrashingRequest);
+        }
     }
 
-    /// Sends a request by any entry; returns whether it was not refused.
-    fn send_parts(
+    /// Sends a new request; without a fingerprint it is like no other.
+    fn ask(
         &mut self,
         now: TimePoint,
         parts: Vec<RequestFingerprint>,
-        crashing: bool,
-        is_retry: bool,
-    ) -> bool {
-        let entry = self.rng.gen_range(0..self.size.entries);
-        if self.entries[entry].tracker.blamed_part(&parts).is_some() {
-            return false;
-        }
-        let engine = self.rng.gen_range(0..self.size.engines);
-        if self.down_until[engine] > now {
-            return true;
-        }
-        let begins_at = now + TimeSpan::from_millis(self.rng.gen_range(40..400));
-        self.waiting.push(WaitingRequest {
-            entry,
-            engine,
+        fingerprint: Option<RequestFingerprint>,
+        kind: RequestKind,
+    ) {
+        self.last_request += 1;
+        let request = WaitingRequest {
+            entry: 0,
+            engine: 0,
             parts,
+            fingerprint: fingerprint.unwrap_or(RequestFingerprint(100 + self.last_request)),
             sent_at: now,
-            begins_at,
-            crashing,
-            is_retry,
-        });
-        true
+            begins_at: now,
+            kind,
+            attempt: 0,
+        };
+        self.send(now, request);
+    }
+
+    /// Sends a request by any entry to any engine, and counts whether it was refused.
+    fn send(&mut self, now: TimePoint, mut request: WaitingRequest) {
+        request.attempt += 1;
+        request.entry = self.rng.gen_range(0..self.size.entries);
+        let refused = self.entries[request.entry].refuses(&request);
+        if !request.kind.is_crashing() {
+            let rare = usize::from(request.kind == RequestKind::Rare);
+            self.outcome.sound += 1;
+            self.outcome.rare += rare;
+            self.outcome.refused += usize::from(refused);
+            self.outcome.rare_refused += rare * usize::from(refused);
+        }
+        if refused {
+            return;
+        }
+        request.engine = self.rng.gen_range(0..self.size.engines);
+        if request.kind.is_crashing() {
+            self.crashing_sends.push(now);
+        }
+        let down = self.down_until[request.engine] > now;
+        if down && !self.silent {
+            return;
+        }
+        request.sent_at = now;
+        request.begins_at = now + TimeSpan::from_millis(self.rng.gen_range(40..400));
+        self.waiting.push(request);
     }
 
-    /// Ends requests whose answer is due, or whose engine crashes.
-    fn finish_requests(&mut self, now: TimePoint, resets: bool) {
+    /// Returns the engines that fail in this tick when all of them fail shortly one after the other.
+    fn failing_engines(&self, tick: u64) -> Vec<usize> {
+        let engines = 0..self.size.engines;
+        let fails_at = |engine: &usize| {
+            let share = *engine as u64 * OUTAGE_SPREAD_TICKS / self.size.engines as u64;
+            TROUBLE_TICKS.start + share
+        };
+        engines.filter(|engine| fails_at(engine) == tick).collect()
+    }
+
+    /// Ends requests whose answer is due, or whose engine fails.
+    fn finish_requests(&mut self, now: TimePoint, resets: bool, failing: Vec<usize>) {
+        for engine in &failing {
+            self.down_until[*engine] = now + OUTAGE_TIME;
+        }
         let mut crashed: Vec<usize> = (0..self.draw_count(ORDINARY_CRASHES))
             .map(|_| self.rng.gen_range(0..self.size.engines))
             .collect();
         let is_due = |request: &WaitingRequest| request.begins_at <= now;
-        let crashing = self.waiting.iter().filter(|request| request.crashing);
+        let crashing = self.waiting.iter();
+        let crashing = crashing.filter(|request| request.kind.is_crashing());
         for request in crashing.filter(|request| is_due(request)) {
             if !crashed.contains(&request.engine) {
                 crashed.push(request.engine);
                 self.crash_times.push(now);
             }
         }
-        let mut broken = Vec::new();
+        if !self.silent {
+            crashed.extend(failing.iter().copied());
+        }
+        let mut failed = Vec::new();
         let mut kept = Vec::new();
         for request in std::mem::take(&mut self.waiting) {
             let crash = crashed.contains(&request.engine);
+            let mute = self.silent && self.down_until[request.engine] > now;
+            if mute && !crash {
+                match now.since(request.sent_at) >= SILENCE_LIMIT {
+                    true => failed.push((request, AttemptEnd::Silent)),
+                    false => kept.push(request),
+                }
+                continue;
+            }
             if !crash && !is_due(&request) {
                 kept.push(request);
                 continue;
@@ -276,7 +436,7 @@
             let losing = (request.engine as f64) < RESET_ENGINES * self.size.engines as f64;
             let lost = resets && losing && self.rng.gen_bool(RESET_SHARE);
             match crash || lost {
-                true => broken.push(request),
+                true => failed.push((request, AttemptEnd::Broken)),
                 false => {
                     let backend = &self.backends[request.engine];
                     self.entries[request.entry].note_answer(now, &request, backend);
@@ -284,24 +444,39 @@
             }
         }
         self.waiting = kept;
-        for request in broken {
+        for (request, end) in failed {
             let run = BackendRun {
                 backend: self.backends[request.engine].clone(),
                 incarnation: self.incarnations[request.engine],
             };
-            self.entries[request.entry].note_crash(now, &run, &request.parts);
-            if !request.is_retry && !request.crashing {
-                self.outcome.sound += 1;
-                let sent = self.send_parts(now, request.parts, false, true);
-                self.outcome.refused += usize::from(!sent);
+            self.entries[request.entry].note_end(now, &run, &request, end);
+            let attempts = match request.kind {
+                RequestKind::CrashingPart => 1,
+                RequestKind::Sound | RequestKind::Rare => 2,
+                RequestKind::CrashingRequest => 4,
+            };
+            if request.attempt < attempts {
+                self.send(now, request);
             }
         }
         for engine in crashed {
-            self.down_until[engine] = now + DOWNTIME;
+            let downtime = match failing.contains(&engine) {
+                true => OUTAGE_TIME,
+                false => DOWNTIME,
+            };
+            self.down_until[engine] = self.down_until[engine].max(now + downtime);
             self.incarnations[engine] += 1;
         }
     }
 
+    fn expire(&mut self, now: TimePoint) {
+        for entry in &mut self.entries {
+            entry.requests.tick(now);
+            entry.tracker.tick(now);
+            entry.signs.tick(now);
+        }
+    }
+
     fn gossip(&mut self, now: TimePoint) {
         for sender in 0..self.size.entries {
             let round = self.entries[sender].next_round(now);
@@ -313,3 +488,10 @@
         }
     }
 }
+
+fn part_fingerprints(names: &[&str]) -> Vec<RequestFingerprint> {
+    let names = names.iter();
+    names
+        .map(|name| RequestFingerprint::of_prompt_part(name))
+        .collect()
+}
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -84,6 +84,8 @@
             Self::Ended(AttemptEnd::NotRun { .. }) => "not run",
             Self::Ended(AttemptEnd::Failed) => "failed",
             Self::Ended(AttemptEnd::Broken) => "broken",
+            Self::Ended(AttemptEnd::Silent) => "silent",
+            Self::Ended(AttemptEnd::Invalid) => "invalid",
             Self::Ended(AttemptEnd::TimedOut) => "timed out",
         }
     }
@@ -126,7 +128,7 @@
         let result = result.unwrap_or_else(|_| {
             let end = match (sent.get(), limit < time_left) {
                 (None, _) => AttemptEnd::NotSent,
-                (Some(_), true) => AttemptEnd::Broken,
+                (Some(_), true) => AttemptEnd::Silent,
                 (Some(_), false) => AttemptEnd::TimedOut,
             };
             AttemptResult::Ended(
@@ -273,7 +275,7 @@
                 AttemptResult::Complete(head, body)
             }
             200..=299 => ended(
-                AttemptEnd::Broken,
+                AttemptEnd::Invalid,
                 "the response has no stamp or an encoded body".to_owned(),
             ),
             500..=599 => AttemptResult::Failed(head, body),
@@ -409,9 +411,21 @@
 }
 
 fn connection_failure(error: &ConnectionError) -> AttemptResult {
-    let end = match error {
+    ended(attempt_end(error), error.to_string())
+}
+
+/// Returns how an attempt has ended whose connection failed.
+pub(crate) fn attempt_end(error: &ConnectionError) -> AttemptEnd {
+    match error {
         ConnectionError::NotSent(_) => AttemptEnd::NotSent,
-        ConnectionError::Broken(_) | ConnectionError::InvalidResponse(_) => AttemptEnd::Broken,
-    };
-    ended(end, error.to_string())
+        ConnectionError::InvalidResponse(_) => AttemptEnd::Invalid,
+        ConnectionError::Broken(error) => match error.kind() {
+            // The system has given up an unacknowledged connection, or a router has.
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable => AttemptEnd::Silent,
+            io::ErrorKind::InvalidData => AttemptEnd::Invalid,
+            _ => AttemptEnd::Broken,
+        },
+    }
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -205,7 +205,7 @@
                     self.log_attempt(&placement, started_at, AttemptClass::Ended(end), &reason);
                     self.note_crash(end, &placement, 0);
                     // A request whose connection broke after it was sent has run in most cases.
-                    if end == AttemptEnd::Broken && placement.work == PlacementWork::Run {
+                    if end.is_lost_response() && placement.work == PlacementWork::Run {
                         self.count_usage();
                     }
                     end
@@ -355,10 +355,18 @@
         })
     }
 
-    /// Suspects the request of crashing the backend server if the connection broke, after this many
-    /// events.
+    /// Suspects the request of crashing the backend server if the way in which the attempt ended is
+    /// evidence of that, after this many events.
     fn note_crash(&self, end: AttemptEnd, placement: &Placement, events: u64) {
-        if end == AttemptEnd::Broken {
+        if end.is_lost_response() && !end.is_crash_evidence() {
+            self.state.suspects.note_other_cause(
+                &self.prepared.caller.id,
+                self.prepared.fingerprint,
+                &placement.backend,
+                end,
+            );
+        }
+        if end.is_crash_evidence() {
             let table = self.state.table.borrow();
             let start = table
                 .get(&placement.backend)
--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -8,7 +8,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::RequestDriver;
-use crate::gateway::attempt::OpenStream;
+use crate::gateway::attempt::{attempt_end, OpenStream};
 use crate::gateway::origins::is_resumable;
 use crate::gateway::prepare::keeps_alive;
 
@@ -70,7 +70,7 @@
             let complete = match tokio::time::timeout(limit, read).await {
                 Ok(Ok(complete)) => complete,
                 Ok(Err(error)) => {
-                    return RelayEnd::Broken(AttemptEnd::Broken, error.to_string());
+                    return RelayEnd::Broken(attempt_end(&error), error.to_string());
                 }
                 Err(_) => {
                     let reason = "the deadline passed during the stream".to_owned();
@@ -86,7 +86,7 @@
             }
             if self.event_buffer.is_over_limit() {
                 let reason = "an event of the stream is too large".to_owned();
-                return RelayEnd::Broken(AttemptEnd::Broken, reason);
+                return RelayEnd::Broken(AttemptEnd::Invalid, reason);
             }
             // Also where its framing is complete: a backend server that crashes may close its
             // connection in the regular way.
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -5,7 +5,7 @@
 
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::code::CallRefusal;
-use applefold_core::direct::{PlacementWork, PromptPart};
+use applefold_core::direct::{AttemptEnd, PlacementWork, PromptPart};
 use applefold_core::id::BackendId;
 use applefold_core::quarantine::{BackendRun, CrashOptions, CrashTracker, SuspectReport};
 use applefold_core::unit::{TimePoint, TimeSpan};
@@ -15,25 +15,9 @@
 
 /// How long after a crash a response of the backend server may still disprove it.
 pub(crate) const DISPROVE_TIME: TimeSpan = TimeSpan::from_secs(1);
-/// How long a suspicion is gossiped: longer than an entry takes to restart.
-const GOSSIP_TIME: TimeSpan = TimeSpan::from_secs(10);
 /// The most parts of a prompt that are named in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 
-/// Options for crashes that are inferred from broken connections. They are weaker evidence than
-/// a crash that a sidecar observes: a request is quarantined one crash later, and fewer crashes
-/// than that are forgotten sooner.
-fn crash_options() -> CrashOptions {
-    CrashOptions {
-        crash_limit: 3,
-        count_each_run: true,
-        gossip_delay: DISPROVE_TIME,
-        gossip_ttl: GOSSIP_TIME,
-        suspicion_ttl: TimeSpan::from_secs(60),
-        ..CrashOptions::default()
-    }
-}
-
 /// How far a request had come when the connection to its backend server broke.
 pub(crate) struct CrashProgress<'a> {
     /// The part of its work that the backend server was asked for.
@@ -64,7 +48,7 @@
 impl SuspectTracker {
     pub(crate) fn new(metrics: MetricSet) -> Self {
         Self {
-            tracker: RefCell::new(CrashTracker::new(crash_options())),
+            tracker: RefCell::new(CrashTracker::new(CrashOptions::inferred())),
             unpersisted: RefCell::default(),
             metrics,
         }
@@ -113,6 +97,20 @@
             "request suspected of crashing a backend server");
     }
 
+    /// Logs that a response was lost in a way that is not held against the request.
+    pub(crate) fn note_other_cause(
+        &self,
+        request: &str,
+        fingerprint: RequestFingerprint,
+        backend: &BackendId,
+        end: AttemptEnd,
+    ) {
+        self.count("other cause");
+        log::info!(request, fingerprint = fingerprint.to_string(), backend = backend.as_str(),
+            end = format!("{end:?}");
+            "request not suspected: its connection was not closed by the backend server");
+    }
+
     /// Records that a request completed, which clears its suspicion.
     pub(crate) fn note_completion(&self, fingerprint: RequestFingerprint, now: TimePoint) {
         let mut tracker = self.tracker.borrow_mut();
@@ -215,7 +213,7 @@
 
     /// Returns how long a request stays quarantined after its last crash.
     pub(crate) fn retention(&self) -> TimeSpan {
-        crash_options().quarantine_ttl
+        CrashOptions::inferred().quarantine_ttl
     }
 
     /// Drops expired crashes.
