Hold the crashes of one request against the request, not against its parts

Cause: the tracker of prompt parts counted each crash without asking whether a request explains it. In the log, all suspicions of the part stand beside one of the same request, engine and time. Ruled out: crashes under other requests, and an answer on the part that was not heard.

Change: a quarantined part is held against other requests only if two of its crashes have no quarantined request to explain them. The same rule decides what is stored.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -28,7 +28,7 @@
 use turns::{DueReports, ReportTurns};
 
 pub use life::{LifeReport, LifeSigns};
-pub use part::PartTracker;
+pub use part::{ExplainedCrashes, PartTracker};
 
 /// When a caller may retry a suspect that was refused to isolate it.
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
@@ -269,6 +269,13 @@
         fingerprints.filter(|fingerprint| self.is_quarantined(*fingerprint))
     }
 
+    /// Returns the crashes of the quarantined fingerprints, which need no other explanation.
+    pub fn quarantined_crashes(&self) -> ExplainedCrashes {
+        let rows = self.rows.values();
+        let quarantined = rows.filter(|row| self.evidence(row) >= self.options.crash_limit);
+        ExplainedCrashes::new(quarantined.flat_map(|row| row.crashes.iter()))
+    }
+
     /// Returns the time of the last crash that a fingerprint is suspected of.
     pub fn last_crash(&self, fingerprint: RequestFingerprint) -> Option<TimePoint> {
         let row = self.rows.get(&fingerprint)?;
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -3,7 +3,8 @@
 //! Requests with such a part have nothing else in common, so their fingerprints never add up. Crashes
 //! are counted by part instead, since the last answer that began on the part. Parts that are always
 //! sent together with it, and parts of requests that ran beside it, are counted with it: a part whose
-//! crashes another quarantined part explains is not held against a request without that part.
+//! crashes another quarantined part explains is not held against a request without that part. Neither is
+//! one whose crashes requests explain that are quarantined themselves.
 //! See [docs/design/answers.md](../../../../docs/design/answers.md#prompt-parts).
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +23,9 @@
 /// Crashes that begin within this time of each other count as one, since several backend servers
 /// may fail together for a reason of their own.
 const BURST_SPAN: TimeSpan = TimeSpan::from_millis(200);
+/// The crashes of a quarantined part that no quarantined request explains, at which it is held
+/// against other requests: one more than a crash beside it.
+const UNEXPLAINED_LIMIT: usize = 2;
 /// How long a part counts as sound after an answer began on it.
 const SOUND_TTL: TimeSpan = TimeSpan::from_secs(60);
 /// How long the crashes of a part that is not quarantined are remembered.
@@ -66,6 +70,13 @@
         self.suspect.crashes_apart(span)
     }
 
+    /// Returns whether enough of the crashes have no other explanation.
+    fn has_own_evidence(&self, explained: &ExplainedCrashes) -> bool {
+        let crashes = self.crashes();
+        let unexplained = crashes.filter(|(run, crash)| !explained.contains(run, crash));
+        unexplained.count() >= UNEXPLAINED_LIMIT
+    }
+
     fn is_quarantined(&self) -> bool {
         self.suspect.crashes.len() >= CRASH_LIMIT && self.crash_count() >= CRASH_LIMIT
     }
@@ -83,8 +94,7 @@
     fn is_explained_by(&self, other: &PartRow) -> bool {
         self.crashes().all(|(run, crash)| {
             other.crashes().any(|(other_run, other_crash)| {
-                run.backend == other_run.backend
-                    && gap(crash.first, other_crash.first) < DISPROOF_WINDOW
+                run.backend == other_run.backend && is_same_crash(crash.first, other_crash.first)
             })
         })
     }
@@ -106,6 +116,35 @@
     }
 }
 
+/// Returns whether crashes of one backend server that began at these times are the same.
+fn is_same_crash(one: TimePoint, other: TimePoint) -> bool {
+    gap(one, other) < DISPROOF_WINDOW
+}
+
+/// Crashes that requests explain which are quarantined themselves.
+#[derive(Debug, Default)]
+pub struct ExplainedCrashes(BTreeMap<BackendId, Vec<TimePoint>>);
+
+impl ExplainedCrashes {
+    pub(super) fn new<'a, Crashes>(crashes: Crashes) -> Self
+    where
+        Crashes: Iterator<Item = (&'a BackendRun, &'a CrashSpan)>,
+    {
+        let mut explained = Self::default();
+        for (run, crash) in crashes {
+            let times = explained.0.entry(run.backend.clone()).or_default();
+            times.push(crash.first);
+        }
+        explained
+    }
+
+    fn contains(&self, run: &BackendRun, crash: &CrashSpan) -> bool {
+        let times = self.0.get(&run.backend);
+        let mut times = times.into_iter().flatten();
+        times.any(|time| is_same_crash(*time, crash.first))
+    }
+}
+
 /// Counts crashes of backend servers for each part of the prompts that they were to answer.
 #[derive(Debug, Default)]
 pub struct PartTracker {
@@ -218,14 +257,25 @@
         new
     }
 
-    /// Returns the part for which a prompt with these parts is refused, if there is one.
-    pub fn blamed_part(&self, parts: &[RequestFingerprint]) -> Option<RequestFingerprint> {
+    /// Returns whether any of these parts is quarantined.
+    pub fn has_quarantined(&self, parts: &[RequestFingerprint]) -> bool {
+        parts.iter().any(|part| self.is_quarantined(*part))
+    }
+
+    /// Returns the part for which a prompt with these parts is refused, if there is one. Crashes that
+    /// are `explained` by quarantined requests count little.
+    pub fn blamed_part(
+        &self,
+        parts: &[RequestFingerprint],
+        explained: &ExplainedCrashes,
+    ) -> Option<RequestFingerprint> {
         let mut quarantined = parts.iter().filter(|part| self.is_quarantined(**part));
         let blamed = quarantined.find(|part| {
             let row = &self.rows[*part];
             let mut others = self.quarantined_rows();
-            !others
-                .any(|(other, other_row)| !parts.contains(other) && row.is_explained_by(other_row))
+            let has_better = others
+                .any(|(other, other_row)| !parts.contains(other) && row.is_explained_by(other_row));
+            !has_better && row.has_own_evidence(explained)
         });
         blamed.copied()
     }
@@ -252,9 +302,11 @@
     }
 
     /// Returns the quarantined parts that no other part explains, or at most equally well while
-    /// neither was sound before.
-    pub fn culprits(&self) -> Vec<RequestFingerprint> {
-        let quarantined: Vec<_> = self.quarantined_rows().collect();
+    /// neither was sound before, and no quarantined request either.
+    pub fn culprits(&self, explained: &ExplainedCrashes) -> Vec<RequestFingerprint> {
+        let quarantined = self.quarantined_rows();
+        let quarantined = quarantined.filter(|(_, row)| row.has_own_evidence(explained));
+        let quarantined: Vec<_> = quarantined.collect();
         let is_culprit = |(part, row): &(&RequestFingerprint, &PartRow)| {
             !quarantined.iter().any(|(other, other_row)| {
                 let equal = other_row.is_explained_by(row);
--- a/crates/daemon/src/gateway/quarantine_store.rs
+++ b/crates/daemon/src/gateway/quarantine_store.rs
@@ -72,7 +72,7 @@
         let (limit, now) = (MAX_WRITES_PER_PERIOD, state.now());
         match self {
             Self::Request => state.suspects.unpersisted(limit, now),
-            Self::PromptPart => state.suspect_parts.unpersisted(limit, now),
+            Self::PromptPart => state.suspect_parts.unpersisted(&state.suspects, limit, now),
         }
     }
 
@@ -87,7 +87,7 @@
     fn forget_persisted(self, state: &GatewayState) -> usize {
         match self {
             Self::Request => state.suspects.forget_persisted(),
-            Self::PromptPart => state.suspect_parts.forget_persisted(),
+            Self::PromptPart => state.suspect_parts.forget_persisted(&state.suspects),
         }
     }
 
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -242,7 +242,7 @@
         let suspects = &self.state.suspects;
         suspects.check(id, self.prepared.fingerprint, now)?;
         let suspect_parts = &self.state.suspect_parts;
-        suspect_parts.check(id, &self.prepared.shared_parts, now)?;
+        suspect_parts.check(id, &self.prepared.shared_parts, suspects, now)?;
         let time_left = self.prepared.deadline.since(now);
         // A stream that has begun is resumed wherever the deadline allows.
         let objective = match self.head_sent {
--- a/crates/daemon/src/gateway/suspect_parts.rs
+++ b/crates/daemon/src/gateway/suspect_parts.rs
@@ -11,7 +11,7 @@
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
 
-use super::suspects::DISPROVE_TIME;
+use super::suspects::{SuspectTracker, DISPROVE_TIME};
 use crate::metrics::MetricSet;
 
 /// Returns the fingerprints of prompt parts.
@@ -38,7 +38,8 @@
         }
     }
 
-    /// Refuses a request if a part of its prompt is quarantined.
+    /// Refuses a request if a part of its prompt is quarantined for crashes that no quarantined
+    /// request explains.
     ///
     /// # Errors
     ///
@@ -47,10 +48,14 @@
         &self,
         request: &str,
         parts: &[RequestFingerprint],
+        requests: &SuspectTracker,
         now: TimePoint,
     ) -> Result<(), CallRefusal> {
         let tracker = self.tracker.borrow();
-        let Some(part) = tracker.blamed_part(parts) else {
+        if !tracker.has_quarantined(parts) {
+            return Ok(());
+        }
+        let Some(part) = tracker.blamed_part(parts, &requests.quarantined_crashes()) else {
             return Ok(());
         };
         let age = tracker.last_crash(part).map(|at| now.since(at));
@@ -132,7 +137,12 @@
     /// Returns up to `limit` quarantined parts that are to be written to the store: those that
     /// crashed engines by themselves. A part waits as long as a response may still disprove its
     /// last crash.
-    pub(crate) fn unpersisted(&self, limit: usize, now: TimePoint) -> Vec<RequestFingerprint> {
+    pub(crate) fn unpersisted(
+        &self,
+        requests: &SuspectTracker,
+        limit: usize,
+        now: TimePoint,
+    ) -> Vec<RequestFingerprint> {
         let unpersisted = self.unpersisted.borrow();
         if unpersisted.is_empty() {
             return Vec::new();
@@ -142,7 +152,9 @@
             let last = tracker.last_crash(*part);
             unpersisted.contains(part) && last.is_some_and(|at| now.since(at) >= DISPROVE_TIME)
         };
-        let culprits = tracker.culprits().into_iter();
+        let culprits = tracker
+            .culprits(&requests.quarantined_crashes())
+            .into_iter();
         culprits.filter(is_due).take(limit).collect()
     }
 
@@ -168,9 +180,10 @@
     }
 
     /// Records that the store has lost the quarantined parts; returns their number.
-    pub(crate) fn forget_persisted(&self) -> usize {
+    pub(crate) fn forget_persisted(&self, requests: &SuspectTracker) -> usize {
         let mut unpersisted = self.unpersisted.borrow_mut();
-        unpersisted.extend(self.tracker.borrow().culprits());
+        let explained = requests.quarantined_crashes();
+        unpersisted.extend(self.tracker.borrow().culprits(&explained));
         unpersisted.len()
     }
 
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -7,7 +7,9 @@
 use applefold_core::code::CallRefusal;
 use applefold_core::direct::{AttemptEnd, PlacementWork, PromptPart};
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::{BackendRun, CrashOptions, CrashTracker, SuspectReport};
+use applefold_core::quarantine::{
+    BackendRun, CrashOptions, CrashTracker, ExplainedCrashes, SuspectReport,
+};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
 
@@ -111,6 +113,11 @@
             "request not suspected: its connection was not closed by the backend server");
     }
 
+    /// Returns the crashes of the quarantined requests.
+    pub(crate) fn quarantined_crashes(&self) -> ExplainedCrashes {
+        self.tracker.borrow().quarantined_crashes()
+    }
+
     /// Records that a request completed, which clears its suspicion.
     pub(crate) fn note_completion(&self, fingerprint: RequestFingerprint, now: TimePoint) {
         let mut tracker = self.tracker.borrow_mut();
