Judge a missing registration by what all entries know of the store

Cause: the restarted reader had not seen the store for two seconds, took that for an outage, and passed on that verdict, which the others believed although they knew better. One failed call of the reader did the same. The logs show its line first, and no "store unavailable" at any entry. Ruled out: a late read of the list, an outage seen by the others.

Change: entries know from the digests when the store confirmed the list, to whichever reader, and gossip for how long there was no gap of more than one and a half heartbeat intervals. Each decides by that whether an outage can have expired a registration. What did expire is kept until two seconds after the store's return.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -6,6 +6,7 @@
 //! [docs/design/platform.md](../../../../docs/design/platform.md).
 
 mod attempt;
+mod continuity;
 mod count;
 mod duration;
 mod estimate;
@@ -27,6 +28,7 @@
 mod wall_clock;
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
+pub use continuity::{ExpiredServers, RemovalCause, StoreContinuity, RETURN_TIME};
 pub use count::{RunCounter, WindowCounts};
 pub use duration::DurationTable;
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
--- a/crates/daemon/src/gateway/backend_list.rs
+++ b/crates/daemon/src/gateway/backend_list.rs
@@ -1,28 +1,23 @@
 //! This entry's replica of the backend list, updated from the store and by other entries.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use applefold_core::direct::{
-    ChangeSource, ListChange, ListReplica, ListUpdate, ListedState, ServerChange, ServerSpec,
-    StorePosition,
+    ChangeSource, ExpiredServers, ListChange, ListReplica, ListUpdate, ListedState, ServerChange,
+    ServerSpec, StorePosition,
 };
 use applefold_core::id::BackendId;
 use applefold_core::unit::{TimePoint, TimeSpan, TokenCount};
 
 use super::state::GatewayState;
 
-/// How long after a store outage a registration that expired meanwhile may still come back. The
-/// platform states about two seconds.
-pub(crate) const RETURN_TIME: TimeSpan = TimeSpan::from_millis(2_000);
-
 /// This entry's replica of the list of backend servers.
 #[derive(Debug, Default)]
 pub(crate) struct BackendList {
     replica: RefCell<ListReplica>,
-    /// Backend servers whose registrations expired during a store outage, and until when they may
-    /// come back.
-    expired: RefCell<BTreeMap<BackendId, TimePoint>>,
+    /// Backend servers whose registrations are missing, perhaps because of a store outage.
+    expired: RefCell<ExpiredServers>,
 }
 
 impl BackendList {
@@ -149,32 +144,32 @@
             "backend server listed");
     }
 
-    /// Keeps a backend server whose registration expired during a store outage, since it may only
-    /// have missed heartbeats.
+    /// Keeps a backend server whose registration may have expired because of a store outage, unless
+    /// this entry knows that there was none: the one that found it missing may have started lately.
     fn keep_expired(&self, state: &GatewayState, id: BackendId, source: ChangeSource) {
-        let deadline = state.now() + RETURN_TIME;
-        log::info!(backend = id.as_str(), source = source.name();
+        let continuity = state.replicas.list.continuity();
+        let available = continuity.span(state.now());
+        log::info!(backend = id.as_str(), source = source.name(),
+            available_ms = available.map_or(0, TimeSpan::as_millis);
             "backend server expired during a store outage; kept for now");
         state.table.borrow_mut().mark_expired(&id);
-        self.expired.borrow_mut().entry(id).or_insert(deadline);
+        let mut expired = self.expired.borrow_mut();
+        expired.insert(id, &continuity, state.now());
+        drop(expired);
+        self.remove_expired(state);
     }
 
-    /// Removes the backend servers that expired during a store outage and have not come back in
-    /// time.
+    /// Removes the backend servers whose registrations expired and that have not come back in time, or
+    /// without an outage.
     pub(crate) fn remove_expired(&self, state: &GatewayState) {
-        let Some(confirmed_at) = state.replicas.list.confirmed_at() else {
-            return;
-        };
-        let expired = self.expired.borrow();
-        let overdue = expired
-            .iter()
-            .filter(|(_, deadline)| **deadline <= confirmed_at);
-        let overdue: Vec<BackendId> = overdue.map(|(id, _)| id.clone()).collect();
+        let list = &state.replicas.list;
+        let confirmed_at = list.confirmed_at().unwrap_or(TimePoint::START);
+        let mut expired = self.expired.borrow_mut();
+        let gone = expired.take_gone(&list.continuity(), confirmed_at, state.now());
         drop(expired);
-        for id in overdue {
-            self.expired.borrow_mut().remove(&id);
+        for (id, cause) in gone {
             self.replica.borrow_mut().confirm_removed(&id);
-            remove(state, &id, "no return");
+            remove(state, &id, cause.name());
         }
     }
 }
--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -12,7 +12,6 @@
     INSTANCE_PREFIX,
 };
 
-use super::backend_list::RETURN_TIME;
 use super::replicas::list_policy;
 use super::state::GatewayState;
 use super::{gossip, peer_sync};
@@ -196,15 +195,16 @@
     }
 }
 
-/// Marks a backend server whose registration is missing: as gone while the store has been stable,
-/// else as expired, since the outage may have kept its heartbeats out.
+/// Marks a backend server whose registration is missing: as gone if no outage of the store can have kept
+/// its heartbeats out, else as expired.
 fn mark_missing(
     state: &GatewayState,
     id: BackendId,
     position: StorePosition,
     source: ChangeSource,
 ) {
-    let missing = match state.store.is_stable(RETURN_TIME) {
+    let now = state.now();
+    let missing = match state.replicas.list.continuity().is_removal(now, now) {
         true => ListedState::Removed,
         false => ListedState::Expired,
     };
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use applefold_core::direct::{BackendHash, PeerLoad};
+use applefold_core::direct::{BackendHash, PeerLoad, StoreEra};
 use applefold_core::id::{BackendId, InstanceId, Revision};
 use applefold_core::quarantine::SuspectReport;
 use applefold_core::unit::{TimeSpan, TokenCount};
@@ -19,8 +19,8 @@
 use super::limits::LimitReport;
 use super::list_updates::UpdateRecord;
 use super::messages::{
-    crash_reports, load_message, usage_counts, CrashReport, GossipMessage, GossipPayload,
-    LifeSignReport, LoadMessage,
+    continuity_report, crash_reports, load_message, usage_counts, CrashReport, GossipMessage,
+    GossipPayload, LifeSignReport, LoadMessage,
 };
 use super::peers::MessageSource;
 use super::state::GatewayState;
@@ -38,6 +38,8 @@
 const SUSPECT_ROUNDS: u64 = 2;
 /// The most signs of life in one datagram, which fits them whatever their backend servers are called.
 const MAX_LIFE_SIGNS: usize = 16;
+/// For how long the store has been available is sent every this many rounds.
+const CONTINUITY_ROUNDS: u64 = 4;
 /// Usage counts are sent every this many rounds.
 const USAGE_ROUNDS: u64 = 8;
 /// The largest datagram that is sent, in bytes. It fits one packet, without fragmentation.
@@ -191,6 +193,11 @@
         GossipPayload::StreamOrigins(reports) => {
             state.origins.receive_gossip(state, &id, reports, delay);
         }
+        GossipPayload::StoreContinuity(report) => {
+            let (span, era) = (TimeSpan(report.span_us), StoreEra::new(report.era));
+            let list = &state.replicas.list;
+            list.merge_continuity(span, era, delay, source.received_at);
+        }
         GossipPayload::PermitAnswer(answer) => state.receive_permit(answer),
         GossipPayload::ListUpdate(update) => {
             // If the update does not apply, the digests below trigger a fetch from the sender.
@@ -337,6 +344,17 @@
                 send(&state, &socket, &peers, GossipPayload::LifeSigns(signs)).await;
             }
         }
+        if sequence % CONTINUITY_ROUNDS == 0 {
+            if let Some(report) = continuity_report(&state) {
+                send(
+                    &state,
+                    &socket,
+                    &peers,
+                    GossipPayload::StoreContinuity(report),
+                )
+                .await;
+            }
+        }
         if sequence % PREFILL_ROUNDS == 0 {
             let prefills = state.prefills.borrow_mut().next_batch();
             if !prefills.is_empty() {
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -84,6 +84,17 @@
     LifeSigns(Vec<LifeSignReport>),
     /// Streams that began at the sender, and the software versions that it has seen.
     StreamOrigins(Vec<OriginReport>),
+    /// For how long the store has confirmed the list without a gap.
+    StoreContinuity(ContinuityReport),
+}
+
+/// The encoding of the span of a [`StoreContinuity`](applefold_core::direct::StoreContinuity).
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ContinuityReport {
+    /// The span until the datagram was sent, in microseconds.
+    pub(crate) span_us: u64,
+    /// The era of the store.
+    pub(crate) era: u64,
 }
 
 /// The load that the sender puts on backend servers.
@@ -218,6 +229,16 @@
     }
 }
 
+/// Returns for how long the store has confirmed the list without a gap, if this entry knows.
+pub(crate) fn continuity_report(state: &GatewayState) -> Option<ContinuityReport> {
+    let continuity = state.replicas.list.continuity();
+    let span = continuity.span(state.now())?;
+    Some(ContinuityReport {
+        span_us: span.0,
+        era: continuity.era().number(),
+    })
+}
+
 /// Returns crash reports in parts that fit a datagram.
 pub(crate) fn crash_reports(reports: Vec<SuspectReport>) -> Vec<Vec<CrashReport>> {
     let mut parts: Vec<Vec<CrashReport>> = Vec::new();
--- a/crates/daemon/src/gateway/replicas.rs
+++ b/crates/daemon/src/gateway/replicas.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use applefold_core::direct::{
-    ReadPolicy, ReplicaAction, ReplicaDigest, StoreEra, StorePosition, StoreReplica,
+    ReadPolicy, ReplicaAction, ReplicaDigest, StoreContinuity, StoreEra, StorePosition,
+    StoreReplica,
 };
 use applefold_core::unit::{TimePoint, TimeSpan};
 use serde::{Deserialize, Serialize};
@@ -69,9 +70,9 @@
 }
 
 /// One replica, the peer to fetch its missing changes from, and the backoff of its reads.
-#[derive(Default)]
 pub(crate) struct ReplicaTracker {
     replica: RefCell<StoreReplica>,
+    continuity: Cell<StoreContinuity>,
     /// Wakes the reader when a peer has announced changes that this replica lacks.
     pub(crate) behind: Notify,
     /// The address of the peer that announced such changes last.
@@ -81,6 +82,43 @@
 }
 
 impl ReplicaTracker {
+    fn new(heartbeat_interval: TimeSpan) -> Self {
+        Self {
+            replica: RefCell::default(),
+            continuity: Cell::new(StoreContinuity::new(heartbeat_interval)),
+            behind: Notify::new(),
+            source: Cell::default(),
+            backoff_until: Cell::default(),
+        }
+    }
+
+    /// Returns for how long the store has confirmed the replica without a gap.
+    pub(crate) fn continuity(&self) -> StoreContinuity {
+        self.continuity.get()
+    }
+
+    /// Merges what a peer states about that, after `transit` on the way.
+    pub(crate) fn merge_continuity(
+        &self,
+        span: TimeSpan,
+        era: StoreEra,
+        transit: TimeSpan,
+        now: TimePoint,
+    ) {
+        let mut continuity = self.continuity.get();
+        continuity.merge(span, era, transit, now);
+        self.continuity.set(continuity);
+    }
+
+    fn observe_confirmation(&self) {
+        let replica = self.replica.borrow();
+        if let (Some(at), Some(position)) = (replica.confirmed_at(), replica.position()) {
+            let mut continuity = self.continuity.get();
+            continuity.observe(at, position.era());
+            self.continuity.set(continuity);
+        }
+    }
+
     /// Returns the position that the replica has reached; `None` before its first read.
     pub(crate) fn position(&self) -> Option<StorePosition> {
         self.replica.borrow().position()
@@ -99,6 +137,7 @@
         at: TimePoint,
     ) {
         self.replica.borrow_mut().confirm(position, last_change, at);
+        self.observe_confirmation();
     }
 
     /// Returns when this entry, at its `rank` in the read order, reads the store itself.
@@ -136,6 +175,7 @@
             .replica
             .borrow_mut()
             .receive(&digest.digest(), delay, now);
+        self.observe_confirmation();
         if action == ReplicaAction::Fetch {
             self.source.set(Some(from));
             self.behind.notify_one();
@@ -144,13 +184,21 @@
 }
 
 /// The replicas of what all entries read from the store.
-#[derive(Default)]
 pub(crate) struct ReplicaSet {
     pub(crate) list: ReplicaTracker,
     pub(crate) config: ReplicaTracker,
 }
 
 impl ReplicaSet {
+    /// Creates the replicas of a process that has just started, on a platform whose backend servers
+    /// write their registrations at this interval.
+    pub(crate) fn new(heartbeat_interval: TimeSpan) -> Self {
+        Self {
+            list: ReplicaTracker::new(heartbeat_interval),
+            config: ReplicaTracker::new(heartbeat_interval),
+        }
+    }
+
     /// Returns the digests of the replicas as of `now`.
     pub(crate) fn digests(&self, now: TimePoint) -> ReplicaDigests {
         let digest =
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -157,7 +157,7 @@
             policy: PlacementPolicy::default(),
             rules: RefCell::new(None),
             table: RefCell::default(),
-            replicas: ReplicaSet::default(),
+            replicas: ReplicaSet::new(settings.heartbeat_interval),
             backend_list: BackendList::default(),
             config_current: Cell::new(false),
             list_loaded: Cell::new(false),
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -73,12 +73,6 @@
         }
     }
 
-    /// Returns whether the store has been available without a failed call for `span`.
-    pub(crate) fn is_stable(&self, span: TimeSpan) -> bool {
-        self.availability.get() == StoreAvailability::Available
-            && self.clock.now().since(self.changed_at.get()) >= span
-    }
-
     /// Sends a call to the store and returns its reply.
     ///
     /// # Errors
