Bound the memory of all buffered responses together

Operators of a like system saw an engine's endless bytes exhaust the memory of a machine, so that the requests of its other clients ended with it. Here each response is bounded, but their sum was not: 300 callers at two engines with endless bodies took 273 MB, where an entry has 160 to 260 MB.

Cause: a body may be 1 MiB and its buffer doubles, and an engine accepts hundreds of connections. Ruled out: a part of a response without a bound (endless.rs, each part), and reads for the entry itself.

Change: beyond 64 KiB each, buffered bodies share 32 MiB; a body that finds no room ends its attempt as invalid.

Test: many_endless_responses_at_once_are_bounded_together failed before with 273,256,448 bytes, and passes; a_large_response_is_whole holds the other side.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -24,8 +24,7 @@
 
 /// How a failed prefill ends: nothing has run for the caller.
 const PREFILL_FAILED: AttemptEnd = AttemptEnd::NotRun { misdirected: false };
-/// The largest response body that is buffered until it is complete. A hundred of them fit into
-/// the smallest memory that the platform gives an entry.
+/// The largest response body that is buffered until it is complete.
 const MAX_BODY_BYTES: usize = 1 << 20;
 /// How long connecting to a backend server may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -240,7 +239,9 @@
         response: &BackendResponse,
         mut in_flight: InFlightGuard,
     ) -> AttemptResult {
-        let read = connection.read_full_body(&head, MAX_BODY_BYTES).await;
+        let mut buffer = self.state.buffers.begin();
+        let read = connection.read_shared_body(&head, MAX_BODY_BYTES, &mut buffer);
+        let read = read.await;
         let now = self.state.now();
         let body = match read {
             Ok(body) => {
@@ -372,7 +373,9 @@
             log::info!(request = self.caller.id.as_str(),
                 backend = self.placement.backend.as_str(),
                 stray = stray.map_or("", SmolStr::as_str); "skipped a response to another request");
-            connection.read_full_body(&head, MAX_BODY_BYTES).await?;
+            let mut buffer = self.state.buffers.begin();
+            let read = connection.read_shared_body(&head, MAX_BODY_BYTES, &mut buffer);
+            read.await?;
         }
         let error = io::Error::new(
             io::ErrorKind::InvalidData,
--- a/crates/daemon/src/gateway/connection.rs
+++ b/crates/daemon/src/gateway/connection.rs
@@ -12,6 +12,8 @@
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
 
+use super::buffers::BufferGuard;
+
 /// The largest response head, twice the default limit for request heads of callers.
 const MAX_HEAD_BYTES: usize = 32_768;
 /// The most interim (1xx) responses before a final one.
@@ -223,6 +225,29 @@
         head: &ResponseHead,
         limit: usize,
     ) -> Result<Vec<u8>, ConnectionError> {
+        self.read_body_while(head, limit, |_| true).await
+    }
+
+    /// Reads a complete body of up to `limit` bytes, as long as `buffer` has room for it.
+    pub(crate) async fn read_shared_body(
+        &mut self,
+        head: &ResponseHead,
+        limit: usize,
+        buffer: &mut BufferGuard,
+    ) -> Result<Vec<u8>, ConnectionError> {
+        self.read_body_while(head, limit, |bytes| buffer.grow_to(bytes))
+            .await
+    }
+
+    async fn read_body_while<HasRoom>(
+        &mut self,
+        head: &ResponseHead,
+        limit: usize,
+        mut has_room: HasRoom,
+    ) -> Result<Vec<u8>, ConnectionError>
+    where
+        HasRoom: FnMut(usize) -> bool,
+    {
         let too_large = ConnectionError::InvalidResponse(ParseError::TooLarge);
         if matches!(head.framing, BodyFraming::Length(length) if length > limit as u64) {
             return Err(too_large);
@@ -231,7 +256,7 @@
         let mut body = Vec::new();
         loop {
             let complete = self.read_body(&mut decoder, &mut body).await?;
-            if body.len() > limit {
+            if body.len() > limit || !has_room(body.capacity()) {
                 return Err(too_large);
             }
             if complete {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod availability;
 mod backend_list;
+mod buffers;
 mod connection;
 mod discovery;
 mod duty;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -24,6 +24,7 @@
 
 use crate::clock::BoottimeClock;
 use crate::gateway::backend_list::BackendList;
+use crate::gateway::buffers::BufferBudget;
 use crate::gateway::duty::DutyLease;
 use crate::gateway::limits::LimitTable;
 use crate::gateway::notices::NoticeTable;
@@ -77,6 +78,8 @@
     pub(crate) policy: PlacementPolicy,
     pub(crate) rules: RefCell<Option<Rc<RuleSet>>>,
     pub(crate) table: RefCell<ServerTable>,
+    /// The memory for responses that are buffered until they are complete.
+    pub(crate) buffers: BufferBudget,
     /// The freshness of the replicas of what all entries read from the store.
     pub(crate) replicas: ReplicaSet,
     pub(crate) backend_list: BackendList,
@@ -157,6 +160,7 @@
             policy: PlacementPolicy::default(),
             rules: RefCell::new(None),
             table: RefCell::default(),
+            buffers: BufferBudget::default(),
             replicas: ReplicaSet::new(settings.heartbeat_interval),
             backend_list: BackendList::default(),
             config_current: Cell::new(false),
