Judge a resumed stream by what its caller waits for, not as a new one

Cause: admission held a resumption by the caller to the objective of the first event, which the caller has, at the engines of one version. Ruled out: an unknown version (1023), no server of the version (1022), attempts that fail.

Change: a resumption is refused if the caller would have given up by then (2 s, four objectives or eight gaps), or by its own deadline; a line of the log names stage, goal and time left of each refusal.

Tests: direct_placement.rs, 9 and 180 engines, both sides; the first fails with the former rule.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -43,7 +43,10 @@
 pub use replica::{
     ReadPolicy, ReplicaAction, ReplicaDigest, StoreEra, StorePosition, StoreReplica,
 };
-pub use rule::{CallerLimits, RetryRule, RouteRule, RuleSet, ServiceRule, ServiceShare, TeamRule};
+pub use rule::{
+    CallerLimits, ResponseStage, RetryRule, RouteRule, RuleSet, ServiceRule, ServiceShare,
+    TeamRule, TimeGoal,
+};
 pub use seal::{SealStep, WindowSealer};
 pub use send_state::{SendDecision, SendEvent, SendState, TrialCause};
 pub use server::{
--- a/crates/core/src/direct/rule.rs
+++ b/crates/core/src/direct/rule.rs
@@ -75,7 +75,61 @@
     pub shares: Vec<ServiceShare>,
 }
 
+/// How much of a response the caller has when an attempt is placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseStage {
+    /// Nothing.
+    New,
+    /// The beginning of a stream, which it resumes by a new request.
+    ResumedByCaller,
+    /// The beginning of a stream, which this entry resumes within the response.
+    ResumedHere,
+}
+
+/// The times that an attempt has to meet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeGoal {
+    /// The time after which the response is of no use to the caller.
+    pub time_left: TimeSpan,
+    /// The time within which it is on time.
+    pub latency_objective: TimeSpan,
+}
+
+/// The gap after which callers abandon a stream at the earliest, and the multiples of the latency
+/// objective and of the longest gap on time after which they do, whichever is longest.
+const MIN_PATIENCE: TimeSpan = TimeSpan::from_secs(2);
+const PATIENCE_OBJECTIVES: u64 = 4;
+const PATIENCE_GAPS: u64 = 8;
+
 impl RouteRule {
+    /// Returns the times that an attempt has to meet, given the time left before the deadline.
+    ///
+    /// The latency objective is for the first event. A caller that resumes a stream has that event, so
+    /// a late resumption is refused only if the caller would have given up by then. See
+    /// [docs/design/versions.md](../../../../docs/design/versions.md#admission-of-resumed-streams).
+    pub fn time_goal(&self, stage: ResponseStage, time_left: TimeSpan) -> TimeGoal {
+        let (time_left, latency_objective) = match stage {
+            ResponseStage::New => (time_left, self.latency_objective),
+            ResponseStage::ResumedByCaller => {
+                let useful = time_left.min(self.caller_patience());
+                (useful, useful)
+            }
+            ResponseStage::ResumedHere => (time_left, time_left),
+        };
+        TimeGoal {
+            time_left,
+            latency_objective,
+        }
+    }
+
+    /// Returns the gap after which a caller abandons a stream.
+    fn caller_patience(&self) -> TimeSpan {
+        let gap = self.max_event_gap.unwrap_or(TimeSpan::ZERO);
+        let gaps = TimeSpan(gap.0 * PATIENCE_GAPS);
+        let objectives = TimeSpan(self.latency_objective.0 * PATIENCE_OBJECTIVES);
+        MIN_PATIENCE.max(gaps).max(objectives)
+    }
+
     /// Returns the service of a request. The same request name always gives the same service.
     pub fn service_of(&self, request: &str) -> Option<&ServiceId> {
         let total: u64 = self.shares.iter().map(|share| share.weight).sum();
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -7,7 +7,8 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
     Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork, PromptPart,
-    PromptShape, SendDecision, SendEvent, ServerTable, VersionBound,
+    PromptShape, ResponseStage, RetryRule, RouteRule, SendDecision, SendEvent, ServerTable,
+    VersionBound,
 };
 use applefold_core::id::BackendId;
 use applefold_core::routing::BackendRole::{self, Decode, Plain, Prefill};
@@ -395,3 +396,116 @@
     engines.apply(&backend(0), SendEvent::Reinstated, NOW);
     assert_eq!(place(&engines, Some(&prompt)).unwrap().backend, backend(0));
 }
+
+/// A route whose streams may be resumed, with these objectives for the first event and for gaps.
+fn stream_route() -> RouteRule {
+    RouteRule {
+        name: SmolStr::new("chat"),
+        host: SmolStr::new("h.example"),
+        prefix: SmolStr::new("/chat/"),
+        retry_rule: RetryRule::Stream { resumable: true },
+        timeout: TimeSpan::from_secs(8),
+        latency_objective: OBJECTIVE,
+        max_event_gap: Some(TimeSpan::from_millis(250)),
+        priority: 1,
+        max_attempts: 2,
+        public: false,
+        shares: Vec::new(),
+    }
+}
+
+/// Places a stream at one version of a service whose engines of that version are busy.
+fn place_stage(
+    engines: &ServerTable,
+    stage: ResponseStage,
+    versions: VersionBound<'_>,
+    time_left: TimeSpan,
+) -> Result<Placement, CallRefusal> {
+    let goal = stream_route().time_goal(stage, time_left);
+    let (service, prompt) = (service(), prompt("part", 500, 300));
+    let request = PlacementRequest {
+        name: "r-1",
+        service: &service,
+        prompt: Some(&prompt),
+        stage: PlacementStage::Unsplit,
+        excluded: &BTreeSet::new(),
+        versions,
+        time_left: goal.time_left,
+        latency_objective: goal.latency_objective,
+    };
+    PlacementPolicy::default().choose(engines, &request, &domain(), NOW)
+}
+
+/// Returns engines of which the first third has another version and this many tokens queued each.
+fn two_versions(engines: usize, queued: u64) -> ServerTable {
+    let mut table = self::table(&vec![Decode; engines]);
+    let newer: Vec<usize> = (0..engines / 3).collect();
+    for number in &newer {
+        let mut spec = spec(*number, Decode);
+        spec.version = Some("v2".parse().expect("a valid version"));
+        table.upsert(spec, NOW);
+    }
+    let loads: Vec<(usize, u32, u64)> = newer.iter().map(|number| (*number, 1, queued)).collect();
+    record_loads(&mut table, &loads, NOW);
+    table
+}
+
+/// LOST: a stream that a caller resumes at the few engines of its version was refused as late for its
+/// first event, which the caller has, while new streams began at the other version.
+#[test]
+fn a_resumed_stream_is_not_refused_for_the_objective_of_its_first_event() {
+    let version = "v2".parse().expect("a valid version");
+    let bound = VersionBound::Only(&version);
+    let left = TimeSpan::from_secs(7);
+    // As on small and on large deployments.
+    for engines in [9, 180] {
+        let busy = two_versions(engines, 6_000);
+        let new = place_stage(&busy, ResponseStage::New, bound, left);
+        let refusal = new.expect_err("a control: a new stream would be late there");
+        assert_eq!(refusal.code, ResultCode::DeadlineHopeless);
+        let elsewhere = place_stage(&busy, ResponseStage::New, VersionBound::Any, left);
+        elsewhere.expect("new streams begin at the other version");
+        let resumed = place_stage(&busy, ResponseStage::ResumedByCaller, bound, left);
+        resumed.expect("the caller waits for the next event");
+    }
+}
+
+/// The other side: a resumption is refused at once where its caller gives up, or the deadline passes,
+/// before the next event comes.
+#[test]
+fn a_resumed_stream_is_refused_where_its_caller_would_give_up() {
+    let version = "v2".parse().expect("a valid version");
+    let bound = VersionBound::Only(&version);
+    for engines in [9, 180] {
+        let cases = [
+            (two_versions(engines, 60_000), TimeSpan::from_secs(60)),
+            (two_versions(engines, 6_000), TimeSpan::from_millis(350)),
+        ];
+        for (table, left) in cases {
+            let resumed = place_stage(&table, ResponseStage::ResumedByCaller, bound, left);
+            let refusal = resumed.expect_err("the caller would not wait so long");
+            assert_eq!(refusal.code, ResultCode::DeadlineHopeless);
+            assert!(refusal.retry_after.is_some());
+        }
+    }
+}
+
+/// The other side: with one version, a resumption finds no room that a new stream would not have had,
+/// beyond the wait for which its caller stays.
+#[test]
+fn resumed_streams_of_one_version_are_bounded_by_the_patience_of_callers() {
+    for engines in [9, 180] {
+        let busy = two_versions(engines, 6_000);
+        let goal =
+            stream_route().time_goal(ResponseStage::ResumedByCaller, TimeSpan::from_secs(60));
+        assert_eq!(goal.time_left, TimeSpan::from_secs(2));
+        let resumed = place_stage(
+            &busy,
+            ResponseStage::ResumedByCaller,
+            VersionBound::Any,
+            TimeSpan::from_secs(60),
+        );
+        let placement = resumed.expect("a free engine");
+        assert!(placement.predicted <= OBJECTIVE, "a free engine goes first");
+    }
+}
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -9,7 +9,7 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
     AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, PlacementStage,
-    PlacementWork, PromptShape, RequestProgress, StreamBinding,
+    PlacementWork, PromptShape, RequestProgress, ResponseStage, StreamBinding,
 };
 use applefold_core::drain::DrainPhase;
 use applefold_core::id::BackendId;
@@ -244,11 +244,10 @@
         let suspect_parts = &self.state.suspect_parts;
         suspect_parts.check(id, &self.prepared.shared_parts, suspects, now)?;
         let time_left = self.prepared.deadline.since(now);
-        // A stream that has begun is resumed wherever the deadline allows.
-        let objective = match self.head_sent {
-            true => time_left,
-            false => self.prepared.route.latency_objective,
-        };
+        let goal = self
+            .prepared
+            .route
+            .time_goal(self.response_stage(), time_left);
         let avoided = match is_resumable(self.prepared.route.retry_rule) {
             true => self.state.origins.unsettled(&self.prepared.service, now),
             false => BTreeSet::new(),
@@ -260,12 +259,30 @@
             stage: self.stage(),
             excluded: &self.excluded,
             versions: self.binding.bound(&avoided)?,
-            time_left,
-            latency_objective: objective,
+            time_left: goal.time_left,
+            latency_objective: goal.latency_objective,
         };
         let table = self.state.table.borrow();
         let domain = &self.state.settings().domain;
-        self.state.policy.choose(&table, &request, domain, now)
+        let placement = self.state.policy.choose(&table, &request, domain, now);
+        placement.inspect_err(|refusal| {
+            log::info!(request = id.as_str(), code = refusal.code.number(),
+                stage = format!("{:?}", self.response_stage()),
+                goal_ms = goal.latency_objective.as_millis(), left_ms = time_left.as_millis(),
+                retry_after_ms = refusal.retry_after.map_or(0, TimeSpan::as_millis);
+                "no backend server was chosen");
+        })
+    }
+
+    /// Returns how much of the response the caller has.
+    fn response_stage(&self) -> ResponseStage {
+        let resumable = is_resumable(self.prepared.route.retry_rule);
+        let resumes = resumable && self.prepared.caller.last_event_id.is_some();
+        match (self.head_sent, resumes) {
+            (true, _) => ResponseStage::ResumedHere,
+            (false, true) => ResponseStage::ResumedByCaller,
+            (false, false) => ResponseStage::New,
+        }
     }
 
     /// Returns the part of the work that is to be placed next.
