Keep answered prompt parts apart from suspected ones when rows are dropped

Cause: rows without a crash were dropped first, and those are the answered ones. Change: once there are too many, quarantined rows are kept, and the newest answered and the newest suspected ones have room of their own. The table stays bounded and keeps what is quarantined (quarantine_parts.rs).

--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -59,7 +59,33 @@
     heard_at: TimePoint,
 }
 
+/// What a row is kept for when there are too many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RowClass {
+    Quarantined,
+    Answered,
+    Suspected,
+}
+
+impl RowClass {
+    /// Returns how many rows of this class are kept if this many may be.
+    const fn share_of(self, room: usize) -> usize {
+        match self {
+            Self::Quarantined | Self::Suspected => room,
+            Self::Answered => room / 2,
+        }
+    }
+}
+
 impl PartRow {
+    fn class(&self) -> RowClass {
+        match (self.is_quarantined(), self.suspect.completed) {
+            (true, _) => RowClass::Quarantined,
+            (false, Some(_)) => RowClass::Answered,
+            (false, None) => RowClass::Suspected,
+        }
+    }
+
     /// Returns the number of crashes, of which those in one burst count once. If the part is known to
     /// be sound, those in one outage do.
     fn crash_count(&self) -> usize {
@@ -391,29 +417,32 @@
         self.rows.iter().filter(|(_, row)| row.is_quarantined())
     }
 
-    /// Drops expired rows once there are too many, and then half of those without a crash, or else
-    /// the rows with the oldest last change. Quarantined parts are dropped last.
+    /// Drops expired rows once there are too many, and then those with the oldest last change, so that
+    /// half of the room is left. Parts on which an answer began and those that are only suspected have
+    /// separate room, since a wave of suspicions must not drive out what disproves them. Quarantined
+    /// parts are dropped last.
     fn limit_rows(&mut self, now: TimePoint) {
         if self.rows.len() <= MAX_PARTS {
             return;
         }
         self.tick(now);
-        let mut order: Vec<_> = self
-            .rows
-            .iter()
-            .map(|(part, row)| {
-                let suspected = !row.suspect.crashes.is_empty();
-                (
-                    row.is_quarantined(),
-                    suspected,
-                    row.suspect.last_change(),
-                    *part,
-                )
-            })
-            .collect();
-        order.sort_unstable();
-        let excess = self.rows.len().saturating_sub(MAX_PARTS / 2);
-        let dropped: BTreeSet<_> = order.iter().take(excess).map(|(.., part)| *part).collect();
-        self.rows.retain(|part, _| !dropped.contains(part));
+        let classes = [
+            RowClass::Quarantined,
+            RowClass::Answered,
+            RowClass::Suspected,
+        ];
+        let mut room = MAX_PARTS / 2;
+        let mut kept = BTreeSet::new();
+        for class in classes {
+            let rows = self.rows.iter().filter(|(_, row)| row.class() == class);
+            let mut newest: Vec<_> = rows
+                .map(|(part, row)| (row.suspect.last_change(), *part))
+                .collect();
+            newest.sort_unstable_by(|one, other| other.cmp(one));
+            newest.truncate(class.share_of(room));
+            room -= newest.len();
+            kept.extend(newest.into_iter().map(|(_, part)| part));
+        }
+        self.rows.retain(|part, _| kept.contains(part));
     }
 }
