Relay no stream under a Content-Encoding

Cause: the check for an encoding stands where whole bodies are read, and streams go another way. Ruled out: a header that is not read. Change: a stream is relayed only if its response is stamped and not encoded; else it is rejected like the others.

Test: an_encoded_stream_is_not_passed_on failed before with status 200, and passes.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -168,7 +168,8 @@
             table.record_load(&self.placement.backend, load, now);
         }
         let prefill = matches!(self.work, AttemptWork::Prefill);
-        if self.route.retry_rule.is_stream() && head.status == 200 && response.stamped && !prefill {
+        let is_valid = response.stamped && !response.encoded;
+        if self.route.retry_rule.is_stream() && head.status == 200 && is_valid && !prefill {
             let decoder = BodyDecoder::new(head.framing);
             return AttemptResult::Stream(Box::new(OpenStream {
                 connection,
