Answer requests that arrive as a kept connection is closed

At the end of the lame duck phase, and at the idle timeout, an entry closed a kept connection if the runtime had not reported bytes on it yet. The system may already have received a request then, and the close discards it without an answer. An entry now asks the system before it closes. The idle timeout has no test of its own.

--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -1,6 +1,8 @@
 //! Accepts caller connections and reads HTTP requests from them.
 
 use std::cell::Cell;
+use std::io;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
 use applefold_platform::render_refusal;
 use bytes::BytesMut;
 use eyre::{Result, WrapErr};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -257,15 +260,26 @@
         };
         let read = tokio::select! {
             biased;
-            read = tokio::time::timeout(idle, self.half.read_buf(&mut self.input)) => read,
-            () = closed => return Err(ReadError::Closed),
+            read = self.half.read_buf(&mut self.input) => read,
+            () = closed => self.read_received().await,
+            () = actix_rt::time::sleep(idle) => self.read_received().await,
         };
         match read {
-            Ok(Ok(count)) if count > 0 => Ok(()),
+            Ok(count) if count > 0 => Ok(()),
             _ => Err(ReadError::Closed),
         }
     }
 
+    /// Reads bytes that the system has received; reads none if there are none. It asks the system,
+    /// since the runtime may not have reported them yet, and a close would discard a request.
+    async fn read_received(&mut self) -> io::Result<usize> {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(self.half.as_ref()).peek(&mut byte) {
+            Ok(count) if count > 0 => self.half.read_buf(&mut self.input).await,
+            _ => Ok(0),
+        }
+    }
+
     async fn read_head(&mut self, limit: ByteSize) -> Result<RequestHead, ReadError> {
         loop {
             match parse_request(&self.input, limit.0 as usize) {
