Hold token quotas of teams over all entries

A team with ratePerS and burst may exceed them through many entries, since nothing counted its tokens. One entry, chosen as for send permits, now issues the quota of a team from a token bucket; the others ask it for short-lived grants before a request is placed. Refusals use 1009 with 429 and the time after which the bucket holds the cost. The token bucket is shared with send permits.

Tested by direct_quota (6 and 103 entries in virtual time) and direct_permits.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -6,6 +6,7 @@
 //! [docs/design/platform.md](../../../../docs/design/platform.md).
 
 mod attempt;
+mod bucket;
 mod continuity;
 mod count;
 mod duration;
@@ -16,6 +17,7 @@
 mod phase;
 mod placement;
 mod prompt;
+mod quota;
 mod replica;
 mod rule;
 mod seal;
@@ -40,6 +42,10 @@
 pub use phase::{PhaseChange, PhasePlanner, PhasePolicy};
 pub use placement::{Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork};
 pub use prompt::{PromptPart, PromptShape};
+pub use quota::{
+    grant_ttl, EntryCensus, QuotaAmount, QuotaAsk, QuotaGrant, QuotaIssuer, QuotaLedger,
+    QuotaReply, QuotaStep, QuotaTransfer, QuotaUnit, TeamQuota,
+};
 pub use replica::{
     ReadPolicy, ReplicaAction, ReplicaDigest, StoreEra, StorePosition, StoreReplica,
 };
--- a/crates/core/src/direct/permit.rs
+++ b/crates/core/src/direct/permit.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 
+use super::bucket::{refill_time, RateBucket, TOKEN_COST};
 use crate::id::{BackendId, InstanceId};
 use crate::rank::NameRank;
 use crate::unit::{RequestRate, TimePoint, TimeSpan};
@@ -27,12 +28,11 @@
 const MAX_WAIT: TimeSpan = TimeSpan::from_secs(2);
 /// The permits that a bucket holds at least, so that those of a low limit are not lost before
 /// anyone asks.
-const MIN_BUCKET: u64 = 2;
+const MIN_BUCKET: i128 = 2;
 /// How long an issuer keeps the bucket of a backend server that nobody asks for.
 const BUCKET_TTL: TimeSpan = TimeSpan::from_secs(60);
-/// One permit in the unit of a bucket's balance: a thousandth of a request per second, for a
-/// microsecond.
-const PERMIT_COST: u64 = 1_000_000_000;
+/// The span that a bucket is refilled for at once: an unused bucket is full long before.
+const MAX_REFILL_SPAN: TimeSpan = BUCKET_TTL;
 
 /// One incarnation of a backend server, by its name and its start time in milliseconds since the
 /// Unix epoch.
@@ -64,10 +64,17 @@
         }
     }
 
-    /// Returns this share of a rate.
-    fn of(self, rate: RequestRate) -> RequestRate {
+    /// Returns this share of a number.
+    pub(super) fn of(self, number: u64) -> u64 {
         let known = self.known.max(self.live).max(1);
-        RequestRate(rate.0.max(MIN_RATE.0) * self.live.max(1) / known)
+        let part = u128::from(number) * u128::from(self.live.max(1)) / u128::from(known);
+        u64::try_from(part).unwrap_or(u64::MAX)
+    }
+
+    /// Returns whether these are more than half of the known entries. No other issuer can have such
+    /// a share at the same time.
+    pub(super) fn is_majority(self) -> bool {
+        2 * self.live > self.known
     }
 }
 
@@ -83,39 +90,31 @@
 /// The permits of one backend server: a token bucket, and the entries that wait for one.
 #[derive(Clone, Debug)]
 struct PermitBucket {
-    /// The permits left, in units of 1 / [`PERMIT_COST`] of a permit.
-    balance: u64,
-    refilled_at: TimePoint,
+    bucket: RateBucket,
     /// The entries that were denied a permit, and when.
     waiting: BTreeMap<InstanceId, TimePoint>,
 }
 
 impl PermitBucket {
-    /// Creates an empty bucket. A former issuer may have just issued what it had.
     fn new(now: TimePoint) -> Self {
         Self {
-            balance: 0,
-            refilled_at: now,
+            bucket: RateBucket::new(now),
             waiting: BTreeMap::new(),
         }
     }
 
     fn issue(&mut self, rate: RequestRate, asker: &InstanceId, now: TimePoint) -> PermitReply {
-        let full = (MIN_BUCKET * PERMIT_COST).max(rate.0 * BUCKET_SPAN.0);
-        let span = now.since(self.refilled_at);
-        self.refilled_at = self.refilled_at.max(now);
-        self.balance = full.min(self.balance.saturating_add(rate.0.saturating_mul(span.0)));
+        let full = (MIN_BUCKET * TOKEN_COST).max(i128::from(rate.0) * i128::from(BUCKET_SPAN.0));
+        self.bucket.refill(rate, full, MAX_REFILL_SPAN, now);
         self.waiting
             .retain(|_, denied_at| now.since(*denied_at) < WAITING_TIME);
-        if let Some(balance) = self.balance.checked_sub(PERMIT_COST) {
-            self.balance = balance;
+        if self.bucket.try_take(TOKEN_COST, TOKEN_COST) {
             self.waiting.remove(asker);
             return PermitReply::Granted;
         }
         self.waiting.insert(asker.clone(), now);
-        let others = self.waiting.len() as u64 - 1;
-        let missing = PERMIT_COST * (others + 1) - self.balance;
-        let wait = TimeSpan(missing.div_ceil(rate.0.max(1)));
+        let missing = TOKEN_COST * self.waiting.len() as i128 - self.bucket.balance();
+        let wait = refill_time(missing, rate);
         PermitReply::Denied(wait.clamp(MIN_WAIT, MAX_WAIT))
     }
 }
@@ -137,10 +136,11 @@
         now: TimePoint,
     ) -> PermitReply {
         self.buckets
-            .retain(|_, bucket| now.since(bucket.refilled_at) < BUCKET_TTL);
+            .retain(|_, bucket| now.since(bucket.bucket.refilled_at()) < BUCKET_TTL);
         let bucket = self.buckets.entry(limited.clone());
         let bucket = bucket.or_insert_with(|| PermitBucket::new(now));
-        bucket.issue(share.of(limit), asker, now)
+        let rate = RequestRate(share.of(limit.0.max(MIN_RATE.0)));
+        bucket.issue(rate, asker, now)
     }
 }
 
--- a/crates/core/src/direct/rule.rs
+++ b/crates/core/src/direct/rule.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 
+use super::quota::TeamQuota;
 use crate::code::{CallRefusal, ResultCode};
 use crate::id::{Revision, ServiceId, TeamId};
 use crate::rank::NameRank;
@@ -187,6 +188,8 @@
 pub struct TeamRule {
     /// The team's priority, which overrides the route's; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// What its requests may cost over all entries; `None` if there is no limit.
+    pub quota: Option<TeamQuota>,
 }
 
 /// A complete revision of the rules.
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -199,6 +199,12 @@
             list.merge_continuity(span, era, delay, source.received_at);
         }
         GossipPayload::PermitAnswer(answer) => state.receive_permit(answer),
+        GossipPayload::QuotaRequest(ask) => state.answer_quota(from, ask),
+        GossipPayload::QuotaAnswer(answer) => state.receive_quota(answer),
+        GossipPayload::QuotaHandover(handover) => state.receive_handover(&id, handover),
+        GossipPayload::EntryCount(known) => {
+            state.note_entry_count(&id, u64::from(*known), source.received_at);
+        }
         GossipPayload::ListUpdate(update) => {
             // If the update does not apply, the digests below trigger a fetch from the sender.
             match update.read() {
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -14,6 +14,7 @@
 use super::origins::OriginReport;
 use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
+use super::quotas::{QuotaAnswer, QuotaHandover, QuotaRequest};
 use super::replicas::ReplicaDigests;
 use super::state::GatewayState;
 
@@ -86,6 +87,14 @@
     StreamOrigins(Vec<OriginReport>),
     /// For how long the store has confirmed the list without a gap.
     StoreContinuity(ContinuityReport),
+    /// Asks for a part of a team's quota.
+    QuotaRequest(QuotaRequest),
+    /// The reply to that.
+    QuotaAnswer(QuotaAnswer),
+    /// What the sender, a former issuer, had left of a team's quota.
+    QuotaHandover(QuotaHandover),
+    /// The number of entries that the sender knows.
+    EntryCount(u32),
 }
 
 /// The encoding of the span of a [`StoreContinuity`](applefold_core::direct::StoreContinuity).
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod prepare;
 mod presence;
 mod quarantine_store;
+mod quotas;
 mod ready;
 mod reload;
 mod replicas;
@@ -76,6 +77,7 @@
     actix_rt::spawn(duty::run(Rc::clone(&state)));
     actix_rt::spawn(phases::run(Rc::clone(&state)));
     actix_rt::spawn(usage::run(Rc::clone(&state)));
+    actix_rt::spawn(quotas::run(Rc::clone(&state)));
     actix_rt::spawn(quarantine_store::run(Rc::clone(&state)));
     actix_rt::spawn(origin_store::run(Rc::clone(&state)));
     actix_rt::spawn(reload::run(Rc::clone(&state), hangups, path));
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -162,16 +162,22 @@
         peers.collect()
     }
 
-    /// Returns the peer that issues the permits of the backend server with this rank; `None` if this
-    /// entry, `own`, does.
-    pub(crate) fn permit_issuer(
+    /// Returns the peer that issues the permits of the backend server, or the quota of the team, with
+    /// this rank; `None` if this entry, `own`, does. `excluded` has said that it does not.
+    pub(crate) fn issuer_of(
         &self,
         own: &InstanceId,
-        backend: NameRank,
+        subject: NameRank,
+        excluded: Option<&InstanceId>,
         now: TimePoint,
     ) -> Option<(InstanceId, SocketAddr)> {
-        let reach = self.reach(own, now);
-        let IssuerChoice::Peer(index) = choose_issuer(reader_name_rank(own), &reach, backend)
+        let mut reach = self.reach(own, now);
+        for (peer, name) in reach.iter_mut().zip(self.peers.keys()) {
+            if excluded == Some(name) {
+                (peer.heard, peer.unheard_by) = (false, usize::MAX / 2);
+            }
+        }
+        let IssuerChoice::Peer(index) = choose_issuer(reader_name_rank(own), &reach, subject)
         else {
             return None;
         };
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -25,7 +25,8 @@
 use super::handoff::HandoffGuard;
 use super::origins::is_resumable;
 use super::permits::{PermitOutcome, SendPermit};
-use super::prepare::{keeps_alive, write_last, PreparedRequest};
+use super::prepare::{keeps_alive, write_last, EarlyRefusal, PreparedRequest};
+use super::quotas::QuotaCharge;
 use super::resume;
 use super::sse::EventBuffer;
 use super::state::GatewayState;
@@ -56,10 +57,15 @@
         Ok(binding) => binding,
         Err(refusal) => return refusal.respond(state, request, writer).await,
     };
+    let charge = match charge_quota(state, &prepared).await {
+        Ok(charge) => charge,
+        Err(refusal) => return refusal.respond(state, request, writer).await,
+    };
     let mut driver = RequestDriver {
         state,
         request,
         prepared: &prepared,
+        charge,
         progress: RequestProgress::default(),
         excluded: BTreeSet::new(),
         binding,
@@ -85,11 +91,33 @@
     }
 }
 
+/// Charges a request to the quota of its team, if that has one.
+async fn charge_quota(
+    state: &Rc<GatewayState>,
+    prepared: &PreparedRequest,
+) -> Result<Option<QuotaCharge>, EarlyRefusal> {
+    let rule = prepared
+        .team
+        .as_ref()
+        .map(|team| (team, prepared.rules.teams.get(team)));
+    let Some((team, Some(quota))) =
+        rule.map(|(team, rule)| (team, rule.and_then(|rule| rule.quota)))
+    else {
+        return Ok(None);
+    };
+    let caller = &prepared.caller;
+    let charge = state.charge_quota(team, &quota, quota.cost(caller.tokens), &caller.id);
+    let refusal = |refusal| EarlyRefusal::new(&caller.id, refusal);
+    charge.await.map(Some).map_err(refusal)
+}
+
 /// A request that is being served.
 struct RequestDriver<'a> {
     state: &'a Rc<GatewayState>,
     request: &'a ReceivedRequest,
     prepared: &'a PreparedRequest,
+    /// What the request costs of the quota of its team, if that has one.
+    charge: Option<QuotaCharge>,
     progress: RequestProgress,
     /// Backend servers at which an attempt has ended without success.
     excluded: BTreeSet<BackendId>,
@@ -133,6 +161,9 @@
             if placement.work == PlacementWork::Run {
                 self.progress.begin();
             }
+            if let Some(charge) = &self.charge {
+                charge.begin(placement.work);
+            }
             self.last_backend = Some(placement.backend.clone());
             let started_at = self.state.now();
             self.attempting = true;
@@ -211,6 +242,9 @@
                     end
                 }
             };
+            if let Some(charge) = &self.charge {
+                charge.settle(placement.work, end);
+            }
             if placement.work == PlacementWork::Prefill {
                 self.may_prefill = false;
                 // An unsent call has reached no backend server, so the next call is not a retry.
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -33,6 +33,7 @@
 use crate::gateway::permits::PermitDesk;
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::prefills::PrefillQueue;
+use crate::gateway::quotas::QuotaDesk;
 use crate::gateway::replicas::ReplicaSet;
 use crate::gateway::store::StoreClient;
 use crate::gateway::suspect_parts::SuspectParts;
@@ -100,6 +101,7 @@
     /// Rate limits that backend servers named to this entry, for gossip.
     pub(crate) limits: RefCell<LimitTable>,
     pub(crate) permits: PermitDesk,
+    pub(crate) quotas: QuotaDesk,
     /// The streams that began lately, which callers may resume.
     pub(crate) origins: StreamOrigins,
     gossip_socket: OnceCell<Rc<UdpSocket>>,
@@ -174,6 +176,7 @@
             notices: RefCell::default(),
             limits: RefCell::default(),
             permits: PermitDesk::default(),
+            quotas: QuotaDesk::default(),
             origins: StreamOrigins::default(),
             gossip_socket: OnceCell::new(),
             health: RefCell::new(HealthTracker::new(health)),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -74,6 +74,8 @@
     pub(crate) store_eras: Counter<u64>,
     /// Requests for permits to send under a rate limit, by outcome.
     pub(crate) send_permits: Counter<u64>,
+    /// Requests of teams with a quota, by outcome.
+    pub(crate) quota_checks: Counter<u64>,
     /// Events about requests suspected of crashing backend servers, by kind.
     pub(crate) suspicions: Counter<u64>,
     /// Events about prompt parts suspected of crashing engines, by kind.
@@ -108,6 +110,7 @@
             backend_notices: meter.u64_counter("applefold_backend_words").build(),
             store_eras: meter.u64_counter("applefold_store_eras").build(),
             send_permits: meter.u64_counter("applefold_send_permits").build(),
+            quota_checks: meter.u64_counter("applefold_quota_checks").build(),
             suspicions: meter.u64_counter("applefold_crash_suspicions").build(),
             part_suspicions: meter.u64_counter("applefold_part_suspicions").build(),
             resumptions: meter.u64_counter("applefold_resumptions").build(),
