Test quotas with two entries, and return the cost of large requests that did not run

A request that costs more than its team's burst leaves the issuer's balance negative; if it does not run, no other request would use its grant up before that expires, so the cost goes back to the issuer. An attempt after a prefill whose response was lost is charged again.

--- a/crates/core/src/direct/quota.rs
+++ b/crates/core/src/direct/quota.rs
@@ -23,6 +23,8 @@
 /// The wait of a request that costs more than the share of an entry cut off from the others. It can
 /// be admitted only when the entry reaches them again.
 const ISOLATED_WAIT: TimeSpan = TimeSpan::from_secs(1);
+/// The longest time for which a denial refuses further requests.
+const MAX_DENIAL: TimeSpan = TimeSpan::from_secs(1);
 /// The span after the first free slot over which refused requests are spread.
 const MAX_SPREAD: TimeSpan = TimeSpan::from_secs(4);
 /// The bounds of the time for which a grant is valid.
@@ -37,6 +39,9 @@
 /// How long the count of a peer is used.
 const REPORT_MEMORY: TimeSpan = TimeSpan::from_secs(10);
 
+/// The highest cost of a request. Callers state it, and sums of costs must not overflow.
+const MAX_COST: QuotaAmount = QuotaAmount(1_000_000_000_000);
+
 /// Returns for how long a grant is valid, from the time when it was asked for. In a window, an
 /// entry may also spend what was granted within this time before the window.
 pub fn grant_ttl(window: TimeSpan, overage: f64) -> TimeSpan {
@@ -90,7 +95,7 @@
     pub fn cost(&self, tokens: Option<QuotaAmount>) -> QuotaAmount {
         match self.unit {
             QuotaUnit::Request => QuotaAmount(1),
-            QuotaUnit::Token { plain } => tokens.unwrap_or(plain),
+            QuotaUnit::Token { plain } => tokens.unwrap_or(plain).min(MAX_COST),
         }
     }
 
@@ -183,6 +188,11 @@
         bucket.is_some_and(|bucket| bucket.balance() > 0)
     }
 
+    /// Returns whether this entry has buckets.
+    pub fn holds_any(&self) -> bool {
+        !self.buckets.is_empty()
+    }
+
     /// Answers an entry that asks for a part of a team's quota.
     ///
     /// A request that costs more than the bucket holds is admitted when that is full, but only by an
@@ -286,8 +296,11 @@
 #[derive(Clone, Copy, Debug)]
 struct QuotaDenial {
     need: QuotaAmount,
+    denied_at: TimePoint,
     /// When the bucket will hold this at the earliest.
     ready_at: TimePoint,
+    /// When the issuer is asked again. By then another entry may be the issuer.
+    ask_again_at: TimePoint,
 }
 
 /// A team's account at one entry.
@@ -371,7 +384,6 @@
         account.own = None;
         match reply {
             QuotaReply::Granted(amount) => {
-                account.denial = None;
                 account.add(amount, expires_at, now);
                 account.check(cost, now)
             }
@@ -386,7 +398,12 @@
                 let former = former.filter(|denial| denial.ready_at > now && denial.need >= need);
                 let ready_at = now + wait;
                 let ready_at = former.map_or(ready_at, |denial| denial.ready_at.min(ready_at));
-                account.denial = Some(QuotaDenial { need, ready_at });
+                account.denial = Some(QuotaDenial {
+                    need,
+                    denied_at: now,
+                    ready_at,
+                    ask_again_at: ready_at.min(now + MAX_DENIAL),
+                });
                 QuotaStep::Refused(account.next_slot(need, now))
             }
         }
@@ -432,6 +449,12 @@
         QuotaStep::Refused(wait)
     }
 
+    /// Returns the age of the issuer's last denial.
+    pub fn denial_age(&self, team: &TeamId, now: TimePoint) -> Option<TimeSpan> {
+        let denial = self.accounts.get(team)?.denial?;
+        Some(now.since(denial.denied_at))
+    }
+
     /// Charges a further attempt at a request after one that may have run.
     pub fn charge_again(&mut self, team: &TeamId, cost: QuotaAmount) {
         if let Some(account) = self.accounts.get_mut(team) {
@@ -490,7 +513,7 @@
         }
         let need = self.missing(cost, now);
         let denied = self.denial;
-        if denied.is_some_and(|denial| now < denial.ready_at && need >= denial.need) {
+        if denied.is_some_and(|denial| now < denial.ask_again_at && need >= denial.need) {
             return QuotaStep::Refused(self.next_slot(need, now));
         }
         QuotaStep::Ask(QuotaAsk {
--- a/crates/core/tests/direct_quota.rs
+++ b/crates/core/tests/direct_quota.rs
@@ -605,17 +605,8 @@
 
     /// Returns the highest cost served in a window that begins at `since` or later.
     fn worst_window(&self, since: u64) -> u64 {
-        let served: Vec<&Outcome> = self.served().filter(|end| end.at >= since).collect();
-        let (mut worst, mut sum, mut first) = (0, 0, 0);
-        for last in &served {
-            sum += last.cost;
-            while last.at - served[first].at >= WINDOW {
-                sum -= served[first].cost;
-                first += 1;
-            }
-            worst = worst.max(sum);
-        }
-        worst
+        let served = self.served().filter(|end| end.at >= since);
+        worst_window(served.collect())
     }
 
     fn issuer(&self) -> usize {
@@ -626,6 +617,20 @@
     }
 }
 
+/// Returns the highest cost of a window.
+fn worst_window(served: Vec<&Outcome>) -> u64 {
+    let (mut worst, mut sum, mut first) = (0, 0, 0);
+    for last in &served {
+        sum += last.cost;
+        while last.at - served[first].at >= WINDOW {
+            sum -= served[first].cost;
+            first += 1;
+        }
+        worst = worst.max(sum);
+    }
+    worst
+}
+
 /// Returns what may be served within [`WINDOW`], without the slack.
 fn allowed(quota: &TeamQuota) -> u64 {
     let cost = quota.rate.0 as f64 / 1_000.0 * (WINDOW / SECOND) as f64 + quota.burst.0 as f64;
@@ -669,6 +674,11 @@
         let mut simulation = Simulation::new(count, quota, 1);
         overload(&mut simulation, count, 30 * SECOND);
         simulation.run(30 * SECOND);
+        let offered = worst_window(simulation.outcomes.iter().collect());
+        assert!(
+            offered > 2 * allowed(&quota),
+            "{offered} would exceed the quota"
+        );
         let worst = simulation.worst_window(0);
         assert!(worst <= allowed(&quota), "{count} entries: {worst}");
         let used = simulation.rate(10 * SECOND, 30 * SECOND);
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -91,7 +91,7 @@
     QuotaRequest(QuotaRequest),
     /// The reply to that.
     QuotaAnswer(QuotaAnswer),
-    /// What the sender, a former issuer, had left of a team's quota.
+    /// What the sender has left of a team's quota, for the issuer.
     QuotaHandover(QuotaHandover),
     /// The number of entries that the sender knows.
     EntryCount(u32),
--- a/crates/daemon/src/gateway/quotas.rs
+++ b/crates/daemon/src/gateway/quotas.rs
@@ -72,7 +72,8 @@
     NotIssuer,
 }
 
-/// What a former issuer had left of a team's quota.
+/// What the sender, a former issuer or the entry of a request that did not run, has left of a team's
+/// quota.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct QuotaHandover {
     team: SmolStr,
@@ -109,12 +110,14 @@
     grant: QuotaGrant,
     /// The attempts that have run, or may have.
     attempts: Cell<u32>,
-    /// Whether an engine has prefilled the prompt, or may have.
+    /// Whether an engine prefills the prompt or has prefilled it.
     prefilled: Cell<bool>,
+    /// Whether the request costs more than its team's burst.
+    exceeds_burst: bool,
 }
 
 impl QuotaCharge {
-    /// Charges an attempt that begins. The first one is paid already, and so is a prefill.
+    /// Charges an attempt that begins. The first one is paid already, and so is its prefill.
     pub(crate) fn begin(&self, work: PlacementWork) {
         match work {
             PlacementWork::Prefill => self.prefilled.set(true),
@@ -128,14 +131,15 @@
         }
     }
 
-    /// Takes back the charge of an attempt that did not run.
+    /// Records how an attempt ended that did not succeed. One that did not run costs nothing.
     pub(crate) fn settle(&self, work: PlacementWork, end: AttemptEnd) {
-        if !matches!(end, AttemptEnd::NotSent | AttemptEnd::NotRun { .. }) {
-            return;
-        }
-        match work {
-            PlacementWork::Prefill => self.prefilled.set(false),
-            PlacementWork::Run => {
+        let unrun = matches!(end, AttemptEnd::NotSent | AttemptEnd::NotRun { .. });
+        match (work, unrun) {
+            (PlacementWork::Prefill, true) => self.prefilled.set(false),
+            // The next attempt computes the prompt again.
+            (PlacementWork::Prefill, false) => self.attempts.set(self.attempts.get() + 1),
+            (PlacementWork::Run, false) => {}
+            (PlacementWork::Run, true) => {
                 self.attempts.set(self.attempts.get().saturating_sub(1));
                 if self.attempts.get() > 0 {
                     let mut ledger = self.state.quotas.ledger.borrow_mut();
@@ -150,6 +154,11 @@
     fn drop(&mut self) {
         if self.attempts.get() == 0 && !self.prefilled.get() {
             let (grant, now) = (self.grant, self.state.now());
+            if self.exceeds_burst {
+                // The issuer's balance is negative; no other request would use such a grant up.
+                self.state.return_quota(&self.team, grant.amount);
+                return;
+            }
             let mut ledger = self.state.quotas.ledger.borrow_mut();
             ledger.keep(&self.team, grant.amount, grant.expires_at, now);
         }
@@ -260,7 +269,7 @@
         self.metrics.quota_checks.add(1, &[label]);
         let wait = match step {
             QuotaStep::Charged(grant) if source != CheckSource::OwnShare => {
-                return Ok(self.quota_charge(team, grant));
+                return Ok(self.quota_charge(team, quota, grant));
             }
             QuotaStep::Charged(_) => TimeSpan::ZERO,
             QuotaStep::Refused(wait) => wait,
@@ -270,12 +279,14 @@
             true => "request charged to the entry's own share: the issuer did not answer",
             false => "request refused: the team is over its quota",
         };
+        let denial_age = desk.ledger.borrow().denial_age(team, now);
         log::info!(request, team = team.as_str(), cost = cost.0, rate = quota.rate.to_string(),
             burst = quota.burst.0, issuer = issuer.as_ref().map_or("", InstanceId::as_str), outcome,
-            asked_ms = now.since(asked_at).as_millis(), known = desk.census.borrow().known(),
-            wait_ms = wait.as_millis(); "{text}");
+            asked_ms = now.since(asked_at).as_millis(),
+            denied_ms = denial_age.map_or(0, TimeSpan::as_millis),
+            known = desk.census.borrow().known(), wait_ms = wait.as_millis(); "{text}");
         match step {
-            QuotaStep::Charged(grant) => Ok(self.quota_charge(team, grant)),
+            QuotaStep::Charged(grant) => Ok(self.quota_charge(team, quota, grant)),
             QuotaStep::Refused(_) | QuotaStep::Ask(_) => {
                 Err(CallRefusal::retryable(ResultCode::TeamOverLimit, wait))
             }
@@ -332,17 +343,17 @@
         }
     }
 
-    /// Takes over what a former issuer had left of a team's quota.
+    /// Adds what a peer had left of a team's quota to the bucket.
     pub(crate) fn receive_handover(&self, peer: &InstanceId, handover: &QuotaHandover) {
         let team = handover.team.parse::<TeamId>();
         let team = team.ok().filter(|team| self.issues_quota(team));
         let Some(team) = team else {
             log::debug!(peer = peer.as_str(), team = handover.team.as_str();
-                "quota handover ignored: this entry does not issue the team's quota");
+                "unused quota of a team ignored: this entry does not issue the team's quota");
             return;
         };
         log::info!(peer = peer.as_str(), team = team.as_str(), amount = handover.amount;
-            "quota of a team taken over from its former issuer");
+            "unused quota of a team received");
         let amount = QuotaAmount(handover.amount);
         let transfer = QuotaTransfer { team, amount };
         let now = self.now();
@@ -360,13 +371,16 @@
     fn tick_quotas(&self, rules: &RuleSet, send_count: bool) {
         let now = self.now();
         let own = self.settings().instance.clone();
-        let peers: Vec<InstanceId> = self.peers.borrow().names().cloned().collect();
-        self.quotas.census.borrow_mut().note_listed(peers, now);
         let quotas = rules
             .teams
             .iter()
             .filter_map(|(team, rule)| Some((team, rule.quota.as_ref()?)));
         let quotas: BTreeMap<&TeamId, &TeamQuota> = quotas.collect();
+        if quotas.is_empty() && !self.quotas.issuer.borrow().holds_any() {
+            return;
+        }
+        let peers: Vec<InstanceId> = self.peers.borrow().names().cloned().collect();
+        self.quotas.census.borrow_mut().note_listed(peers, now);
         let reach = self.peers.borrow().reach(&own, now);
         let own_rank = reader_name_rank(&own);
         let held = quotas.iter().filter(|(team, _)| {
@@ -397,12 +411,27 @@
         }
     }
 
+    /// Returns to the issuer what a request has not used.
+    fn return_quota(&self, team: &TeamId, amount: QuotaAmount) {
+        let transfer = QuotaTransfer {
+            team: team.clone(),
+            amount,
+        };
+        match self.quota_issuer(team, None) {
+            IssuerEntry::Own => {
+                let now = self.now();
+                self.quotas.issuer.borrow_mut().receive(&transfer, now);
+            }
+            IssuerEntry::Peer(..) => self.hand_over(&transfer),
+        }
+    }
+
     fn hand_over(&self, transfer: &QuotaTransfer) {
         let IssuerEntry::Peer(id, address) = self.quota_issuer(&transfer.team, None) else {
             return;
         };
         log::info!(issuer = id.as_str(), team = transfer.team.as_str(), amount = transfer.amount.0;
-            "quota of a team handed over to its new issuer");
+            "unused quota of a team passed to its issuer");
         let handover = QuotaHandover {
             team: SmolStr::new(transfer.team.as_str()),
             amount: transfer.amount.0,
@@ -426,13 +455,19 @@
         }
     }
 
-    fn quota_charge(self: &Rc<Self>, team: &TeamId, grant: QuotaGrant) -> QuotaCharge {
+    fn quota_charge(
+        self: &Rc<Self>,
+        team: &TeamId,
+        quota: &TeamQuota,
+        grant: QuotaGrant,
+    ) -> QuotaCharge {
         QuotaCharge {
             state: Rc::clone(self),
             team: team.clone(),
             grant,
             attempts: Cell::new(0),
             prefilled: Cell::new(false),
+            exceeds_burst: grant.amount > quota.burst,
         }
     }
 
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -96,13 +96,9 @@
     state: &Rc<GatewayState>,
     prepared: &PreparedRequest,
 ) -> Result<Option<QuotaCharge>, EarlyRefusal> {
-    let rule = prepared
-        .team
-        .as_ref()
-        .map(|team| (team, prepared.rules.teams.get(team)));
-    let Some((team, Some(quota))) =
-        rule.map(|(team, rule)| (team, rule.and_then(|rule| rule.quota)))
-    else {
+    let quota = |team| prepared.rules.teams.get(team)?.quota;
+    let team = prepared.team.as_ref();
+    let Some((team, quota)) = team.and_then(|team| Some((team, quota(team)?))) else {
         return Ok(None);
     };
     let caller = &prepared.caller;
