Refill quota buckets for at most 200 ms at once

A process that stood still for longer would issue again what the entries served from their own shares, which they do 150 ms after the first question without a reply.

Tested by direct_quota.

--- a/crates/core/src/direct/quota.rs
+++ b/crates/core/src/direct/quota.rs
@@ -18,8 +18,8 @@
 /// The span over which demand is counted.
 const DEMAND_SPAN: TimeSpan = TimeSpan::from_secs(1);
 /// The longest span that a bucket is refilled for at once. An issuer whose process stood still does
-/// not know what the entries served without it in the meantime.
-const MAX_REFILL_SPAN: TimeSpan = TimeSpan::from_millis(500);
+/// not know what the entries served without it in the meantime; they do so after about 150 ms.
+const MAX_REFILL_SPAN: TimeSpan = TimeSpan::from_millis(200);
 /// The wait of a request that costs more than the share of an entry cut off from the others. It can
 /// be admitted only when the entry reaches them again.
 const ISOLATED_WAIT: TimeSpan = TimeSpan::from_secs(1);
@@ -145,7 +145,7 @@
 }
 
 impl QuotaIssuer {
-    /// Refills the buckets of these teams, and gives up the others. It is called several times a
+    /// Refills the buckets of these teams, and gives up the others. It is called ten times a
     /// second, since a bucket is refilled only while its issuer is sure of its role.
     ///
     /// `share` is `None` while the entry does not know the others yet.
--- a/crates/core/tests/direct_quota.rs
+++ b/crates/core/tests/direct_quota.rs
@@ -30,7 +30,7 @@
 /// How long a registration outlasts its entry.
 const LEASE_TIME: u64 = 3 * SECOND;
 const GOSSIP_PERIOD: u64 = 100_000;
-const TICK_PERIOD: u64 = 200_000;
+const TICK_PERIOD: u64 = 100_000;
 const DISCOVERY_TIME: u64 = 1_500_000;
 const REPLY_TIMEOUTS: [u64; 2] = [50_000, 100_000];
 
@@ -907,6 +907,29 @@
     }
 }
 
+/// Each time it stands still, the others serve from their own shares, which the issuer must not
+/// issue again.
+#[test]
+fn a_quota_holds_while_its_issuer_stops_again_and_again() {
+    for count in COUNTS {
+        let quota = tokens(50_000, 100_000);
+        let mut simulation = Simulation::new(count, quota, 15);
+        let issuer = simulation.issuer();
+        for second in 5..25 {
+            let start = second * SECOND;
+            simulation.fault(start, start + 700_000, Trouble::Paused(issuer));
+        }
+        // Twice the rate, in requests that the share of one entry pays for.
+        simulation.demand(&steady(&all(count), 0, 25 * SECOND, 2_000, 200));
+        simulation.run(25 * SECOND);
+        let worst = simulation.worst_window(0);
+        let most = allowed(&quota);
+        assert!(worst <= most, "{count} entries: {worst} of {most}");
+        let used = simulation.rate(5 * SECOND, 25 * SECOND);
+        assert!(used > 0.3 * 50_000.0, "{count} entries: {used}");
+    }
+}
+
 #[test]
 fn a_quota_holds_when_all_entries_restart() {
     for count in COUNTS {
--- a/crates/daemon/src/gateway/quotas.rs
+++ b/crates/daemon/src/gateway/quotas.rs
@@ -31,11 +31,10 @@
 /// How long a request waits for the issuer's reply, by question. It asks twice, since a lost
 /// datagram must not refuse a request.
 const REPLY_TIMEOUTS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(100)];
-/// The interval at which buckets are refilled. It is well below the longest span that is refilled at
-/// once.
-const TICK_PERIOD: Duration = Duration::from_millis(200);
+/// The interval at which buckets are refilled: half of the longest span that is refilled at once.
+const TICK_PERIOD: Duration = Duration::from_millis(100);
 /// The number of known entries is sent every this many ticks.
-const COUNT_TICKS: u64 = 5;
+const COUNT_TICKS: u64 = 10;
 /// The time after its start by which an entry knows the others, or nobody can tell it. Before that
 /// it issues nothing by itself.
 const DISCOVERY_TIME: TimeSpan = TimeSpan::from_millis(1_500);
