Hand over quotas when an entry ends in order

An issuer that was replaced took its balance with it, and its place among the known entries kept a part of each quota unissued for ten minutes. A stopping entry now passes its buckets to the next in rank, tells the others and no longer counts.

Tested by direct_quota, which refused a request within the quota before the order of the messages was right.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -36,15 +36,15 @@
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
 pub use origin_memory::{FindingSource, OriginFinding, OriginMemory};
 pub use permit::{
-    choose_issuer, IssuerChoice, LimitEffect, LimitStatement, LimitedBackend, LiveShare, PeerReach,
-    PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
+    choose_issuer, choose_successor, IssuerChoice, LimitEffect, LimitStatement, LimitedBackend,
+    LiveShare, PeerReach, PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
 };
 pub use phase::{PhaseChange, PhasePlanner, PhasePolicy};
 pub use placement::{Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork};
 pub use prompt::{PromptPart, PromptShape};
 pub use quota::{
     grant_ttl, EntryCensus, QuotaAmount, QuotaAsk, QuotaGrant, QuotaIssuer, QuotaLedger,
-    QuotaReply, QuotaStep, QuotaTransfer, QuotaUnit, TeamQuota,
+    QuotaReply, QuotaStep, QuotaTransfer, QuotaUnit, TeamQuota, TimedReply,
 };
 pub use replica::{
     ReadPolicy, ReplicaAction, ReplicaDigest, StoreEra, StorePosition, StoreReplica,
--- a/crates/core/src/direct/permit.rs
+++ b/crates/core/src/direct/permit.rs
@@ -169,16 +169,25 @@
 /// Returns the issuer of a backend server's permits: the entry with the highest rank that is live.
 /// A peer that this entry does not hear is live if most of the peers that it hears do.
 pub fn choose_issuer(own: NameRank, peers: &[PeerReach], backend: NameRank) -> IssuerChoice {
+    match highest_live(peers, backend) {
+        Some((rank, index)) if rank > own.combine(backend) => IssuerChoice::Peer(index),
+        _ => IssuerChoice::Own,
+    }
+}
+
+/// Returns the issuer among the peers of an entry that gives up the role.
+pub fn choose_successor(peers: &[PeerReach], subject: NameRank) -> Option<usize> {
+    highest_live(peers, subject).map(|(_, index)| index)
+}
+
+fn highest_live(peers: &[PeerReach], subject: NameRank) -> Option<(NameRank, usize)> {
     let voices = peers.iter().filter(|peer| peer.heard).count();
     let live = peers
         .iter()
         .enumerate()
         .filter(|(_, peer)| peer.heard || 2 * peer.unheard_by < voices);
-    let ranked = live.map(|(index, peer)| (peer.rank.combine(backend), index));
-    match ranked.max() {
-        Some((rank, index)) if rank > own.combine(backend) => IssuerChoice::Peer(index),
-        _ => IssuerChoice::Own,
-    }
+    live.map(|(index, peer)| (peer.rank.combine(subject), index))
+        .max()
 }
 
 /// The rate limit of a backend server, as an entry knows it.
--- a/crates/core/src/direct/quota.rs
+++ b/crates/core/src/direct/quota.rs
@@ -36,6 +36,8 @@
 
 /// How long an entry counts after it was last listed. Partitions last for minutes.
 const ENTRY_MEMORY: TimeSpan = TimeSpan::from_secs(600);
+/// How long an announced end counts. The registration of the entry lasts some seconds longer.
+const RETIREMENT_MEMORY: TimeSpan = TimeSpan::from_secs(30);
 /// How long the count of a peer is used.
 const REPORT_MEMORY: TimeSpan = TimeSpan::from_secs(10);
 
@@ -129,6 +131,15 @@
     Denied(TimeSpan),
 }
 
+/// A reply, and when a grant in it expires.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimedReply {
+    /// The issuer's reply.
+    pub reply: QuotaReply,
+    /// The time until which a grant may be used, counted from the question.
+    pub expires_at: TimePoint,
+}
+
 /// What an entry that is no longer the issuer had left, for its successor.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuotaTransfer {
@@ -376,15 +387,14 @@
         team: &TeamId,
         quota: &TeamQuota,
         cost: QuotaAmount,
-        reply: QuotaReply,
-        expires_at: TimePoint,
+        timed: TimedReply,
         now: TimePoint,
     ) -> QuotaStep {
         let account = self.account(team, quota);
         account.own = None;
-        match reply {
+        match timed.reply {
             QuotaReply::Granted(amount) => {
-                account.add(amount, expires_at, now);
+                account.add(amount, timed.expires_at, now);
                 account.check(cost, now)
             }
             QuotaReply::Denied(wait) => {
@@ -587,6 +597,8 @@
     listed_at: BTreeMap<InstanceId, TimePoint>,
     /// The counts of the peers, and when they arrived.
     reported: BTreeMap<InstanceId, (u64, TimePoint)>,
+    /// The entries that have announced their end, and when.
+    retired_at: BTreeMap<InstanceId, TimePoint>,
 }
 
 impl EntryCensus {
@@ -595,8 +607,11 @@
     where
         I: IntoIterator<Item = InstanceId>,
     {
-        self.listed_at
-            .extend(entries.into_iter().map(|entry| (entry, now)));
+        self.retired_at
+            .retain(|_, retired_at| now.since(*retired_at) < RETIREMENT_MEMORY);
+        let counted = entries.into_iter();
+        let counted = counted.filter(|entry| !self.retired_at.contains_key(entry));
+        self.listed_at.extend(counted.map(|entry| (entry, now)));
         self.listed_at
             .retain(|_, listed_at| now.since(*listed_at) < ENTRY_MEMORY);
         self.reported
@@ -605,9 +620,22 @@
 
     /// Records the count of a peer.
     pub fn note_report(&mut self, peer: &InstanceId, known: u64, now: TimePoint) {
+        self.retired_at.remove(peer);
         self.reported.insert(peer.clone(), (known, now));
     }
 
+    /// Records that a peer is about to end: it issues nothing more and has no share of its own.
+    pub fn note_retirement(&mut self, peer: &InstanceId, now: TimePoint) {
+        self.listed_at.remove(peer);
+        self.reported.remove(peer);
+        self.retired_at.insert(peer.clone(), now);
+    }
+
+    /// Returns whether an entry has announced its end.
+    pub fn is_retired(&self, entry: &InstanceId) -> bool {
+        self.retired_at.contains_key(entry)
+    }
+
     /// Returns the number of entries that this one knows by itself, itself included.
     pub fn listed(&self) -> u64 {
         self.listed_at.len() as u64 + 1
--- a/crates/core/tests/direct_quota.rs
+++ b/crates/core/tests/direct_quota.rs
@@ -8,8 +8,9 @@
 use std::rc::Rc;
 
 use applefold_core::direct::{
-    choose_issuer, grant_ttl, EntryCensus, IssuerChoice, LiveShare, PeerReach, QuotaAmount,
-    QuotaIssuer, QuotaLedger, QuotaReply, QuotaStep, QuotaTransfer, QuotaUnit, TeamQuota,
+    choose_issuer, choose_successor, grant_ttl, EntryCensus, IssuerChoice, LiveShare, PeerReach,
+    QuotaAmount, QuotaIssuer, QuotaLedger, QuotaReply, QuotaStep, QuotaTransfer, QuotaUnit,
+    TeamQuota, TimedReply,
 };
 use applefold_core::id::{InstanceId, TeamId};
 use applefold_core::rank::NameRank;
@@ -89,7 +90,16 @@
         request: u64,
         attempt: usize,
     },
-    Handover(usize, QuotaTransfer),
+    Retire(usize),
+    Retired {
+        from: usize,
+        to: usize,
+    },
+    Handover {
+        from: usize,
+        to: usize,
+        transfer: QuotaTransfer,
+    },
     Debt(usize, u64),
 }
 
@@ -103,6 +113,8 @@
     listed: Vec<bool>,
     /// Whom this entry does not hear from.
     silent: Vec<bool>,
+    /// Whether this entry is about to end.
+    retiring: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -319,7 +331,10 @@
                 if arrives {
                     self.entries[to].heard_at[from] = Some(now);
                     self.entries[to].listed[from] = true;
-                    if now % SECOND < GOSSIP_PERIOD {
+                    if self.entries[from].retiring && !self.entries[from].issuer.holds(&self.team) {
+                        let census = &mut self.entries[to].census;
+                        census.note_retirement(&self.names[from], TimePoint(now));
+                    } else if now % SECOND < GOSSIP_PERIOD {
                         let known = self.entries[from].census.listed();
                         let peer = self.names[from].clone();
                         let census = &mut self.entries[to].census;
@@ -367,11 +382,14 @@
         }
         let numbers = (0..count).filter(|other| *other != entry && own.listed[*other]);
         let numbers: Vec<usize> = numbers.collect();
-        let peers = numbers.iter().map(|other| PeerReach {
-            rank: self.ranks[*other],
-            heard: self.hears(entry, *other, now),
-            deaf: fresh(*other) && self.entries[*other].silent[entry],
-            unheard_by: unheard_by[*other],
+        let peers = numbers.iter().map(|other| {
+            let retired = own.census.is_retired(&self.names[*other]);
+            PeerReach {
+                rank: self.ranks[*other],
+                heard: self.hears(entry, *other, now) && !retired,
+                deaf: fresh(*other) && self.entries[*other].silent[entry],
+                unheard_by: if retired { count } else { unheard_by[*other] },
+            }
         });
         (peers.collect(), numbers)
     }
@@ -385,6 +403,9 @@
             }
         }
         let team = NameRank::of("team", self.team.as_str());
+        if self.entries[entry].retiring {
+            return choose_successor(&peers, team).map_or(entry, |index| numbers[index]);
+        }
         match choose_issuer(self.ranks[entry], &peers, team) {
             IssuerChoice::Own => entry,
             IssuerChoice::Peer(index) => numbers[index],
@@ -409,6 +430,15 @@
         match event {
             Event::Gossip => {}
             Event::Tick(entry) => self.tick(entry, now),
+            Event::Retire(entry) => {
+                self.entries[entry].retiring = true;
+                self.reaches[entry] = None;
+            }
+            Event::Retired { from, to } => {
+                let census = &mut self.entries[to].census;
+                census.note_retirement(&self.names[from], TimePoint(now));
+                self.reaches[to] = None;
+            }
             Event::Demand(entry, cost) => {
                 let quota = self.quota(entry, now);
                 self.sequence += 1;
@@ -468,9 +498,13 @@
                 let ledger = &mut self.entries[entry].ledger;
                 let (amount, time) = (QuotaAmount(cost), TimePoint(now));
                 let step = match reply {
-                    Some(reply) => {
-                        ledger.apply(&self.team, &quota, amount, reply, expires_at, time)
-                    }
+                    Some(reply) => ledger.apply(
+                        &self.team,
+                        &quota,
+                        amount,
+                        TimedReply { reply, expires_at },
+                        time,
+                    ),
                     None => ledger.check(&self.team, &quota, amount, time),
                 };
                 self.follow(entry, request, cost, attempt + 1, step, now);
@@ -485,9 +519,9 @@
                     self.follow(entry, request, cost, attempt + 1, step, now);
                 }
             }
-            Event::Handover(entry, transfer) => {
-                if self.issuer_of(entry, None, now) == entry {
-                    let issuer = &mut self.entries[entry].issuer;
+            Event::Handover { from, to, transfer } => {
+                if self.issuer_of(to, Some(from), now) == to {
+                    let issuer = &mut self.entries[to].issuer;
                     issuer.receive(&transfer, TimePoint(now));
                 }
             }
@@ -538,9 +572,13 @@
                         .flatten();
                     let (amount, ledger) = (QuotaAmount(cost), &mut row.ledger);
                     let step = match reply {
-                        Some(reply) => {
-                            ledger.apply(&self.team, &quota, amount, reply, expires_at, time)
-                        }
+                        Some(reply) => ledger.apply(
+                            &self.team,
+                            &quota,
+                            amount,
+                            TimedReply { reply, expires_at },
+                            time,
+                        ),
                         None => ledger.check(&self.team, &quota, amount, time),
                     };
                     return self.follow(entry, request, cost, attempt + 1, step, now);
@@ -571,11 +609,17 @@
         let (share, quota) = (self.share(entry, now), self.quota(entry, now));
         let row = &mut self.entries[entry];
         row.census.note_listed(listed, TimePoint(now));
-        let held = (issuer == entry).then_some((&self.team, &quota));
+        let held = (issuer == entry && !row.retiring).then_some((&self.team, &quota));
         let transfers = row.issuer.tick(held, share, TimePoint(now));
         let debts = row.ledger.take_debts();
         for transfer in transfers {
-            self.send(entry, issuer, now, Event::Handover(issuer, transfer));
+            let to = issuer;
+            let from = entry;
+            if self.entries[entry].retiring {
+                self.send(from, to, now, Event::Retired { from, to });
+            }
+            let handover = Event::Handover { from, to, transfer };
+            self.send(entry, issuer, now, handover);
         }
         for (_, debt) in debts {
             self.send(entry, issuer, now, Event::Debt(issuer, debt.0));
@@ -986,6 +1030,26 @@
     }
 }
 
+/// An entry that ends in order must neither take the balance of its buckets with it, nor count for
+/// the share of the others afterwards.
+#[test]
+fn an_issuer_that_retires_hands_over_its_role() {
+    for count in COUNTS {
+        let quota = tokens(10_000, 30_000);
+        let mut simulation = Simulation::new(count, quota, 16);
+        let issuer = simulation.issuer();
+        simulation.push(15 * SECOND, issuer, Event::Retire(issuer));
+        simulation.fault(17 * SECOND, 60 * SECOND, Trouble::Killed(issuer));
+        let others: Vec<usize> = all(count).into_iter().filter(|i| *i != issuer).collect();
+        // 99 percent of the rate.
+        simulation.demand(&steady(&others, 12 * SECOND, 50 * SECOND, 101_010, 1_000));
+        simulation.run(51 * SECOND);
+        let refused = simulation.refused(0);
+        assert_eq!(refused.len(), 0, "{count} entries: {refused:?}");
+        assert!(simulation.worst_window(0) <= allowed(&quota));
+    }
+}
+
 /// Callers that come back when they are told must be served, and not all at the same time.
 #[test]
 fn callers_that_come_back_when_told_are_served() {
@@ -1036,7 +1100,7 @@
     assert_eq!(reply, Some(QuotaReply::Granted(cost)));
     let reply = reply.unwrap();
     let expires_at = now + TimeSpan(SECOND);
-    let step = ledger.apply(&team, &quota, cost, reply, expires_at, now);
+    let step = ledger.apply(&team, &quota, cost, TimedReply { reply, expires_at }, now);
     assert!(matches!(step, QuotaStep::Charged(_)));
     ledger.charge_again(&team, cost);
     ledger.charge_again(&team, cost);
@@ -1063,7 +1127,7 @@
     let expires_at = now + TimeSpan(SECOND);
     ledger.admit(&team, &quota, cost, now);
     let reply = QuotaReply::Granted(cost);
-    let step = ledger.apply(&team, &quota, cost, reply, expires_at, now);
+    let step = ledger.apply(&team, &quota, cost, TimedReply { reply, expires_at }, now);
     let QuotaStep::Charged(grant) = step else {
         panic!("the request is charged");
     };
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -203,7 +203,7 @@
         GossipPayload::QuotaAnswer(answer) => state.receive_quota(answer),
         GossipPayload::QuotaHandover(handover) => state.receive_handover(&id, handover),
         GossipPayload::EntryCount(known) => {
-            state.note_entry_count(&id, u64::from(*known), source.received_at);
+            state.note_entry_count(&id, *known, source.received_at);
         }
         GossipPayload::ListUpdate(update) => {
             // If the update does not apply, the digests below trigger a fetch from the sender.
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -14,7 +14,7 @@
 use super::origins::OriginReport;
 use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
-use super::quotas::{QuotaAnswer, QuotaHandover, QuotaRequest};
+use super::quotas::{EntryCount, QuotaAnswer, QuotaHandover, QuotaRequest};
 use super::replicas::ReplicaDigests;
 use super::state::GatewayState;
 
@@ -93,8 +93,8 @@
     QuotaAnswer(QuotaAnswer),
     /// What the sender has left of a team's quota, for the issuer.
     QuotaHandover(QuotaHandover),
-    /// The number of entries that the sender knows.
-    EntryCount(u32),
+    /// The number of entries that the sender knows, or that it is about to end.
+    EntryCount(EntryCount),
 }
 
 /// The encoding of the span of a [`StoreContinuity`](applefold_core::direct::StoreContinuity).
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -162,25 +162,44 @@
         peers.collect()
     }
 
-    /// Returns the peer that issues the permits of the backend server, or the quota of the team, with
-    /// this rank; `None` if this entry, `own`, does. `excluded` has said that it does not.
-    pub(crate) fn issuer_of(
+    /// Returns the same, with the peers that `excluded` holds for as out of reach.
+    pub(crate) fn reach_without<F>(
         &self,
         own: &InstanceId,
-        subject: NameRank,
-        excluded: Option<&InstanceId>,
+        excluded: F,
         now: TimePoint,
-    ) -> Option<(InstanceId, SocketAddr)> {
+    ) -> Vec<PeerReach>
+    where
+        F: Fn(&InstanceId) -> bool,
+    {
         let mut reach = self.reach(own, now);
         for (peer, name) in reach.iter_mut().zip(self.peers.keys()) {
-            if excluded == Some(name) {
-                (peer.heard, peer.unheard_by) = (false, usize::MAX / 2);
+            if excluded(name) {
+                peer.heard = false;
+                peer.unheard_by = self.peers.len();
             }
         }
-        let IssuerChoice::Peer(index) = choose_issuer(reader_name_rank(own), &reach, subject)
+        reach
+    }
+
+    /// Returns the peer that issues the permits of the backend server with this rank; `None` if this
+    /// entry, `own`, does.
+    pub(crate) fn permit_issuer(
+        &self,
+        own: &InstanceId,
+        backend: NameRank,
+        now: TimePoint,
+    ) -> Option<(InstanceId, SocketAddr)> {
+        let reach = self.reach(own, now);
+        let IssuerChoice::Peer(index) = choose_issuer(reader_name_rank(own), &reach, backend)
         else {
             return None;
         };
+        self.peer_at(index)
+    }
+
+    /// Returns the peer with this index in [`Self::reach`].
+    pub(crate) fn peer_at(&self, index: usize) -> Option<(InstanceId, SocketAddr)> {
         let (id, listed) = self.peers.iter().nth(index)?;
         let heard_at = self.states.get(id).map(|state| state.address);
         Some((id.clone(), heard_at.unwrap_or(*listed)))
--- a/crates/daemon/src/gateway/permits.rs
+++ b/crates/daemon/src/gateway/permits.rs
@@ -365,7 +365,7 @@
         let rank = NameRank::of("backend", backend.as_str());
         let own = &self.settings().instance;
         let peers = self.peers.borrow();
-        match peers.issuer_of(own, rank, None, self.now()) {
+        match peers.permit_issuer(own, rank, self.now()) {
             Some((id, address)) => IssuerEntry::Peer(id, address),
             None => IssuerEntry::Own,
         }
--- a/crates/daemon/src/gateway/quotas.rs
+++ b/crates/daemon/src/gateway/quotas.rs
@@ -11,9 +11,9 @@
 
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
-    choose_issuer, grant_ttl, AttemptEnd, EntryCensus, IssuerChoice, LiveShare, PlacementWork,
-    QuotaAmount, QuotaAsk, QuotaGrant, QuotaIssuer, QuotaLedger, QuotaReply, QuotaStep,
-    QuotaTransfer, RuleSet, TeamQuota,
+    choose_issuer, choose_successor, grant_ttl, AttemptEnd, EntryCensus, IssuerChoice, LiveShare,
+    PeerReach, PlacementWork, QuotaAmount, QuotaAsk, QuotaGrant, QuotaIssuer, QuotaLedger,
+    QuotaReply, QuotaStep, QuotaTransfer, RuleSet, TeamQuota, TimedReply,
 };
 use applefold_core::id::{InstanceId, TeamId};
 use applefold_core::rank::NameRank;
@@ -35,6 +35,9 @@
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 /// The number of known entries is sent every this many ticks.
 const COUNT_TICKS: u64 = 10;
+/// `Retry-After` of an entry that is about to end and gets no reply from the issuer. It has given up
+/// its own share; another entry serves the next attempt.
+const RETIRED_WAIT: TimeSpan = TimeSpan::from_millis(100);
 /// The time after its start by which an entry knows the others, or nobody can tell it. Before that
 /// it issues nothing by itself.
 const DISCOVERY_TIME: TimeSpan = TimeSpan::from_millis(1_500);
@@ -79,6 +82,15 @@
     amount: u64,
 }
 
+/// What an entry says of the number of entries.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum EntryCount {
+    /// It knows this many.
+    Known(u32),
+    /// It is about to end, and issues nothing more.
+    Retiring,
+}
+
 /// A question that has not been answered.
 #[derive(Debug)]
 struct PendingQuota {
@@ -98,6 +110,8 @@
     census: RefCell<EntryCensus>,
     /// When [`run`] has started; `None` before.
     started_at: Cell<Option<TimePoint>>,
+    /// Whether this entry was about to end at the last tick.
+    retiring: Cell<bool>,
     last_ticket: Cell<u64>,
     pending: RefCell<BTreeMap<u64, PendingQuota>>,
 }
@@ -251,7 +265,10 @@
             };
             let (now, mut ledger) = (self.now(), desk.ledger.borrow_mut());
             step = match reply {
-                Some(reply) => ledger.apply(team, quota, cost, reply, expires_at, now),
+                Some(reply) => {
+                    let timed = TimedReply { reply, expires_at };
+                    ledger.apply(team, quota, cost, timed, now)
+                }
                 None => ledger.check(team, quota, cost, now),
             };
         }
@@ -260,7 +277,10 @@
             source = CheckSource::OwnShare;
             let known = desk.census.borrow().known();
             let mut ledger = desk.ledger.borrow_mut();
-            step = ledger.fall_back(team, quota, cost, known, now);
+            step = match self.drain.borrow().is_stopping() {
+                true => QuotaStep::Refused(RETIRED_WAIT),
+                false => ledger.fall_back(team, quota, cost, known, now),
+            };
         }
         let charged = matches!(step, QuotaStep::Charged(_));
         let outcome = source.name(charged);
@@ -345,7 +365,10 @@
     /// Adds what a peer had left of a team's quota to the bucket.
     pub(crate) fn receive_handover(&self, peer: &InstanceId, handover: &QuotaHandover) {
         let team = handover.team.parse::<TeamId>();
-        let team = team.ok().filter(|team| self.issues_quota(team));
+        // A sender that is about to end may still count as the issuer here.
+        let issues =
+            |team: &TeamId| matches!(self.quota_issuer(team, Some(peer)), IssuerEntry::Own);
+        let team = team.ok().filter(issues);
         let Some(team) = team else {
             log::debug!(peer = peer.as_str(), team = handover.team.as_str();
                 "unused quota of a team ignored: this entry does not issue the team's quota");
@@ -359,10 +382,13 @@
         self.quotas.issuer.borrow_mut().receive(&transfer, now);
     }
 
-    /// Records the number of entries that a peer knows.
-    pub(crate) fn note_entry_count(&self, peer: &InstanceId, known: u64, now: TimePoint) {
+    /// Records what a peer says of the number of entries.
+    pub(crate) fn note_entry_count(&self, peer: &InstanceId, count: EntryCount, now: TimePoint) {
         let mut census = self.quotas.census.borrow_mut();
-        census.note_report(peer, known, now);
+        match count {
+            EntryCount::Known(known) => census.note_report(peer, u64::from(known), now),
+            EntryCount::Retiring => census.note_retirement(peer, now),
+        }
     }
 
     /// Refills the buckets of this entry, passes on those that it no longer holds, and reports the
@@ -380,10 +406,24 @@
         }
         let peers: Vec<InstanceId> = self.peers.borrow().names().cloned().collect();
         self.quotas.census.borrow_mut().note_listed(peers, now);
-        let reach = self.peers.borrow().reach(&own, now);
+        let retiring = self.drain.borrow().is_stopping();
+        // The successors first get what this entry holds; until the others hear of the end, they
+        // still ask here and are referred on.
+        let announces = self.quotas.retiring.replace(retiring);
+        if announces || (send_count && !retiring) {
+            let listed = self.quotas.census.borrow().listed();
+            let count = match retiring {
+                true => EntryCount::Retiring,
+                false => EntryCount::Known(u32::try_from(listed).unwrap_or(u32::MAX)),
+            };
+            for address in self.peers.borrow().addresses() {
+                gossip::send_to(self, address, GossipPayload::EntryCount(count));
+            }
+        }
+        let reach = self.quota_reach(None, now);
         let own_rank = reader_name_rank(&own);
         let held = quotas.iter().filter(|(team, _)| {
-            choose_issuer(own_rank, &reach, team_rank(team)) == IssuerChoice::Own
+            !retiring && choose_issuer(own_rank, &reach, team_rank(team)) == IssuerChoice::Own
         });
         let held = held.map(|(team, quota)| (*team, *quota));
         let share = self.quota_share();
@@ -401,13 +441,6 @@
                 self.report_debt(&team, quota, debt);
             }
         }
-        if send_count && !quotas.is_empty() {
-            let listed = self.quotas.census.borrow().listed();
-            let listed = u32::try_from(listed).unwrap_or(u32::MAX);
-            for address in self.peers.borrow().addresses() {
-                gossip::send_to(self, address, GossipPayload::EntryCount(listed));
-            }
-        }
     }
 
     /// Returns to the issuer what a request has not used.
@@ -431,6 +464,10 @@
         };
         log::info!(issuer = id.as_str(), team = transfer.team.as_str(), amount = transfer.amount.0;
             "unused quota of a team passed to its issuer");
+        if self.drain.borrow().is_stopping() {
+            let retiring = GossipPayload::EntryCount(EntryCount::Retiring);
+            gossip::send_to(self, address, retiring);
+        }
         let handover = QuotaHandover {
             team: SmolStr::new(transfer.team.as_str()),
             amount: transfer.amount.0,
@@ -519,12 +556,27 @@
 
     /// Returns the entry that issues the quota of a team, as far as this entry can tell.
     fn quota_issuer(&self, team: &TeamId, declined: Option<&InstanceId>) -> IssuerEntry {
+        let own = reader_name_rank(&self.settings().instance);
+        let (reach, team) = (self.quota_reach(declined, self.now()), team_rank(team));
+        let index = match self.drain.borrow().is_stopping() {
+            true => choose_successor(&reach, team),
+            false => match choose_issuer(own, &reach, team) {
+                IssuerChoice::Own => None,
+                IssuerChoice::Peer(index) => Some(index),
+            },
+        };
+        let peer = index.and_then(|index| self.peers.borrow().peer_at(index));
+        peer.map_or(IssuerEntry::Own, |(id, address)| {
+            IssuerEntry::Peer(id, address)
+        })
+    }
+
+    /// Returns what this entry knows of the reach of its peers, without those that are about to end.
+    fn quota_reach(&self, declined: Option<&InstanceId>, now: TimePoint) -> Vec<PeerReach> {
+        let census = self.quotas.census.borrow();
         let own = &self.settings().instance;
-        let peers = self.peers.borrow();
-        match peers.issuer_of(own, team_rank(team), declined, self.now()) {
-            Some((id, address)) => IssuerEntry::Peer(id, address),
-            None => IssuerEntry::Own,
-        }
+        let excluded = |id: &InstanceId| declined == Some(id) || census.is_retired(id);
+        self.peers.borrow().reach_without(own, excluded, now)
     }
 
     /// Returns the share of the quotas that this entry issues; `None` shortly after its start.
@@ -534,7 +586,7 @@
         if now.since(started_at) < DISCOVERY_TIME {
             return None;
         }
-        let reach = self.peers.borrow().reach(&self.settings().instance, now);
+        let reach = self.quota_reach(None, now);
         let known = self.quotas.census.borrow().known();
         Some(LiveShare::of_peers(&reach, known))
     }
