--- a/crates/core/tests/direct_quota.rs
+++ b/crates/core/tests/direct_quota.rs
@@ -125,11 +125,23 @@
     wait: Option<u64>,
 }
 
+/// What an entry knows of the others that it has listed, and their numbers.
+type ReachView = (Vec<PeerReach>, Vec<usize>);
+
+/// A request that has asked the issuer `attempt` times.
+#[derive(Clone, Copy, Debug)]
+struct Asker {
+    entry: usize,
+    request: u64,
+    cost: u64,
+    attempt: usize,
+}
+
 struct Simulation {
     team: TeamId,
     names: Vec<InstanceId>,
     /// What each entry knows of the others, until the next gossip.
-    reaches: Vec<Option<Rc<(Vec<PeerReach>, Vec<usize>)>>>,
+    reaches: Vec<Option<Rc<ReachView>>>,
     ranks: Vec<NameRank>,
     entries: Vec<Entry>,
     registered_at: Vec<u64>,
@@ -312,8 +324,8 @@
     fn gossip(&mut self, now: u64) {
         let count = self.entries.len();
         let up: Vec<bool> = (0..count).map(|entry| self.is_up(entry, now)).collect();
-        for entry in 0..count {
-            if up[entry] && self.reaches_store(entry, now) {
+        for (entry, up) in up.iter().enumerate() {
+            if *up && self.reaches_store(entry, now) {
                 self.registered_at[entry] = now;
             }
         }
@@ -361,7 +373,7 @@
     }
 
     /// Returns what an entry knows of the others that it has listed, with their numbers.
-    fn reach(&mut self, entry: usize, now: u64) -> Rc<(Vec<PeerReach>, Vec<usize>)> {
+    fn reach(&mut self, entry: usize, now: u64) -> Rc<ReachView> {
         if let Some(known) = &self.reaches[entry] {
             return Rc::clone(known);
         }
@@ -370,7 +382,7 @@
         reach
     }
 
-    fn find_reach(&self, entry: usize, now: u64) -> (Vec<PeerReach>, Vec<usize>) {
+    fn find_reach(&self, entry: usize, now: u64) -> ReachView {
         let own = &self.entries[entry];
         let count = self.entries.len();
         let fresh = |other: usize| own.heard_at[other].is_some_and(|at| now - at <= REPORT_TIME);
@@ -445,7 +457,16 @@
                 let request = self.sequence;
                 let ledger = &mut self.entries[entry].ledger;
                 let step = ledger.admit(&self.team, &quota, QuotaAmount(cost), TimePoint(now));
-                self.follow(entry, request, cost, 0, step, now);
+                self.follow(
+                    Asker {
+                        entry,
+                        request,
+                        cost,
+                        attempt: 0,
+                    },
+                    step,
+                    now,
+                );
             }
             Event::Ask {
                 from,
@@ -507,7 +528,16 @@
                     ),
                     None => ledger.check(&self.team, &quota, amount, time),
                 };
-                self.follow(entry, request, cost, attempt + 1, step, now);
+                self.follow(
+                    Asker {
+                        entry,
+                        request,
+                        cost,
+                        attempt: attempt + 1,
+                    },
+                    step,
+                    now,
+                );
             }
             Event::Timeout { request, attempt } => {
                 let waits = self.waiting.get(&request).copied();
@@ -516,7 +546,16 @@
                     let quota = self.quota(entry, now);
                     let ledger = &mut self.entries[entry].ledger;
                     let step = ledger.check(&self.team, &quota, QuotaAmount(cost), TimePoint(now));
-                    self.follow(entry, request, cost, attempt + 1, step, now);
+                    self.follow(
+                        Asker {
+                            entry,
+                            request,
+                            cost,
+                            attempt: attempt + 1,
+                        },
+                        step,
+                        now,
+                    );
                 }
             }
             Event::Handover { from, to, transfer } => {
@@ -537,16 +576,14 @@
         }
     }
 
-    /// Does the next step for a request that has asked `attempt` times.
-    fn follow(
-        &mut self,
-        entry: usize,
-        request: u64,
-        cost: u64,
-        attempt: usize,
-        step: QuotaStep,
-        now: u64,
-    ) {
+    /// Does the next step for a request.
+    fn follow(&mut self, asker: Asker, step: QuotaStep, now: u64) {
+        let Asker {
+            entry,
+            request,
+            cost,
+            attempt,
+        } = asker;
         let wait = match step {
             QuotaStep::Charged(_) => None,
             QuotaStep::Refused(wait) => Some(wait.0),
@@ -557,7 +594,16 @@
                     let ledger = &mut self.entries[entry].ledger;
                     let amount = QuotaAmount(cost);
                     let step = ledger.fall_back(&self.team, &quota, amount, known, TimePoint(now));
-                    return self.follow(entry, request, cost, attempt, step, now);
+                    return self.follow(
+                        Asker {
+                            entry,
+                            request,
+                            cost,
+                            attempt,
+                        },
+                        step,
+                        now,
+                    );
                 };
                 let ttl = grant_ttl(TimeSpan(WINDOW), OVERAGE);
                 let expires_at = TimePoint(now) + ttl;
@@ -581,7 +627,16 @@
                         ),
                         None => ledger.check(&self.team, &quota, amount, time),
                     };
-                    return self.follow(entry, request, cost, attempt + 1, step, now);
+                    return self.follow(
+                        Asker {
+                            entry,
+                            request,
+                            cost,
+                            attempt: attempt + 1,
+                        },
+                        step,
+                        now,
+                    );
                 }
                 self.waiting.insert(request, (entry, cost, attempt));
                 let expires_at = expires_at.0;
--- a/crates/daemon/src/gateway/quotas.rs
+++ b/crates/daemon/src/gateway/quotas.rs
@@ -216,7 +216,7 @@
         actix_rt::time::sleep(TICK_PERIOD).await;
         ticks += 1;
         if let Some(rules) = state.rules() {
-            state.tick_quotas(&rules, ticks % COUNT_TICKS == 0);
+            state.tick_quotas(&rules, ticks.is_multiple_of(COUNT_TICKS));
         }
     }
 }
