--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -14,6 +14,7 @@
 use super::origins::OriginReport;
 use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
+use super::quotas::{EntryCount, QuotaAnswer, QuotaHandover, QuotaRequest};
 use super::replicas::ReplicaDigests;
 use super::state::GatewayState;
 
@@ -86,6 +87,14 @@
     StreamOrigins(Vec<OriginReport>),
     /// For how long the store has confirmed the list without a gap.
     StoreContinuity(ContinuityReport),
+    /// Asks for a part of a team's quota.
+    QuotaRequest(QuotaRequest),
+    /// The reply to that.
+    QuotaAnswer(QuotaAnswer),
+    /// What the sender has left of a team's quota, for the issuer.
+    QuotaHandover(QuotaHandover),
+    /// The number of entries that the sender knows, or that it is about to end.
+    EntryCount(EntryCount),
 }
 
 /// The encoding of the span of a [`StoreContinuity`](applefold_core::direct::StoreContinuity).
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -162,6 +162,26 @@
         peers.collect()
     }
 
+    /// Returns the same, with the peers that `excluded` holds for as out of reach.
+    pub(crate) fn reach_without<F>(
+        &self,
+        own: &InstanceId,
+        excluded: F,
+        now: TimePoint,
+    ) -> Vec<PeerReach>
+    where
+        F: Fn(&InstanceId) -> bool,
+    {
+        let mut reach = self.reach(own, now);
+        for (peer, name) in reach.iter_mut().zip(self.peers.keys()) {
+            if excluded(name) {
+                peer.heard = false;
+                peer.unheard_by = self.peers.len();
+            }
+        }
+        reach
+    }
+
     /// Returns the peer that issues the permits of the backend server with this rank; `None` if this
     /// entry, `own`, does.
     pub(crate) fn permit_issuer(
@@ -175,6 +195,11 @@
         else {
             return None;
         };
+        self.peer_at(index)
+    }
+
+    /// Returns the peer with this index in [`Self::reach`].
+    pub(crate) fn peer_at(&self, index: usize) -> Option<(InstanceId, SocketAddr)> {
         let (id, listed) = self.peers.iter().nth(index)?;
         let heard_at = self.states.get(id).map(|state| state.address);
         Some((id.clone(), heard_at.unwrap_or(*listed)))
