--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -21,6 +21,7 @@
 mod seal;
 mod send_state;
 mod server;
+mod speed;
 mod stream_origin;
 mod version;
 mod version_history;
@@ -50,9 +51,10 @@
 pub use seal::{SealStep, WindowSealer};
 pub use send_state::{SendDecision, SendEvent, SendState, TrialCause};
 pub use server::{
-    BackendHash, FlightId, FlightRecord, LoadSample, PeerLoad, ServerChange, ServerRow, ServerSpec,
-    ServerTable,
+    BackendHash, FirstToken, FlightId, FlightRecord, LoadSample, PeerLoad, ServerChange, ServerRow,
+    ServerSpec, ServerTable,
 };
+pub use speed::{PrefillWork, SpeedObservation};
 pub use stream_origin::{
     KnownStream, OriginSource, OriginTable, StreamKey, StreamOrigin, MIN_STREAM_LIFE,
 };
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -6,7 +6,7 @@
 
 use crate::code::{CallRefusal, ResultCode};
 use crate::direct::{
-    PromptShape, SendDecision, ServerRow, ServerTable, SoftwareVersion, VersionBound,
+    PrefillWork, PromptShape, SendDecision, ServerRow, ServerTable, SoftwareVersion, VersionBound,
 };
 use crate::id::{BackendId, DomainId, ServiceId};
 use crate::rank::NameRank;
@@ -122,10 +122,22 @@
     pub predicted: TimeSpan,
     /// The prompt tokens to prefill there.
     pub uncached: TokenCount,
+    /// The prompt tokens before them that it is expected to have cached.
+    pub cached: TokenCount,
     /// The number of backend servers that were compared.
     pub compared: usize,
 }
 
+impl Placement {
+    /// Returns what the backend server has to prefill.
+    pub fn prefill_work(&self) -> PrefillWork {
+        PrefillWork {
+            uncached: self.uncached,
+            cached: self.cached,
+        }
+    }
+}
+
 /// A backend server under comparison, with its predicted cost.
 struct Candidate<'a> {
     row: &'a ServerRow,
@@ -136,7 +148,7 @@
     unloaded: TimeSpan,
     /// Costs to other requests, expressed as time. They count in the comparison only.
     bias: TimeSpan,
-    uncached: TokenCount,
+    prefill: PrefillWork,
 }
 
 impl PlacementPolicy {
@@ -177,13 +189,14 @@
         let Some(best) = best else {
             return Err(self.missing());
         };
-        self.check_time(&best, request)?;
+        self.check_time(&best, request, now)?;
         Ok(Placement {
             backend: best.row.spec.id.clone(),
             version: best.row.spec.version.clone(),
             work: best.work,
             predicted: best.cost,
-            uncached: best.uncached,
+            uncached: best.prefill.uncached,
+            cached: best.prefill.cached,
             compared,
         })
     }
@@ -275,11 +288,13 @@
     /// Refuses a request that would miss its deadline, or that would be late after a long wait. The
     /// refusal states when a retry may be in time.
     ///
-    /// A decode is not refused for being late, since that would waste the prefill.
+    /// A decode is not refused for being late, since that would waste the prefill. An engine that has been
+    /// idle gets a trial request, which shows whether it still is as slow as predicted.
     fn check_time(
         &self,
         best: &Candidate<'_>,
         request: &PlacementRequest<'_>,
+        now: TimePoint,
     ) -> Result<(), CallRefusal> {
         let wait = best.cost.saturating_sub(best.unloaded);
         let max_wait = TimeSpan(request.latency_objective.0 * self.max_wait_percent / 100);
@@ -288,7 +303,7 @@
         let needs_prefill =
             request.prompt.is_some() && !matches!(request.stage, PlacementStage::Decode(_));
         let refused = hopeless || (late && needs_prefill);
-        if !refused {
+        if !refused || best.row.is_trial_due(now) {
             return Ok(());
         }
         let excess = best.cost.saturating_sub(request.latency_objective);
@@ -385,16 +400,16 @@
         };
         let assigned = self.assigned_engines(rows, request);
         let candidates = rows.iter().map(|row| {
-            let (uncached, recomputed) = self.uncached(row, prompt, &assigned);
-            let prefill =
-                row.base_ttft(now) + row.prefill_time(uncached + self.queued_tokens(row, now), now);
+            let (prefill, recomputed) = self.prefill_work(row, prompt, &assigned);
+            let unloaded = row.base_ttft(now) + row.work_time(prefill, now) + handoff;
+            let queued = row.prefill_time(self.queued_tokens(row, now), now);
             Candidate {
                 row,
                 work: PlacementWork::Prefill,
-                cost: prefill + handoff + self.handoff_cost,
-                unloaded: row.base_ttft(now) + row.prefill_time(uncached, now) + handoff,
+                cost: unloaded + queued + self.handoff_cost,
+                unloaded,
                 bias: row.prefill_time(recomputed, now),
-                uncached,
+                prefill,
             }
         });
         candidates.collect()
--- a/crates/core/src/direct/placement/predict.rs
+++ b/crates/core/src/direct/placement/predict.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{Candidate, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork};
-use crate::direct::{PromptShape, ServerRow};
+use crate::direct::{PrefillWork, PromptShape, ServerRow};
 use crate::id::BackendId;
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
 
@@ -18,47 +18,50 @@
         distance_cost: TimeSpan,
         now: TimePoint,
     ) -> Candidate<'a> {
-        let (uncached, recomputed) = match (request.prompt, request.stage) {
-            (None, _) | (_, PlacementStage::Decode(_)) => (TokenCount::ZERO, TokenCount::ZERO),
-            (Some(prompt), _) => self.uncached(row, prompt, assigned),
+        let (prefill, recomputed) = match (request.prompt, request.stage) {
+            (None, _) | (_, PlacementStage::Decode(_)) => {
+                (PrefillWork::default(), TokenCount::ZERO)
+            }
+            (Some(prompt), _) => self.prefill_work(row, prompt, assigned),
         };
+        let prefill_time = row.work_time(prefill, now);
         let time = match request.prompt {
             None => self.predict_call(row, now),
             Some(_) => {
-                let prefill = row.prefill_time(uncached + self.queued_tokens(row, now), now);
+                let queued = row.prefill_time(self.queued_tokens(row, now), now);
                 let concurrent = TimeSpan(self.concurrent_cost.0 * row.total_in_flight(now));
-                row.base_ttft(now) + prefill + concurrent + slot_wait(row, now)
+                row.base_ttft(now) + queued + prefill_time + concurrent + slot_wait(row, now)
             }
         };
-        let prefill_us = row.prefill_time(uncached, now).0;
         let interference =
-            TimeSpan(prefill_us * row.total_in_flight(now) * self.interference_percent / 100);
+            TimeSpan(prefill_time.0 * row.total_in_flight(now) * self.interference_percent / 100);
         Candidate {
             row,
             work: PlacementWork::Run,
             cost: time + distance_cost,
-            unloaded: row.base_ttft(now) + row.prefill_time(uncached, now),
+            unloaded: row.base_ttft(now) + prefill_time,
             bias: interference + row.prefill_time(recomputed, now),
-            uncached,
+            prefill,
         }
     }
 
-    /// Returns the prompt tokens to prefill, and the tokens that count in addition because the shared
-    /// parts are assigned to, or cached on, another engine.
-    pub(super) fn uncached(
+    /// Returns what is to prefill, and the tokens that count in addition because the shared parts are
+    /// assigned to, or cached on, another engine.
+    pub(super) fn prefill_work(
         &self,
         row: &ServerRow,
         prompt: &PromptShape,
         assigned: &BTreeSet<BackendId>,
-    ) -> (TokenCount, TokenCount) {
+    ) -> (PrefillWork, TokenCount) {
         let cached = row.cached(&prompt.parts);
         let uncached = prompt.prompt_tokens.saturating_sub(cached);
+        let work = PrefillWork { uncached, cached };
         if assigned.contains(&row.spec.id) {
-            return (uncached, TokenCount::ZERO);
+            return (work, TokenCount::ZERO);
         }
         let shared: TokenCount = prompt.shared().iter().map(|part| part.tokens).sum();
         let extra = shared.saturating_sub(cached).0 * self.recompute_percent / 100;
-        (uncached, TokenCount(extra))
+        (work, TokenCount(extra))
     }
 
     /// Returns the prompt tokens that are queued before a new request.
@@ -75,7 +78,8 @@
         let waiting = load.map_or(0, |load| u64::from(load.waiting));
         let queued = row.total_in_flight(now).max(waiting);
         let slots = u64::from(row.spec.slots.max(1));
-        TimeSpan(row.mean_call_time().0 + row.mean_call_time().0 * queued / slots)
+        let usual = TimeSpan(row.mean_call_time().0 + row.mean_call_time().0 * queued / slots);
+        row.slowed(usual, now)
     }
 }
 
--- a/crates/core/src/direct/server.rs
+++ b/crates/core/src/direct/server.rs
@@ -2,14 +2,18 @@
 
 mod row;
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use smol_str::SmolStr;
 
 use crate::direct::estimate::ewma;
+use crate::direct::speed::{Observer, SpeedCurve};
 use crate::direct::{
-    LimitEffect, LimitStatement, PromptPart, SendEvent, SendState, SoftwareVersion,
+    LimitEffect, LimitStatement, PrefillWork, PromptPart, SendEvent, SendState, SoftwareVersion,
+    SpeedObservation,
 };
 use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
@@ -79,6 +83,9 @@
     pub waiting: u32,
     /// The number of requests that it can run concurrently.
     pub slots: u32,
+    /// How long work takes on its machine at the moment, in percent of the usual time; `None` if the
+    /// backend server does not report it.
+    pub slowdown_percent: Option<u32>,
 }
 
 /// A request of this entry that is in flight at a backend server.
@@ -87,13 +94,26 @@
     /// The time when it was sent.
     pub sent_at: TimePoint,
     /// The prompt tokens that the engine was expected to prefill for it.
-    pub uncached: TokenCount,
+    pub work: PrefillWork,
     /// The prompt tokens of other requests that were queued before it.
     pub queued_ahead: TokenCount,
+    /// The predicted time to its first token.
+    pub predicted: TimeSpan,
     /// Whether its first token has arrived.
     pub first_token_seen: bool,
 }
 
+/// What the first token of a request shows about the speed of its engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FirstToken {
+    /// The engine.
+    pub backend: BackendHash,
+    /// The time that it took, and its work.
+    pub observation: SpeedObservation,
+    /// The time that had been predicted when the request was sent.
+    pub predicted: TimeSpan,
+}
+
 /// The requests that an entry has in flight at a backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeerLoad {
@@ -115,6 +135,8 @@
     rows: BTreeMap<BackendId, ServerRow>,
     hashes: BTreeMap<BackendHash, BackendId>,
     services: BTreeMap<ServiceId, BTreeSet<BackendId>>,
+    /// The cost curves, which the rows share.
+    curves: BTreeMap<(ServiceId, BackendRole), Rc<Cell<SpeedCurve>>>,
     flights: BTreeMap<FlightId, BackendId>,
     last_flight: u64,
     /// The incarnations, by name and start time, that announced that they leave and are no longer
@@ -152,6 +174,9 @@
             return None;
         }
         let starts_draining = spec.draining && !row.spec.draining;
+        if row.spec.role != spec.role {
+            row.curve = shared_curve(&mut self.curves, &spec);
+        }
         row.spec = spec;
         match starts_draining {
             true => Some(ServerChange::Draining),
@@ -327,21 +352,24 @@
     }
 
     /// Records that a request is being sent; returns its number, or `None` if the backend server is
-    /// not listed. `uncached` is the number of prompt tokens that it has to prefill.
-    pub fn begin(
-        &mut self,
-        id: &BackendId,
-        uncached: TokenCount,
-        now: TimePoint,
-    ) -> Option<FlightId> {
+    /// not listed. `work` is what it has to prefill.
+    pub fn begin<W>(&mut self, id: &BackendId, work: W, now: TimePoint) -> Option<FlightId>
+    where
+        W: Into<PrefillWork>,
+    {
+        let work = work.into();
         let row = self.rows.get_mut(id)?;
         self.last_flight += 1;
         let flight = FlightId(self.last_flight);
         row.send_state = row.send_state.after(SendEvent::Sent(flight), now);
+        let queued_ahead = row.backlog(now);
+        let predicted =
+            row.base_ttft(now) + row.prefill_time(queued_ahead, now) + row.work_time(work, now);
         let record = FlightRecord {
             sent_at: now,
-            uncached,
-            queued_ahead: row.backlog(now),
+            work,
+            queued_ahead,
+            predicted,
             first_token_seen: false,
         };
         row.flights.insert(flight, record);
@@ -350,21 +378,41 @@
     }
 
     /// Records that the first token of a request has arrived, and that the backend server caches its
-    /// prompt from now on.
-    pub fn first_token(&mut self, flight: FlightId, parts: &[PromptPart], now: TimePoint) {
-        let id = self.flights.get(&flight);
-        let Some(row) = id.and_then(|id| self.rows.get_mut(id)) else {
-            return;
-        };
-        let Some(record) = row.flights.get_mut(&flight) else {
-            return;
-        };
+    /// prompt from now on. Returns what that shows about the speed of the backend server.
+    pub fn first_token(
+        &mut self,
+        flight: FlightId,
+        parts: &[PromptPart],
+        now: TimePoint,
+    ) -> Option<FirstToken> {
+        let id = self.flights.get(&flight)?;
+        let row = self.rows.get_mut(id)?;
+        let record = row.flights.get_mut(&flight)?;
         record.first_token_seen = true;
         row.send_state = row.send_state.after(SendEvent::Answered(flight), now);
         row.rejections = 0;
         let record = *record;
-        row.learn_first_token(record, now);
+        let observation = row.observation(record, now);
+        row.learn_first_token(&observation, Observer::Own, now);
         row.cache_parts(parts, now);
+        Some(FirstToken {
+            backend: row.name_hash(),
+            observation,
+            predicted: record.predicted,
+        })
+    }
+
+    /// Records a first token that a peer has received.
+    pub fn record_peer_token(
+        &mut self,
+        backend: BackendHash,
+        observation: &SpeedObservation,
+        now: TimePoint,
+    ) {
+        let id = self.hashes.get(&backend);
+        if let Some(row) = id.and_then(|id| self.rows.get_mut(id)) {
+            row.learn_first_token(observation, Observer::Peer, now);
+        }
     }
 
     /// Records the end of a request; `answered` tells whether its response was complete.
@@ -383,7 +431,7 @@
         match row.flights.remove(&flight) {
             Some(record) if answered => {
                 row.rejections = 0;
-                let span = now.since(record.sent_at);
+                let span = row.unslowed(now.since(record.sent_at), now);
                 row.mean_call_time = TimeSpan(ewma(row.mean_call_time.0, span.0));
             }
             Some(record) if !record.first_token_seen => row.learn_missing_token(record, now),
@@ -397,7 +445,8 @@
         let left = self
             .left_incarnations
             .contains(&(spec.id.clone(), spec.started_at_ms));
-        let mut row = ServerRow::new(spec);
+        let curve = shared_curve(&mut self.curves, &spec);
+        let mut row = ServerRow::new(spec, curve);
         row.send_state = match (left, row.spec.draining) {
             (true, _) => SendState::Leaving,
             (false, true) => SendState::Draining {
@@ -410,6 +459,16 @@
     }
 }
 
+/// Returns the cost curve of the engines that have the service and the role of `spec`.
+fn shared_curve(
+    curves: &mut BTreeMap<(ServiceId, BackendRole), Rc<Cell<SpeedCurve>>>,
+    spec: &ServerSpec,
+) -> Rc<Cell<SpeedCurve>> {
+    let curve = curves.entry((spec.service.clone(), spec.role));
+    let curve = curve.or_insert_with(|| Rc::new(Cell::new(SpeedCurve::new(spec.role))));
+    Rc::clone(curve)
+}
+
 /// Returns the event for the state that the list shows.
 fn listing_event(spec: &ServerSpec) -> SendEvent {
     match spec.draining {
--- a/crates/core/src/direct/server/row.rs
+++ b/crates/core/src/direct/server/row.rs
@@ -1,37 +1,31 @@
 //! The state of one backend server, as an entry sees it.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use smol_str::SmolStr;
 
 use super::{BackendHash, FlightRecord, LoadSample, PeerLoad, ServerSpec};
-use crate::direct::estimate::DecayingEstimate;
-use crate::direct::{PromptPart, RateLimit, SendDecision, SendState};
+use crate::direct::speed::{EngineSpeed, Observer, SpeedCurve};
+use crate::direct::{
+    PrefillWork, PromptPart, RateLimit, SendDecision, SendState, SpeedObservation,
+};
 use crate::rank::NameRank;
-use crate::routing::{BackendRole, FlightId};
+use crate::routing::FlightId;
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
 
-/// The smallest number of prompt tokens from which a prefill rate is learned. With fewer, the time
-/// to the first token depends more on its fixed part than on the rate.
-const MIN_RATE_TOKENS: TokenCount = TokenCount(512);
 /// The KV cache capacity assumed for an engine whose service does not state it.
 const DEFAULT_KV_CAPACITY: TokenCount = TokenCount(262_144);
-/// The prompt tokens per second assumed for an engine that only runs prefills, before its first
-/// response.
-const DEFAULT_PREFILL_RATE: u64 = 60_000;
-/// The same for an engine that runs prefills between decode steps.
-const DEFAULT_MIXED_RATE: u64 = 20_000;
-/// The most times faster or slower than the baseline that an engine's rate is learned to be. The
-/// limit keeps one outlier from taking the engine out of use or drawing all requests to it.
-const MAX_RATE_RATIO: u64 = 6;
-/// The longest fixed time to a first token that is learned.
-const MAX_TTFT: TimeSpan = TimeSpan::from_millis(300);
-/// The shortest prefill time that a rate is computed with.
-const MIN_WORK_TIME: TimeSpan = TimeSpan::from_millis(2);
 /// The age after which a load reported by a peer is ignored.
 const MAX_PEER_AGE: TimeSpan = TimeSpan::from_millis(1_500);
-/// The time to a first token of an empty prompt, assumed before the first response.
-const DEFAULT_TTFT: TimeSpan = TimeSpan::from_millis(40);
+/// The age after which the slowdown that a backend server reported is ignored. It changes several
+/// times per second.
+const MAX_SLOWDOWN_AGE: TimeSpan = TimeSpan::from_millis(400);
+/// The slowdown of a machine that works as usual, in percent.
+const USUAL_SLOWDOWN: f64 = 100.0;
+/// The time of a complete call, assumed before the first response.
+const DEFAULT_CALL_TIME: TimeSpan = TimeSpan::from_millis(40);
 
 #[derive(Clone, Copy, Debug)]
 struct CachedPart {
@@ -59,19 +53,16 @@
     pub(super) peers: Vec<Option<(PeerLoad, TimePoint)>>,
     parts: BTreeMap<SmolStr, CachedPart>,
     pub(super) kv_capacity: TokenCount,
-    pub(super) base_ttft: DecayingEstimate,
-    pub(super) prefill_rate: DecayingEstimate,
+    /// The cost curve that it shares with the engines of its service that have its role.
+    pub(super) curve: Rc<Cell<SpeedCurve>>,
+    pub(super) speed: EngineSpeed,
     pub(super) mean_call_time: TimeSpan,
     /// The number of requests in a row that were rejected after a backoff.
     pub(super) rejections: u32,
 }
 
 impl ServerRow {
-    pub(super) fn new(spec: ServerSpec) -> Self {
-        let prefill_rate = match spec.role {
-            BackendRole::Prefill => DEFAULT_PREFILL_RATE,
-            BackendRole::Both | BackendRole::Decode | BackendRole::Plain => DEFAULT_MIXED_RATE,
-        };
+    pub(super) fn new(spec: ServerSpec, curve: Rc<Cell<SpeedCurve>>) -> Self {
         Self {
             name_rank: NameRank::of("backend", spec.id.as_str()),
             spec,
@@ -83,10 +74,10 @@
             peers: Vec::new(),
             parts: BTreeMap::new(),
             kv_capacity: DEFAULT_KV_CAPACITY,
-            base_ttft: DecayingEstimate::new(DEFAULT_TTFT.0),
-            prefill_rate: DecayingEstimate::new(prefill_rate),
+            curve,
+            speed: EngineSpeed::UNKNOWN,
             rejections: 0,
-            mean_call_time: DEFAULT_TTFT,
+            mean_call_time: DEFAULT_CALL_TIME,
         }
     }
 
@@ -142,7 +133,7 @@
             .filter(|flight| !flight.first_token_seen);
         PeerLoad {
             flights: self.flights.len() as u32,
-            backlog: waiting.map(|flight| flight.uncached).sum(),
+            backlog: waiting.map(|flight| flight.work.uncached).sum(),
         }
     }
 
@@ -168,14 +159,50 @@
         kept.map(|part| part.tokens).sum()
     }
 
-    /// Returns the time to prefill `tokens`.
+    /// Returns the time to prefill queued prompts of this length in total.
     pub fn prefill_time(&self, tokens: TokenCount, now: TimePoint) -> TimeSpan {
-        TimeSpan(tokens.0 * 1_000_000 / self.prefill_rate.value(now).max(1))
+        let time = self.speed.queued_time(&self.curve.get(), tokens, now);
+        self.slowed(time, now)
+    }
+
+    /// Returns the time to prefill one prompt.
+    pub fn work_time(&self, work: PrefillWork, now: TimePoint) -> TimeSpan {
+        let time = self.speed.work_time(&self.curve.get(), work, now);
+        self.slowed(time, now)
     }
 
     /// Returns the fixed part of the time to a first token, without the prefill.
     pub fn base_ttft(&self, now: TimePoint) -> TimeSpan {
-        TimeSpan(self.base_ttft.value(now))
+        self.speed.base(&self.curve.get(), now)
+    }
+
+    /// Returns how long work takes at the moment, as a multiple of the usual time. The weight of the
+    /// last report decreases with its age.
+    pub fn slowdown(&self, now: TimePoint) -> f64 {
+        let Some((sample, at)) = self.load else {
+            return 1.0;
+        };
+        let (Some(percent), age) = (sample.slowdown_percent, now.since(at)) else {
+            return 1.0;
+        };
+        let freshness = MAX_SLOWDOWN_AGE.saturating_sub(age).0 as f64 / MAX_SLOWDOWN_AGE.0 as f64;
+        1.0 + (f64::from(percent) / USUAL_SLOWDOWN - 1.0) * freshness
+    }
+
+    /// Returns the time that work takes at the moment which usually takes `time`.
+    pub(in crate::direct) fn slowed(&self, time: TimeSpan, now: TimePoint) -> TimeSpan {
+        TimeSpan((time.0 as f64 * self.slowdown(now)) as u64)
+    }
+
+    /// Returns the usual time of work that has taken `time` until now.
+    pub(super) fn unslowed(&self, time: TimeSpan, now: TimePoint) -> TimeSpan {
+        TimeSpan((time.0 as f64 / self.slowdown(now).max(f64::EPSILON)) as u64)
+    }
+
+    /// Returns whether a request may be sent as a trial although the prediction is too slow for it.
+    /// One trial at a time corrects a prediction that keeps all other requests away.
+    pub fn is_trial_due(&self, now: TimePoint) -> bool {
+        self.total_in_flight(now) == 0 && self.speed.is_trial_due(now)
     }
 
     /// Returns the moving average of the time of a complete call.
@@ -209,39 +236,32 @@
         }
     }
 
-    /// Updates the estimates with the time to a first token that has arrived.
-    pub(super) fn learn_first_token(&mut self, flight: FlightRecord, now: TimePoint) {
-        let span = now.since(flight.sent_at);
-        if flight.uncached + flight.queued_ahead < MIN_RATE_TOKENS {
-            let span = span.min(MAX_TTFT);
-            self.base_ttft.record(span.0, now);
-            return;
-        }
-        if let Some(rate) = self.measured_rate(flight, span, now) {
-            self.prefill_rate.record(rate, now);
+    /// Returns what the time to a first token, or to the end of a request without one, shows about
+    /// the speed.
+    pub(super) fn observation(&self, flight: FlightRecord, now: TimePoint) -> SpeedObservation {
+        SpeedObservation {
+            tokens: flight.work.uncached + flight.queued_ahead,
+            pairs: flight.work.pairs(),
+            span: self.unslowed(now.since(flight.sent_at), now),
         }
     }
 
-    /// Updates the prefill rate with a request that ended before its first token. The engine is at
-    /// most as fast as if the token had arrived at the end.
-    pub(super) fn learn_missing_token(&mut self, flight: FlightRecord, now: TimePoint) {
-        let span = now.since(flight.sent_at);
-        let rate = self.measured_rate(flight, span, now);
-        if let Some(rate) = rate.filter(|rate| *rate < self.prefill_rate.value(now)) {
-            self.prefill_rate.record(rate, now);
-        }
+    /// Updates the speed with a first token that has arrived.
+    pub(super) fn learn_first_token(
+        &mut self,
+        observation: &SpeedObservation,
+        observer: Observer,
+        now: TimePoint,
+    ) {
+        let mut curve = self.curve.get();
+        self.speed.record(&mut curve, observation, observer, now);
+        self.curve.set(curve);
     }
 
-    /// Returns the prefill rate, in tokens per second, that follows from a first token after `span`.
-    /// Returns `None` for too short prompts.
-    fn measured_rate(&self, flight: FlightRecord, span: TimeSpan, now: TimePoint) -> Option<u64> {
-        let tokens = flight.uncached + flight.queued_ahead;
-        if tokens < MIN_RATE_TOKENS {
-            return None;
-        }
-        let work = span.saturating_sub(self.base_ttft(now)).max(MIN_WORK_TIME);
-        let rate = tokens.0 * 1_000_000 / work.0;
-        let baseline = self.prefill_rate.baseline();
-        Some(rate.clamp(baseline / MAX_RATE_RATIO, baseline * MAX_RATE_RATIO))
+    /// Updates the speed with a request that ended before its first token.
+    pub(super) fn learn_missing_token(&mut self, flight: FlightRecord, now: TimePoint) {
+        let observation = self.observation(flight, now);
+        let curve = self.curve.get();
+        self.speed.record_missing(&curve, &observation, now);
     }
 }
--- a/crates/core/tests/direct_herd.rs
+++ b/crates/core/tests/direct_herd.rs
@@ -11,8 +11,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use applefold_core::direct::{
-    PlacementPolicy, PlacementRequest, PlacementStage, PromptPart, PromptShape, ServerTable,
-    VersionBound,
+    FirstToken, PlacementPolicy, PlacementRequest, PlacementStage, PromptPart, PromptShape,
+    ServerTable, VersionBound,
 };
 use applefold_core::id::{BackendId, InstanceId};
 use applefold_core::routing::BackendRole::{Decode, Prefill};
@@ -81,6 +81,7 @@
     let mut free_at: BTreeMap<BackendId, u64> = BTreeMap::new();
     let mut read: BTreeMap<SmolStr, BTreeSet<BackendId>> = BTreeMap::new();
     let mut prefills: Vec<Vec<(BackendId, PromptPart)>> = vec![Vec::new(); ENTRIES];
+    let mut tokens: Vec<Vec<FirstToken>> = vec![Vec::new(); ENTRIES];
     let mut flights: Vec<Flight> = Vec::new();
     let mut result = HerdResult::default();
     let (service, domain) = (service(), domain());
@@ -93,8 +94,9 @@
         flights = open;
         for flight in done {
             let table = &mut tables[flight.entry];
-            table.first_token(flight.id, &flight.prompt.parts, at);
+            let token = table.first_token(flight.id, &flight.prompt.parts, at);
             table.finish(flight.id, true, at);
+            tokens[flight.entry].extend(token);
             prefills[flight.entry].push((flight.backend, flight.prompt.parts[0].clone()));
         }
         // Each entry gossips once in each interval.
@@ -102,9 +104,13 @@
         if sender < ENTRIES {
             let loads = tables[sender].own_loads();
             let prefills = std::mem::take(&mut prefills[sender]);
+            let tokens = std::mem::take(&mut tokens[sender]);
             for (other, table) in tables.iter_mut().enumerate() {
                 if other != sender {
                     table.record_peer_loads(&names[sender], &loads, at);
+                    for token in &tokens {
+                        table.record_peer_token(token.backend, &token.observation, at);
+                    }
                     for (backend, part) in &prefills {
                         table.record_prefill(backend, std::slice::from_ref(part), at);
                     }
@@ -193,6 +199,31 @@
         let shortlist_size = PlacementPolicy::default().shortlist_size;
         let slow = mean_wait(&simulate(shortlist_size, 200_000, seed));
         let fast = mean_wait(&simulate(shortlist_size, 100_000, seed));
+        println!(
+            "seed {seed}: n {} p50 {} p90 {} p99 {} max {}",
+            {
+                let r = simulate(shortlist_size, 200_000, seed);
+                let w = &r.waits;
+                let _ = w;
+                r.waits.len()
+            },
+            {
+                let r = simulate(shortlist_size, 200_000, seed);
+                r.waits[r.waits.len() / 2]
+            },
+            {
+                let r = simulate(shortlist_size, 200_000, seed);
+                r.waits[r.waits.len() * 9 / 10]
+            },
+            {
+                let r = simulate(shortlist_size, 200_000, seed);
+                r.waits[r.waits.len() * 99 / 100]
+            },
+            {
+                let r = simulate(shortlist_size, 200_000, seed);
+                *r.waits.last().unwrap()
+            }
+        );
         println!("seed {seed}: mean wait {slow} us with gossip each 200 ms, {fast} us each 100 ms");
         assert!(10 * fast < 9 * slow, "{seed}");
     }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -40,6 +40,8 @@
 const MAX_LIFE_SIGNS: usize = 16;
 /// For how long the store has been available is sent every this many rounds.
 const CONTINUITY_ROUNDS: u64 = 4;
+/// Times to first tokens are sent every this many rounds.
+const SPEED_ROUNDS: u64 = 4;
 /// Usage counts are sent every this many rounds.
 const USAGE_ROUNDS: u64 = 8;
 /// The largest datagram that is sent, in bytes. It fits one packet, without fragmentation.
@@ -198,6 +200,13 @@
             let list = &state.replicas.list;
             list.merge_continuity(span, era, delay, source.received_at);
         }
+        GossipPayload::Speeds(reports) => {
+            let mut table = state.table.borrow_mut();
+            for report in reports {
+                let observation = report.observation();
+                table.record_peer_token(report.backend(), &observation, source.received_at);
+            }
+        }
         GossipPayload::PermitAnswer(answer) => state.receive_permit(answer),
         GossipPayload::ListUpdate(update) => {
             // If the update does not apply, the digests below trigger a fetch from the sender.
@@ -361,6 +370,12 @@
                 send(&state, &socket, &peers, GossipPayload::Prefills(prefills)).await;
             }
         }
+        if sequence % SPEED_ROUNDS == 0 {
+            let speeds = state.speeds.borrow_mut().take();
+            if !speeds.is_empty() {
+                send(&state, &socket, &peers, GossipPayload::Speeds(speeds)).await;
+            }
+        }
         if sequence % USAGE_ROUNDS == 0 {
             let delay = usage_delay(peers.len());
             for part in usage_counts(&state, delay) {
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -15,6 +15,7 @@
 use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
 use super::replicas::ReplicaDigests;
+use super::speeds::SpeedReport;
 use super::state::GatewayState;
 
 /// The most loads in one datagram.
@@ -86,6 +87,8 @@
     StreamOrigins(Vec<OriginReport>),
     /// For how long the store has confirmed the list without a gap.
     StoreContinuity(ContinuityReport),
+    /// Times to first tokens that the sender has observed.
+    Speeds(Vec<SpeedReport>),
 }
 
 /// The encoding of the span of a [`StoreContinuity`](applefold_core::direct::StoreContinuity).
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod request;
 mod resume;
 mod rules;
+mod speeds;
 mod sse;
 mod state;
 mod stop;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -34,6 +34,7 @@
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::prefills::PrefillQueue;
 use crate::gateway::replicas::ReplicaSet;
+use crate::gateway::speeds::SpeedQueue;
 use crate::gateway::store::StoreClient;
 use crate::gateway::suspect_parts::SuspectParts;
 use crate::gateway::suspects::SuspectTracker;
@@ -117,6 +118,8 @@
     pub(crate) peers: RefCell<PeerTable>,
     /// Prefills that engines have done for this entry, for gossip.
     pub(crate) prefills: RefCell<PrefillQueue>,
+    /// Times to first tokens that this entry has observed, for gossip.
+    pub(crate) speeds: RefCell<SpeedQueue>,
     /// The encoded configuration in force, for peers that cannot read it from the store.
     pub(crate) config: RefCell<Option<Bytes>>,
     wall_clock: RefCell<WallClock>,
@@ -181,6 +184,7 @@
             entry_count: Cell::new(ASSUMED_ENTRIES),
             peers: RefCell::default(),
             prefills: RefCell::default(),
+            speeds: RefCell::default(),
             config: RefCell::default(),
             wall_clock: RefCell::new(WallClock::new(clock.now(), since_epoch)),
             clock_skewed: Cell::new(false),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -80,6 +80,10 @@
     pub(crate) part_suspicions: Counter<u64>,
     /// Streams that callers resumed, by how their origin was found and by outcome.
     pub(crate) resumptions: Counter<u64>,
+    /// The predicted times to first tokens, in microseconds, by backend server.
+    pub(crate) predicted_micros: Counter<u64>,
+    /// The actual times to the same first tokens.
+    pub(crate) first_token_micros: Counter<u64>,
     /// Seconds until the first byte of a response.
     pub(crate) first_byte: Histogram<f64>,
     /// Seconds until the end of a response that is not streamed.
@@ -111,6 +115,8 @@
             suspicions: meter.u64_counter("applefold_crash_suspicions").build(),
             part_suspicions: meter.u64_counter("applefold_part_suspicions").build(),
             resumptions: meter.u64_counter("applefold_resumptions").build(),
+            predicted_micros: meter.u64_counter("applefold_predicted_micros").build(),
+            first_token_micros: meter.u64_counter("applefold_first_token_micros").build(),
             first_byte: meter
                 .f64_histogram("applefold_first_byte_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
