--- a/crates/core/src/direct/phase.rs
+++ b/crates/core/src/direct/phase.rs
@@ -11,6 +11,8 @@
 use crate::routing::BackendRole;
 use crate::unit::{TimePoint, TimeSpan};
 
+/// The ratio of the speeds of engines above which they are told apart.
+const SPEED_STEP: f64 = 1.4;
 /// The weight of the old average with each new sample.
 const EWMA_OLD_WEIGHT: f64 = 0.85;
 
@@ -30,6 +32,19 @@
     /// The share of all engines below which the decode phase gets one back, however long prefills
     /// wait.
     pub critical_decode_share: f64,
+    /// The share of used slots below which the decode phase is idle: it gives engines away for a
+    /// shorter prefill wait, and keeps fewer of them.
+    pub idle_decode_utilization: f64,
+    /// The prefill wait above which an idle decode phase gives an engine away, and above which engines
+    /// of different speeds are exchanged.
+    pub moderate_prefill_wait: TimeSpan,
+    /// The share of all engines that an idle decode phase keeps.
+    pub idle_min_decode_share: f64,
+    /// How many times faster than a prefill engine a decode engine must be for the two to be exchanged.
+    /// An exchange costs both engines the time of a change.
+    pub min_exchange_ratio: f64,
+    /// The most engines that change together. Each is out of service meanwhile.
+    pub max_joint_changes: usize,
     /// The time that a shortage must have lasted.
     pub stabilization: TimeSpan,
     /// The minimum time between two changes to the same phase.
@@ -49,6 +64,11 @@
             spare_decode_utilization: 0.50,
             min_decode_share: 0.40,
             critical_decode_share: 0.34,
+            idle_decode_utilization: 0.15,
+            moderate_prefill_wait: TimeSpan::from_millis(20),
+            idle_min_decode_share: 0.25,
+            min_exchange_ratio: 1.5,
+            max_joint_changes: 2,
             stabilization: TimeSpan::from_millis(800),
             cooldown: TimeSpan::from_millis(3_000),
             reversal_cooldown: TimeSpan::from_secs(8),
@@ -154,14 +174,14 @@
         });
     }
 
-    /// Updates the averages and returns the engine that is to change, if any.
+    /// Updates the averages and returns the engines that are to change.
     fn evaluate(
         &mut self,
         service: &ServiceId,
         rows: &[&ServerRow],
         now: TimePoint,
         policy: &PhasePolicy,
-    ) -> Option<PhaseChange> {
+    ) -> Vec<PhaseChange> {
         let serving = rows
             .iter()
             .copied()
@@ -170,7 +190,7 @@
         let (prefill_rows, decode_rows): (Vec<&ServerRow>, Vec<&ServerRow>) =
             unchanging.partition(|row| row.spec.role == BackendRole::Prefill);
         if prefill_rows.is_empty() || decode_rows.is_empty() {
-            return None;
+            return Vec::new();
         }
         self.update_averages(&prefill_rows, &decode_rows, now);
         let to = self.find_shortage(&prefill_rows, &decode_rows, policy);
@@ -179,32 +199,92 @@
             (Some(to), Some((known, since))) if known == to => Some((to, since)),
             (Some(to), _) => Some((to, now)),
         };
-        let (to, since) = self.shortage?;
-        if now.since(since) < policy.stabilization || !self.cooldown_elapsed(to, now, policy) {
-            return None;
-        }
-        let from = if to == BackendRole::Prefill {
-            &decode_rows
-        } else {
-            &prefill_rows
-        };
-        let others = if to == BackendRole::Prefill {
-            &prefill_rows
-        } else {
-            &decode_rows
+        let chosen = match self.shortage {
+            Some((to, since)) if now.since(since) >= policy.stabilization => {
+                self.choose_for(to, &prefill_rows, &decode_rows, now, policy)
+            }
+            Some(_) => Vec::new(),
+            None => self.choose_exchange(&prefill_rows, &decode_rows, now, policy),
         };
-        let chosen = choose(from, others, now)?;
-        self.changing.insert(chosen.spec.id.clone(), (to, now));
-        self.last_change = Some((to, now));
-        Some(PhaseChange {
-            service: service.clone(),
-            backend: chosen.spec.id.clone(),
-            to,
-            prefill_wait: TimeSpan(self.prefill_wait as u64),
-            decode_utilization: self.decode_utilization,
-            prefill_engines: prefill_rows.len(),
-            decode_engines: decode_rows.len(),
-        })
+        let changes = chosen.into_iter().map(|(row, to)| {
+            self.changing.insert(row.spec.id.clone(), (to, now));
+            self.last_change = Some((to, now));
+            PhaseChange {
+                service: service.clone(),
+                backend: row.spec.id.clone(),
+                to,
+                prefill_wait: TimeSpan(self.prefill_wait as u64),
+                decode_utilization: self.decode_utilization,
+                prefill_engines: prefill_rows.len(),
+                decode_engines: decode_rows.len(),
+            }
+        });
+        changes.collect()
+    }
+
+    /// Returns the engines that change to the phase that is short of engines: several for a large
+    /// shortage, as far as each of them alone would be allowed.
+    fn choose_for<'a>(
+        &self,
+        to: BackendRole,
+        prefill_rows: &[&'a ServerRow],
+        decode_rows: &[&'a ServerRow],
+        now: TimePoint,
+        policy: &PhasePolicy,
+    ) -> Vec<(&'a ServerRow, BackendRole)> {
+        if !self.cooldown_elapsed(to, now, policy) {
+            return Vec::new();
+        }
+        let (mut prefill_rows, mut decode_rows) = (prefill_rows.to_vec(), decode_rows.to_vec());
+        let mut chosen = Vec::new();
+        while chosen.len() < policy.max_joint_changes {
+            let large = self.prefill_wait > 2.0 * policy.max_prefill_wait.0 as f64;
+            let allowed = chosen.is_empty()
+                || (large && self.find_shortage(&prefill_rows, &decode_rows, policy) == Some(to));
+            let (from, others) = match to {
+                BackendRole::Prefill => (&mut decode_rows, &mut prefill_rows),
+                BackendRole::Both | BackendRole::Decode | BackendRole::Plain => {
+                    (&mut prefill_rows, &mut decode_rows)
+                }
+            };
+            let Some(row) = choose(from, others, to, now).filter(|_| allowed) else {
+                break;
+            };
+            from.retain(|other| other.spec.id != row.spec.id);
+            others.push(row);
+            chosen.push((row, to));
+        }
+        chosen
+    }
+
+    /// Returns a decode engine and a prefill engine that exchange their phases: prefills, for which
+    /// callers wait, belong on the fastest engines.
+    fn choose_exchange<'a>(
+        &self,
+        prefill_rows: &[&'a ServerRow],
+        decode_rows: &[&'a ServerRow],
+        now: TimePoint,
+        policy: &PhasePolicy,
+    ) -> Vec<(&'a ServerRow, BackendRole)> {
+        let waits = self.prefill_wait > policy.moderate_prefill_wait.0 as f64;
+        let idle = self.decode_utilization < policy.idle_decode_utilization;
+        let since_change = self.last_change.map(|(_, at)| now.since(at));
+        let elapsed = since_change.is_none_or(|span| span >= policy.cooldown);
+        if !waits || !idle || !elapsed || prefill_rows.len() < 2 || decode_rows.len() < 2 {
+            return Vec::new();
+        }
+        let time = |row: &&&ServerRow| (row.usual_time_ratio() * 1_000.0) as u64;
+        let fast = decode_rows.iter().min_by_key(time);
+        let slow = prefill_rows.iter().max_by_key(time);
+        match (fast, slow) {
+            (Some(fast), Some(slow))
+                if slow.usual_time_ratio()
+                    >= fast.usual_time_ratio() * policy.min_exchange_ratio =>
+            {
+                vec![(*slow, BackendRole::Decode), (*fast, BackendRole::Prefill)]
+            }
+            _ => Vec::new(),
+        }
     }
 
     /// Adds a sample to the averages.
@@ -239,14 +319,25 @@
         let share_after = self.decode_utilization * without_one(decode_rows.len());
         let wait_after = self.prefill_wait * without_one(prefill_rows.len());
         let total = (prefill_rows.len() + decode_rows.len()) as f64;
-        if prefill_rows.len() > 1
-            && (decode_rows.len() as f64) < total * policy.critical_decode_share
-        {
+        let idle = self.decode_utilization < policy.idle_decode_utilization;
+        let critical_share = match idle {
+            true => policy
+                .idle_min_decode_share
+                .min(policy.critical_decode_share),
+            false => policy.critical_decode_share,
+        };
+        if prefill_rows.len() > 1 && (decode_rows.len() as f64) < total * critical_share {
             return Some(BackendRole::Decode);
         }
-        let long_wait = self.prefill_wait > policy.max_prefill_wait.0 as f64;
-        let keeps_share = decode_rows.len() as f64 - 1.0 >= total * policy.min_decode_share;
-        if long_wait && keeps_share && share_after < policy.spare_decode_utilization {
+        let keeps = |share: f64| decode_rows.len() as f64 - 1.0 >= total * share;
+        let waits = |limit: TimeSpan| self.prefill_wait > limit.0 as f64;
+        let spare = share_after < policy.spare_decode_utilization;
+        let idle_after = share_after < policy.idle_decode_utilization;
+        if (waits(policy.max_prefill_wait) && keeps(policy.min_decode_share) && spare)
+            || (waits(policy.moderate_prefill_wait)
+                && keeps(policy.idle_min_decode_share)
+                && idle_after)
+        {
             return Some(BackendRole::Prefill);
         }
         let overloaded = self.decode_utilization > policy.max_decode_utilization;
@@ -269,11 +360,14 @@
     }
 }
 
-/// Returns the engine of `from` that is to change. It comes from the failure domain with the fewest
-/// engines of the new phase, `others`; among several, it is the one with the least work.
+/// Returns the engine of `from` that is to change to a phase, which `others` have. It is among the fastest
+/// ones for prefill, and among the slowest ones for decode. Of engines with like speeds, it comes from the
+/// failure domain with the fewest engines of the new phase; among several, it is the one with the
+/// least work.
 fn choose<'a>(
     from: &[&'a ServerRow],
     others: &[&ServerRow],
+    to: BackendRole,
     now: TimePoint,
 ) -> Option<&'a ServerRow> {
     let count_in_domain = |domain: &DomainId| {
@@ -283,7 +377,12 @@
             .count()
     };
     let key = |row: &&&ServerRow| {
+        let steps = (row.usual_time_ratio().ln() / SPEED_STEP.ln()).round() as i64;
         (
+            match to {
+                BackendRole::Prefill => steps,
+                BackendRole::Both | BackendRole::Decode | BackendRole::Plain => -steps,
+            },
             count_in_domain(&row.spec.domain),
             row.total_in_flight(now),
             row.backlog(now),
--- a/crates/core/src/direct/server/row.rs
+++ b/crates/core/src/direct/server/row.rs
@@ -176,6 +176,11 @@
         self.speed.base(&self.curve.get(), now)
     }
 
+    /// Returns how many times longer than the average engine of its service and role it usually takes.
+    pub fn usual_time_ratio(&self) -> f64 {
+        self.speed.usual_ratio()
+    }
+
     /// Returns how long work takes at the moment, as a multiple of the usual time. The weight of the
     /// last report decreases with its age.
     pub fn slowdown(&self, now: TimePoint) -> f64 {
--- a/crates/core/src/direct/speed.rs
+++ b/crates/core/src/direct/speed.rs
@@ -290,6 +290,11 @@
         observed_at: TimePoint::START,
     };
 
+    /// Returns how many times longer than by its service's curve the engine usually takes.
+    pub(super) fn usual_ratio(&self) -> f64 {
+        self.usual.log.exp()
+    }
+
     /// Returns how many times longer than by its service's curve the engine takes.
     fn factor(&self, now: TimePoint) -> f64 {
         let log = self.usual.log + self.deviation.value(now);
