--- a/crates/core/src/direct/phase.rs
+++ b/crates/core/src/direct/phase.rs
@@ -43,8 +43,9 @@
     /// How many times faster than a prefill engine a decode engine must be for the two to be exchanged.
     /// An exchange costs both engines the time of a change.
     pub min_exchange_ratio: f64,
-    /// The most engines that change together. Each is out of service meanwhile.
-    pub max_joint_changes: usize,
+    /// The share of all engines that may change together, at least one. Each is out of service
+    /// meanwhile.
+    pub max_joint_share: f64,
     /// The time that a shortage must have lasted.
     pub stabilization: TimeSpan,
     /// The minimum time between two changes to the same phase.
@@ -68,7 +69,7 @@
             moderate_prefill_wait: TimeSpan::from_millis(20),
             idle_min_decode_share: 0.25,
             min_exchange_ratio: 1.5,
-            max_joint_changes: 2,
+            max_joint_share: 0.10,
             stabilization: TimeSpan::from_millis(800),
             cooldown: TimeSpan::from_millis(3_000),
             reversal_cooldown: TimeSpan::from_secs(8),
@@ -102,6 +103,8 @@
     /// In microseconds.
     prefill_wait: f64,
     decode_utilization: f64,
+    /// Whether the averages have a sample.
+    sampled: bool,
     /// The phase that is short of engines, and since when.
     shortage: Option<(BackendRole, TimePoint)>,
     /// The last change, and when it was decided.
@@ -236,8 +239,10 @@
             return Vec::new();
         }
         let (mut prefill_rows, mut decode_rows) = (prefill_rows.to_vec(), decode_rows.to_vec());
+        let total = prefill_rows.len() + decode_rows.len();
+        let joint = ((total as f64 * policy.max_joint_share) as usize).max(1);
         let mut chosen = Vec::new();
-        while chosen.len() < policy.max_joint_changes {
+        while chosen.len() < joint {
             let large = self.prefill_wait > 2.0 * policy.max_prefill_wait.0 as f64;
             let allowed = chosen.is_empty()
                 || (large && self.find_shortage(&prefill_rows, &decode_rows, policy) == Some(to));
@@ -304,6 +309,11 @@
             .map(|row| u64::from(row.spec.slots))
             .sum();
         let share = used as f64 / slots.max(1) as f64;
+        if !self.sampled {
+            // A new lease holder would otherwise take a loaded decode phase for an idle one.
+            (self.prefill_wait, self.decode_utilization) = (wait, share);
+            self.sampled = true;
+        }
         self.prefill_wait = ewma(self.prefill_wait, wait);
         self.decode_utilization = ewma(self.decode_utilization, share);
     }
--- a/crates/core/src/direct/speed.rs
+++ b/crates/core/src/direct/speed.rs
@@ -49,11 +49,11 @@
 /// The percentile of the observations that shows the usual speed. A slow observation often shows a
 /// queue that the entry did not know of. With the mean, all entries avoided engines that were
 /// only busy, and then sent to the others all at once.
-const FACTOR_PERCENTILE: f64 = 0.3;
+const FACTOR_PERCENTILE: f64 = 0.5;
 /// The weight in a curve of an observation that took longer than predicted, and of one that did not.
 /// They make the curve follow [`FACTOR_PERCENTILE`] instead of the mean.
-const SLOW_WEIGHT: f64 = 0.3;
-const FAST_WEIGHT: f64 = 0.7;
+const SLOW_WEIGHT: f64 = 0.5;
+const FAST_WEIGHT: f64 = 0.5;
 /// The time without observations after which an engine that is predicted to be slow gets a trial
 /// request.
 const TRIAL_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
--- a/crates/core/tests/direct_phase.rs
+++ b/crates/core/tests/direct_phase.rs
@@ -2,10 +2,10 @@
 
 mod direct_support;
 
-use applefold_core::direct::{PhaseChange, PhasePlanner, ServerTable};
+use applefold_core::direct::{PhaseChange, PhasePlanner, ServerTable, SpeedObservation};
 use applefold_core::id::BackendId;
 use applefold_core::routing::BackendRole::{self, Decode, Prefill};
-use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_core::unit::{TimePoint, TimeSpan, TokenCount};
 use direct_support::{record_loads, service, spec, table};
 
 const EVALUATION_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
@@ -147,3 +147,66 @@
         assert!(simulation.changes.is_empty());
     }
 }
+
+/// Guards against prompts that wait for seconds while most engines decode a request or two. With one
+/// change at a time, the prefill phase of 38 engines reached its size only after the surge.
+#[test]
+fn an_idle_decode_phase_gives_several_engines_at_once() {
+    for (prefill_engines, engines, joint) in [(3, 9, 1), (12, 38, 3), (55, 180, 18)] {
+        let roles = roles(prefill_engines, engines - prefill_engines);
+        let mut simulation = PhaseSimulation::new(&roles);
+        simulation.run(TimeSpan::from_millis(1_400), 20_000, 0);
+        assert_eq!(simulation.changes.len(), joint, "{engines} engines");
+        assert!(simulation
+            .changes
+            .iter()
+            .all(|(_, change)| change.to == Prefill));
+        simulation.run(TimeSpan::from_secs(120), 20_000, 0);
+        let kept = simulation.decode_engines() * 100 / engines;
+        assert!(
+            (25..40).contains(&kept),
+            "{kept} percent of {engines} engines decode"
+        );
+    }
+}
+
+/// Records that an engine takes this many times as long as usual for its prompts.
+fn observe_speed(table: &mut ServerTable, number: usize, ratio: f64, now: TimePoint) {
+    let row = table.get(&format!("e-{number}").parse().unwrap()).unwrap();
+    let hash = row.name_hash();
+    for tokens in [1_000, 2_000, 4_000, 8_000].repeat(20) {
+        let span = TimeSpan(((40_000 + tokens * 20) as f64 * ratio) as u64);
+        let observation = SpeedObservation {
+            tokens: TokenCount(tokens),
+            pairs: 0,
+            span,
+        };
+        table.record_peer_token(hash, &observation, now);
+    }
+}
+
+/// Guards against long prompts on slow engines while fast ones decode, where speed hardly matters. The
+/// exchange ends once the fast engines prefill, and does not take place where nothing waits or
+/// the engines are alike.
+#[test]
+fn prefills_move_to_the_fastest_engines() {
+    for (slow, backlog, expected) in [(1.0, 8_000, 0), (1.6, 0, 0), (1.6, 3_000, 2)] {
+        let mut simulation = PhaseSimulation::new(&roles(2, 2));
+        let now = simulation.now;
+        for number in 0..4 {
+            let ratio = if number % 2 == 0 { slow } else { 1.0 };
+            observe_speed(&mut simulation.table, number, ratio, now);
+        }
+        simulation.run(TimeSpan::from_secs(40), backlog, 0);
+        let exchanged = simulation
+            .changes
+            .iter()
+            .filter(|(_, change)| change.to == Decode);
+        assert_eq!(
+            exchanged.count() * 2,
+            expected,
+            "{slow} {backlog}: {:?}",
+            simulation.changes
+        );
+    }
+}
