--- a/crates/core/src/direct/phase.rs
+++ b/crates/core/src/direct/phase.rs
@@ -103,7 +103,7 @@
     /// In microseconds.
     prefill_wait: f64,
     decode_utilization: f64,
-    /// Whether the averages have a sample.
+    /// Whether the decode utilization has a sample.
     sampled: bool,
     /// The phase that is short of engines, and since when.
     shortage: Option<(BackendRole, TimePoint)>,
@@ -311,7 +311,7 @@
         let share = used as f64 / slots.max(1) as f64;
         if !self.sampled {
             // A new lease holder would otherwise take a loaded decode phase for an idle one.
-            (self.prefill_wait, self.decode_utilization) = (wait, share);
+            self.decode_utilization = share;
             self.sampled = true;
         }
         self.prefill_wait = ewma(self.prefill_wait, wait);
