--- a/crates/core/src/direct/speed.rs
+++ b/crates/core/src/direct/speed.rs
@@ -24,7 +24,7 @@
 const MAX_RATIO: f64 = 6.0;
 /// The most times above or below the prediction that an observation counts for the curve, so that a
 /// stalled engine does not slow the prediction for all others.
-const MAX_CURVE_RATIO: f64 = 2.0;
+const MAX_CURVE_RATIO: f64 = 1.5;
 /// The highest time per pair of tokens, in microseconds, that is learned, and the deviation from zero
 /// that is as likely as not.
 const MAX_PAIR_US: f64 = 0.002;
@@ -32,7 +32,7 @@
 /// The weight that older observations of a curve keep with each new one.
 const CURVE_RETENTION: f64 = 0.995;
 /// The weight of the default in a curve, relative to an observation with an error of 100%.
-const CURVE_PRIOR_WEIGHT: f64 = 0.1;
+const CURVE_PRIOR_WEIGHT: f64 = 0.2;
 /// The weight of one prompt in the average time per token of queued prompts.
 const QUEUED_GAIN: f64 = 1.0 / 32.0;
 /// The weight of one observation in the short-term deviation of an engine.
@@ -44,16 +44,8 @@
 /// the speed of its service counts in that.
 const MAX_FACTOR_SAMPLES: u32 = 64;
 const FACTOR_PRIOR_SAMPLES: u32 = 6;
-/// The step of the first observation without a prior.
-const FACTOR_STEP: f64 = 1.0;
-/// The percentile of the observations that shows the usual speed. A slow observation often shows a
-/// queue that the entry did not know of. With the mean, all entries avoided engines that were
-/// only busy, and then sent to the others all at once.
-const FACTOR_PERCENTILE: f64 = 0.5;
-/// The weight in a curve of an observation that took longer than predicted, and of one that did not.
-/// They make the curve follow [`FACTOR_PERCENTILE`] instead of the mean.
-const SLOW_WEIGHT: f64 = 0.5;
-const FAST_WEIGHT: f64 = 0.5;
+/// The step towards an observation without a prior, as a logarithm.
+const FACTOR_STEP: f64 = 0.5;
 /// The time without observations after which an engine that is predicted to be slow gets a trial
 /// request.
 const TRIAL_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
@@ -149,10 +141,7 @@
         let work_us = self.work_us(tokens, pairs);
         let predicted = (self.base_us() + work_us).max(1.0);
         let span = span_us.clamp(predicted / MAX_CURVE_RATIO, predicted * MAX_CURVE_RATIO);
-        let weight = match span > predicted {
-            true => SLOW_WEIGHT,
-            false => FAST_WEIGHT,
-        } / (predicted * predicted);
+        let weight = 1.0 / (predicted * predicted);
         let terms = [1.0, tokens as f64, pairs as f64];
         let expected: f64 = terms
             .iter()
@@ -194,12 +183,13 @@
 /// Solves a system of equations with a positive definite matrix, by elimination.
 fn solve(mut matrix: [[f64; TERMS]; TERMS], mut target: [f64; TERMS]) -> [f64; TERMS] {
     for pivot in 0..TERMS {
+        let (pivot_row, pivot_target) = (matrix[pivot], target[pivot]);
         for row in pivot + 1..TERMS {
-            let share = matrix[row][pivot] / matrix[pivot][pivot];
-            for column in pivot..TERMS {
-                matrix[row][column] -= share * matrix[pivot][column];
+            let share = matrix[row][pivot] / pivot_row[pivot];
+            for (value, above) in matrix[row].iter_mut().zip(pivot_row) {
+                *value -= share * above;
             }
-            target[row] -= share * target[pivot];
+            target[row] -= share * pivot_target;
         }
     }
     let mut solution = [0.0; TERMS];
@@ -212,8 +202,11 @@
     solution
 }
 
-/// The usual logarithm of an engine's factor: a percentile of the observed ones, tracked by steps that
+/// The usual logarithm of an engine's factor: the median of the observed ones, tracked by steps that
 /// become smaller with their number.
+///
+/// A slow observation often shows a queue that the entry did not know of. With the mean, all entries
+/// avoided engines that were only busy, and then sent to the others all at once.
 #[derive(Clone, Copy, Debug)]
 struct UsualFactor {
     log: f64,
@@ -226,11 +219,7 @@
     fn record(&mut self, log: f64) {
         let step = FACTOR_STEP / f64::from(self.count + FACTOR_PRIOR_SAMPLES);
         self.count = (self.count + 1).min(MAX_FACTOR_SAMPLES);
-        let target = match log > self.log {
-            true => FACTOR_PERCENTILE,
-            false => FACTOR_PERCENTILE - 1.0,
-        };
-        self.log += step * target;
+        self.log += step * (log - self.log).signum();
     }
 }
 
