--- a/crates/core/src/direct/placement/predict.rs
+++ b/crates/core/src/direct/placement/predict.rs
@@ -33,8 +33,10 @@
                 row.base_ttft(now) + queued + prefill_time + concurrent + slot_wait(row, now)
             }
         };
+        // The fixed time of a prefill delays the request only, not others.
+        let busy_us = row.prefill_time(prefill.uncached, now).0;
         let interference =
-            TimeSpan(prefill_time.0 * row.total_in_flight(now) * self.interference_percent / 100);
+            TimeSpan(busy_us * row.total_in_flight(now) * self.interference_percent / 100);
         Candidate {
             row,
             work: PlacementWork::Run,
--- a/crates/core/src/direct/speed.rs
+++ b/crates/core/src/direct/speed.rs
@@ -44,8 +44,9 @@
 /// the speed of its service counts in that.
 const MAX_FACTOR_SAMPLES: u32 = 64;
 const FACTOR_PRIOR_SAMPLES: u32 = 6;
-/// The step towards an observation without a prior, as a logarithm.
-const FACTOR_STEP: f64 = 0.5;
+/// The step towards an observation without a prior, as a logarithm. A stall of a few seconds should not
+/// change what counts as usual.
+const FACTOR_STEP: f64 = 0.35;
 /// The time without observations after which an engine that is predicted to be slow gets a trial
 /// request.
 const TRIAL_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
@@ -86,10 +87,10 @@
 }
 
 /// The number of coefficients of a [`SpeedCurve`].
-const TERMS: usize = 3;
+const TERMS: usize = 4;
 
-/// The time that the engines of a service with one role take to a first token: a fixed time, a time
-/// per prompt token, and a time per pair of tokens.
+/// The time that the engines of a service with one role take to a first token: a fixed time, a fixed
+/// time if they prefill anything, a time per prompt token, and a time per pair of tokens.
 ///
 /// The coefficients are fitted by least squares of the relative errors, with exponential forgetting and
 /// a default that counts like a few observations.
@@ -111,7 +112,7 @@
             BackendRole::Prefill => DEFAULT_PREFILL_TOKEN_US,
             BackendRole::Both | BackendRole::Decode | BackendRole::Plain => DEFAULT_MIXED_TOKEN_US,
         };
-        let default = [DEFAULT_BASE_US, token_us, 0.0];
+        let default = [DEFAULT_BASE_US, 0.0, token_us, 0.0];
         Self {
             default,
             coefficients: default,
@@ -125,9 +126,11 @@
         self.coefficients[0]
     }
 
-    /// Returns the time for this work, in microseconds, without the fixed time.
+    /// Returns the time for this work, in microseconds, without the fixed time of all requests.
     fn work_us(&self, tokens: u64, pairs: u64) -> f64 {
-        tokens as f64 * self.coefficients[1] + pairs as f64 * self.coefficients[2]
+        let terms = terms(tokens, pairs);
+        let times = terms.iter().zip(self.coefficients).skip(1);
+        times.map(|(term, time)| term * time).sum()
     }
 
     /// Returns the time for queued prompts whose context lengths are not known.
@@ -142,7 +145,7 @@
         let predicted = (self.base_us() + work_us).max(1.0);
         let span = span_us.clamp(predicted / MAX_CURVE_RATIO, predicted * MAX_CURVE_RATIO);
         let weight = 1.0 / (predicted * predicted);
-        let terms = [1.0, tokens as f64, pairs as f64];
+        let terms = terms(tokens, pairs);
         let expected: f64 = terms
             .iter()
             .zip(self.default)
@@ -158,7 +161,7 @@
         }
         self.fit();
         if tokens > 0 {
-            let token_us = work_us / tokens as f64;
+            let token_us = (work_us - self.coefficients[1]).max(0.0) / tokens as f64;
             self.queued_token_us += (token_us - self.queued_token_us) * QUEUED_GAIN;
         }
     }
@@ -166,13 +169,15 @@
     /// Solves the normal equations, in which the default counts with its own precision.
     fn fit(&mut self) {
         let mut matrix = self.matrix;
-        let scales = [self.default[0], self.default[1], DEFAULT_PAIR_DEVIATION_US];
+        let [base_us, _, token_us, _] = self.default;
+        let scales = [base_us, base_us, token_us, DEFAULT_PAIR_DEVIATION_US];
         for (index, scale) in scales.iter().enumerate() {
             matrix[index][index] += CURVE_PRIOR_WEIGHT / (scale * scale);
         }
         let shift = solve(matrix, self.target);
-        let highest = [MAX_BASE.0 as f64, self.default[1] * MAX_RATIO, MAX_PAIR_US];
-        let lowest = [0.0, self.default[1] / MAX_RATIO, 0.0];
+        let max_base = MAX_BASE.0 as f64;
+        let highest = [max_base, max_base, token_us * MAX_RATIO, MAX_PAIR_US];
+        let lowest = [0.0, 0.0, token_us / MAX_RATIO, 0.0];
         for index in 0..TERMS {
             let value = self.default[index] + shift[index];
             self.coefficients[index] = value.clamp(lowest[index], highest[index]);
@@ -180,6 +185,16 @@
     }
 }
 
+/// Returns the factors of a curve's coefficients. Only a request that prefills tokens has pairs.
+fn terms(tokens: u64, pairs: u64) -> [f64; TERMS] {
+    [
+        1.0,
+        f64::from(u8::from(pairs > 0)),
+        tokens as f64,
+        pairs as f64,
+    ]
+}
+
 /// Solves a system of equations with a positive definite matrix, by elimination.
 fn solve(mut matrix: [[f64; TERMS]; TERMS], mut target: [f64; TERMS]) -> [f64; TERMS] {
     for pivot in 0..TERMS {
@@ -342,7 +357,8 @@
             self.deviation.record(log - self.usual.log, now);
         }
         self.usual.record(log);
-        curve.record(observation, span_us);
+        // A stall of one engine says little about the others.
+        curve.record(observation, span_us / self.deviation.value(now).exp());
     }
 
     /// Updates the deviation with a request that ended before its first token. The engine is at most
