--- a/crates/core/src/direct/speed.rs
+++ b/crates/core/src/direct/speed.rs
@@ -46,7 +46,7 @@
 const FACTOR_PRIOR_SAMPLES: u32 = 6;
 /// The step towards an observation without a prior, as a logarithm. A stall of a few seconds should not
 /// change what counts as usual.
-const FACTOR_STEP: f64 = 0.35;
+const FACTOR_STEP: f64 = 0.4;
 /// The time without observations after which an engine that is predicted to be slow gets a trial
 /// request.
 const TRIAL_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
--- a/crates/core/tests/direct_herd.rs
+++ b/crates/core/tests/direct_herd.rs
@@ -199,31 +199,6 @@
         let shortlist_size = PlacementPolicy::default().shortlist_size;
         let slow = mean_wait(&simulate(shortlist_size, 200_000, seed));
         let fast = mean_wait(&simulate(shortlist_size, 100_000, seed));
-        println!(
-            "seed {seed}: n {} p50 {} p90 {} p99 {} max {}",
-            {
-                let r = simulate(shortlist_size, 200_000, seed);
-                let w = &r.waits;
-                let _ = w;
-                r.waits.len()
-            },
-            {
-                let r = simulate(shortlist_size, 200_000, seed);
-                r.waits[r.waits.len() / 2]
-            },
-            {
-                let r = simulate(shortlist_size, 200_000, seed);
-                r.waits[r.waits.len() * 9 / 10]
-            },
-            {
-                let r = simulate(shortlist_size, 200_000, seed);
-                r.waits[r.waits.len() * 99 / 100]
-            },
-            {
-                let r = simulate(shortlist_size, 200_000, seed);
-                *r.waits.last().unwrap()
-            }
-        );
         println!("seed {seed}: mean wait {slow} us with gossip each 200 ms, {fast} us each 100 ms");
         assert!(10 * fast < 9 * slow, "{seed}");
     }
--- a/crates/core/tests/direct_speed.rs
+++ b/crates/core/tests/direct_speed.rs
@@ -165,9 +165,9 @@
 /// reaches the engine that could show it.
 #[test]
 fn a_stalled_engine_is_trusted_again_and_gets_trial_requests() {
-    let mut tables = play(1, 3, 40, false);
+    let mut tables = play(1, 3, 80, false);
     let table = &mut tables[0];
-    let stalled = START + TimeSpan::from_secs(82);
+    let stalled = START + TimeSpan::from_secs(162);
     for number in 0..20 {
         let at = stalled + TimeSpan::from_millis(number * 100);
         let span = TimeSpan(truth(0, work(3_000, 0)).0 * 5);
