--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -16,6 +16,7 @@
 use super::prefills::PrefillReport;
 use super::quotas::{EntryCount, QuotaAnswer, QuotaHandover, QuotaRequest};
 use super::replicas::ReplicaDigests;
+use super::speeds::SpeedReport;
 use super::state::GatewayState;
 
 /// The most loads in one datagram.
@@ -95,6 +96,8 @@
     QuotaHandover(QuotaHandover),
     /// The number of entries that the sender knows, or that it is about to end.
     EntryCount(EntryCount),
+    /// Times to first tokens that the sender has observed.
+    Speeds(Vec<SpeedReport>),
 }
 
 /// The encoding of the span of a [`StoreContinuity`](applefold_core::direct::StoreContinuity).
