Bound what an entry holds for callers, and close stalled connections first

Cause: each caller could have a body of the permitted size read into memory for as long as it sent a byte every 5 s. Bodies announced over the limit were read up to the limit. A response was returned to the budget of buffered responses before it was written, and copied.

Change: one account of the memory of callers' connections, 40% of limits.memoryMb, charged as the body arrives by the capacity of its buffer. When it is full, HoldingTable (core, pure) closes the connection with the largest product of bytes and time among those that brought less than 4 KiB within 1 s (408, not run); without one, the request waits, reads no further, and the one that began last is refused after 1 s (503, not run). A body that is announced over the limit is refused before it is read, and a body gets 30 s in all. Buffered responses have 20% of the memory and keep their share until they are written; large ones are no longer copied. Descriptors: half at most, 1,200 usually, stay reserved; at the bound, a lingering, stalled or idle connection is closed for a new one, and requests in progress are bounded by the descriptors for backend servers. Idle connections hold no read buffer.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -100,6 +100,8 @@
     ConfigMissing = 1021, 503, NotRun, "The instance has no configuration yet.";
     VersionMissing = 1022, 503, NotRun, "No backend server has the version that began the stream.";
     OriginUnknown = 1023, 503, NotRun, "The version that began the stream is not known.";
+    RequestStalled = 1024, 408, NotRun, "The request was sent too slowly.";
+    InstanceFull = 1025, 503, NotRun, "The instance has no memory or connection left for the request.";
     OutcomeUnknown = 2001, 504, Unknown, "Whether the request was run cannot be known.";
     AnswerBroken = 2002, 502, Ran, "The answer broke off and is not whole.";
     AlreadyRan = 2003, 409, Ran, "The request ran before and its answer is no longer kept.";
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod count;
 mod duration;
 mod estimate;
+mod holding;
 mod list_replica;
 mod origin_memory;
 mod permit;
@@ -31,6 +32,10 @@
 pub use continuity::{ExpiredServers, RemovalCause, StoreContinuity, RETURN_TIME};
 pub use count::{RunCounter, WindowCounts};
 pub use duration::DurationTable;
+pub use holding::{
+    DescriptorShares, HolderId, HolderStage, HoldingTable, ScarceResource, YieldCause,
+    YieldingHolder, MAX_WAIT, MIN_STALL, PROGRESS_BYTES, REFUSAL_SPACING, SMALL_BYTES,
+};
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
 pub use origin_memory::{FindingSource, OriginFinding, OriginMemory};
 pub use permit::{
--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -1,14 +1,15 @@
 //! Accepts caller connections and reads HTTP requests from them.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use applefold_core::code::{CallRefusal, ResultCode};
-use applefold_core::direct::CallerLimits;
+use applefold_core::direct::{
+    CallerLimits, DescriptorShares, HolderStage, ScarceResource, YieldCause,
+};
 use applefold_core::drain::DrainPhase;
-use applefold_core::unit::{ByteSize, TimePoint};
-use applefold_h1::{parse_request, BodyDecoder, ParseError, RequestHead};
+use applefold_core::unit::{ByteSize, TimePoint, TimeSpan};
+use applefold_h1::{parse_request, BodyDecoder, BodyFraming, ParseError, RequestHead};
 use applefold_platform::render_refusal;
 use bytes::BytesMut;
 use eyre::{Result, WrapErr};
@@ -16,6 +17,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::account::HolderGuard;
 use super::connection::configure_socket;
 use super::request;
 use super::state::GatewayState;
@@ -23,19 +25,30 @@
 
 /// The pause after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// File descriptors reserved for connections to backend servers and the store, and for files.
-const RESERVED_DESCRIPTORS: u64 = 1_200;
 const READ_BUFFER_BYTES: usize = 8_192;
 /// The most bytes read ahead on a connection while its current request is being served.
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
 /// How long one read of a request body may take.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a whole request body may take. One of 4 MiB arrives in time at 1.2 Mbit/s.
+const BODY_TIME_LIMIT: Duration = Duration::from_secs(30);
+/// The memory of an idle connection: its task and its buffers.
+const CONNECTION_BYTES: usize = 4_096;
+/// The memory of a request beside its head and its body: its task, the connection to a backend server
+/// and the read buffers.
+const REQUEST_BYTES: usize = 32_768;
+/// The smallest buffer for a body.
+const MIN_BODY_BYTES: usize = 4_096;
+/// `Retry-After` if the entry has no memory or no connection left.
+const FULL_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(1_000);
 /// How long the rest of a refused request is still read before the connection is closed. Closing
 /// with unread bytes would reset the connection, and the caller could lose the refusal.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a draining process still waits for the first request of a new connection. In most
 /// cases the caller has already sent it.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(300);
+/// The pause before memory for bytes that are sent ahead is asked for again.
+const READ_AHEAD_RETRY_DELAY: Duration = Duration::from_millis(50);
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What happens to a caller connection after a response.
@@ -66,22 +79,6 @@
     Refused(CallRefusal),
 }
 
-/// Counts an open connection until it is dropped.
-struct ConnectionGuard(Rc<Cell<u64>>);
-
-impl ConnectionGuard {
-    fn new(open: &Rc<Cell<u64>>) -> Self {
-        open.set(open.get() + 1);
-        Self(Rc::clone(open))
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Counts a request until it has been answered; a stopping process waits for these requests.
 ///
 /// The first request of a connection is counted from `accept` on, later ones from their first
@@ -115,18 +112,22 @@
     let listener = listener.wrap_err_with(|| format!("could not listen on {address}"))?;
     let state = Rc::clone(state);
     actix_rt::spawn(async move {
-        let open = Rc::new(Cell::new(0));
+        let account = Rc::clone(&state.account);
         let descriptors = state.settings().max_descriptors;
-        let max_open = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
+        let max_open = DescriptorShares::of(descriptors).callers;
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if open.get() < max_open => {
-                    let guard = ConnectionGuard::new(&open);
-                    actix_rt::spawn(serve_connection(Rc::clone(&state), stream, guard));
-                }
-                Ok((_, peer)) => {
-                    log::warn!(peer = peer.to_string(), open = open.get();
-                        "closed a new connection: too many connections are open");
+                Ok((stream, peer)) => {
+                    let open = account.connections();
+                    let full = open as u64 >= max_open;
+                    if full && !account.make_room(ScarceResource::Descriptors) {
+                        account.count("too many connections");
+                        log::warn!(peer = peer.to_string(), open;
+                            "closed a new connection: too many connections are open");
+                        continue;
+                    }
+                    let holder = Rc::new(account.begin(Some(peer)));
+                    actix_rt::spawn(serve_connection(Rc::clone(&state), stream, holder));
                 }
                 Err(error) => {
                     log::warn!(error = error.to_string();
@@ -139,41 +140,75 @@
     Ok(())
 }
 
-async fn serve_connection(state: Rc<GatewayState>, stream: TcpStream, _open: ConnectionGuard) {
+async fn serve_connection(state: Rc<GatewayState>, stream: TcpStream, holder: Rc<HolderGuard>) {
     configure_socket(&stream);
+    let max_backends = DescriptorShares::of(state.settings().max_descriptors).backends as usize;
     let (half, mut writer) = stream.into_split();
     let mut reader = CallerReader {
         half,
         input: BytesMut::new(),
+        held: CONNECTION_BYTES,
+        holder: Rc::clone(&holder),
     };
     let mut arrival = Some(ArrivalGuard::new(&state));
     loop {
-        let request = match reader.next(&state, &mut writer, &mut arrival).await {
+        let next = tokio::select! {
+            biased;
+            cause = holder.closing() => Err(closing_error(cause)),
+            next = reader.next(&state, &mut writer, &mut arrival) => next,
+        };
+        let busy = state.drain.borrow().running() >= max_backends;
+        let request = match next {
+            Ok(_) if busy => Err(ReadError::Refused(full_refusal())),
+            next => next,
+        };
+        let request = match request {
             Ok(request) => request,
             Err(ReadError::Closed) => return,
             Err(ReadError::Refused(refusal)) => {
                 log::info!(code = refusal.code.number();
                     "refused a request before it was read: {}", refusal.code.meaning());
-                let mut bytes = Vec::new();
-                render_refusal(&refusal, None, false, &mut bytes);
-                if writer.write_all(&bytes).await.is_ok() {
-                    reader.linger(&mut writer).await;
-                }
+                holder.count(refusal.code.name());
+                reader.refuse(&refusal, &mut writer).await;
                 return;
             }
         };
+        holder.enter(HolderStage::Serving);
+        let running = state.drain.borrow().running();
+        state.pool.shrink(max_backends.saturating_sub(running + 1));
         let action = request::serve(&state, &request, &mut reader, &mut writer).await;
         arrival = None;
         if action == ConnectionAction::Close {
             return;
         }
+        drop(request);
+        reader.finish_request();
+    }
+}
+
+/// Returns the error of a connection that has to close to make room. Its request, if one has begun,
+/// is incomplete and has not run.
+fn closing_error(cause: YieldCause) -> ReadError {
+    match cause {
+        YieldCause::Stalled => {
+            ReadError::Refused(CallRefusal::permanent(ResultCode::RequestStalled))
+        }
+        YieldCause::Unserved => ReadError::Refused(full_refusal()),
+        YieldCause::Idle | YieldCause::Lingering => ReadError::Closed,
     }
 }
 
+fn full_refusal() -> CallRefusal {
+    CallRefusal::retryable(ResultCode::InstanceFull, FULL_RETRY_AFTER)
+}
+
 /// Reads the requests of one caller connection.
 pub(crate) struct CallerReader {
     half: OwnedReadHalf,
     input: BytesMut,
+    /// The bytes that are charged for the connection.
+    held: usize,
+    holder: Rc<HolderGuard>,
 }
 
 impl CallerReader {
@@ -184,6 +219,12 @@
             if self.input.len() >= MAX_READ_AHEAD_BYTES {
                 return std::future::pending().await;
             }
+            // Without memory for what is sent ahead, a close is seen only later.
+            let held = self.held + 2 * MAX_READ_AHEAD_BYTES;
+            if self.input.len() >= READ_BUFFER_BYTES && !self.holder.try_resize(held) {
+                actix_rt::time::sleep(READ_AHEAD_RETRY_DELAY).await;
+                continue;
+            }
             self.input.reserve(READ_BUFFER_BYTES);
             match self.half.read_buf(&mut self.input).await {
                 Ok(0) | Err(_) => return,
@@ -208,6 +249,7 @@
                 .await?;
         }
         arrival.get_or_insert_with(|| ArrivalGuard::new(state));
+        self.holder.enter(HolderStage::Receiving);
         tokio::select! {
             biased;
             request = self.read_request(state, &limits, writer) => request,
@@ -225,13 +267,21 @@
         writer: &mut OwnedWriteHalf,
     ) -> Result<ReceivedRequest, ReadError> {
         let arrived = state.now();
+        self.charge(REQUEST_BYTES + 2 * limits.max_head.0 as usize)
+            .await;
         let limit = Duration::from_micros(limits.head_timeout.0);
         let head = tokio::time::timeout(limit, self.read_head(limits.max_head)).await;
         let head = head.unwrap_or(Err(ReadError::Closed))?;
+        if matches!(head.framing, BodyFraming::Length(length) if length > limits.max_body.0) {
+            return Err(ReadError::Refused(refusal_for(ParseError::TooLarge)));
+        }
         if head.expects_continue && writer.write_all(CONTINUE_RESPONSE).await.is_err() {
             return Err(ReadError::Closed);
         }
-        let body = self.read_body(&head, limits.max_body).await?;
+        let body = self.read_body(&head, limits.max_body);
+        let body = tokio::time::timeout(BODY_TIME_LIMIT, body).await;
+        let stalled = CallRefusal::permanent(ResultCode::RequestStalled);
+        let body = body.unwrap_or(Err(ReadError::Refused(stalled)))?;
         Ok(ReceivedRequest {
             head,
             body,
@@ -247,7 +297,6 @@
         limits: &CallerLimits,
         is_first: bool,
     ) -> Result<(), ReadError> {
-        self.input.reserve(READ_BUFFER_BYTES);
         let idle = Duration::from_micros(limits.idle_timeout.0);
         let closed = async {
             stop::reached(state, DrainPhase::Draining).await;
@@ -255,15 +304,38 @@
                 actix_rt::time::sleep(FIRST_REQUEST_GRACE).await;
             }
         };
-        let read = tokio::select! {
-            biased;
-            read = tokio::time::timeout(idle, self.half.read_buf(&mut self.input)) => read,
-            () = closed => return Err(ReadError::Closed),
+        let first_byte = async {
+            // No buffer is allocated before there is something to read.
+            match self.half.readable().await {
+                Ok(()) => self.fill_buffer().await,
+                Err(_) => Err(ReadError::Closed),
+            }
         };
-        match read {
-            Ok(Ok(count)) if count > 0 => Ok(()),
-            _ => Err(ReadError::Closed),
+        tokio::select! {
+            biased;
+            read = tokio::time::timeout(idle, first_byte) => {
+                read.unwrap_or(Err(ReadError::Closed))
+            }
+            () = closed => Err(ReadError::Closed),
+        }
+    }
+
+    /// Charges the connection with this many bytes besides its own, and with what was sent ahead.
+    /// Waits until there is memory for them.
+    async fn charge(&mut self, bytes: usize) {
+        let ahead = self.input.capacity().saturating_sub(READ_BUFFER_BYTES);
+        self.held = CONNECTION_BYTES + ahead + bytes;
+        self.holder.resize(self.held).await;
+    }
+
+    /// Releases what the last request held.
+    fn finish_request(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
         }
+        self.held = CONNECTION_BYTES + self.input.capacity();
+        self.holder.try_resize(self.held);
+        self.holder.enter(HolderStage::Idle);
     }
 
     async fn read_head(&mut self, limit: ByteSize) -> Result<RequestHead, ReadError> {
@@ -286,12 +358,25 @@
     ) -> Result<Vec<u8>, ReadError> {
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = Vec::new();
+        let base = self.held;
+        let end = match head.framing {
+            BodyFraming::Length(length) => length,
+            BodyFraming::Chunked | BodyFraming::UntilClose => limit.0,
+        };
         loop {
+            let needed = body.len() + self.input.len();
+            if needed > body.capacity() && body.capacity() < end as usize {
+                let capacity = needed.max(2 * body.capacity()).max(MIN_BODY_BYTES);
+                let capacity = capacity.min(end as usize);
+                self.held = base + capacity;
+                self.holder.resize(self.held).await;
+                body.reserve_exact(capacity - body.len());
+            }
             match decoder.decode(&mut self.input, &mut body) {
                 Ok(_) if body.len() as u64 > limit.0 => {
                     return Err(ReadError::Refused(refusal_for(ParseError::TooLarge)));
                 }
-                Ok(true) => return Ok(body),
+                Ok(true) => break,
                 Ok(false) => {
                     let filled = tokio::time::timeout(BODY_READ_TIMEOUT, self.fill_buffer()).await;
                     filled.unwrap_or(Err(ReadError::Closed))?;
@@ -299,13 +384,44 @@
                 Err(error) => return Err(ReadError::Refused(refusal_for(error))),
             }
         }
+        // Each attempt sends a copy of the body.
+        self.held = base + body.capacity() + body.len();
+        self.holder.resize(self.held).await;
+        Ok(body)
     }
 
     async fn fill_buffer(&mut self) -> Result<(), ReadError> {
         self.input.reserve(READ_BUFFER_BYTES);
         match self.half.read_buf(&mut self.input).await {
             Ok(0) | Err(_) => Err(ReadError::Closed),
-            Ok(_) => Ok(()),
+            Ok(count) => {
+                self.holder.record_received(count);
+                Ok(())
+            }
+        }
+    }
+
+    /// Sends a refusal to the caller, whose request is not read to its end, and releases what it
+    /// held before.
+    async fn refuse(&mut self, refusal: &CallRefusal, writer: &mut OwnedWriteHalf) {
+        self.input = BytesMut::new();
+        self.holder.enter(HolderStage::Lingering);
+        self.holder.try_resize(CONNECTION_BYTES + READ_BUFFER_BYTES);
+        let mut bytes = Vec::new();
+        render_refusal(refusal, None, false, &mut bytes);
+        // A caller that has stalled has sent nothing that is unread.
+        let lingers = refusal.code != ResultCode::RequestStalled;
+        let written = tokio::time::timeout(LINGER_TIMEOUT, writer.write_all(&bytes)).await;
+        if !lingers || !matches!(written, Ok(Ok(()))) {
+            return;
+        }
+        if self.holder.is_closing() {
+            return self.linger(writer).await;
+        }
+        let holder = Rc::clone(&self.holder);
+        tokio::select! {
+            _ = holder.closing() => {}
+            () = self.linger(writer) => {}
         }
     }
 
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -17,6 +17,7 @@
 use smol_str::SmolStr;
 
 use super::accept::ReceivedRequest;
+use super::buffers::BufferedBody;
 use super::connection::{ClientConnection, ConnectionError};
 use super::in_flight::InFlightGuard;
 use super::permits::SendPermit;
@@ -45,11 +46,11 @@
 /// The result of an attempt.
 pub(crate) enum AttemptResult {
     /// A complete response to relay.
-    Complete(ResponseHead, Vec<u8>),
+    Complete(ResponseHead, BufferedBody),
     /// A stream whose head has been received.
     Stream(Box<OpenStream>),
     /// A complete response with a server error (5xx).
-    Failed(ResponseHead, Vec<u8>),
+    Failed(ResponseHead, BufferedBody),
     /// The prompt has been prefilled, and the engine keeps its KV cache.
     Prefilled(KvHandle),
     /// The request was not sent, and the reason: the backend server became unavailable, or its rate
@@ -248,12 +249,12 @@
             Ok(body) => {
                 let pool = &self.state.pool;
                 pool.put(&self.placement.backend, connection, &head, now);
-                body
+                BufferedBody::new(body, buffer)
             }
             Err(error) if !response.not_run => return connection_failure(&error),
             // The head already says that the request was not run. Without the body, the connection
             // cannot be used again.
-            Err(_) => Vec::new(),
+            Err(_) => BufferedBody::default(),
         };
         if response.not_run {
             let mut table = self.state.table.borrow_mut();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! [docs/design/platform.md](../../../../docs/design/platform.md).
 
 mod accept;
+mod account;
 mod attempt;
 mod availability;
 mod backend_list;
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -70,6 +70,18 @@
         }
     }
 
+    /// Closes idle connections until at most this many are left.
+    pub(crate) fn shrink(&self, most: usize) {
+        let mut pool = self.idle.borrow_mut();
+        let count: usize = pool.values().map(Vec::len).sum();
+        let mut surplus = count.saturating_sub(most);
+        for idle in pool.values_mut() {
+            let closed = surplus.min(idle.len());
+            idle.drain(..closed);
+            surplus -= closed;
+        }
+    }
+
     /// Closes the idle connections to a backend server that is leaving or gone.
     pub(crate) fn remove(&self, id: &BackendId) {
         self.idle.borrow_mut().remove(id);
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -22,6 +22,7 @@
 
 use super::accept::{CallerReader, ConnectionAction, ReceivedRequest};
 use super::attempt::{Attempt, AttemptClass, AttemptResult};
+use super::buffers::BufferedBody;
 use super::handoff::HandoffGuard;
 use super::origins::is_resumable;
 use super::permits::{PermitOutcome, SendPermit};
@@ -96,7 +97,7 @@
     /// The software version that began the stream of the response.
     binding: StreamBinding,
     /// The last server error from a backend server, which is relayed if no attempt succeeds.
-    failure: Option<(ResponseHead, Vec<u8>)>,
+    failure: Option<(ResponseHead, BufferedBody)>,
     /// Whether the caller was sent the head of a stream.
     head_sent: bool,
     /// Whether an attempt is in progress, or a stream that it has begun.
--- a/crates/daemon/src/gateway/request/respond.rs
+++ b/crates/daemon/src/gateway/request/respond.rs
@@ -7,6 +7,7 @@
 use applefold_h1::ResponseHead;
 use applefold_platform::{render_refusal, render_response_head, ResponseFraming};
 use opentelemetry::KeyValue;
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::RequestDriver;
@@ -14,6 +15,9 @@
 use crate::gateway::attempt::AttemptClass;
 use crate::gateway::prepare::{count_request, keeps_alive, write_last};
 
+/// The most bytes of a body that are copied to be written together with the head.
+const MAX_COPIED_BYTES: usize = 16_384;
+
 impl RequestDriver<'_> {
     /// Sends a complete response to the caller.
     pub(super) async fn deliver(
@@ -34,10 +38,12 @@
             suspects.note_completion(self.prepared.fingerprint, now);
         }
         let keep = keeps_alive(self.state, self.request);
-        let mut bytes = Vec::with_capacity(body.len() + 512);
+        let mut bytes = Vec::new();
         let framing = ResponseFraming::Length(body.len());
         render_response_head(head, framing, keep, &mut bytes);
-        bytes.extend_from_slice(body);
+        // A large body is not copied, since a caller may take long to read it.
+        let (copied, rest) = body.split_at(body.len().min(MAX_COPIED_BYTES));
+        bytes.extend_from_slice(copied);
         let first_byte = now.since(self.request.arrived);
         self.first_byte = Some(first_byte);
         let metrics = &self.state.metrics;
@@ -45,7 +51,11 @@
             .complete_response
             .record(first_byte.as_secs_f64(), &[]);
         self.log_end(head.status, "answered");
-        write_last(writer, &bytes, keep).await
+        if !rest.is_empty() && writer.write_all(&bytes).await.is_err() {
+            return ConnectionAction::Close;
+        }
+        let last = if rest.is_empty() { &bytes } else { rest };
+        write_last(writer, last, keep).await
     }
 
     /// Ends the request with a server error that a backend server returned, or else with a refusal.
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 
 use crate::clock::BoottimeClock;
+use crate::gateway::account::MemoryAccount;
 use crate::gateway::backend_list::BackendList;
 use crate::gateway::buffers::BufferBudget;
 use crate::gateway::duty::DutyLease;
@@ -78,6 +79,8 @@
     pub(crate) policy: PlacementPolicy,
     pub(crate) rules: RefCell<Option<Rc<RuleSet>>>,
     pub(crate) table: RefCell<ServerTable>,
+    /// The memory and descriptors of callers' connections.
+    pub(crate) account: Rc<MemoryAccount>,
     /// The memory for responses that are buffered until they are complete.
     pub(crate) buffers: BufferBudget,
     /// The freshness of the replicas of what all entries read from the store.
@@ -160,7 +163,12 @@
             policy: PlacementPolicy::default(),
             rules: RefCell::new(None),
             table: RefCell::default(),
-            buffers: BufferBudget::default(),
+            account: Rc::new(MemoryAccount::new(
+                settings.max_memory_mb,
+                clock,
+                metrics.clone(),
+            )),
+            buffers: BufferBudget::new(settings.max_memory_mb),
             replicas: ReplicaSet::new(settings.heartbeat_interval),
             backend_list: BackendList::default(),
             config_current: Cell::new(false),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -86,6 +86,10 @@
     pub(crate) complete_response: Histogram<f64>,
     /// Requests in flight.
     pub(crate) in_flight: Gauge<u64>,
+    /// Bytes that the requests of callers hold.
+    pub(crate) held_bytes: Gauge<u64>,
+    /// Connections of callers that were refused or closed to protect the process, by cause.
+    pub(crate) caller_refusals: Counter<u64>,
     /// Calls to the platform, by kind.
     pub(crate) platform_calls: Counter<u64>,
     /// The configuration revision in force.
@@ -120,6 +124,8 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
             in_flight: meter.u64_gauge("applefold_in_flight").build(),
+            held_bytes: meter.u64_gauge("applefold_held_bytes").build(),
+            caller_refusals: meter.u64_counter("applefold_caller_refusals").build(),
             platform_calls: meter.u64_counter("applefold_platform_calls").build(),
             revision: meter.u64_gauge("applefold_revision").build(),
             exporter,
