Serve ordinary callers while large bodies wait for memory

Cause: in a trial with 600 callers and 4,100 descriptors, memory stayed bounded, but an ordinary caller was refused for 13 to 24 s. All requests were charged 64 KiB from their first byte on, waiting requests were refused at 20 per second, the newest (the ordinary one) first, and each of them searched all connections for one that gives way after each release.

Change: a request is charged by its buffers while it is received, and for the connection to a backend server once it is complete. Large waiting requests are refused before small ones, 5 ms apart. One search per 5 ms. The buffers of relayed streams count towards the budget of responses.

--- a/crates/core/src/direct/holding.rs
+++ b/crates/core/src/direct/holding.rs
@@ -17,10 +17,11 @@
 /// How long a request waits for memory before it may be refused.
 pub const MAX_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
 /// The shortest time between two refusals of waiting requests. Without it all requests that wait
-/// for each other's memory would be refused at once.
-pub const REFUSAL_SPACING: TimeSpan = TimeSpan::from_millis(50);
+/// for each other's memory would be refused at once. With 50 ms and 600 large bodies that stop
+/// before their end, an ordinary caller was refused for 13 to 24 s.
+pub const REFUSAL_SPACING: TimeSpan = TimeSpan::from_millis(5);
 /// The most bytes of a small holder, which may use all memory; larger ones leave a part of it.
-pub const SMALL_BYTES: ByteSize = ByteSize(131_072);
+pub const SMALL_BYTES: ByteSize = ByteSize(65_536);
 /// The share of the memory that larger holders may use, in percent.
 const LARGE_PERCENT: u64 = 75;
 
@@ -253,8 +254,8 @@
         most.map(|(id, holder)| holder.yielding(id, YieldCause::Stalled, now))
     }
 
-    /// Returns the request that began last, if one has waited too long. Those that began earlier
-    /// have received more in most cases and end sooner.
+    /// Returns the large request that began last, or else the small one, if one has waited too long.
+    /// Those that began earlier have received more in most cases and end sooner.
     fn unserved(&self, now: TimePoint) -> Option<YieldingHolder> {
         let spaced = |refused_at: TimePoint| now.since(refused_at) >= REFUSAL_SPACING;
         if !self.refused_at.is_none_or(spaced) {
@@ -262,7 +263,8 @@
         }
         let waiting = self.in_stage(HolderStage::Waiting);
         let waiting = waiting.filter(|(_, holder)| holder.pause(now) >= MAX_WAIT);
-        let last = waiting.max_by_key(|(id, holder)| (holder.request_at, *id));
+        let last =
+            waiting.max_by_key(|(id, holder)| (holder.held > SMALL_BYTES, holder.request_at, *id));
         last.map(|(id, holder)| holder.yielding(id, YieldCause::Unserved, now))
     }
 
--- a/crates/core/tests/direct_holding.rs
+++ b/crates/core/tests/direct_holding.rs
@@ -94,6 +94,15 @@
         scarce: Memory,
         chosen: Some((1, YieldCause::Unserved)),
     },
+    ChoiceCase {
+        name: "of those that wait, a large one before a small one that began later",
+        holders: &[
+            HolderCase(Waiting, MIB, 3_000),
+            HolderCase(Waiting, 40_000, 1_000),
+        ],
+        scarce: Memory,
+        chosen: Some((0, YieldCause::Unserved)),
+    },
     ChoiceCase {
         name: "for a descriptor, first one whose request is refused",
         holders: &[
--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -34,9 +34,11 @@
 const BODY_TIME_LIMIT: Duration = Duration::from_secs(30);
 /// The memory of an idle connection: its task and its buffers.
 const CONNECTION_BYTES: usize = 4_096;
-/// The memory of a request beside its head and its body: its task, the connection to a backend server
-/// and the read buffers.
-const REQUEST_BYTES: usize = 32_768;
+/// The memory of a request that is being received, beside its buffers.
+const RECEIVING_BYTES: usize = 8_192;
+/// The further memory of a request that is being served: the copy of its head, and the connection to
+/// a backend server with its read buffer.
+const SERVING_BYTES: usize = 32_768;
 /// The smallest buffer for a body.
 const MIN_BODY_BYTES: usize = 4_096;
 /// `Retry-After` if the entry has no memory or no connection left.
@@ -267,8 +269,7 @@
         writer: &mut OwnedWriteHalf,
     ) -> Result<ReceivedRequest, ReadError> {
         let arrived = state.now();
-        self.charge(REQUEST_BYTES + 2 * limits.max_head.0 as usize)
-            .await;
+        self.charge_input().await;
         let limit = Duration::from_micros(limits.head_timeout.0);
         let head = tokio::time::timeout(limit, self.read_head(limits.max_head)).await;
         let head = head.unwrap_or(Err(ReadError::Closed))?;
@@ -320,12 +321,14 @@
         }
     }
 
-    /// Charges the connection with this many bytes besides its own, and with what was sent ahead.
-    /// Waits until there is memory for them.
-    async fn charge(&mut self, bytes: usize) {
-        let ahead = self.input.capacity().saturating_sub(READ_BUFFER_BYTES);
-        self.held = CONNECTION_BYTES + ahead + bytes;
-        self.holder.resize(self.held).await;
+    /// Charges the connection with the head of its request and what was sent ahead. Waits until there
+    /// is memory for them.
+    async fn charge_input(&mut self) {
+        let held = CONNECTION_BYTES + RECEIVING_BYTES + self.input.capacity();
+        if held > self.held {
+            self.held = held;
+            self.holder.resize(held).await;
+        }
     }
 
     /// Releases what the last request held.
@@ -345,7 +348,10 @@
                     let _ = self.input.split_to(used);
                     return Ok(head);
                 }
-                Ok(None) => self.fill_buffer().await?,
+                Ok(None) => {
+                    self.fill_buffer().await?;
+                    self.charge_input().await;
+                }
                 Err(error) => return Err(ReadError::Refused(refusal_for(error))),
             }
         }
@@ -385,7 +391,7 @@
             }
         }
         // Each attempt sends a copy of the body.
-        self.held = base + body.capacity() + body.len();
+        self.held = base + SERVING_BYTES + body.capacity() + body.len();
         self.holder.resize(self.held).await;
         Ok(body)
     }
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -12,7 +12,7 @@
 use applefold_core::direct::{
     HolderId, HolderStage, HoldingTable, ScarceResource, YieldCause, YieldingHolder,
 };
-use applefold_core::unit::{ByteSize, TimePoint};
+use applefold_core::unit::{ByteSize, TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
 use tokio::sync::Notify;
 
@@ -24,7 +24,10 @@
 const REQUEST_PERCENT: u64 = 40;
 /// How often a request that waits for memory asks for it again, besides when some is released. A
 /// connection may have stalled in the meantime.
-const WAIT_PERIOD: Duration = Duration::from_millis(50);
+const WAIT_PERIOD: Duration = Duration::from_millis(100);
+/// The shortest time between two searches for a connection that gives way to waiting requests. Each
+/// request that waits asks for it, and a search looks at all connections.
+const SEARCH_SPACING: TimeSpan = TimeSpan::from_millis(5);
 
 /// The connection of a caller in the account.
 #[derive(Debug)]
@@ -43,6 +46,8 @@
     signals: RefCell<BTreeMap<HolderId, Rc<HolderSignal>>>,
     /// Notified when memory is released.
     released: Notify,
+    /// When memory was last searched for.
+    searched_at: Cell<TimePoint>,
     clock: BoottimeClock,
     metrics: MetricSet,
 }
@@ -55,6 +60,7 @@
             table: RefCell::new(HoldingTable::new(limit)),
             signals: RefCell::default(),
             released: Notify::new(),
+            searched_at: Cell::new(clock.now()),
             clock,
             metrics,
         }
@@ -93,6 +99,15 @@
         chosen.is_some()
     }
 
+    /// Closes a connection to make room for the requests that wait for memory.
+    fn make_memory(&self) {
+        let now = self.clock.now();
+        if now.since(self.searched_at.get()) >= SEARCH_SPACING {
+            self.searched_at.set(now);
+            self.make_room(ScarceResource::Memory);
+        }
+    }
+
     fn close(&self, yielding: &YieldingHolder, scarce: ScarceResource) {
         let signals = self.signals.borrow();
         let signal = signals.get(&yielding.id);
@@ -171,7 +186,7 @@
         self.enter(HolderStage::Waiting);
         loop {
             let released = self.account.released.notified();
-            self.account.make_room(ScarceResource::Memory);
+            self.account.make_memory();
             let _ = tokio::time::timeout(WAIT_PERIOD, released).await;
             if self.try_resize(bytes) {
                 self.enter(HolderStage::Receiving);
--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -62,6 +62,7 @@
     ) -> RelayEnd {
         let mut body = Vec::new();
         let mut output = Vec::new();
+        let mut share = self.state.buffers.begin();
         loop {
             let left = self.prepared.deadline.since(self.state.now());
             let limit = std::time::Duration::from_micros(left.0);
@@ -77,6 +78,11 @@
                     return RelayEnd::Broken(AttemptEnd::TimedOut, reason);
                 }
             };
+            let buffered = body.capacity() + output.capacity() + self.event_buffer.partial_len();
+            if !share.grow_to(buffered) {
+                let reason = "no memory is left for the events of the stream".to_owned();
+                return RelayEnd::Broken(AttemptEnd::Invalid, reason);
+            }
             output.clear();
             let had_event = self.event_buffer.event_count() > 0;
             let events = self.event_buffer.push(&body);
