--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -168,7 +168,7 @@
             Ok(request) => request,
             Err(ReadError::Closed) => return,
             Err(ReadError::Refused(refusal)) => {
-                log::info!(code = refusal.code.number();
+                log::info!(connection = holder.number(), code = refusal.code.number();
                     "refused a request before it was read: {}", refusal.code.meaning());
                 holder.count(refusal.code.name());
                 reader.refuse(&refusal, &mut writer).await;
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -148,6 +148,11 @@
 }
 
 impl HolderGuard {
+    /// Returns the number of the connection in log lines.
+    pub(crate) fn number(&self) -> u64 {
+        self.id.0
+    }
+
     /// Sets what the connection does.
     pub(crate) fn enter(&self, stage: HolderStage) {
         let mut table = self.account.table.borrow_mut();
