Keep memory from growing from crowd to crowd

Cause: in a trial with several crowds in turn, the peak grew from 59 to 98 MB with 48 MB charged at most: buffers that double and are freed in other orders leave gaps in the heap. Connections whose bodies waited for memory also stayed open long after their callers had left, since all waiting requests woke together and the pause between searches let one of them search per 100 ms.

Change: a body is received in segments of up to 64 KiB and joined when it is complete. One waiting request searches for all, every 5 ms.

--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::account::HolderGuard;
+use super::body::BodySegments;
 use super::connection::configure_socket;
 use super::request;
 use super::state::GatewayState;
@@ -39,8 +40,6 @@
 /// The further memory of a request that is being served: the copy of its head, and the connection to
 /// a backend server with its read buffer.
 const SERVING_BYTES: usize = 32_768;
-/// The smallest buffer for a body.
-const MIN_BODY_BYTES: usize = 4_096;
 /// `Retry-After` if the entry has no memory or no connection left.
 const FULL_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(1_000);
 /// How long the rest of a refused request is still read before the connection is closed. Closing
@@ -363,22 +362,19 @@
         limit: ByteSize,
     ) -> Result<Vec<u8>, ReadError> {
         let mut decoder = BodyDecoder::new(head.framing);
-        let mut body = Vec::new();
         let base = self.held;
         let end = match head.framing {
             BodyFraming::Length(length) => length,
             BodyFraming::Chunked | BodyFraming::UntilClose => limit.0,
         };
+        let mut body = BodySegments::new(end as usize);
         loop {
-            let needed = body.len() + self.input.len();
-            if needed > body.capacity() && body.capacity() < end as usize {
-                let capacity = needed.max(2 * body.capacity()).max(MIN_BODY_BYTES);
-                let capacity = capacity.min(end as usize);
-                self.held = base + capacity;
+            if let Some(size) = body.needed_segment(self.input.len()) {
+                self.held = base + body.capacity() + size;
                 self.holder.resize(self.held).await;
-                body.reserve_exact(capacity - body.len());
+                body.add_segment(size);
             }
-            match decoder.decode(&mut self.input, &mut body) {
+            match body.receive(|segment| decoder.decode(&mut self.input, segment)) {
                 Ok(_) if body.len() as u64 > limit.0 => {
                     return Err(ReadError::Refused(refusal_for(ParseError::TooLarge)));
                 }
@@ -390,10 +386,10 @@
                 Err(error) => return Err(ReadError::Refused(refusal_for(error))),
             }
         }
-        // Each attempt sends a copy of the body.
+        // The body is joined, and each attempt sends a copy of it.
         self.held = base + SERVING_BYTES + body.capacity() + body.len();
         self.holder.resize(self.held).await;
-        Ok(body)
+        Ok(body.join())
     }
 
     async fn fill_buffer(&mut self) -> Result<(), ReadError> {
--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/gateway/account.rs
@@ -12,7 +12,7 @@
 use applefold_core::direct::{
     HolderId, HolderStage, HoldingTable, ScarceResource, YieldCause, YieldingHolder,
 };
-use applefold_core::unit::{ByteSize, TimePoint, TimeSpan};
+use applefold_core::unit::{ByteSize, TimePoint};
 use opentelemetry::KeyValue;
 use tokio::sync::Notify;
 
@@ -22,12 +22,11 @@
 /// The share of the memory limit that requests may hold together, in percent. The rest is for
 /// buffered responses, the process itself and fragmentation.
 const REQUEST_PERCENT: u64 = 40;
-/// How often a request that waits for memory asks for it again, besides when some is released. A
-/// connection may have stalled in the meantime.
+/// How often a request that waits for memory asks for it again, besides when some is released.
 const WAIT_PERIOD: Duration = Duration::from_millis(100);
-/// The shortest time between two searches for a connection that gives way to waiting requests. Each
-/// request that waits asks for it, and a search looks at all connections.
-const SEARCH_SPACING: TimeSpan = TimeSpan::from_millis(5);
+/// The time between two searches for a connection that gives way to the requests that wait for
+/// memory. A search looks at all connections, so one of the waiting requests does it for all.
+const SEARCH_PERIOD: Duration = Duration::from_millis(5);
 
 /// The connection of a caller in the account.
 #[derive(Debug)]
@@ -46,8 +45,8 @@
     signals: RefCell<BTreeMap<HolderId, Rc<HolderSignal>>>,
     /// Notified when memory is released.
     released: Notify,
-    /// When memory was last searched for.
-    searched_at: Cell<TimePoint>,
+    /// Whether one of the waiting requests searches for memory.
+    searching: Cell<bool>,
     clock: BoottimeClock,
     metrics: MetricSet,
 }
@@ -60,7 +59,7 @@
             table: RefCell::new(HoldingTable::new(limit)),
             signals: RefCell::default(),
             released: Notify::new(),
-            searched_at: Cell::new(clock.now()),
+            searching: Cell::new(false),
             clock,
             metrics,
         }
@@ -99,15 +98,6 @@
         chosen.is_some()
     }
 
-    /// Closes a connection to make room for the requests that wait for memory.
-    fn make_memory(&self) {
-        let now = self.clock.now();
-        if now.since(self.searched_at.get()) >= SEARCH_SPACING {
-            self.searched_at.set(now);
-            self.make_room(ScarceResource::Memory);
-        }
-    }
-
     fn close(&self, yielding: &YieldingHolder, scarce: ScarceResource) {
         let signals = self.signals.borrow();
         let signal = signals.get(&yielding.id);
@@ -189,10 +179,18 @@
             return;
         }
         self.enter(HolderStage::Waiting);
+        let mut search = None;
         loop {
             let released = self.account.released.notified();
-            self.account.make_memory();
-            let _ = tokio::time::timeout(WAIT_PERIOD, released).await;
+            search = search.or_else(|| SearchGuard::claim(&self.account));
+            let period = match search {
+                Some(_) => SEARCH_PERIOD,
+                None => WAIT_PERIOD,
+            };
+            if search.is_some() {
+                self.account.make_room(ScarceResource::Memory);
+            }
+            let _ = tokio::time::timeout(period, released).await;
             if self.try_resize(bytes) {
                 self.enter(HolderStage::Receiving);
                 return;
@@ -229,3 +227,22 @@
         self.account.note_held();
     }
 }
+
+/// The search for memory by one of the requests that wait, until it is dropped.
+struct SearchGuard<'a>(&'a MemoryAccount);
+
+impl<'a> SearchGuard<'a> {
+    /// Begins to search unless another request does.
+    fn claim(account: &'a MemoryAccount) -> Option<Self> {
+        let claimed = !account.searching.replace(true);
+        claimed.then(|| Self(account))
+    }
+}
+
+impl Drop for SearchGuard<'_> {
+    fn drop(&mut self) {
+        self.0.searching.set(false);
+        // Another waiting request takes over.
+        self.0.released.notify_waiters();
+    }
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod availability;
 mod backend_list;
+mod body;
 mod buffers;
 mod connection;
 mod discovery;
