Release what a refused connection holds before its rest is discarded

Cause: a connection that was refused for lack of memory stayed charged with 12 KiB while its rest was discarded, up to 500 ms, and no other connection was chosen to give way until then. New connections were charged nothing.

Change: a refused connection is charged nothing and discards into 1 KiB; a new one is charged with 4 KiB.

--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -45,6 +45,7 @@
 /// How long the rest of a refused request is still read before the connection is closed. Closing
 /// with unread bytes would reset the connection, and the caller could lose the refusal.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+const LINGER_BUFFER_BYTES: usize = 1_024;
 /// How long a draining process still waits for the first request of a new connection. In most
 /// cases the caller has already sent it.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(300);
@@ -128,6 +129,8 @@
                         continue;
                     }
                     let holder = Rc::new(account.begin(Some(peer)));
+                    // Without memory it is charged with its first request.
+                    holder.try_resize(CONNECTION_BYTES);
                     actix_rt::spawn(serve_connection(Rc::clone(&state), stream, holder));
                 }
                 Err(error) => {
@@ -408,7 +411,8 @@
     async fn refuse(&mut self, refusal: &CallRefusal, writer: &mut OwnedWriteHalf) {
         self.input = BytesMut::new();
         self.holder.enter(HolderStage::Lingering);
-        self.holder.try_resize(CONNECTION_BYTES + READ_BUFFER_BYTES);
+        // Another connection may be chosen to give way only once this one holds nothing.
+        self.holder.try_resize(0);
         let mut bytes = Vec::new();
         render_refusal(refusal, None, false, &mut bytes);
         // A caller that has stalled has sent nothing that is unread.
@@ -434,12 +438,8 @@
             return;
         }
         let drain = async {
-            loop {
-                self.input.clear();
-                if self.fill_buffer().await.is_err() {
-                    return;
-                }
-            }
+            let mut discarded = [0; LINGER_BUFFER_BYTES];
+            while matches!(self.half.read(&mut discarded).await, Ok(count) if count > 0) {}
         };
         let _ = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
     }
