--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,9 +7,11 @@
 //! [docs/design/platform.md](../../../../docs/design/platform.md).
 
 mod accept;
+mod account;
 mod attempt;
 mod availability;
 mod backend_list;
+mod body;
 mod buffers;
 mod connection;
 mod discovery;
