Take no unfinished early response and no invalid status for an answer

Cause: the end of a connection completed a body without a length even while the upload was still being sent, so a caller got the part that an engine had sent until it closed. An interim response during an upload stopped the upload. The parser accepts any three digits, so 600 to 999 were relayed and 000 to 099 were skipped as interim responses.

Ruled out: a reset, during the upload or after it, was seen and is seen.

Change: a body without a length is complete only if the request has been sent, which is asked of the system with TCP_NOTSENT_LOWAT, since a socket buffers up to 4 MB. Interim responses are skipped while the upload goes on. A status outside 100 to 599 is malformed; the sidecar takes it for no response.

--- a/crates/daemon/src/gateway/connection.rs
+++ b/crates/daemon/src/gateway/connection.rs
@@ -8,6 +8,7 @@
 use applefold_h1::{parse_response, BodyDecoder, BodyFraming, ParseError, ResponseHead};
 use bytes::BytesMut;
 use eyre::{Result, WrapErr};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
@@ -74,6 +75,8 @@
     input: BytesMut,
     /// Whether a response began before its request had been sent completely.
     early_response: bool,
+    /// The number of interim responses since the last final one.
+    interim_responses: usize,
     /// Whether it has served a request before.
     reused: bool,
 }
@@ -87,6 +90,7 @@
             stream,
             input: BytesMut::with_capacity(READ_BUFFER_BYTES),
             early_response: false,
+            interim_responses: 0,
             reused: false,
         })
     }
@@ -121,8 +125,8 @@
         }
     }
 
-    /// Sends a complete request. Stops early, without an error, if a response begins before all of
-    /// it has been sent.
+    /// Sends a complete request. Stops early, without an error, if the head of a final response is
+    /// received before all of it has been sent.
     pub(crate) async fn send(&mut self, bytes: &[u8]) -> Result<(), ConnectionError> {
         // These bytes cannot answer a request of which nothing has been sent.
         self.is_silent().map_err(ConnectionError::NotSent)?;
@@ -135,6 +139,7 @@
             let interest = Interest::READABLE | Interest::WRITABLE;
             let ready = self.stream.ready(interest).await.map_err(wrap)?;
             if ready.is_readable() {
+                self.input.reserve(READ_BUFFER_BYTES);
                 match self.stream.try_read_buf(&mut self.input) {
                     Ok(0) => return Err(wrap(io::ErrorKind::UnexpectedEof.into())),
                     Ok(_) if sent == 0 => {
@@ -142,10 +147,11 @@
                         let error = io::Error::new(io::ErrorKind::InvalidData, error);
                         return Err(ConnectionError::NotSent(error));
                     }
-                    Ok(_) => {
+                    Ok(_) if self.skip_interim()?.is_some() => {
                         self.early_response = true;
                         return Ok(());
                     }
+                    Ok(_) => {}
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Err(error) => return Err(wrap(error)),
                 }
@@ -172,25 +178,32 @@
 
     /// Reads the head of the next final response and skips interim ones.
     pub(crate) async fn read_head(&mut self) -> Result<ResponseHead, ConnectionError> {
-        let mut interim = 0;
+        loop {
+            if let Some((head, used)) = self.skip_interim()? {
+                let _ = self.input.split_to(used);
+                self.interim_responses = 0;
+                return Ok(head);
+            }
+            if self.fill_buffer().await? == 0 {
+                return Err(ConnectionError::Broken(io::ErrorKind::UnexpectedEof.into()));
+            }
+        }
+    }
+
+    /// Removes interim responses from the start of the input. Returns the head of the final response
+    /// with its length, which stays in the input, or `None` while it is incomplete.
+    fn skip_interim(&mut self) -> Result<Option<(ResponseHead, usize)>, ConnectionError> {
         loop {
             let parsed = parse_response(&self.input, MAX_HEAD_BYTES);
             match parsed.map_err(ConnectionError::InvalidResponse)? {
-                Some((head, used)) => {
+                Some((head, used)) if head.status < 200 => {
                     let _ = self.input.split_to(used);
-                    if head.status >= 200 {
-                        return Ok(head);
-                    }
-                    interim += 1;
-                    if interim > MAX_INTERIM_RESPONSES {
+                    self.interim_responses += 1;
+                    if self.interim_responses > MAX_INTERIM_RESPONSES {
                         return Err(ConnectionError::InvalidResponse(ParseError::TooLarge));
                     }
                 }
-                None => {
-                    if self.fill_buffer().await? == 0 {
-                        return Err(ConnectionError::Broken(io::ErrorKind::UnexpectedEof.into()));
-                    }
-                }
+                parsed => return Ok(parsed),
             }
         }
     }
@@ -211,10 +224,44 @@
                 return Ok(false);
             }
             if self.fill_buffer().await? == 0 {
-                return match decoder.ends_with_connection() {
-                    true => Ok(true),
-                    false => Err(ConnectionError::Broken(io::ErrorKind::UnexpectedEof.into())),
-                };
+                if !decoder.ends_with_connection() {
+                    return Err(ConnectionError::Broken(io::ErrorKind::UnexpectedEof.into()));
+                }
+                if !self.is_request_sent() {
+                    let error = "the connection ended before the request had been sent";
+                    let error = io::Error::new(io::ErrorKind::UnexpectedEof, error);
+                    return Err(ConnectionError::Broken(error));
+                }
+                return Ok(true);
+            }
+        }
+    }
+
+    /// Returns whether the peer's system has received the request, on a connection that the peer has
+    /// closed. A peer that closes before that has not read the request.
+    ///
+    /// With a limit of one unsent byte (`TCP_NOTSENT_LOWAT`), a socket is writable only while all that
+    /// was written to it has been sent. Otherwise up to 4 MB may still wait in its buffer.
+    fn is_request_sent(&self) -> bool {
+        if self.early_response {
+            return false;
+        }
+        if let Err(error) = SockRef::from(&self.stream).set_tcp_notsent_lowat(1) {
+            log::warn!(error = error.to_string();
+                "could not determine whether a request was sent; taking it as sent");
+            return true;
+        }
+        let mut sockets = [PollFd::new(&self.stream, PollFlags::OUT)];
+        match poll(&mut sockets, Some(&Timespec::default())) {
+            Ok(_) => {
+                let events = sockets[0].revents();
+                let ended = events.intersects(PollFlags::ERR | PollFlags::HUP);
+                events.contains(PollFlags::OUT) && !ended
+            }
+            Err(error) => {
+                log::warn!(error = error.to_string();
+                    "could not poll a connection; taking its response as incomplete");
+                false
             }
         }
     }
--- a/crates/daemon/src/sidecar/backend.rs
+++ b/crates/daemon/src/sidecar/backend.rs
@@ -25,6 +25,8 @@
 const ORDER_GRACE: Duration = Duration::from_millis(100);
 /// Statuses of responses that have no body, whatever their headers say.
 const BODILESS_STATUSES: [u16; 2] = [204, 304];
+/// The statuses of final responses. The client library returns any from 100 to 999.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
 /// Response headers that are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 6] = [
     "connection",
@@ -130,6 +132,9 @@
         let sent = request.send_body(dispatch.body.clone()).await;
         let response = sent.map_err(|error| classify_error(&error))?;
         let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(BackendError::NoResponse);
+        }
         let headers = forwarded_headers(response.headers());
         let bodiless = dispatch.method == "HEAD" || BODILESS_STATUSES.contains(&status);
         let check = match bodiless {
--- a/crates/daemon/tests/whole_answers.rs
+++ b/crates/daemon/tests/whole_answers.rs
@@ -211,3 +211,29 @@
         }
     });
 }
+
+/// The HTTP client accepts any status from 100 to 999, so that one which does not exist reached the
+/// caller as the response.
+#[test]
+fn a_status_that_does_not_exist_reaches_no_caller() {
+    run(async {
+        let cluster = TestCluster::start(ClusterPlan::default()).await;
+        let caller = cluster.entries[0].caller();
+        for status in [600, 999] {
+            let faults = EngineFaults {
+                answer_status: Some(status),
+                ..EngineFaults::default()
+            };
+            for slot in &cluster.backends {
+                let set = slot.client().set_faults(&faults).await;
+                set.expect("the fault is set");
+            }
+            let body = chat(&format!("status {status}"), 2).body(false);
+            let path = "/v1/chat/completions";
+            let answer = caller.call(actix_http::Method::POST, path, body).await;
+            let answer = answer.expect("the entry responds");
+            let valid = (500..600).contains(&answer.status);
+            assert!(valid, "{status}: {} {}", answer.status, answer.text());
+        }
+    });
+}
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -9,6 +9,8 @@
 
 /// The most header fields that a message may have.
 const MAX_FIELDS: usize = 100;
+/// The status codes that exist. The parser accepts any three digits.
+const STATUS_CODES: std::ops::RangeInclusive<u16> = 100..=599;
 
 /// Why bytes could not be parsed as a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,7 +110,7 @@
 ///
 /// Returns [`ParseError::TooLarge`] for a head over `limit` bytes, too many header fields or a
 /// `Content-Length` that does not fit a `u64`, and [`ParseError::Malformed`] for bytes that are
-/// not a response or have ambiguous framing.
+/// not a response, have a status outside 100 to 599 or ambiguous framing.
 pub fn parse_response(
     bytes: &[u8],
     limit: usize,
@@ -123,6 +125,9 @@
     };
     let fields = read_fields(response.headers)?;
     let status = response.code.unwrap_or_default();
+    if !STATUS_CODES.contains(&status) {
+        return Err(ParseError::Malformed("status code"));
+    }
     let framing = response_framing(&fields, status)?;
     let keep_alive = is_persistent(&fields, response.version) && framing != BodyFraming::UntilClose;
     let head = ResponseHead {
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -86,6 +86,23 @@
     }
 }
 
+/// Any three digits pass the parser. A caller would get them as the status of its response, and those
+/// below 200 would count as interim responses.
+#[test]
+fn a_status_that_does_not_exist_is_malformed() {
+    for status in ["000", "001", "099", "600", "999"] {
+        let text = format!("HTTP/1.1 {status} OK\r\nContent-Length: 0\r\n\r\n");
+        let parsed = parse_response(text.as_bytes(), MAX_HEAD_BYTES);
+        assert!(parsed.is_err(), "{status}: {parsed:?}");
+    }
+    for status in [100, 199, 200, 599] {
+        let text = format!("HTTP/1.1 {status} OK\r\nContent-Length: 0\r\n\r\n");
+        let parsed = parse_response(text.as_bytes(), MAX_HEAD_BYTES);
+        let (head, _) = parsed.unwrap().unwrap();
+        assert_eq!(head.status, status);
+    }
+}
+
 /// A cut head taken for a whole one would make a shorter body look complete.
 #[test]
 fn a_head_is_complete_only_at_its_empty_line() {
--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -16,7 +16,7 @@
 use super::generation::PromptHash;
 use super::history::{RequestRecord, RequestState};
 use super::EngineService;
-use crate::http::{refuse, reply_ok, CallAnswer, HttpCall};
+use crate::http::{refuse, reply, reply_ok, CallAnswer, HttpCall};
 
 /// Request id and prompt of the response that the fault `cross_answers` sends instead
 /// of the right one.
@@ -29,6 +29,13 @@
     pub(super) async fn handle_chat(&self, call: &HttpCall) -> Result<CallAnswer, CallAnswer> {
         let request: ChatRequest = call.json()?;
         self.check_request(&request)?;
+        let status = self.faults.borrow().answer_status;
+        if let Some(status) = status.and_then(|status| StatusCode::from_u16(status).ok()) {
+            let response = reply(status, &call.path);
+            let (id, attempt) = (call.header("x-request-id"), call.header("x-attempt"));
+            let prompt = PromptHash::of(&request.prompt_text());
+            return Ok(with_identity_headers(response, id, attempt, prompt));
+        }
         let text = request.prompt_text();
         let (events, job_events) = unbounded_channel();
         let job = self.job(call, &request, &text, events);
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -25,6 +25,8 @@
     pub cut_after_tokens: Option<u64>,
     /// Number of upcoming responses that are replaced by the response to another request.
     pub cross_answers: u64,
+    /// Answers each chat request with this status, from 200 to 999, and without running it.
+    pub answer_status: Option<u16>,
     /// Makes exports of KV cache fail.
     pub export_fails: bool,
 }
