Hedge slow requests that may be repeated, within the operator's share

Change: HedgeController decides when a request is unusually slow, compared with the times of its route and size at other backend servers, and whether a second attempt is within the operator's percentage, the retry budget, maxAttempts and the load.

Ruled out: a percentile over all backend servers.

Tested: direct_hedge, hedges (real processes: a hedge wins over a silent engine, which sees its connection closed; requests that may run once and entries without the flag send once) and entry pass.

--- a/crates/core/src/direct/attempt.rs
+++ b/crates/core/src/direct/attempt.rs
@@ -113,7 +113,8 @@
         self.give_up(end, limits)
     }
 
-    fn record(&mut self, end: AttemptEnd) {
+    /// Records the outcome of an attempt beside which another one is in flight.
+    pub fn record(&mut self, end: AttemptEnd) {
         match end {
             AttemptEnd::NotSent => {}
             AttemptEnd::NotRun { .. } => self.arrivals += 1,
@@ -128,6 +129,12 @@
         }
     }
 
+    /// Records an attempt that was cancelled before its outcome was known. It may have run.
+    pub fn record_cancelled(&mut self) {
+        self.arrivals += 1;
+        self.runs += 1;
+    }
+
     /// Withdraws a retry from the budget and returns whether it was granted. Until an attempt has
     /// reached a backend server, the next one adds no load there and is free.
     fn pay_retry(&self, budget: &mut RetryBudget) -> bool {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod count;
 mod duration;
 mod estimate;
+mod hedge;
 mod list_replica;
 mod origin_memory;
 mod permit;
@@ -31,6 +32,10 @@
 pub use continuity::{ExpiredServers, RemovalCause, StoreContinuity, RETURN_TIME};
 pub use count::{RunCounter, WindowCounts};
 pub use duration::DurationTable;
+pub use hedge::{
+    HedgeController, HedgeDenial, HedgeRequest, HedgeShare, HedgeShareError, LatencyClass,
+    ServiceLoad, SlowTime,
+};
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
 pub use origin_memory::{FindingSource, OriginFinding, OriginMemory};
 pub use permit::{
--- a/crates/daemon/src/cmd/args.rs
+++ b/crates/daemon/src/cmd/args.rs
@@ -151,6 +151,10 @@
     /// minimum log level (APPLEFOLD_LOG_LEVEL, info)
     #[argh(option)]
     pub(crate) log_level: Option<String>,
+    /// percentage of the repeatable requests that may get a second attempt while the first one takes
+    /// unusually long (APPLEFOLD_HEDGE_PERCENT, 0)
+    #[argh(option)]
+    pub(crate) hedge_percent: Option<String>,
     /// validate the settings and exit
     #[argh(switch)]
     pub(crate) check_settings: bool,
--- a/crates/daemon/src/cmd/gateway.rs
+++ b/crates/daemon/src/cmd/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use applefold_core::direct::HedgeShare;
 use applefold_platform::{PlatformSettings, SETTINGS_PATH, SETTINGS_VARIABLE};
 use eyre::{Result, WrapErr};
 use log::LevelFilter;
@@ -29,11 +30,19 @@
         setting!(args.log_level, "--log-level", "APPLEFOLD_LOG_LEVEL"),
         LevelFilter::Info,
     );
+    let hedge_share = reader.with_default(
+        setting!(
+            args.hedge_percent,
+            "--hedge-percent",
+            "APPLEFOLD_HEDGE_PERCENT"
+        ),
+        HedgeShare::default(),
+    );
     reader.finish()?;
     if args.check_settings {
         println!("the settings are valid");
         return Ok(());
     }
     logging::start_bounded(log_level)?;
-    block_on(gateway::run(settings, path.into()))
+    block_on(gateway::run(settings, hedge_share, path.into()))
 }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -59,6 +59,13 @@
     Ended(AttemptEnd, SmolStr),
 }
 
+impl AttemptResult {
+    /// Returns whether it is a complete response to relay.
+    pub(crate) const fn is_complete(&self) -> bool {
+        matches!(self, Self::Complete(..))
+    }
+}
+
 /// How an attempt is counted in the metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptClass {
@@ -68,6 +75,8 @@
     Streamed,
     /// The prompt was prefilled for another engine.
     Prefilled,
+    /// It was cancelled, since a hedge was faster.
+    Cancelled,
     /// No usable response was received, or one with a server error.
     Ended(AttemptEnd),
 }
@@ -79,6 +88,7 @@
             Self::Answered => "answered",
             Self::Streamed => "streamed",
             Self::Prefilled => "prompt read",
+            Self::Cancelled => "cancelled",
             Self::Ended(AttemptEnd::NotSent) => "not sent",
             Self::Ended(AttemptEnd::NotRun { .. }) => "not run",
             Self::Ended(AttemptEnd::Failed) => "failed",
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod duty;
 mod gossip;
 mod handoff;
+mod hedges;
 mod in_flight;
 mod life_signs;
 mod limits;
@@ -52,6 +53,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
+use applefold_core::direct::HedgeShare;
 use applefold_platform::PlatformSettings;
 use eyre::Result;
 
@@ -62,9 +64,13 @@
 /// # Errors
 ///
 /// Fails if an address cannot be bound or a signal cannot be handled.
-pub(crate) async fn run(settings: PlatformSettings, path: PathBuf) -> Result<()> {
+pub(crate) async fn run(
+    settings: PlatformSettings,
+    hedge_share: HedgeShare,
+    path: PathBuf,
+) -> Result<()> {
     let hangups = reload::listen()?;
-    let state = Rc::new(GatewayState::new(settings));
+    let state = Rc::new(GatewayState::new(settings, hedge_share));
     ready::serve(&state).await?;
     accept::serve(&state).await?;
     actix_rt::spawn(rules::run(Rc::clone(&state)));
@@ -81,7 +87,8 @@
     actix_rt::spawn(reload::run(Rc::clone(&state), hangups, path));
     log::info!(instance = state.settings().instance.as_str(),
         domain = state.settings().domain.as_str(), run = state.run,
-        store = state.settings().store.to_string(); "entry started");
+        store = state.settings().store.to_string(), hedge_percent = hedge_share.to_string();
+        "entry started");
     reload::log_ignored(&state.settings());
     stop::wait(&state).await
 }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Drives one request from its arrival to its final response.
 
+mod race;
 mod respond;
 mod stream;
 
@@ -31,6 +32,7 @@
 use super::state::GatewayState;
 use super::stop;
 use super::suspects::CrashProgress;
+use race::EndedAttempt;
 use stream::RelayEnd;
 
 /// The most attempts per request, including those that did not run.
@@ -136,8 +138,20 @@
             self.last_backend = Some(placement.backend.clone());
             let started_at = self.state.now();
             self.attempting = true;
-            let result = self.attempt(&placement, permit).await;
-            let end = match result {
+            let ended = match self.is_hedgeable(&placement) {
+                // On the heap, so that requests that are not hedged take no memory for two attempts.
+                true => Box::pin(self.race(placement, permit, started_at)).await,
+                false => {
+                    let result = self.attempt(&placement, permit, 1).await;
+                    EndedAttempt {
+                        placement,
+                        started_at,
+                        result,
+                    }
+                }
+            };
+            let (placement, started_at) = (ended.placement, ended.started_at);
+            let end = match ended.result {
                 AttemptResult::Complete(head, body) => {
                     if (200..300).contains(&head.status) {
                         self.note_answer_begun();
@@ -204,6 +218,7 @@
                 AttemptResult::Ended(end, reason) => {
                     self.log_attempt(&placement, started_at, AttemptClass::Ended(end), &reason);
                     self.note_crash(end, &placement, 0);
+                    self.note_shortage_end(end);
                     // A request whose connection broke after it was sent has run in most cases.
                     if end.is_lost_response() && placement.work == PlacementWork::Run {
                         self.count_usage();
@@ -237,6 +252,28 @@
     /// Chooses the backend server of the next attempt. The quarantine is checked each time, since
     /// crashes under other requests may have been recorded since the last attempt.
     fn place(&self) -> Result<Placement, CallRefusal> {
+        let placement = self.choose(&self.excluded, self.stage());
+        placement.inspect_err(|refusal| {
+            self.note_shortage(refusal);
+            let time_left = self.prepared.deadline.since(self.state.now());
+            let goal = self
+                .prepared
+                .route
+                .time_goal(self.response_stage(), time_left);
+            log::info!(request = self.prepared.caller.id.as_str(), code = refusal.code.number(),
+                stage = format!("{:?}", self.response_stage()),
+                goal_ms = goal.latency_objective.as_millis(), left_ms = time_left.as_millis(),
+                retry_after_ms = refusal.retry_after.map_or(0, TimeSpan::as_millis);
+                "no backend server was chosen");
+        })
+    }
+
+    /// Chooses a backend server for a stage of the work that is not among those excluded.
+    fn choose(
+        &self,
+        excluded: &BTreeSet<BackendId>,
+        stage: PlacementStage<'_>,
+    ) -> Result<Placement, CallRefusal> {
         let now = self.state.now();
         let id = &self.prepared.caller.id;
         let suspects = &self.state.suspects;
@@ -256,22 +293,15 @@
             name: &self.prepared.caller.id,
             service: &self.prepared.service,
             prompt: self.prompt(),
-            stage: self.stage(),
-            excluded: &self.excluded,
+            stage,
+            excluded,
             versions: self.binding.bound(&avoided)?,
             time_left: goal.time_left,
             latency_objective: goal.latency_objective,
         };
         let table = self.state.table.borrow();
         let domain = &self.state.settings().domain;
-        let placement = self.state.policy.choose(&table, &request, domain, now);
-        placement.inspect_err(|refusal| {
-            log::info!(request = id.as_str(), code = refusal.code.number(),
-                stage = format!("{:?}", self.response_stage()),
-                goal_ms = goal.latency_objective.as_millis(), left_ms = time_left.as_millis(),
-                retry_after_ms = refusal.retry_after.map_or(0, TimeSpan::as_millis);
-                "no backend server was chosen");
-        })
+        self.state.policy.choose(&table, &request, domain, now)
     }
 
     /// Returns how much of the response the caller has.
@@ -331,7 +361,14 @@
         self.prepared.caller.prompt.as_ref().filter(|_| engine)
     }
 
-    async fn attempt(&self, placement: &Placement, permit: Option<SendPermit>) -> AttemptResult {
+    /// Sends the request to a backend server. `running` is the number of attempts in flight, with
+    /// this one.
+    async fn attempt(
+        &self,
+        placement: &Placement,
+        permit: Option<SendPermit>,
+        running: u32,
+    ) -> AttemptResult {
         let runs = self.progress.runs;
         let attempt = Attempt {
             state: self.state,
@@ -350,20 +387,24 @@
                     .handle()
                     .map_or(AttemptWork::Full, AttemptWork::Decode),
             },
-            others_left: runs + 1 < self.prepared.route.max_attempts,
+            others_left: runs + running < self.prepared.route.max_attempts,
             last_event_id: self.event_buffer.last_event().map(SmolStr::as_str),
         };
         attempt.run().await
     }
 
-    /// Decides what follows a failed attempt.
-    fn decide(&mut self, end: AttemptEnd) -> NextStep {
-        let limits = AttemptLimits {
+    fn attempt_limits(&self) -> AttemptLimits {
+        AttemptLimits {
             max_runs: self.prepared.route.max_attempts,
             max_sends: MAX_SENDS,
             min_time_left: MIN_ATTEMPT_TIME,
             retry_after: BUSY_RETRY_AFTER,
-        };
+        }
+    }
+
+    /// Decides what follows a failed attempt.
+    fn decide(&mut self, end: AttemptEnd) -> NextStep {
+        let limits = self.attempt_limits();
         let time_left = self.prepared.deadline.since(self.state.now());
         let repeat = self.prepared.route.retry_rule;
         let progress = &mut self.progress;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,8 +7,8 @@
 
 use applefold_core::code::ResultCode;
 use applefold_core::direct::{
-    DurationTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, ServerTable,
-    WallClock, WindowSealer,
+    DurationTable, HedgeShare, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent,
+    ServerTable, WallClock, WindowSealer,
 };
 use applefold_core::drain::{DrainOptions, DrainPhase, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
@@ -26,6 +26,7 @@
 use crate::gateway::backend_list::BackendList;
 use crate::gateway::buffers::BufferBudget;
 use crate::gateway::duty::DutyLease;
+use crate::gateway::hedges::HedgeDesk;
 use crate::gateway::limits::LimitTable;
 use crate::gateway::notices::NoticeTable;
 use crate::gateway::origins::StreamOrigins;
@@ -90,6 +91,7 @@
     pub(crate) drain: RefCell<DrainState>,
     /// How long complete requests took, by route.
     pub(crate) durations: RefCell<DurationTable>,
+    pub(crate) hedges: HedgeDesk,
     pub(crate) counter: RefCell<RunCounter>,
     pub(crate) suspects: SuspectTracker,
     pub(crate) suspect_parts: SuspectParts,
@@ -126,7 +128,7 @@
 }
 
 impl GatewayState {
-    pub(crate) fn new(settings: PlatformSettings) -> Self {
+    pub(crate) fn new(settings: PlatformSettings, hedge_share: HedgeShare) -> Self {
         let metrics = MetricSet::start();
         let clock = BoottimeClock;
         let drain = DrainOptions {
@@ -167,6 +169,7 @@
             list_loaded: Cell::new(false),
             drain: RefCell::new(DrainState::new(drain)),
             durations: RefCell::default(),
+            hedges: HedgeDesk::new(hedge_share, metrics.hedges.clone()),
             counter: RefCell::new(RunCounter::new(settings.usage_window, KEPT_WINDOWS)),
             suspects: SuspectTracker::new(metrics.clone()),
             suspect_parts: SuspectParts::new(metrics.clone()),
@@ -350,6 +353,7 @@
 
     /// Stops tracking the health of a backend server.
     pub(crate) fn forget_health(&self, id: &BackendId) {
+        self.hedges.with(|controller| controller.remove_backend(id));
         let action = self.health.borrow_mut().remove(id);
         self.act_on_health(action);
     }
