Hedge resumable streams until their first event

Cause: a stream whose first event does not come held its request until the deadline, although it may be repeated and the caller has nothing of it.

Change: each stream of a race is read until its first event, apart from the other one, and only the winner's events are relayed and bind the response to a software version. A hedge goes only to a backend server with nothing queued, since prompts queue while slots are free.

--- a/crates/core/src/direct/hedge.rs
+++ b/crates/core/src/direct/hedge.rs
@@ -8,10 +8,10 @@
 
 use smol_str::SmolStr;
 
-use crate::direct::{AttemptLimits, RequestProgress, RetryRule, ServerTable};
+use crate::direct::{AttemptLimits, RequestProgress, RetryRule, ServerRow, ServerTable};
 use crate::id::{BackendId, ServiceId};
 use crate::retry::RetryBudget;
-use crate::unit::{TimePoint, TimeSpan};
+use crate::unit::{TimePoint, TimeSpan, TokenCount};
 
 /// The percentage of the learned times above which a request is unusually slow.
 const SLOW_PERCENTILE: usize = 95;
@@ -177,6 +177,13 @@
     }
 }
 
+/// Returns whether work is queued at a backend server, so that a hedge there would delay requests.
+/// Prompts queue while slots are free. Reports older than `max_age` are ignored.
+pub fn has_queue(row: &ServerRow, max_age: TimeSpan, now: TimePoint) -> bool {
+    let reported = row.fresh_load(now, max_age);
+    row.backlog(now) > TokenCount::ZERO || reported.is_some_and(|reported| reported.waiting > 0)
+}
+
 /// A slow request and the attempt at it that is in flight.
 #[derive(Clone, Copy, Debug)]
 pub struct HedgeRequest<'a> {
@@ -215,6 +222,8 @@
     Shortage,
     /// The backend server of the attempt in flight has lost too many attempts to hedges.
     Unobserved,
+    /// No other backend server is free for it.
+    NoTarget,
     /// The share of requests that may be hedged is used up.
     ShareUsed,
     /// The retry budget of the service is used up.
@@ -232,6 +241,7 @@
             Self::HighLoad => "high load",
             Self::Shortage => "shortage",
             Self::Unobserved => "backend unobserved",
+            Self::NoTarget => "no free backend",
             Self::ShareUsed => "share used",
             Self::BudgetUsed => "retry budget used",
         }
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -33,8 +33,8 @@
 pub use count::{RunCounter, WindowCounts};
 pub use duration::DurationTable;
 pub use hedge::{
-    HedgeController, HedgeDenial, HedgeRequest, HedgeShare, HedgeShareError, LatencyClass,
-    ServiceLoad, SlowTime,
+    has_queue, HedgeController, HedgeDenial, HedgeRequest, HedgeShare, HedgeShareError,
+    LatencyClass, ServiceLoad, SlowTime,
 };
 pub use list_replica::{ChangeSource, ListReplica, ListUpdate};
 pub use origin_memory::{FindingSource, OriginFinding, OriginMemory};
--- a/crates/core/tests/direct_hedge.rs
+++ b/crates/core/tests/direct_hedge.rs
@@ -1,12 +1,15 @@
 //! Hedges shorten the slowest responses, never repeat what may run only once, stay within the
 //! operator's share with any number of entries, and yield under load.
 
+mod direct_support;
+
 use applefold_core::direct::{
-    AttemptLimits, HedgeController, HedgeDenial, HedgeRequest, HedgeShare, LatencyClass,
-    RequestProgress, RetryRule, ServiceLoad,
+    has_queue, AttemptLimits, HedgeController, HedgeDenial, HedgeRequest, HedgeShare, LatencyClass,
+    LoadSample, RequestProgress, RetryRule, ServiceLoad,
 };
 use applefold_core::id::{BackendId, ServiceId};
 use applefold_core::retry::{RetryBudget, RetryPolicy};
+use applefold_core::routing::BackendRole;
 use applefold_core::unit::{TimePoint, TimeSpan};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -213,6 +216,44 @@
     assert_eq!(controller.check(&request, later), Ok(()));
 }
 
+/// Prompts queue at an engine that has free slots, so a hedge there would delay them.
+#[test]
+fn load_counts_slots_and_a_queue_counts_prompts() {
+    let mut table = direct_support::table(&[BackendRole::Both, BackendRole::Both]);
+    let (service, max_age) = (direct_support::service(), TimeSpan::from_millis(400));
+    let now = TimePoint::START + TimeSpan::from_secs(1);
+    let (busy, idle) = (direct_support::backend(0), direct_support::backend(1));
+    let sample = LoadSample {
+        running: 3,
+        waiting: 0,
+        slots: 8,
+    };
+    table.record_load(&busy, sample, now);
+    direct_support::record_loads(&mut table, &[(1, 1, 0)], now);
+    let load = ServiceLoad::of(&table, &service, max_age, now);
+    let expected = ServiceLoad {
+        requests: 4,
+        slots: 16,
+    };
+    assert_eq!(load, expected);
+    let queued = |table: &applefold_core::direct::ServerTable, id: &BackendId, now: TimePoint| {
+        has_queue(table.get(id).expect("a row"), max_age, now)
+    };
+    assert!(!queued(&table, &busy, now) && !queued(&table, &idle, now));
+    table.record_load(
+        &busy,
+        LoadSample {
+            waiting: 1,
+            ..sample
+        },
+        now,
+    );
+    direct_support::record_loads(&mut table, &[(1, 2, 500)], now);
+    assert!(queued(&table, &busy, now) && queued(&table, &idle, now));
+    let later = now + TimeSpan::from_secs(1);
+    assert!(!queued(&table, &busy, later), "the report is too old");
+}
+
 /// Guards against hedges that hide a silent backend server: attempts that wait for it show that it
 /// is silent.
 #[test]
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -40,6 +40,15 @@
     pub(crate) head: ResponseHead,
     pub(crate) decoder: BodyDecoder,
     pub(crate) in_flight: InFlightGuard,
+    /// What has been read of the body already.
+    pub(crate) ahead: Option<ReadAhead>,
+}
+
+/// The beginning of the body of a stream, read to find out whether its first event arrives.
+pub(crate) struct ReadAhead {
+    pub(crate) body: Vec<u8>,
+    /// Whether the body is complete, or how the attempt ended before the first event.
+    pub(crate) end: Result<bool, (AttemptEnd, String)>,
 }
 
 /// The result of an attempt.
@@ -60,9 +69,14 @@
 }
 
 impl AttemptResult {
-    /// Returns whether it is a complete response to relay.
-    pub(crate) const fn is_complete(&self) -> bool {
-        matches!(self, Self::Complete(..))
+    /// Returns whether it is a complete response to relay, or a stream that did not end before its
+    /// first event.
+    pub(crate) fn is_usable(&self) -> bool {
+        match self {
+            Self::Complete(..) => true,
+            Self::Stream(stream) => stream.ahead.as_ref().is_none_or(|ahead| ahead.end.is_ok()),
+            Self::Failed(..) | Self::Prefilled(_) | Self::Withheld(_) | Self::Ended(..) => false,
+        }
     }
 }
 
@@ -186,6 +200,7 @@
                 head,
                 decoder,
                 in_flight,
+                ahead: None,
             }));
         }
         self.read_complete(connection, head, &response, in_flight)
--- a/crates/daemon/src/gateway/request/race.rs
+++ b/crates/daemon/src/gateway/request/race.rs
@@ -6,8 +6,8 @@
 
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
-    AttemptEnd, HedgeDenial, HedgeRequest, LatencyClass, Placement, PlacementStage, PlacementWork,
-    PromptShape, ServiceLoad, SlowTime,
+    has_queue, AttemptEnd, HedgeDenial, HedgeRequest, LatencyClass, Placement, PlacementStage,
+    PlacementWork, PromptShape, ServiceLoad, SlowTime,
 };
 use applefold_core::id::BackendId;
 use applefold_core::unit::TimePoint;
@@ -57,14 +57,14 @@
         });
         let hedged_at = RefCell::new(None);
         let end = {
-            let first = self.attempt(&placement, permit, 1);
+            let first = self.attempt_to_event(&placement, permit, 1);
             let hedge = self.hedge(&placement, started_at, slow_time, &hedged_at);
             tokio::pin!(first, hedge);
             tokio::select! {
                 biased;
                 result = &mut first => {
                     let hedge_runs = hedged_at.borrow().is_some();
-                    match hedge_runs && !result.is_complete() {
+                    match hedge_runs && !result.is_usable() {
                         true => match hedge.await {
                             Some(hedge) => RaceEnd::Hedge(hedge, Some(result)),
                             None => RaceEnd::First(result, None),
@@ -73,7 +73,7 @@
                     }
                 }
                 hedge = &mut hedge => match hedge {
-                    Some(hedge) if hedge.attempt.result.is_complete() => RaceEnd::Hedge(hedge, None),
+                    Some(hedge) if hedge.attempt.result.is_usable() => RaceEnd::Hedge(hedge, None),
                     hedge => RaceEnd::First(first.await, hedge),
                 },
             }
@@ -109,7 +109,7 @@
                     }),
                     None => self.settle_overtaken(&class, &placement, started_at),
                 }
-                if attempt.result.is_complete() {
+                if attempt.result.is_usable() {
                     sent.win();
                     self.log_hedge("won", &attempt.placement.backend);
                 } else {
@@ -132,11 +132,25 @@
         let repeat = self.prepared.route.retry_rule;
         self.state.hedges.is_enabled()
             && repeat.allows_retry()
-            && !repeat.is_stream()
+            && !self.head_sent
             && placement.work == PlacementWork::Run
             && self.handoff.is_none()
     }
 
+    /// Sends the request to a backend server, and reads a stream until its first event.
+    async fn attempt_to_event(
+        &self,
+        placement: &Placement,
+        permit: Option<SendPermit>,
+        running: u32,
+    ) -> AttemptResult {
+        let mut result = self.attempt(placement, permit, running).await;
+        if let AttemptResult::Stream(stream) = &mut result {
+            stream.ahead = Some(self.read_ahead(stream).await);
+        }
+        result
+    }
+
     /// Waits until the attempt is unusually slow, and sends the request to another backend server,
     /// which it writes to `hedged_at`. Returns `None` if it may not be sent to one.
     async fn hedge(
@@ -152,7 +166,10 @@
             self.deny_hedge(denial);
             return None;
         }
-        let placement = self.place_hedge(first)?;
+        let Some(placement) = self.place_hedge(first) else {
+            self.deny_hedge(HedgeDenial::NoTarget);
+            return None;
+        };
         let id = &self.prepared.caller.id;
         let permit = match self.state.acquire_permit(&placement.backend, id).await {
             PermitOutcome::Allowed(permit) => permit,
@@ -173,7 +190,7 @@
             predicted_ms = placement.predicted.as_millis(), requests = load.requests,
             slots = load.slots, left_ms = self.prepared.deadline.since(sent_at).as_millis();
             "hedge: sent");
-        let result = self.attempt(&placement, permit, 2).await;
+        let result = self.attempt_to_event(&placement, permit, 2).await;
         let attempt = EndedAttempt {
             placement,
             started_at: sent_at,
@@ -220,10 +237,11 @@
         ServiceLoad::of(&table, &self.prepared.service, max_age, now)
     }
 
-    /// Chooses a backend server that has not been tried, in another failure domain if one there may
-    /// run the request in time.
+    /// Chooses a backend server that has not been tried and where nothing is queued, in another failure
+    /// domain if one there may run the request in time.
     fn place_hedge(&self, first: &Placement) -> Option<Placement> {
         let mut tried = self.excluded.clone();
+        tried.extend(self.busy_backends());
         tried.insert(first.backend.clone());
         let mut near = tried.clone();
         near.extend(self.same_domain(&first.backend));
@@ -235,6 +253,14 @@
         place(&near).or_else(|| place(&tried))
     }
 
+    fn busy_backends(&self) -> BTreeSet<BackendId> {
+        let (now, max_age) = (self.state.now(), self.state.policy.max_load_age);
+        let table = self.state.table.borrow();
+        let rows = table.of_service(&self.prepared.service);
+        let busy = rows.filter(|row| has_queue(row, max_age, now));
+        busy.map(|row| row.spec.id.clone()).collect()
+    }
+
     /// Returns the backend servers in the failure domain of this one.
     fn same_domain(&self, backend: &BackendId) -> BTreeSet<BackendId> {
         let table = self.state.table.borrow();
@@ -253,7 +279,7 @@
         LatencyClass::new(&self.prepared.route.name, size)
     }
 
-    /// Accounts for an attempt that failed beside one that counts.
+    /// Accounts for an attempt that failed beside one that counts. Others end without effect.
     fn settle_failed(&mut self, attempt: EndedAttempt) {
         let EndedAttempt {
             placement,
@@ -267,20 +293,25 @@
                 (AttemptEnd::Failed, "the backend server failed".into())
             }
             AttemptResult::Withheld(reason) => (AttemptEnd::NotSent, reason),
-            AttemptResult::Ended(end, reason) => (end, reason),
-            AttemptResult::Complete(..)
-            | AttemptResult::Stream(_)
-            | AttemptResult::Prefilled(_) => {
-                debug_assert!(false, "only failed attempts are settled here");
-                return;
+            AttemptResult::Ended(end, reason) => {
+                // A request whose connection broke after it was sent has run in most cases.
+                if end.is_lost_response() {
+                    self.count_usage();
+                }
+                (end, reason)
+            }
+            AttemptResult::Stream(stream) => {
+                self.count_stream(stream.head.framing.name(), "broken");
+                match stream.ahead.map(|ahead| ahead.end) {
+                    Some(Err((end, reason))) => (end, reason.into()),
+                    Some(Ok(_)) | None => return,
+                }
             }
+            AttemptResult::Complete(..) | AttemptResult::Prefilled(_) => return,
         };
         self.log_attempt(&placement, started_at, AttemptClass::Ended(end), &reason);
         self.note_crash(end, &placement, 0);
         self.note_shortage_end(end);
-        if end.is_lost_response() {
-            self.count_usage();
-        }
         self.progress.record(end);
         self.excluded.insert(placement.backend);
     }
@@ -313,8 +344,10 @@
         result: &AttemptResult,
     ) {
         let now = self.state.now();
-        let AttemptResult::Complete(head, _) = result else {
-            return;
+        let head = match result {
+            AttemptResult::Complete(head, _) => head,
+            AttemptResult::Stream(stream) if result.is_usable() => &stream.head,
+            _ => return,
         };
         self.state.hedges.with(|controller| {
             controller.record_response(&placement.backend);
--- a/crates/daemon/src/gateway/request/stream.rs
+++ b/crates/daemon/src/gateway/request/stream.rs
@@ -8,9 +8,13 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use super::RequestDriver;
-use crate::gateway::attempt::{attempt_end, OpenStream};
+use crate::gateway::attempt::{attempt_end, OpenStream, ReadAhead};
 use crate::gateway::origins::is_resumable;
 use crate::gateway::prepare::keeps_alive;
+use crate::gateway::sse::EventBuffer;
+
+const EVENT_TOO_LARGE: &str = "an event of the stream is too large";
+const TRUNCATED: &str = "the stream ended within an event";
 
 /// How the relay of a stream ended.
 pub(super) enum RelayEnd {
@@ -42,10 +46,7 @@
         let framing = stream.head.framing.name();
         self.event_buffer.begin_stream();
         let end = self.relay_events(stream, placement, writer).await;
-        let framing_key = KeyValue::new("framing", framing);
-        let end_key = KeyValue::new("end", end.name());
-        let metrics = &self.state.metrics;
-        metrics.streams.add(1, &[framing_key, end_key]);
+        self.count_stream(framing, end.name());
         log::info!(request = self.prepared.caller.id.as_str(),
             backend = placement.backend.as_str(), framing,
             events = self.event_buffer.event_count(),
@@ -54,6 +55,59 @@
         end
     }
 
+    /// Counts a stream of a backend server that has ended.
+    pub(super) fn count_stream(&self, framing: &'static str, end: &'static str) {
+        let framing = KeyValue::new("framing", framing);
+        let end = KeyValue::new("end", end);
+        self.state.metrics.streams.add(1, &[framing, end]);
+    }
+
+    /// Reads a stream until its first event, without relaying it.
+    pub(super) async fn read_ahead(&self, stream: &mut OpenStream) -> ReadAhead {
+        let mut events = EventBuffer::default();
+        let mut body = Vec::new();
+        let end = loop {
+            let read_before = body.len();
+            let complete = match self.read_part(stream, &mut body).await {
+                Ok(complete) => complete,
+                Err(end) => break Err(end),
+            };
+            if !events.push(&body[read_before..]).is_empty() {
+                break Ok(complete);
+            }
+            if events.is_over_limit() {
+                break Err((AttemptEnd::Invalid, EVENT_TOO_LARGE.to_owned()));
+            }
+            if complete && events.is_truncated(stream.head.framing) {
+                break Err((AttemptEnd::Broken, TRUNCATED.to_owned()));
+            }
+            if complete {
+                break Ok(true);
+            }
+        };
+        ReadAhead { body, end }
+    }
+
+    /// Reads more of the body of a stream into `body`, until the deadline at most; returns whether
+    /// the body is complete.
+    async fn read_part(
+        &self,
+        stream: &mut OpenStream,
+        body: &mut Vec<u8>,
+    ) -> Result<bool, (AttemptEnd, String)> {
+        let left = self.prepared.deadline.since(self.state.now());
+        let limit = std::time::Duration::from_micros(left.0);
+        let read = stream.connection.read_body(&mut stream.decoder, body);
+        match tokio::time::timeout(limit, read).await {
+            Ok(Ok(complete)) => Ok(complete),
+            Ok(Err(error)) => Err((attempt_end(&error), error.to_string())),
+            Err(_) => {
+                let reason = "the deadline passed during the stream".to_owned();
+                Err((AttemptEnd::TimedOut, reason))
+            }
+        }
+    }
+
     async fn relay_events(
         &mut self,
         mut stream: OpenStream,
@@ -63,19 +117,17 @@
         let mut body = Vec::new();
         let mut output = Vec::new();
         loop {
-            let left = self.prepared.deadline.since(self.state.now());
-            let limit = std::time::Duration::from_micros(left.0);
             body.clear();
-            let read = stream.connection.read_body(&mut stream.decoder, &mut body);
-            let complete = match tokio::time::timeout(limit, read).await {
-                Ok(Ok(complete)) => complete,
-                Ok(Err(error)) => {
-                    return RelayEnd::Broken(attempt_end(&error), error.to_string());
-                }
-                Err(_) => {
-                    let reason = "the deadline passed during the stream".to_owned();
-                    return RelayEnd::Broken(AttemptEnd::TimedOut, reason);
+            let read = match stream.ahead.take() {
+                Some(ahead) => {
+                    body = ahead.body;
+                    ahead.end
                 }
+                None => self.read_part(&mut stream, &mut body).await,
+            };
+            let complete = match read {
+                Ok(complete) => complete,
+                Err((end, reason)) => return RelayEnd::Broken(end, reason),
             };
             output.clear();
             let had_event = self.event_buffer.event_count() > 0;
@@ -85,8 +137,7 @@
                 self.note_stream_begun(placement);
             }
             if self.event_buffer.is_over_limit() {
-                let reason = "an event of the stream is too large".to_owned();
-                return RelayEnd::Broken(AttemptEnd::Invalid, reason);
+                return RelayEnd::Broken(AttemptEnd::Invalid, EVENT_TOO_LARGE.to_owned());
             }
             // Also where its framing is complete: a backend server that crashes may close its
             // connection in the regular way.
@@ -100,8 +151,7 @@
                 return RelayEnd::CallerDisconnected;
             }
             if truncated {
-                let reason = "the stream ended within an event".to_owned();
-                return RelayEnd::Broken(AttemptEnd::Broken, reason);
+                return RelayEnd::Broken(AttemptEnd::Broken, TRUNCATED.to_owned());
             }
             if complete {
                 let now = self.state.now();
