--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -11,6 +11,7 @@
 mod count;
 mod duration;
 mod estimate;
+mod hedge;
 mod holding;
 mod list_replica;
 mod origin_memory;
@@ -35,6 +36,10 @@
 pub use continuity::{ExpiredServers, RemovalCause, StoreContinuity, RETURN_TIME};
 pub use count::{RunCounter, WindowCounts};
 pub use duration::DurationTable;
+pub use hedge::{
+    has_queue, HedgeController, HedgeDenial, HedgeRequest, HedgeShare, HedgeShareError,
+    LatencyClass, ServiceLoad, SlowTime,
+};
 pub use holding::{
     DescriptorShares, HolderId, HolderStage, HoldingTable, ScarceResource, YieldCause,
     YieldingHolder, MAX_WAIT, MIN_STALL, PROGRESS_BYTES, REFUSAL_SPACING, SMALL_BYTES,
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -41,6 +41,15 @@
     pub(crate) head: ResponseHead,
     pub(crate) decoder: BodyDecoder,
     pub(crate) in_flight: InFlightGuard,
+    /// What has been read of the body already.
+    pub(crate) ahead: Option<ReadAhead>,
+}
+
+/// The beginning of the body of a stream, read to find out whether its first event arrives.
+pub(crate) struct ReadAhead {
+    pub(crate) body: Vec<u8>,
+    /// Whether the body is complete, or how the attempt ended before the first event.
+    pub(crate) end: Result<bool, (AttemptEnd, String)>,
 }
 
 /// The result of an attempt.
@@ -60,6 +69,18 @@
     Ended(AttemptEnd, SmolStr),
 }
 
+impl AttemptResult {
+    /// Returns whether it is a complete response to relay, or a stream that did not end before its
+    /// first event.
+    pub(crate) fn is_usable(&self) -> bool {
+        match self {
+            Self::Complete(..) => true,
+            Self::Stream(stream) => stream.ahead.as_ref().is_none_or(|ahead| ahead.end.is_ok()),
+            Self::Failed(..) | Self::Prefilled(_) | Self::Withheld(_) | Self::Ended(..) => false,
+        }
+    }
+}
+
 /// How an attempt is counted in the metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptClass {
@@ -69,6 +90,8 @@
     Streamed,
     /// The prompt was prefilled for another engine.
     Prefilled,
+    /// It was cancelled, since a hedge was faster.
+    Cancelled,
     /// No usable response was received, or one with a server error.
     Ended(AttemptEnd),
 }
@@ -80,6 +103,7 @@
             Self::Answered => "answered",
             Self::Streamed => "streamed",
             Self::Prefilled => "prompt read",
+            Self::Cancelled => "cancelled",
             Self::Ended(AttemptEnd::NotSent) => "not sent",
             Self::Ended(AttemptEnd::NotRun { .. }) => "not run",
             Self::Ended(AttemptEnd::Failed) => "failed",
@@ -177,6 +201,7 @@
                 head,
                 decoder,
                 in_flight,
+                ahead: None,
             }));
         }
         self.read_complete(connection, head, &response, in_flight)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -80,6 +80,8 @@
     pub(crate) suspicions: Counter<u64>,
     /// Events about prompt parts suspected of crashing engines, by kind.
     pub(crate) part_suspicions: Counter<u64>,
+    /// Hedges that were sent, won and wasted, and slow requests that were not hedged, by outcome.
+    pub(crate) hedges: Counter<u64>,
     /// Streams that callers resumed, by how their origin was found and by outcome.
     pub(crate) resumptions: Counter<u64>,
     /// The predicted times to first tokens, in microseconds, by backend server.
@@ -121,6 +123,7 @@
             quota_checks: meter.u64_counter("applefold_quota_checks").build(),
             suspicions: meter.u64_counter("applefold_crash_suspicions").build(),
             part_suspicions: meter.u64_counter("applefold_part_suspicions").build(),
+            hedges: meter.u64_counter("applefold_hedges").build(),
             resumptions: meter.u64_counter("applefold_resumptions").build(),
             predicted_micros: meter.u64_counter("applefold_predicted_micros").build(),
             first_token_micros: meter.u64_counter("applefold_first_token_micros").build(),
