--- a/crates/core/tests/direct_hedge.rs
+++ b/crates/core/tests/direct_hedge.rs
@@ -227,6 +227,7 @@
         running: 3,
         waiting: 0,
         slots: 8,
+        slowdown_percent: None,
     };
     table.record_load(&busy, sample, now);
     direct_support::record_loads(&mut table, &[(1, 1, 0)], now);
