Count the work queued before a request by its urgency

Engines run more urgent requests first, but placement counted the whole backlog of an engine for every request. A backlog of long prompts that can wait made it refuse urgent ones, which would not have waited.

Requests in flight get a class (priority 0, 1, or 2 to 9). Entries gossip their loads by class in a new datagram, ClassLoads, of at most 48 backend servers and 22 bytes for each. A request waits for its own class and more urgent ones. A load of unknown urgency counts for all. All of this is used only if the list contracts of the settings contains pressure.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -22,6 +22,7 @@
 mod send_state;
 mod server;
 mod stream_origin;
+mod urgency;
 mod version;
 mod version_history;
 mod versioned_list;
@@ -38,7 +39,9 @@
     PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
 };
 pub use phase::{PhaseChange, PhasePlanner, PhasePolicy};
-pub use placement::{Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork};
+pub use placement::{
+    Competitor, Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork,
+};
 pub use prompt::{PromptPart, PromptShape};
 pub use replica::{
     ReadPolicy, ReplicaAction, ReplicaDigest, StoreEra, StorePosition, StoreReplica,
@@ -50,12 +53,13 @@
 pub use seal::{SealStep, WindowSealer};
 pub use send_state::{SendDecision, SendEvent, SendState, TrialCause};
 pub use server::{
-    BackendHash, FlightId, FlightRecord, LoadSample, PeerLoad, ServerChange, ServerRow, ServerSpec,
-    ServerTable,
+    BackendHash, ClassLoad, FlightId, FlightRecord, LoadSample, PeerLoad, ServerChange, ServerRow,
+    ServerSpec, ServerTable,
 };
 pub use stream_origin::{
     KnownStream, OriginSource, OriginTable, StreamKey, StreamOrigin, MIN_STREAM_LIFE,
 };
+pub use urgency::UrgencyClass;
 pub use version::{SoftwareVersion, StreamBinding, VersionBound, VersionError};
 pub use version_history::{UnknownCause, VersionHistory, VersionSpan, MAX_LIST_AGE, SETTLE_TIME};
 pub use versioned_list::{ChangeOrigin, ListChange, ListDelta, ListedState, VersionedList};
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -6,7 +6,7 @@
 
 use crate::code::{CallRefusal, ResultCode};
 use crate::direct::{
-    PromptShape, SendDecision, ServerRow, ServerTable, SoftwareVersion, VersionBound,
+    PromptShape, SendDecision, ServerRow, ServerTable, SoftwareVersion, UrgencyClass, VersionBound,
 };
 use crate::id::{BackendId, DomainId, ServiceId};
 use crate::rank::NameRank;
@@ -79,6 +79,20 @@
     Decode(&'a DomainId),
 }
 
+/// What tells the requests apart that compete for capacity.
+#[derive(Clone, Copy, Debug)]
+pub struct Competitor {
+    /// The priority of the request, from 0 to 9; 0 is the most urgent.
+    pub urgency: u8,
+}
+
+impl Competitor {
+    /// Returns the class of its urgency.
+    pub fn class(&self) -> UrgencyClass {
+        UrgencyClass::of_priority(self.urgency)
+    }
+}
+
 /// A request to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -98,6 +112,19 @@
     pub time_left: TimeSpan,
     /// The time within which the response, or the first event of a stream, is on time.
     pub latency_objective: TimeSpan,
+    /// The request as a competitor for capacity; `None` to place it whatever its urgency. Then the
+    /// work of all other requests counts as queued before it.
+    pub competitor: Option<Competitor>,
+}
+
+impl PlacementRequest<'_> {
+    /// Returns the requests in flight at a backend server that this one waits for.
+    fn in_flight_ahead(&self, row: &ServerRow, now: TimePoint) -> u64 {
+        match &self.competitor {
+            Some(competitor) => row.in_flight_ahead_of(competitor.class(), now),
+            None => row.total_in_flight(now),
+        }
+    }
 }
 
 /// The work that a backend server gets.
@@ -124,6 +151,8 @@
     pub uncached: TokenCount,
     /// The number of backend servers that were compared.
     pub compared: usize,
+    /// The class of urgency that the request counts as there; `None` if urgency does not count.
+    pub class: Option<UrgencyClass>,
 }
 
 /// A backend server under comparison, with its predicted cost.
@@ -185,6 +214,7 @@
             predicted: best.cost,
             uncached: best.uncached,
             compared,
+            class: request.competitor.map(|competitor| competitor.class()),
         })
     }
 
@@ -386,8 +416,8 @@
         let assigned = self.assigned_engines(rows, request);
         let candidates = rows.iter().map(|row| {
             let (uncached, recomputed) = self.uncached(row, prompt, &assigned);
-            let prefill =
-                row.base_ttft(now) + row.prefill_time(uncached + self.queued_tokens(row, now), now);
+            let prefill = row.base_ttft(now)
+                + row.prefill_time(uncached + self.queued_tokens(row, request, now), now);
             Candidate {
                 row,
                 work: PlacementWork::Prefill,
--- a/crates/core/src/direct/placement/predict.rs
+++ b/crates/core/src/direct/placement/predict.rs
@@ -25,9 +25,11 @@
         let time = match request.prompt {
             None => self.predict_call(row, now),
             Some(_) => {
-                let prefill = row.prefill_time(uncached + self.queued_tokens(row, now), now);
-                let concurrent = TimeSpan(self.concurrent_cost.0 * row.total_in_flight(now));
-                row.base_ttft(now) + prefill + concurrent + slot_wait(row, now)
+                let prefill =
+                    row.prefill_time(uncached + self.queued_tokens(row, request, now), now);
+                let in_flight = request.in_flight_ahead(row, now);
+                let concurrent = TimeSpan(self.concurrent_cost.0 * in_flight);
+                row.base_ttft(now) + prefill + concurrent + slot_wait(row, in_flight)
             }
         };
         let prefill_us = row.prefill_time(uncached, now).0;
@@ -62,11 +64,27 @@
     }
 
     /// Returns the prompt tokens that are queued before a new request.
-    pub(super) fn queued_tokens(&self, row: &ServerRow, now: TimePoint) -> TokenCount {
+    pub(super) fn queued_tokens(
+        &self,
+        row: &ServerRow,
+        request: &PlacementRequest<'_>,
+        now: TimePoint,
+    ) -> TokenCount {
         let load = row.fresh_load(now, self.max_load_age);
         let waiting = load.map_or(0, |load| u64::from(load.waiting));
         let reported = TokenCount(waiting * self.queued_request_tokens.0);
-        row.backlog(now).max(reported)
+        let total = row.backlog(now);
+        let Some(competitor) = &request.competitor else {
+            return total.max(reported);
+        };
+        let ahead = row.backlog_ahead_of(competitor.class(), now);
+        // Engines do not report the urgency of what is queued, so it is split as what the entries
+        // know to be queued.
+        let reported = match total {
+            TokenCount::ZERO => reported,
+            TokenCount(total) => TokenCount(reported.0 * ahead.0 / total),
+        };
+        ahead.max(reported)
     }
 
     /// Predicts the time of a call to a plain service.
@@ -80,8 +98,8 @@
 }
 
 /// Returns the wait for a free slot when more requests are in flight than run concurrently.
-fn slot_wait(row: &ServerRow, now: TimePoint) -> TimeSpan {
+fn slot_wait(row: &ServerRow, in_flight: u64) -> TimeSpan {
     let slots = u64::from(row.spec.slots.max(1));
-    let excess = (row.total_in_flight(now) + 1).saturating_sub(slots);
+    let excess = (in_flight + 1).saturating_sub(slots);
     TimeSpan(row.mean_call_time().0 * excess / slots)
 }
--- a/crates/core/src/direct/server.rs
+++ b/crates/core/src/direct/server.rs
@@ -9,7 +9,7 @@
 
 use crate::direct::estimate::ewma;
 use crate::direct::{
-    LimitEffect, LimitStatement, PromptPart, SendEvent, SendState, SoftwareVersion,
+    LimitEffect, LimitStatement, PromptPart, SendEvent, SendState, SoftwareVersion, UrgencyClass,
 };
 use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
@@ -92,6 +92,20 @@
     pub queued_ahead: TokenCount,
     /// Whether its first token has arrived.
     pub first_token_seen: bool,
+    /// The class of urgency that it counts as.
+    pub class: UrgencyClass,
+}
+
+/// The number of classes that are less urgent than another one: all but the most urgent.
+const YIELDING_CLASSES: usize = UrgencyClass::COUNT - 1;
+
+/// A part of the requests in flight at a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassLoad {
+    /// The number of requests.
+    pub flights: u32,
+    /// The prompt tokens to prefill for those whose first token has not arrived.
+    pub backlog: TokenCount,
 }
 
 /// The requests that an entry has in flight at a backend server.
@@ -101,6 +115,22 @@
     pub flights: u32,
     /// The prompt tokens to prefill for those whose first token has not arrived.
     pub backlog: TokenCount,
+    /// The parts that are less urgent than [`UrgencyClass::High`] and [`UrgencyClass::Normal`].
+    /// They are empty if the entry does not tell classes apart, so that its whole load counts for
+    /// every request.
+    pub less_urgent: [ClassLoad; YIELDING_CLASSES],
+}
+
+impl PeerLoad {
+    /// Returns the part that a request of this class waits for, by the class of each request.
+    pub fn ahead_of(&self, class: UrgencyClass) -> ClassLoad {
+        let behind = self.less_urgent.get(class.index());
+        let behind = behind.copied().unwrap_or_default();
+        ClassLoad {
+            flights: self.flights.saturating_sub(behind.flights),
+            backlog: self.backlog.saturating_sub(behind.backlog),
+        }
+    }
 }
 
 /// A hash of a backend server's name, for messages in which the full name would cost too much.
@@ -343,12 +373,31 @@
             uncached,
             queued_ahead: row.backlog(now),
             first_token_seen: false,
+            class: UrgencyClass::default(),
         };
         row.flights.insert(flight, record);
         self.flights.insert(flight, id.clone());
         Some(flight)
     }
 
+    /// Records the class of urgency that a request counts as, directly after [`Self::begin`]. Only
+    /// the work of its class and of more urgent ones is then queued before it.
+    pub fn classify(&mut self, flight: FlightId, class: UrgencyClass, now: TimePoint) {
+        let id = self.flights.get(&flight);
+        let Some(row) = id.and_then(|id| self.rows.get_mut(id)) else {
+            return;
+        };
+        let Some(record) = row.flights.remove(&flight) else {
+            return;
+        };
+        let record = FlightRecord {
+            queued_ahead: row.backlog_ahead_of(class, now),
+            class,
+            ..record
+        };
+        row.flights.insert(flight, record);
+    }
+
     /// Records that the first token of a request has arrived, and that the backend server caches its
     /// prompt from now on.
     pub fn first_token(&mut self, flight: FlightId, parts: &[PromptPart], now: TimePoint) {
--- a/crates/core/src/direct/server/row.rs
+++ b/crates/core/src/direct/server/row.rs
@@ -4,9 +4,9 @@
 
 use smol_str::SmolStr;
 
-use super::{BackendHash, FlightRecord, LoadSample, PeerLoad, ServerSpec};
+use super::{BackendHash, ClassLoad, FlightRecord, LoadSample, PeerLoad, ServerSpec};
 use crate::direct::estimate::DecayingEstimate;
-use crate::direct::{PromptPart, RateLimit, SendDecision, SendState};
+use crate::direct::{PromptPart, RateLimit, SendDecision, SendState, UrgencyClass};
 use crate::rank::NameRank;
 use crate::routing::{BackendRole, FlightId};
 use crate::unit::{TimePoint, TimeSpan, TokenCount};
@@ -143,9 +143,23 @@
         PeerLoad {
             flights: self.flights.len() as u32,
             backlog: waiting.map(|flight| flight.uncached).sum(),
+            less_urgent: [UrgencyClass::High, UrgencyClass::Normal]
+                .map(|class| self.own_less_urgent(class)),
         }
     }
 
+    /// Returns this entry's own requests in flight that are less urgent than `class`.
+    fn own_less_urgent(&self, class: UrgencyClass) -> ClassLoad {
+        let mut load = ClassLoad::default();
+        for flight in self.flights.values().filter(|flight| flight.class > class) {
+            load.flights += 1;
+            if !flight.first_token_seen {
+                load.backlog += flight.uncached;
+            }
+        }
+        load
+    }
+
     /// Returns the loads of peers that are recent enough.
     fn fresh_peers(&self, now: TimePoint) -> impl Iterator<Item = PeerLoad> + '_ {
         let peers = self.peers.iter().flatten();
@@ -160,6 +174,29 @@
         self.own_load().backlog + peers.sum()
     }
 
+    /// Returns the part of the backlog that a request of this class waits for.
+    pub fn backlog_ahead_of(&self, class: UrgencyClass, now: TimePoint) -> TokenCount {
+        let peers = self.fresh_peers(now);
+        let peers = peers.map(|load| load.ahead_of(class).backlog);
+        self.own_load().ahead_of(class).backlog + peers.sum()
+    }
+
+    /// Returns the number of requests in flight that a request of this class waits for, including
+    /// those of peers.
+    pub fn in_flight_ahead_of(&self, class: UrgencyClass, now: TimePoint) -> u64 {
+        let peers = self.fresh_peers(now);
+        let peers = peers.map(|load| u64::from(load.ahead_of(class).flights));
+        u64::from(self.own_load().ahead_of(class).flights) + peers.sum::<u64>()
+    }
+
+    /// Returns the age of the oldest load of a peer that is used; zero if there is none.
+    pub fn peer_load_age(&self, now: TimePoint) -> TimeSpan {
+        let ages = self.peers.iter().flatten();
+        let ages = ages.map(|(_, at)| now.since(*at));
+        let used = ages.filter(|age| *age <= MAX_PEER_AGE);
+        used.max().unwrap_or_default()
+    }
+
     /// Returns the number of tokens at the start of `parts` that the backend server is expected to
     /// have cached.
     pub fn cached(&self, parts: &[PromptPart]) -> TokenCount {
--- a/crates/core/tests/direct_herd.rs
+++ b/crates/core/tests/direct_herd.rs
@@ -123,6 +123,7 @@
             versions: VersionBound::Any,
             time_left: TimeSpan::from_secs(8),
             latency_objective: TimeSpan::from_millis(400),
+            competitor: None,
         };
         let placed = policy.choose(&tables[entry], &request, &domain, at);
         let Ok(placed) = placed else {
--- a/crates/core/tests/direct_placement.rs
+++ b/crates/core/tests/direct_placement.rs
@@ -50,6 +50,7 @@
         versions: VersionBound::Any,
         time_left: TimeSpan::from_secs(2),
         latency_objective: OBJECTIVE,
+        competitor: None,
     };
     PlacementPolicy::default().choose(table, &request, &domain(), now)
 }
@@ -432,6 +433,7 @@
         versions,
         time_left: goal.time_left,
         latency_objective: goal.latency_objective,
+        competitor: None,
     };
     PlacementPolicy::default().choose(engines, &request, &domain(), NOW)
 }
--- a/crates/core/tests/direct_support/mod.rs
+++ b/crates/core/tests/direct_support/mod.rs
@@ -54,6 +54,7 @@
             let load = PeerLoad {
                 flights: *flights,
                 backlog: TokenCount(*backlog),
+                ..PeerLoad::default()
             };
             (backend(*number), load)
         })
--- a/crates/core/tests/direct_versions.rs
+++ b/crates/core/tests/direct_versions.rs
@@ -46,6 +46,7 @@
         versions,
         time_left: TimeSpan::from_secs(2),
         latency_objective: TimeSpan::from_millis(300),
+        competitor: None,
     };
     PlacementPolicy::default().choose(table, &request, &domain(), NOW)
 }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -11,7 +11,7 @@
 use applefold_core::direct::{BackendHash, PeerLoad, StoreEra};
 use applefold_core::id::{BackendId, InstanceId, Revision};
 use applefold_core::quarantine::SuspectReport;
-use applefold_core::unit::{TimeSpan, TokenCount};
+use applefold_core::unit::TimeSpan;
 use eyre::{Result, WrapErr};
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
@@ -19,8 +19,8 @@
 use super::limits::LimitReport;
 use super::list_updates::UpdateRecord;
 use super::messages::{
-    continuity_report, crash_reports, load_message, usage_counts, CrashReport, GossipMessage,
-    GossipPayload, LifeSignReport, LoadMessage,
+    class_load_message, continuity_report, crash_reports, load_message, usage_counts,
+    BackendClassLoad, BackendLoad, CrashReport, GossipMessage, GossipPayload, LifeSignReport,
 };
 use super::peers::MessageSource;
 use super::state::GatewayState;
@@ -134,7 +134,18 @@
                 .borrow_mut()
                 .accept_sequence(&id, loads.sequence);
             if newer {
-                apply_loads(state, &id, loads);
+                let decoded = loads.loads.iter().map(BackendLoad::read);
+                apply_loads(state, &id, decoded, &loads.changing_role);
+            }
+        }
+        GossipPayload::ClassLoads(loads) => {
+            let newer = state
+                .peers
+                .borrow_mut()
+                .accept_sequence(&id, loads.sequence);
+            if newer {
+                let decoded = loads.loads.iter().map(BackendClassLoad::read);
+                apply_loads(state, &id, decoded, &loads.changing_role);
             }
         }
         GossipPayload::Prefills(reports) => {
@@ -219,24 +230,16 @@
         .note_digests(message.replicas, from, delay, now);
 }
 
-fn apply_loads(state: &GatewayState, id: &InstanceId, message: &LoadMessage) {
+fn apply_loads<I>(state: &GatewayState, id: &InstanceId, loads: I, changing_role: &[SmolStr])
+where
+    I: Iterator<Item = (BackendHash, PeerLoad)>,
+{
     let now = state.now();
     let mut table = state.table.borrow_mut();
-    let loads = message.loads.iter().filter_map(|load| {
-        let backend = table.by_hash(BackendHash(u32::from_be_bytes(load.hash)))?;
-        let peer_load = PeerLoad {
-            flights: load.in_flight,
-            backlog: TokenCount(load.backlog),
-        };
-        Some((backend.clone(), peer_load))
-    });
+    let loads = loads.filter_map(|(hash, load)| Some((table.by_hash(hash)?.clone(), load)));
     let loads = loads.collect();
     table.record_peer_loads(id, &loads, now);
-    for backend in message
-        .changing_role
-        .iter()
-        .filter_map(|name| name.parse().ok())
-    {
+    for backend in changing_role.iter().filter_map(|name| name.parse().ok()) {
         table.mark_unavailable(&backend, now);
     }
 }
@@ -302,14 +305,13 @@
         for part in state.origins.next_reports(&state) {
             send(&state, &socket, &peers, GossipPayload::StreamOrigins(part)).await;
         }
-        let loads = load_message(&state, sequence);
-        let empty = loads.is_empty();
+        let (loads, empty) = load_payload(&state, sequence);
         // One empty message tells the peers that this entry has become idle.
         if empty && std::mem::replace(&mut idle, empty) {
             // An idle entry still shows that it is live, and whether it holds the lease.
             send(&state, &socket, &peers, GossipPayload::Heartbeat).await;
         } else {
-            send(&state, &socket, &peers, GossipPayload::Loads(loads)).await;
+            send(&state, &socket, &peers, loads).await;
         }
         idle = empty;
         if sequence % NOTICE_ROUNDS == 0 {
@@ -370,6 +372,18 @@
     }
 }
 
+/// Returns this entry's loads, and whether there are none.
+fn load_payload(state: &GatewayState, sequence: u64) -> (GossipPayload, bool) {
+    if state.follows_pressure() {
+        let message = class_load_message(state, sequence);
+        let empty = message.is_empty();
+        return (GossipPayload::ClassLoads(message), empty);
+    }
+    let message = load_message(state, sequence);
+    let empty = message.is_empty();
+    (GossipPayload::Loads(message), empty)
+}
+
 async fn send(
     state: &GatewayState,
     socket: &UdpSocket,
--- a/crates/daemon/src/gateway/in_flight.rs
+++ b/crates/daemon/src/gateway/in_flight.rs
@@ -20,6 +20,9 @@
         let now = state.now();
         let mut table = state.table.borrow_mut();
         let flight = table.begin(&placement.backend, placement.uncached, now);
+        if let (Some(flight), Some(class)) = (flight, placement.class) {
+            table.classify(flight, class, now);
+        }
         drop(table);
         Self {
             state: Rc::clone(state),
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -1,10 +1,10 @@
 //! The gossip datagrams of entries: their loads, prefills, crash reports, notices and counts.
 
 use applefold_core::claim::RequestFingerprint;
-use applefold_core::direct::{BackendHash, PeerLoad};
+use applefold_core::direct::{BackendHash, ClassLoad, PeerLoad};
 use applefold_core::id::WindowId;
 use applefold_core::quarantine::{BackendRun, LifeReport, SuspectReport};
-use applefold_core::unit::TimeSpan;
+use applefold_core::unit::{TimeSpan, TokenCount};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -19,6 +19,8 @@
 
 /// The most loads in one datagram.
 const MAX_LOADS: usize = 90;
+/// The same if the loads are told by urgency. Each then takes up to 22 bytes.
+const MAX_CLASS_LOADS: usize = 48;
 /// The most bytes of crash reports in one datagram, and the bytes that each takes besides the
 /// name of its backend server.
 const MAX_PART_BYTES: usize = 1_050;
@@ -86,6 +88,9 @@
     StreamOrigins(Vec<OriginReport>),
     /// For how long the store has confirmed the list without a gap.
     StoreContinuity(ContinuityReport),
+    /// The sender's requests in flight at each backend server, by urgency. It replaces `Loads` at
+    /// entries that follow the contract `pressure`.
+    ClassLoads(ClassLoadMessage),
 }
 
 /// The encoding of the span of a [`StoreContinuity`](applefold_core::direct::StoreContinuity).
@@ -186,6 +191,12 @@
     }
 }
 
+impl ClassLoadMessage {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.loads.is_empty() && self.changing_role.is_empty()
+    }
+}
+
 /// The sender's load on one backend server.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct BackendLoad {
@@ -199,6 +210,72 @@
     pub(crate) backlog: u64,
 }
 
+/// The load that the sender puts on backend servers, by urgency.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ClassLoadMessage {
+    /// As in [`LoadMessage`], with which it shares its sequence.
+    pub(crate) sequence: u64,
+    /// The loads. A backend server that is missing here counts as idle.
+    pub(crate) loads: Vec<BackendClassLoad>,
+    /// As in [`LoadMessage`].
+    pub(crate) changing_role: Vec<SmolStr>,
+}
+
+/// The sender's load on one backend server, by urgency.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct BackendClassLoad {
+    /// The whole load.
+    pub(crate) total: BackendLoad,
+    /// The requests and prompt tokens that are less urgent than each of the more urgent classes.
+    pub(crate) less_urgent: [(u32, u64); 2],
+}
+
+impl BackendLoad {
+    fn new(hash: BackendHash, load: &PeerLoad) -> Self {
+        Self {
+            hash: hash.0.to_be_bytes(),
+            in_flight: load.flights,
+            backlog: load.backlog.0,
+        }
+    }
+
+    /// Decodes the load and the hash of its backend server.
+    pub(crate) fn read(&self) -> (BackendHash, PeerLoad) {
+        let load = PeerLoad {
+            flights: self.in_flight,
+            backlog: TokenCount(self.backlog),
+            ..PeerLoad::default()
+        };
+        (BackendHash(u32::from_be_bytes(self.hash)), load)
+    }
+}
+
+impl BackendClassLoad {
+    fn new(hash: BackendHash, load: &PeerLoad) -> Self {
+        let less_urgent = load.less_urgent;
+        Self {
+            total: BackendLoad::new(hash, load),
+            less_urgent: less_urgent.map(|part| (part.flights, part.backlog.0)),
+        }
+    }
+
+    /// Decodes the load and the hash of its backend server.
+    pub(crate) fn read(&self) -> (BackendHash, PeerLoad) {
+        let (hash, load) = self.total.read();
+        let less_urgent = self.less_urgent.map(|(flights, backlog)| ClassLoad {
+            flights,
+            backlog: TokenCount(backlog),
+        });
+        (
+            hash,
+            PeerLoad {
+                less_urgent,
+                ..load
+            },
+        )
+    }
+}
+
 /// The sender's count of one team's requests in a usage window.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct UsageCount {
@@ -209,24 +286,44 @@
 
 /// Returns this entry's loads, limited to the backend servers with the highest ones.
 pub(crate) fn load_message(state: &GatewayState, sequence: u64) -> LoadMessage {
+    let loads = highest_loads(state, MAX_LOADS).into_iter();
+    LoadMessage {
+        sequence,
+        loads: loads
+            .map(|(hash, load)| BackendLoad::new(hash, &load))
+            .collect(),
+        changing_role: changing_role(state),
+    }
+}
+
+/// Returns this entry's loads by urgency, limited to the backend servers with the highest ones.
+pub(crate) fn class_load_message(state: &GatewayState, sequence: u64) -> ClassLoadMessage {
+    let loads = highest_loads(state, MAX_CLASS_LOADS).into_iter();
+    ClassLoadMessage {
+        sequence,
+        loads: loads
+            .map(|(hash, load)| BackendClassLoad::new(hash, &load))
+            .collect(),
+        changing_role: changing_role(state),
+    }
+}
+
+/// Returns the `count` highest of this entry's loads.
+fn highest_loads(state: &GatewayState, count: usize) -> Vec<(BackendHash, PeerLoad)> {
     let table = state.table.borrow();
     let loads = table.own_loads().into_iter();
     let loads = loads.filter_map(|(id, load)| Some((table.get(&id)?.name_hash(), load)));
     let mut loads: Vec<(BackendHash, PeerLoad)> = loads.collect();
     loads.sort_by_key(|(_, load)| std::cmp::Reverse((load.backlog, load.flights)));
-    let loads = loads.into_iter().take(MAX_LOADS);
-    let loads = loads.map(|(hash, load)| BackendLoad {
-        hash: hash.0.to_be_bytes(),
-        in_flight: load.flights,
-        backlog: load.backlog.0,
-    });
+    loads.truncate(count);
+    loads
+}
+
+/// Returns the engines that are changing their role by order of this entry.
+fn changing_role(state: &GatewayState) -> Vec<SmolStr> {
     let phases = state.phases.borrow();
     let changing = phases.changing().take(MAX_CHANGING);
-    LoadMessage {
-        sequence,
-        loads: loads.collect(),
-        changing_role: changing.map(|id| SmolStr::new(id.as_str())).collect(),
-    }
+    changing.map(|id| SmolStr::new(id.as_str())).collect()
 }
 
 /// Returns for how long the store has confirmed the list without a gap, if this entry knows.
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -8,7 +8,7 @@
 
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
-    AttemptEnd, AttemptLimits, NextStep, Placement, PlacementRequest, PlacementStage,
+    AttemptEnd, AttemptLimits, Competitor, NextStep, Placement, PlacementRequest, PlacementStage,
     PlacementWork, PromptShape, RequestProgress, ResponseStage, StreamBinding,
 };
 use applefold_core::drain::DrainPhase;
@@ -261,6 +261,7 @@
             versions: self.binding.bound(&avoided)?,
             time_left: goal.time_left,
             latency_objective: goal.latency_objective,
+            competitor: self.competitor(),
         };
         let table = self.state.table.borrow();
         let domain = &self.state.settings().domain;
@@ -274,6 +275,13 @@
         })
     }
 
+    /// Returns the request as a competitor for capacity, if urgency counts on this platform.
+    fn competitor(&self) -> Option<Competitor> {
+        let urgency = self.prepared.urgency;
+        let follows = self.state.follows_pressure();
+        follows.then_some(Competitor { urgency })
+    }
+
     /// Returns how much of the response the caller has.
     fn response_stage(&self) -> ResponseStage {
         let resumable = is_resumable(self.prepared.route.retry_rule);
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -17,7 +17,7 @@
 use applefold_core::quarantine::LifeSigns;
 use applefold_core::retry::{RetryBudget, RetryPolicy};
 use applefold_core::unit::{TimePoint, TimeSpan};
-use applefold_platform::PlatformSettings;
+use applefold_platform::{PlatformContract, PlatformSettings};
 use bytes::Bytes;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -237,6 +237,12 @@
         self.apply_retry_policy();
     }
 
+    /// Returns whether competing requests are served by urgency and with minimum shares.
+    pub(crate) fn follows_pressure(&self) -> bool {
+        let settings = self.settings.borrow();
+        settings.contracts.contains(&PlatformContract::Pressure)
+    }
+
     pub(crate) fn now(&self) -> TimePoint {
         self.clock.now()
     }
