Decide by urgency, size and shares who is served while capacity is short

Placement refused a late request that would wait longer than a quarter of its objective, whatever its urgency. Long prompts that may wait for a second filled the queues, and most refused requests were the most urgent ones.

direct/competition.rs replaces that check for requests that compete: the accepted wait shrinks for less urgent and costly requests while more urgent ones are refused; a class yields to one that is served less often; routes, teams and size tenths get minimum shares, on up to a quarter of the engines that are reserved while such requests wait there; entries with a small share of the traffic refuse some requests earlier; Retry-After is the drain time, spread up to twice of it. It is used if the contracts of the settings list pressure. Each decision is counted, and logged if it changes the outcome.

Tested: direct_competition.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -6,6 +6,7 @@
 //! [docs/design/platform.md](../../../../docs/design/platform.md).
 
 mod attempt;
+mod competition;
 mod continuity;
 mod count;
 mod duration;
@@ -29,6 +30,10 @@
 mod wall_clock;
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
+pub use competition::{
+    CompetitionInput, CompetitionLedger, CompetitionOutcome, CompetitionPolicy, CompetitionReport,
+    Competitor, CompetitorKind, KindShares, RequestSize, TrafficShare,
+};
 pub use continuity::{ExpiredServers, RemovalCause, StoreContinuity, RETURN_TIME};
 pub use count::{RunCounter, WindowCounts};
 pub use duration::DurationTable;
@@ -39,9 +44,7 @@
     PermitIssuer, PermitReply, RateLimit, PERMIT_TTL,
 };
 pub use phase::{PhaseChange, PhasePlanner, PhasePolicy};
-pub use placement::{
-    Competitor, Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork,
-};
+pub use placement::{Placement, PlacementPolicy, PlacementRequest, PlacementStage, PlacementWork};
 pub use prompt::{PromptPart, PromptShape};
 pub use replica::{
     ReadPolicy, ReplicaAction, ReplicaDigest, StoreEra, StorePosition, StoreReplica,
@@ -59,7 +62,7 @@
 pub use stream_origin::{
     KnownStream, OriginSource, OriginTable, StreamKey, StreamOrigin, MIN_STREAM_LIFE,
 };
-pub use urgency::UrgencyClass;
+pub use urgency::{FlightClass, UrgencyClass};
 pub use version::{SoftwareVersion, StreamBinding, VersionBound, VersionError};
 pub use version_history::{UnknownCause, VersionHistory, VersionSpan, MAX_LIST_AGE, SETTLE_TIME};
 pub use versioned_list::{ChangeOrigin, ListChange, ListDelta, ListedState, VersionedList};
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -6,7 +6,8 @@
 
 use crate::code::{CallRefusal, ResultCode};
 use crate::direct::{
-    PromptShape, SendDecision, ServerRow, ServerTable, SoftwareVersion, UrgencyClass, VersionBound,
+    CompetitionInput, CompetitionPolicy, CompetitionReport, Competitor, FlightClass, PromptShape,
+    RequestSize, SendDecision, ServerRow, ServerTable, SoftwareVersion, TrafficShare, VersionBound,
 };
 use crate::id::{BackendId, DomainId, ServiceId};
 use crate::rank::NameRank;
@@ -47,6 +48,8 @@
     /// objective. Late requests that wait longer are refused, since they delay those that can still
     /// be on time. A long prompt that is late by itself is not refused.
     pub max_wait_percent: u64,
+    /// The limits for requests that compete for capacity.
+    pub competition: CompetitionPolicy,
 }
 
 impl Default for PlacementPolicy {
@@ -64,6 +67,7 @@
             min_retry_after: TimeSpan::from_millis(100),
             missing_retry_after: TimeSpan::from_millis(500),
             max_wait_percent: 25,
+            competition: CompetitionPolicy::default(),
         }
     }
 }
@@ -79,20 +83,6 @@
     Decode(&'a DomainId),
 }
 
-/// What tells the requests apart that compete for capacity.
-#[derive(Clone, Copy, Debug)]
-pub struct Competitor {
-    /// The priority of the request, from 0 to 9; 0 is the most urgent.
-    pub urgency: u8,
-}
-
-impl Competitor {
-    /// Returns the class of its urgency.
-    pub fn class(&self) -> UrgencyClass {
-        UrgencyClass::of_priority(self.urgency)
-    }
-}
-
 /// A request to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -114,14 +104,14 @@
     pub latency_objective: TimeSpan,
     /// The request as a competitor for capacity; `None` to place it whatever its urgency. Then the
     /// work of all other requests counts as queued before it.
-    pub competitor: Option<Competitor>,
+    pub competitor: Option<Competitor<'a>>,
 }
 
 impl PlacementRequest<'_> {
     /// Returns the requests in flight at a backend server that this one waits for.
     fn in_flight_ahead(&self, row: &ServerRow, now: TimePoint) -> u64 {
         match &self.competitor {
-            Some(competitor) => row.in_flight_ahead_of(competitor.class(), now),
+            Some(competitor) => row.in_flight_ahead_of(competitor.kind.class(), now),
             None => row.total_in_flight(now),
         }
     }
@@ -151,8 +141,8 @@
     pub uncached: TokenCount,
     /// The number of backend servers that were compared.
     pub compared: usize,
-    /// The class of urgency that the request counts as there; `None` if urgency does not count.
-    pub class: Option<UrgencyClass>,
+    /// What the request counts as there for others; `None` if urgency does not count.
+    pub class: Option<FlightClass>,
 }
 
 /// A backend server under comparison, with its predicted cost.
@@ -184,10 +174,37 @@
         request: &PlacementRequest<'_>,
         domain: &DomainId,
         now: TimePoint,
+    ) -> Result<Placement, CallRefusal> {
+        self.choose_reported(table, request, domain, now).0
+    }
+
+    /// Chooses as [`Self::choose`] does, and also returns the decision on a request that competes
+    /// with others. There is none if no backend server may be used, or if the request is not subject
+    /// to it.
+    pub fn choose_reported(
+        &self,
+        table: &ServerTable,
+        request: &PlacementRequest<'_>,
+        domain: &DomainId,
+        now: TimePoint,
+    ) -> (Result<Placement, CallRefusal>, Option<CompetitionReport>) {
+        let mut report = None;
+        let placement = self.choose_into(table, request, domain, now, &mut report);
+        (placement, report)
+    }
+
+    fn choose_into(
+        &self,
+        table: &ServerTable,
+        request: &PlacementRequest<'_>,
+        domain: &DomainId,
+        now: TimePoint,
+        report: &mut Option<CompetitionReport>,
     ) -> Result<Placement, CallRefusal> {
         let listed = drop_expired(table.of_service(request.service).collect());
         let listed = self.of_version(listed, request, now)?;
-        let rows = self.usable(&listed, request, now)?;
+        let usable = self.usable(&listed, request, now)?;
+        let rows = self.unreserved(&usable, request, now);
         let prefill_rows = self.prefill_engines(&listed, request, now);
         let shortlist = self.shortlist(&rows, request);
         let prefill_shortlist = self.shortlist(&prefill_rows, request);
@@ -203,10 +220,20 @@
             best = self.best(&rows, &prefill_rows, request, domain, now);
             compared = rows.len() + prefill_rows.len();
         }
-        let Some(best) = best else {
+        let Some(mut best) = best else {
             return Err(self.missing());
         };
-        self.check_time(&best, request)?;
+        *report = self.compete(&best, &usable, request, now);
+        if let Some(report) = report.as_mut().filter(|report| report.class.reserves) {
+            if let Some(reserved) = self.best_reserved(&usable, request, domain, now) {
+                report.check_reserved(reserved.cost, reserved.unloaded);
+                best = reserved;
+            }
+        }
+        match report {
+            Some(report) => self.check_report(report, request)?,
+            None => self.check_time(&best, request)?,
+        }
         Ok(Placement {
             backend: best.row.spec.id.clone(),
             version: best.row.spec.version.clone(),
@@ -214,7 +241,11 @@
             predicted: best.cost,
             uncached: best.uncached,
             compared,
-            class: request.competitor.map(|competitor| competitor.class()),
+            class: request.competitor.map(|competitor| {
+                let urgency = competitor.kind.class();
+                let reserves = report.is_some_and(|report| report.class.reserves);
+                FlightClass { urgency, reserves }
+            }),
         })
     }
 
@@ -329,6 +360,106 @@
         ))
     }
 
+    /// Decides on a request that competes for the capacity of `rows`; `None` if it does not compete,
+    /// or is never refused for being late.
+    fn compete(
+        &self,
+        best: &Candidate<'_>,
+        rows: &[&ServerRow],
+        request: &PlacementRequest<'_>,
+        now: TimePoint,
+    ) -> Option<CompetitionReport> {
+        let competitor = request.competitor.as_ref()?;
+        let prompt = request.prompt?;
+        if matches!(request.stage, PlacementStage::Decode(_)) {
+            return None;
+        }
+        let own: usize = rows.iter().map(|row| row.in_flight()).sum();
+        let total = rows.iter().map(|row| row.total_in_flight(now)).sum();
+        let share = TrafficShare {
+            own: own as u64,
+            total,
+        };
+        let size = RequestSize {
+            prompt_tokens: prompt.prompt_tokens,
+            work: best.row.prefill_time(best.uncached, now),
+        };
+        let (ledger, kind) = (competitor.ledger, &competitor.kind);
+        let shares = ledger.shares(request.service, kind, size, rows.len(), now);
+        let input = CompetitionInput {
+            name: request.name,
+            predicted: best.cost,
+            unloaded: best.unloaded,
+            latency_objective: request.latency_objective,
+            time_left: request.time_left,
+            size,
+            load_age: best.row.peer_load_age(now),
+            share,
+        };
+        let policy = &self.competition;
+        Some(policy.decide(&input, competitor, &shares, self.max_wait_percent))
+    }
+
+    /// Returns the backend servers that may be reserved for requests that are admitted for their
+    /// minimum share. Every entry computes the same ones. One that serves alone is not reserved.
+    fn reservable<'a>(
+        &self,
+        rows: &[&'a ServerRow],
+        request: &PlacementRequest<'_>,
+    ) -> Vec<&'a ServerRow> {
+        let percent = self.competition.reserved_percent;
+        let count = (rows.len() * percent).div_ceil(100);
+        let key = NameRank::of("minimum", request.service.as_str());
+        let mut ranked = rows.to_vec();
+        ranked.sort_by_key(|row| row.name_rank.combine(key));
+        ranked.truncate(count.min(rows.len().saturating_sub(1)));
+        ranked
+    }
+
+    /// Returns the backend servers that are not reserved for others.
+    fn unreserved<'a>(
+        &self,
+        rows: &[&'a ServerRow],
+        request: &PlacementRequest<'_>,
+        now: TimePoint,
+    ) -> Vec<&'a ServerRow> {
+        if request.competitor.is_none() || !rows.iter().any(|row| row.is_reserved(now)) {
+            return rows.to_vec();
+        }
+        let mut reserved = self.reservable(rows, request);
+        reserved.retain(|row| row.is_reserved(now));
+        let is_open = |row: &&ServerRow| reserved.iter().all(|other| other.spec.id != row.spec.id);
+        rows.iter().copied().filter(is_open).collect()
+    }
+
+    /// Returns the candidate with the lowest cost among the backend servers that may be reserved.
+    fn best_reserved<'a>(
+        &self,
+        rows: &[&'a ServerRow],
+        request: &PlacementRequest<'_>,
+        domain: &DomainId,
+        now: TimePoint,
+    ) -> Option<Candidate<'a>> {
+        let reservable = self.reservable(rows, request);
+        self.best(&reservable, &[], request, domain, now)
+    }
+
+    /// Refuses a request that was not admitted in competition with others.
+    fn check_report(
+        &self,
+        report: &CompetitionReport,
+        request: &PlacementRequest<'_>,
+    ) -> Result<(), CallRefusal> {
+        if report.outcome.is_admitted() {
+            return Ok(());
+        }
+        let retry_after = report.retry_after(request.name, self.min_retry_after);
+        Err(CallRefusal::retryable(
+            ResultCode::DeadlineHopeless,
+            retry_after,
+        ))
+    }
+
     /// Returns the backend servers that may run the request. Ejected ones are used only as a
     /// last resort.
     fn usable<'a>(
--- a/crates/core/src/direct/placement/predict.rs
+++ b/crates/core/src/direct/placement/predict.rs
@@ -77,7 +77,7 @@
         let Some(competitor) = &request.competitor else {
             return total.max(reported);
         };
-        let ahead = row.backlog_ahead_of(competitor.class(), now);
+        let ahead = row.backlog_ahead_of(competitor.kind.class(), now);
         // Engines do not report the urgency of what is queued, so it is split as what the entries
         // know to be queued.
         let reported = match total {
--- a/crates/core/src/direct/server.rs
+++ b/crates/core/src/direct/server.rs
@@ -9,7 +9,8 @@
 
 use crate::direct::estimate::ewma;
 use crate::direct::{
-    LimitEffect, LimitStatement, PromptPart, SendEvent, SendState, SoftwareVersion, UrgencyClass,
+    FlightClass, LimitEffect, LimitStatement, PromptPart, SendEvent, SendState, SoftwareVersion,
+    UrgencyClass,
 };
 use crate::id::{BackendId, DomainId, InstanceId, ServiceId};
 use crate::routing::BackendRole;
@@ -26,6 +27,9 @@
 /// The most incarnations remembered as having announced that they leave. Their rows of the list may
 /// come back.
 const MAX_LEFT_INCARNATIONS: usize = 1_024;
+/// How long a backend server stays reserved after the last request that reserved it. Otherwise it
+/// looks idle to all entries until their next gossip, and they fill it up meanwhile.
+const RESERVED_TIME: TimeSpan = TimeSpan::from_millis(200);
 /// The backoff of an engine after it rejected a request.
 const REJECTION_BACKOFF: TimeSpan = TimeSpan::from_millis(150);
 
@@ -92,8 +96,8 @@
     pub queued_ahead: TokenCount,
     /// Whether its first token has arrived.
     pub first_token_seen: bool,
-    /// The class of urgency that it counts as.
-    pub class: UrgencyClass,
+    /// What it counts as for others.
+    pub class: FlightClass,
 }
 
 /// The number of classes that are less urgent than another one: all but the most urgent.
@@ -119,6 +123,9 @@
     /// They are empty if the entry does not tell classes apart, so that its whole load counts for
     /// every request.
     pub less_urgent: [ClassLoad; YIELDING_CLASSES],
+    /// Whether the backend server is reserved, since requests that were admitted for their minimum
+    /// share wait there.
+    pub reserved: bool,
 }
 
 impl PeerLoad {
@@ -330,9 +337,10 @@
     }
 
     /// Returns the requests that this entry has in flight at each backend server.
-    pub fn own_loads(&self) -> BTreeMap<BackendId, PeerLoad> {
+    pub fn own_loads(&self, now: TimePoint) -> BTreeMap<BackendId, PeerLoad> {
         let rows = self.rows.iter().filter(|(_, row)| !row.flights.is_empty());
-        rows.map(|(id, row)| (id.clone(), row.own_load())).collect()
+        rows.map(|(id, row)| (id.clone(), row.own_load(now)))
+            .collect()
     }
 
     /// Records that a backend server has prefilled a prompt for a peer and caches its parts.
@@ -373,16 +381,16 @@
             uncached,
             queued_ahead: row.backlog(now),
             first_token_seen: false,
-            class: UrgencyClass::default(),
+            class: FlightClass::default(),
         };
         row.flights.insert(flight, record);
         self.flights.insert(flight, id.clone());
         Some(flight)
     }
 
-    /// Records the class of urgency that a request counts as, directly after [`Self::begin`]. Only
+    /// Records what a request counts as for others, directly after [`Self::begin`]. Only
     /// the work of its class and of more urgent ones is then queued before it.
-    pub fn classify(&mut self, flight: FlightId, class: UrgencyClass, now: TimePoint) {
+    pub fn classify(&mut self, flight: FlightId, class: FlightClass, now: TimePoint) {
         let id = self.flights.get(&flight);
         let Some(row) = id.and_then(|id| self.rows.get_mut(id)) else {
             return;
@@ -391,7 +399,7 @@
             return;
         };
         let record = FlightRecord {
-            queued_ahead: row.backlog_ahead_of(class, now),
+            queued_ahead: row.backlog_ahead_of(class.urgency, now),
             class,
             ..record
         };
@@ -409,6 +417,9 @@
             return;
         };
         record.first_token_seen = true;
+        if record.class.reserves {
+            row.reserved_until = now + RESERVED_TIME;
+        }
         row.send_state = row.send_state.after(SendEvent::Answered(flight), now);
         row.rejections = 0;
         let record = *record;
--- a/crates/core/src/direct/server/row.rs
+++ b/crates/core/src/direct/server/row.rs
@@ -64,6 +64,8 @@
     pub(super) mean_call_time: TimeSpan,
     /// The number of requests in a row that were rejected after a backoff.
     pub(super) rejections: u32,
+    /// Until when this entry keeps the backend server reserved after the last first token.
+    pub(super) reserved_until: TimePoint,
 }
 
 impl ServerRow {
@@ -86,6 +88,7 @@
             base_ttft: DecayingEstimate::new(DEFAULT_TTFT.0),
             prefill_rate: DecayingEstimate::new(prefill_rate),
             rejections: 0,
+            reserved_until: TimePoint::START,
             mean_call_time: DEFAULT_TTFT,
         }
     }
@@ -135,7 +138,7 @@
     }
 
     /// Returns this entry's own requests in flight.
-    pub fn own_load(&self) -> PeerLoad {
+    pub fn own_load(&self, now: TimePoint) -> PeerLoad {
         let waiting = self
             .flights
             .values()
@@ -145,13 +148,31 @@
             backlog: waiting.map(|flight| flight.uncached).sum(),
             less_urgent: [UrgencyClass::High, UrgencyClass::Normal]
                 .map(|class| self.own_less_urgent(class)),
+            reserved: self.is_reserved_here(now),
         }
     }
 
+    /// Returns whether this entry's own requests reserve the backend server.
+    fn is_reserved_here(&self, now: TimePoint) -> bool {
+        let mut flights = self.flights.values();
+        now < self.reserved_until
+            || flights.any(|flight| flight.class.reserves && !flight.first_token_seen)
+    }
+
+    /// Returns whether the backend server is reserved for requests that were admitted for their
+    /// minimum share.
+    pub fn is_reserved(&self, now: TimePoint) -> bool {
+        self.is_reserved_here(now) || self.fresh_peers(now).any(|load| load.reserved)
+    }
+
     /// Returns this entry's own requests in flight that are less urgent than `class`.
     fn own_less_urgent(&self, class: UrgencyClass) -> ClassLoad {
         let mut load = ClassLoad::default();
-        for flight in self.flights.values().filter(|flight| flight.class > class) {
+        for flight in self
+            .flights
+            .values()
+            .filter(|flight| flight.class.urgency > class)
+        {
             load.flights += 1;
             if !flight.first_token_seen {
                 load.backlog += flight.uncached;
@@ -171,14 +192,14 @@
     /// including those of peers.
     pub fn backlog(&self, now: TimePoint) -> TokenCount {
         let peers = self.fresh_peers(now).map(|load| load.backlog);
-        self.own_load().backlog + peers.sum()
+        self.own_load(now).backlog + peers.sum()
     }
 
     /// Returns the part of the backlog that a request of this class waits for.
     pub fn backlog_ahead_of(&self, class: UrgencyClass, now: TimePoint) -> TokenCount {
         let peers = self.fresh_peers(now);
         let peers = peers.map(|load| load.ahead_of(class).backlog);
-        self.own_load().ahead_of(class).backlog + peers.sum()
+        self.own_load(now).ahead_of(class).backlog + peers.sum()
     }
 
     /// Returns the number of requests in flight that a request of this class waits for, including
@@ -186,7 +207,7 @@
     pub fn in_flight_ahead_of(&self, class: UrgencyClass, now: TimePoint) -> u64 {
         let peers = self.fresh_peers(now);
         let peers = peers.map(|load| u64::from(load.ahead_of(class).flights));
-        u64::from(self.own_load().ahead_of(class).flights) + peers.sum::<u64>()
+        u64::from(self.own_load(now).ahead_of(class).flights) + peers.sum::<u64>()
     }
 
     /// Returns the age of the oldest load of a peer that is used; zero if there is none.
--- a/crates/core/src/direct/urgency.rs
+++ b/crates/core/src/direct/urgency.rs
@@ -44,3 +44,13 @@
         }
     }
 }
+
+/// What a request in flight counts as for others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FlightClass {
+    /// The class of its urgency.
+    pub urgency: UrgencyClass,
+    /// Whether it was admitted for its minimum share. Until its first token, other requests avoid its
+    /// backend server, where it would otherwise not be reached while more urgent ones come.
+    pub reserves: bool,
+}
--- a/crates/core/tests/direct_herd.rs
+++ b/crates/core/tests/direct_herd.rs
@@ -100,7 +100,7 @@
         // Each entry gossips once in each interval.
         let sender = (now % interval / ARRIVAL_INTERVAL_US) as usize;
         if sender < ENTRIES {
-            let loads = tables[sender].own_loads();
+            let loads = tables[sender].own_loads(at);
             let prefills = std::mem::take(&mut prefills[sender]);
             for (other, table) in tables.iter_mut().enumerate() {
                 if other != sender {
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -19,7 +19,7 @@
 
 /// The most loads in one datagram.
 const MAX_LOADS: usize = 90;
-/// The same if the loads are told by urgency. Each then takes up to 22 bytes.
+/// The same if the loads are told by urgency. Each then takes up to 23 bytes.
 const MAX_CLASS_LOADS: usize = 48;
 /// The most bytes of crash reports in one datagram, and the bytes that each takes besides the
 /// name of its backend server.
@@ -228,6 +228,8 @@
     pub(crate) total: BackendLoad,
     /// The requests and prompt tokens that are less urgent than each of the more urgent classes.
     pub(crate) less_urgent: [(u32, u64); 2],
+    /// Whether requests reserve it that were admitted for their minimum share.
+    pub(crate) reserved: bool,
 }
 
 impl BackendLoad {
@@ -256,6 +258,7 @@
         Self {
             total: BackendLoad::new(hash, load),
             less_urgent: less_urgent.map(|part| (part.flights, part.backlog.0)),
+            reserved: load.reserved,
         }
     }
 
@@ -270,6 +273,7 @@
             hash,
             PeerLoad {
                 less_urgent,
+                reserved: self.reserved,
                 ..load
             },
         )
@@ -311,7 +315,7 @@
 /// Returns the `count` highest of this entry's loads.
 fn highest_loads(state: &GatewayState, count: usize) -> Vec<(BackendHash, PeerLoad)> {
     let table = state.table.borrow();
-    let loads = table.own_loads().into_iter();
+    let loads = table.own_loads(state.now()).into_iter();
     let loads = loads.filter_map(|(id, load)| Some((table.get(&id)?.name_hash(), load)));
     let mut loads: Vec<(BackendHash, PeerLoad)> = loads.collect();
     loads.sort_by_key(|(_, load)| std::cmp::Reverse((load.backlog, load.flights)));
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod availability;
 mod backend_list;
 mod buffers;
+mod competition;
 mod connection;
 mod discovery;
 mod duty;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -3,13 +3,15 @@
 mod respond;
 mod stream;
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{
-    AttemptEnd, AttemptLimits, Competitor, NextStep, Placement, PlacementRequest, PlacementStage,
-    PlacementWork, PromptShape, RequestProgress, ResponseStage, StreamBinding,
+    AttemptEnd, AttemptLimits, CompetitionLedger, Competitor, CompetitorKind, NextStep, Placement,
+    PlacementRequest, PlacementStage, PlacementWork, PromptShape, RequestProgress, ResponseStage,
+    StreamBinding,
 };
 use applefold_core::drain::DrainPhase;
 use applefold_core::id::BackendId;
@@ -22,6 +24,7 @@
 
 use super::accept::{CallerReader, ConnectionAction, ReceivedRequest};
 use super::attempt::{Attempt, AttemptClass, AttemptResult};
+use super::competition::CompetitionRecord;
 use super::handoff::HandoffGuard;
 use super::origins::is_resumable;
 use super::permits::{PermitOutcome, SendPermit};
@@ -73,6 +76,7 @@
         last_backend: None,
         handoff: None,
         may_prefill: true,
+        is_decided: Cell::new(false),
     };
     tokio::select! {
         biased;
@@ -113,6 +117,8 @@
     handoff: Option<HandoffGuard>,
     /// Whether the prompt may still be prefilled at another engine.
     may_prefill: bool,
+    /// Whether the request has been decided on in competition with others.
+    is_decided: Cell<bool>,
 }
 
 impl RequestDriver<'_> {
@@ -252,6 +258,7 @@
             true => self.state.origins.unsettled(&self.prepared.service, now),
             false => BTreeSet::new(),
         };
+        let ledger = self.state.competition.borrow();
         let request = PlacementRequest {
             name: &self.prepared.caller.id,
             service: &self.prepared.service,
@@ -261,11 +268,28 @@
             versions: self.binding.bound(&avoided)?,
             time_left: goal.time_left,
             latency_objective: goal.latency_objective,
-            competitor: self.competitor(),
+            competitor: self.competitor(&ledger),
         };
         let table = self.state.table.borrow();
         let domain = &self.state.settings().domain;
-        let placement = self.state.policy.choose(&table, &request, domain, now);
+        let policy = &self.state.policy;
+        let (placement, report) = policy.choose_reported(&table, &request, domain, now);
+        let is_new = request
+            .competitor
+            .is_some_and(|competitor| competitor.is_new);
+        if let Some(report) = report.filter(|_| is_new) {
+            self.is_decided.set(true);
+            let record = CompetitionRecord {
+                request: id,
+                service: &self.prepared.service,
+                kind: self.kind(),
+                report: &report,
+                now,
+            };
+            drop(ledger);
+            let mut ledger = self.state.competition.borrow_mut();
+            record.apply(&mut ledger, &self.state.metrics);
+        }
         placement.inspect_err(|refusal| {
             log::info!(request = id.as_str(), code = refusal.code.number(),
                 stage = format!("{:?}", self.response_stage()),
@@ -276,10 +300,23 @@
     }
 
     /// Returns the request as a competitor for capacity, if urgency counts on this platform.
-    fn competitor(&self) -> Option<Competitor> {
-        let urgency = self.prepared.urgency;
+    fn competitor<'b>(&'b self, ledger: &'b CompetitionLedger) -> Option<Competitor<'b>> {
+        let is_new = !self.is_decided.get() && self.response_stage() == ResponseStage::New;
         let follows = self.state.follows_pressure();
-        follows.then_some(Competitor { urgency })
+        follows.then(|| Competitor {
+            kind: self.kind(),
+            is_new,
+            ledger,
+        })
+    }
+
+    /// Returns what tells the request from others that compete with it.
+    fn kind(&self) -> CompetitorKind<'_> {
+        CompetitorKind {
+            urgency: self.prepared.urgency,
+            route: &self.prepared.route.name,
+            team: self.prepared.team.as_ref(),
+        }
     }
 
     /// Returns how much of the response the caller has.
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,8 +7,8 @@
 
 use applefold_core::code::ResultCode;
 use applefold_core::direct::{
-    DurationTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent, ServerTable,
-    WallClock, WindowSealer,
+    CompetitionLedger, DurationTable, PhasePlanner, PlacementPolicy, RuleSet, RunCounter,
+    SendEvent, ServerTable, WallClock, WindowSealer,
 };
 use applefold_core::drain::{DrainOptions, DrainPhase, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
@@ -100,6 +100,8 @@
     /// Rate limits that backend servers named to this entry, for gossip.
     pub(crate) limits: RefCell<LimitTable>,
     pub(crate) permits: PermitDesk,
+    /// What this entry has admitted and refused lately while requests competed for capacity.
+    pub(crate) competition: RefCell<CompetitionLedger>,
     /// The streams that began lately, which callers may resume.
     pub(crate) origins: StreamOrigins,
     gossip_socket: OnceCell<Rc<UdpSocket>>,
@@ -174,6 +176,7 @@
             notices: RefCell::default(),
             limits: RefCell::default(),
             permits: PermitDesk::default(),
+            competition: RefCell::default(),
             origins: StreamOrigins::default(),
             gossip_socket: OnceCell::new(),
             health: RefCell::new(HealthTracker::new(health)),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -78,6 +78,8 @@
     pub(crate) suspicions: Counter<u64>,
     /// Events about prompt parts suspected of crashing engines, by kind.
     pub(crate) part_suspicions: Counter<u64>,
+    /// Decisions on requests that compete for capacity, by outcome and class of urgency.
+    pub(crate) competition: Counter<u64>,
     /// Streams that callers resumed, by how their origin was found and by outcome.
     pub(crate) resumptions: Counter<u64>,
     /// Seconds until the first byte of a response.
@@ -110,6 +112,7 @@
             send_permits: meter.u64_counter("applefold_send_permits").build(),
             suspicions: meter.u64_counter("applefold_crash_suspicions").build(),
             part_suspicions: meter.u64_counter("applefold_part_suspicions").build(),
+            competition: meter.u64_counter("applefold_competition").build(),
             resumptions: meter.u64_counter("applefold_resumptions").build(),
             first_byte: meter
                 .f64_histogram("applefold_first_byte_seconds")
