Bound the cost of the decision on competing requests

The share of the traffic was summed over all engines and peers for each request, which with 1,500 engines and 300 entries is 450,000 steps. It is now taken from the engines that are compared first, and a row remembers the peer that reserves it.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -223,7 +223,7 @@
         let Some(mut best) = best else {
             return Err(self.missing());
         };
-        *report = self.compete(&best, &usable, request, now);
+        *report = self.compete(&best, &shortlist, usable.len(), request, now);
         if let Some(report) = report.as_mut().filter(|report| report.class.reserves) {
             if let Some(reserved) = self.best_reserved(&usable, request, domain, now) {
                 report.check_reserved(reserved.cost, reserved.unloaded);
@@ -360,12 +360,14 @@
         ))
     }
 
-    /// Decides on a request that competes for the capacity of `rows`; `None` if it does not compete,
-    /// or is never refused for being late.
+    /// Decides on a request that competes for the capacity of `servers` backend servers; `None` if it
+    /// does not compete, or is never refused for being late. This entry's share of the traffic is taken
+    /// from the `shortlist`, since a sum over all backend servers and peers would cost too much.
     fn compete(
         &self,
         best: &Candidate<'_>,
-        rows: &[&ServerRow],
+        shortlist: &[&ServerRow],
+        servers: usize,
         request: &PlacementRequest<'_>,
         now: TimePoint,
     ) -> Option<CompetitionReport> {
@@ -374,8 +376,8 @@
         if matches!(request.stage, PlacementStage::Decode(_)) {
             return None;
         }
-        let own: usize = rows.iter().map(|row| row.in_flight()).sum();
-        let total = rows.iter().map(|row| row.total_in_flight(now)).sum();
+        let own: usize = shortlist.iter().map(|row| row.in_flight()).sum();
+        let total = shortlist.iter().map(|row| row.total_in_flight(now)).sum();
         let share = TrafficShare {
             own: own as u64,
             total,
@@ -385,7 +387,7 @@
             work: best.row.prefill_time(best.uncached, now),
         };
         let (ledger, kind) = (competitor.ledger, &competitor.kind);
-        let shares = ledger.shares(request.service, kind, size, rows.len(), now);
+        let shares = ledger.shares(request.service, kind, size, servers, now);
         let input = CompetitionInput {
             name: request.name,
             predicted: best.cost,
--- a/crates/core/src/direct/server.rs
+++ b/crates/core/src/direct/server.rs
@@ -331,6 +331,9 @@
                     row.peers.resize(column.index + 1, None);
                 }
                 row.peers[column.index] = Some((*load, now));
+                if load.reserved {
+                    row.reserver = Some(column.index);
+                }
                 column.reported.push(id.clone());
             }
         }
--- a/crates/core/src/direct/server/row.rs
+++ b/crates/core/src/direct/server/row.rs
@@ -57,6 +57,9 @@
     pub(super) flights: BTreeMap<FlightId, FlightRecord>,
     /// The in-flight requests of each peer and when they were reported, by the table's peer column.
     pub(super) peers: Vec<Option<(PeerLoad, TimePoint)>>,
+    /// The column of the peer that last reported that it reserves the backend server. Its load alone
+    /// is looked at; another peer that reserves it too takes its place with its next report.
+    pub(super) reserver: Option<usize>,
     parts: BTreeMap<SmolStr, CachedPart>,
     pub(super) kv_capacity: TokenCount,
     pub(super) base_ttft: DecayingEstimate,
@@ -83,6 +86,7 @@
             load: None,
             flights: BTreeMap::new(),
             peers: Vec::new(),
+            reserver: None,
             parts: BTreeMap::new(),
             kv_capacity: DEFAULT_KV_CAPACITY,
             base_ttft: DecayingEstimate::new(DEFAULT_TTFT.0),
@@ -162,7 +166,10 @@
     /// Returns whether the backend server is reserved for requests that were admitted for their
     /// minimum share.
     pub fn is_reserved(&self, now: TimePoint) -> bool {
-        self.is_reserved_here(now) || self.fresh_peers(now).any(|load| load.reserved)
+        let reserver = self.reserver.and_then(|index| *self.peers.get(index)?);
+        let by_peer =
+            reserver.is_some_and(|(load, at)| load.reserved && now.since(at) <= MAX_PEER_AGE);
+        by_peer || self.is_reserved_here(now)
     }
 
     /// Returns this entry's own requests in flight that are less urgent than `class`.
