Never refuse a request for its own length where nothing is queued

The wait was lengthened by the time for which more urgent work interrupts the request's own prefill. A prompt of 54,600 tokens, which is late by itself, was refused for that although nothing was queued. One refused urgent request of five, which is all that one of 103 entries saw, made less urgent ones yield for seconds.

Room is now judged by the queue alone, the interruption counts up to the slack, and 8 admitted requests of each class are assumed in addition to what was counted. A datagram of loads by class holds 44 backend servers, so that it also fits with the names of engines that change their role.

--- a/crates/core/src/direct/competition.rs
+++ b/crates/core/src/direct/competition.rs
@@ -47,8 +47,8 @@
 /// The limits by which waits are accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CompetitionPolicy {
-    /// The wait, in percent of the latency objective, up to which there is room: the request does not
-    /// compete with others and is admitted.
+    /// The wait for what is queued, in percent of the latency objective, up to which there is room: the
+    /// request does not compete with others and is admitted.
     pub room_percent: u64,
     /// The part of the accepted wait, in percent, from which an entry with a very small share of the
     /// demand begins to refuse some requests. It sees the work that other entries have sent meanwhile
@@ -68,7 +68,7 @@
             room_percent: 10,
             thinning_percent: 50,
             reserved_percent: 25,
-            max_urgent_percent: 90,
+            max_urgent_percent: 75,
         }
     }
 }
@@ -206,9 +206,11 @@
             .min(self.max_urgent_percent as f64 / 100.0);
         let wait = match competitor.is_new {
             true => {
-                let work = input.size.work;
-                let slowed = (queued + work).0 as f64 / (1.0 - urgent);
-                TimeSpan(slowed as u64).saturating_sub(work)
+                // Its own prefill is interrupted too. What exceeds the slack makes no difference: a
+                // prompt that is late by itself is not refused for that.
+                let interrupted = input.size.work.0 as f64 * urgent / (1.0 - urgent);
+                let interrupted = TimeSpan(interrupted as u64).min(slack);
+                TimeSpan((queued.0 as f64 / (1.0 - urgent)) as u64) + interrupted
             }
             false => queued,
         };
@@ -221,7 +223,7 @@
             () if input.predicted > input.time_left => CompetitionOutcome::Hopeless,
             () if !competitor.is_new && wait > accepted_wait => CompetitionOutcome::Late,
             () if !competitor.is_new => CompetitionOutcome::Waits,
-            () if wait <= percent_of(objective, self.room_percent) => CompetitionOutcome::Room,
+            () if queued <= percent_of(objective, self.room_percent) => CompetitionOutcome::Room,
             () if shares.is_starved => CompetitionOutcome::MinimumShare,
             () if wait > accepted_wait => CompetitionOutcome::Late,
             () if shares.exceeds_urgent => CompetitionOutcome::Yields,
--- a/crates/core/src/direct/competition/ledger.rs
+++ b/crates/core/src/direct/competition/ledger.rs
@@ -22,6 +22,8 @@
 const MIN_KIND_SHARE: f64 = 0.6;
 /// The number of requests at which what was counted of a kind weighs as much as the share of others.
 const SHARE_PRIOR: f64 = 2.0;
+/// The number of admitted requests that are assumed of each class before any were counted.
+const CLASS_PRIOR: f64 = 8.0;
 /// The difference in served shares from which a class yields to a more urgent one.
 const YIELD_MARGIN: f64 = 0.02;
 /// The most routes of a service, and teams of a route, that are counted.
@@ -108,6 +110,12 @@
         }
     }
 
+    /// Returns the share of the requests that were admitted lately. Some more are assumed to have been,
+    /// so that an entry that sees few requests does not take one refusal for a shortage.
+    fn served_lately(&self) -> f64 {
+        (self.admitted + CLASS_PRIOR) / (self.offered + CLASS_PRIOR)
+    }
+
     /// Returns whether the admitted share is below a part of that of others. While few requests were
     /// counted, the share is assumed to be that of the others, so that one refusal does not count as
     /// starvation.
@@ -263,7 +271,7 @@
         let class = kind.class();
         let classes = tally.classes.map(|tally| tally.at(now, CLASS_HALF_LIFE));
         let (urgent, own) = (&classes[..class.index()], classes[class.index()]);
-        let served = urgent.iter().map(DecayingTally::served);
+        let served = urgent.iter().map(DecayingTally::served_lately);
         let least_served = served.fold(1.0, f64::min);
         let total = tally.total.at(now, KIND_HALF_LIFE);
         let mean_us = match total.admitted > 0.0 {
@@ -282,8 +290,8 @@
             urgent_load: certainty * urgent_rate / share / servers.max(1) as f64,
             traffic: tally.share(),
             is_starved: tally.is_starved(kind, size.prompt_tokens, total, now),
-            exceeds_urgent: own.served() > least_served + YIELD_MARGIN,
-            refused_lately: own.served() < 1.0 - YIELD_MARGIN,
+            exceeds_urgent: own.served_lately() > least_served + YIELD_MARGIN,
+            refused_lately: own.served_lately() < 1.0 - YIELD_MARGIN,
         }
     }
 }
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -19,8 +19,9 @@
 
 /// The most loads in one datagram.
 const MAX_LOADS: usize = 90;
-/// The same if the loads are told by urgency. Each then takes up to 23 bytes.
-const MAX_CLASS_LOADS: usize = 48;
+/// The same if the loads are told by urgency. Each then takes up to 23 bytes, which leaves
+/// room for the names of engines that change their role.
+const MAX_CLASS_LOADS: usize = 44;
 /// The most bytes of crash reports in one datagram, and the bytes that each takes besides the
 /// name of its backend server.
 const MAX_PART_BYTES: usize = 1_050;
