--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -6,8 +6,9 @@
 
 use crate::code::{CallRefusal, ResultCode};
 use crate::direct::{
-    CompetitionInput, CompetitionPolicy, CompetitionReport, Competitor, FlightClass, PromptShape,
-    RequestSize, SendDecision, ServerRow, ServerTable, SoftwareVersion, TrafficShare, VersionBound,
+    CompetitionInput, CompetitionPolicy, CompetitionReport, Competitor, FlightClass, PrefillWork,
+    PromptShape, RequestSize, SendDecision, ServerRow, ServerTable, SoftwareVersion, TrafficShare,
+    VersionBound,
 };
 use crate::id::{BackendId, DomainId, ServiceId};
 use crate::rank::NameRank;
@@ -139,12 +140,24 @@
     pub predicted: TimeSpan,
     /// The prompt tokens to prefill there.
     pub uncached: TokenCount,
+    /// The prompt tokens before them that it is expected to have cached.
+    pub cached: TokenCount,
     /// The number of backend servers that were compared.
     pub compared: usize,
     /// What the request counts as there for others; `None` if urgency does not count.
     pub class: Option<FlightClass>,
 }
 
+impl Placement {
+    /// Returns what the backend server has to prefill.
+    pub fn prefill_work(&self) -> PrefillWork {
+        PrefillWork {
+            uncached: self.uncached,
+            cached: self.cached,
+        }
+    }
+}
+
 /// A backend server under comparison, with its predicted cost.
 struct Candidate<'a> {
     row: &'a ServerRow,
@@ -155,7 +168,7 @@
     unloaded: TimeSpan,
     /// Costs to other requests, expressed as time. They count in the comparison only.
     bias: TimeSpan,
-    uncached: TokenCount,
+    prefill: PrefillWork,
 }
 
 impl PlacementPolicy {
@@ -232,14 +245,15 @@
         }
         match report {
             Some(report) => self.check_report(report, request)?,
-            None => self.check_time(&best, request)?,
+            None => self.check_time(&best, request, now)?,
         }
         Ok(Placement {
             backend: best.row.spec.id.clone(),
             version: best.row.spec.version.clone(),
             work: best.work,
             predicted: best.cost,
-            uncached: best.uncached,
+            uncached: best.prefill.uncached,
+            cached: best.prefill.cached,
             compared,
             class: request.competitor.map(|competitor| {
                 let urgency = competitor.kind.class();
@@ -336,11 +350,13 @@
     /// Refuses a request that would miss its deadline, or that would be late after a long wait. The
     /// refusal states when a retry may be in time.
     ///
-    /// A decode is not refused for being late, since that would waste the prefill.
+    /// A decode is not refused for being late, since that would waste the prefill. An engine that has been
+    /// idle gets a trial request, which shows whether it still is as slow as predicted.
     fn check_time(
         &self,
         best: &Candidate<'_>,
         request: &PlacementRequest<'_>,
+        now: TimePoint,
     ) -> Result<(), CallRefusal> {
         let wait = best.cost.saturating_sub(best.unloaded);
         let max_wait = TimeSpan(request.latency_objective.0 * self.max_wait_percent / 100);
@@ -349,7 +365,7 @@
         let needs_prefill =
             request.prompt.is_some() && !matches!(request.stage, PlacementStage::Decode(_));
         let refused = hopeless || (late && needs_prefill);
-        if !refused {
+        if !refused || best.row.is_trial_due(now) {
             return Ok(());
         }
         let excess = best.cost.saturating_sub(request.latency_objective);
@@ -384,7 +400,7 @@
         };
         let size = RequestSize {
             prompt_tokens: prompt.prompt_tokens,
-            work: best.row.prefill_time(best.uncached, now),
+            work: best.row.work_time(best.prefill, now),
         };
         let (ledger, kind) = (competitor.ledger, &competitor.kind);
         let shares = ledger.shares(request.service, kind, size, servers, now);
@@ -548,16 +564,16 @@
         };
         let assigned = self.assigned_engines(rows, request);
         let candidates = rows.iter().map(|row| {
-            let (uncached, recomputed) = self.uncached(row, prompt, &assigned);
-            let prefill = row.base_ttft(now)
-                + row.prefill_time(uncached + self.queued_tokens(row, request, now), now);
+            let (prefill, recomputed) = self.prefill_work(row, prompt, &assigned);
+            let unloaded = row.base_ttft(now) + row.work_time(prefill, now) + handoff;
+            let queued = row.prefill_time(self.queued_tokens(row, request, now), now);
             Candidate {
                 row,
                 work: PlacementWork::Prefill,
-                cost: prefill + handoff + self.handoff_cost,
-                unloaded: row.base_ttft(now) + row.prefill_time(uncached, now) + handoff,
+                cost: unloaded + queued + self.handoff_cost,
+                unloaded,
                 bias: row.prefill_time(recomputed, now),
-                uncached,
+                prefill,
             }
         });
         candidates.collect()
--- a/crates/core/tests/direct_competition.rs
+++ b/crates/core/tests/direct_competition.rs
@@ -116,6 +116,7 @@
         running: 8,
         waiting: 20,
         slots: 8,
+        slowdown_percent: None,
     };
     engines.record_load(&backend(0), sample, NOW);
     let urgent = Some(0);
--- a/crates/daemon/src/gateway/messages.rs
+++ b/crates/daemon/src/gateway/messages.rs
@@ -15,6 +15,7 @@
 use super::permits::{PermitAnswer, PermitRequest};
 use super::prefills::PrefillReport;
 use super::replicas::ReplicaDigests;
+use super::speeds::SpeedReport;
 use super::state::GatewayState;
 
 /// The most loads in one datagram.
@@ -89,6 +90,8 @@
     StreamOrigins(Vec<OriginReport>),
     /// For how long the store has confirmed the list without a gap.
     StoreContinuity(ContinuityReport),
+    /// Times to first tokens that the sender has observed.
+    Speeds(Vec<SpeedReport>),
     /// The sender's requests in flight at each backend server, by urgency. It replaces `Loads` at
     /// entries that follow the contract `pressure`.
     ClassLoads(ClassLoadMessage),
