--- a/crates/core/src/direct/server.rs
+++ b/crates/core/src/direct/server.rs
@@ -108,10 +108,12 @@
 pub struct FirstToken {
     /// The engine.
     pub backend: BackendHash,
-    /// The time that it took, and its work.
+    /// Its work, and the time that it would have taken without the slowdown.
     pub observation: SpeedObservation,
     /// The time that had been predicted when the request was sent.
     pub predicted: TimeSpan,
+    /// The time that it took, with the slowdown of the machine.
+    pub taken: TimeSpan,
 }
 
 /// The requests that an entry has in flight at a backend server.
@@ -399,6 +401,7 @@
             backend: row.name_hash(),
             observation,
             predicted: record.predicted,
+            taken: now.since(record.sent_at),
         })
     }
 
--- a/crates/daemon/src/gateway/in_flight.rs
+++ b/crates/daemon/src/gateway/in_flight.rs
@@ -53,8 +53,7 @@
         let backend = [KeyValue::new("backend", self.backend.to_string())];
         let metrics = &self.state.metrics;
         metrics.predicted_micros.add(token.predicted.0, &backend);
-        let taken = token.observation.span;
-        metrics.first_token_micros.add(taken.0, &backend);
+        metrics.first_token_micros.add(token.taken.0, &backend);
     }
 
     /// Records that the complete response has been received.
