--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -448,7 +448,7 @@
         line, answer_fields = head
         answer = await asyncio.wait_for(read_body(reader, answer_fields), limit)
         return Answer(int(line.split(" ")[1]), answer_fields, answer, True)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
         return Answer(0, {}, b"", False, repr(error))
     finally:
         if writer is not None:
@@ -473,7 +473,8 @@
         with tempfile.TemporaryDirectory() as work:
             try:
                 # The stand-ins end with this process.
-                broken = asyncio.new_event_loop().run_until_complete(bounded(work))
+                loop = asyncio.new_event_loop()
+                broken = loop.run_until_complete(bounded(work))
             finally:
                 for entry in entries:
                     entry.stop()
