--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -465,6 +465,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line("case starts, TROUBLE=%d" % trouble)
     entries = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the entries are ended below
 
     async def bounded(work):
         return await asyncio.wait_for(case(record, trouble, entries, work), 115)
@@ -479,7 +480,7 @@
                 for entry in entries:
                     entry.stop()
         code = 1 if broken else 0
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError, SystemExit) as error:
         record.line("could not run:", repr(error))
         print("could not run:", repr(error))
         code = 2
