Log which store lease a claim on the duty lease is bound to

The log could not tell whether the renewed lease is the one that the record hangs on, whether gossip or the pause before a takeover lets a second holder in, or whether the store drops a key whose lease lives.

--- a/crates/daemon/src/gateway/duty.rs
+++ b/crates/daemon/src/gateway/duty.rs
@@ -178,7 +178,15 @@
     let era = state.store.era();
     let current = get(state, lease_key()).await?;
     if let Some(item) = current {
-        return Some(held_by(&item));
+        let reply = held_by(&item);
+        if let LeaseReply::Held { holder, .. } = &reply {
+            if holder.as_ref() == Some(state.duty.holder.borrow().holder()) {
+                log::info!(record_lease = item.lease.map_or(0, |lease| lease.0),
+                    renewed_lease = state.duty.lease.get().map_or(0, |lease| lease.0);
+                    "an earlier claim on the duty lease has taken effect");
+            }
+        }
+        return Some(reply);
     }
     let last = get(state, fencing_key()).await?;
     let fencing = last.as_ref().map_or(FencingNumber(0), read_fencing).next();
@@ -214,6 +222,7 @@
     state.duty.era.set(era);
     match state.store.call(&StoreCall::Change(change)).await {
         Ok(StoreReply::Changed(_)) => {
+            log::info!(lease = lease.0, fencing = fencing.0; "duty lease claimed");
             state.sealer.borrow_mut().leave_before(first_window);
             state.duty.lease.set(Some(lease));
             Some(LeaseReply::Granted { fencing })
@@ -223,7 +232,9 @@
             log::debug!(ended = ended.is_ok(); "lease not acquired: another entry was faster");
             None
         }
-        Err(_) => {
+        Err(error) => {
+            log::info!(lease = lease.0, fencing = fencing.0, error = error.to_string();
+                "outcome of a claim on the duty lease is unknown");
             state.duty.lease.set(Some(lease));
             None
         }
@@ -262,6 +273,7 @@
     match state.store.call(&StoreCall::Renew(lease)).await {
         Ok(StoreReply::Leased(..)) => LeaseReply::Granted { fencing },
         Ok(_) => {
+            log::info!(lease = lease.0, fencing = fencing.0; "lease lost: its store lease has ended");
             state.duty.lease.set(None);
             lost
         }
