Renew the store lease that the duty record is bound to

Cause: an entry recognised the record by its name, but renewed the store lease of its last claim. The log of one run shows a record bound to lease 1005 under an entry that renews 1007. The record expired, another entry claimed it, and both renewed with success. Ruled out by the same log: a takeover before the former holder had stopped (neither stops), and a key that is dropped while its lease lives (the numbers differ).

The lease to renew is now taken from the record, unless the record is of an earlier era or was given up. A conflict with an own earlier claim is recognised, and the leases of unsettled claims are revoked when the entry stops. An entry that was refused for its fencing number claims again after a lease time; before, it never did until a restart.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -5,6 +5,7 @@
 //! The reasons and the remaining risks are described in
 //! [docs/design/authority.md](../../../docs/design/authority.md).
 
+mod claim;
 mod options;
 mod types;
 
@@ -12,6 +13,7 @@
 use crate::id::{FencingNumber, ScopeId};
 use crate::unit::TimePoint;
 
+pub use claim::{RecordClaim, RecordLease, StoredRecord};
 pub use options::{
     DriftRate, LeaseOptions, TakeoverRule, LEASE_MARGIN, LEASE_TTL, MAX_CLOCK_DRIFT,
     ORDER_DELIVERY_TIMEOUT, RENEWALS_PER_LEASE,
@@ -145,6 +147,15 @@
         self.wanted = true;
     }
 
+    /// Stops acting at once and releases the lease, since a receiver has seen a higher fencing number.
+    /// After a pause the holder tries to acquire it anew, so that the scope does not stay without one.
+    pub fn step_down(&mut self, now: TimePoint) -> Vec<LeaseAction> {
+        let actions = self.release(now);
+        self.reacquire();
+        self.next_call_at = now + self.options.ttl;
+        actions
+    }
+
     /// Stops acting at once and releases the lease.
     pub fn release(&mut self, now: TimePoint) -> Vec<LeaseAction> {
         let mut actions = self.step(now);
--- a/crates/daemon/src/gateway/duty.rs
+++ b/crates/daemon/src/gateway/duty.rs
@@ -1,14 +1,15 @@
 //! The duty lease. Its holder is the one entry that reports usage to the platform and orders
 //! engines to change their role.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use applefold_core::direct::StoreEra;
 use applefold_core::id::{FencingNumber, ScopeId, WindowId};
 use applefold_core::lease::{
-    HolderName, LeaseAction, LeaseCompletion, LeaseHolder, LeaseOptions, LeaseReply, TakeoverRule,
+    HolderName, LeaseAction, LeaseCompletion, LeaseHolder, LeaseOptions, LeaseReply, RecordClaim,
+    RecordLease, StoredRecord, TakeoverRule,
 };
 use applefold_core::rank::NameRank;
 use applefold_core::unit::TimeSpan;
@@ -45,10 +46,8 @@
 /// This entry's part in the duty lease.
 pub(crate) struct DutyLease {
     holder: RefCell<LeaseHolder>,
-    /// The store lease that the lease key is bound to, if this entry holds it or may hold it.
-    lease: Cell<Option<StoreLease>>,
-    /// The era of the store in which the lease was granted.
-    era: Cell<StoreEra>,
+    /// This entry's claim on the lease key, and the store lease that the key is bound to.
+    claim: RefCell<RecordClaim>,
 }
 
 impl DutyLease {
@@ -59,9 +58,8 @@
             ..LeaseOptions::new(ttl, LEASE_MARGIN)
         };
         Self {
+            claim: RefCell::new(RecordClaim::new(holder.clone())),
             holder: RefCell::new(LeaseHolder::new(scope, holder, options)),
-            lease: Cell::new(None),
-            era: Cell::default(),
         }
     }
 
@@ -70,9 +68,7 @@
     ///
     /// A lease of an earlier era of the store is gone, although its time has not passed.
     pub(crate) fn authority(&self, state: &GatewayState) -> Option<FencingNumber> {
-        if self.era.get() != state.store.era() {
-            return None;
-        }
+        self.claim.borrow().lease(state.store.era())?;
         let held = self.holder.borrow().authority(state.now());
         held.map(|authority| authority.fencing())
     }
@@ -103,10 +99,29 @@
     }
 }
 
-/// Releases the lease, so that another entry can take over at once.
+/// Releases the lease for good, so that another entry can take over at once.
 pub(crate) async fn release(state: &GatewayState) {
     let actions = state.duty.holder.borrow_mut().release(state.now());
     perform(state, actions).await;
+    // A claim of unknown outcome may still take effect.
+    revoke_claims(state).await;
+}
+
+/// Releases the lease because a receiver has seen a higher fencing number, and acquires it anew later.
+pub(crate) async fn step_down(state: &GatewayState) {
+    let actions = state.duty.holder.borrow_mut().step_down(state.now());
+    perform(state, actions).await;
+    revoke_claims(state).await;
+}
+
+/// Revokes the store leases of this entry's claims, so that none of them holds the key or will.
+async fn revoke_claims(state: &GatewayState) {
+    let leases = state.duty.claim.borrow_mut().release();
+    for lease in leases {
+        let revoke = StoreCall::Revoke(StoreLease(lease.0));
+        let ended = state.store.call(&revoke).await.is_ok();
+        log::info!(lease = lease.0, ended; "revoked the store lease of a claim");
+    }
 }
 
 /// Performs lease actions and those that follow from their replies.
@@ -123,10 +138,8 @@
                 Some(LeaseCompletion { call, reply })
             }
             LeaseAction::Release { fencing } => {
-                if let Some(lease) = state.duty.lease.take() {
-                    let ended = state.store.call(&StoreCall::Revoke(lease)).await;
-                    log::info!(fencing = fencing.0, ended = ended.is_ok(); "lease released");
-                }
+                revoke_claims(state).await;
+                log::info!(fencing = fencing.0; "lease released");
                 None
             }
             LeaseAction::StartActing { fencing } => {
@@ -178,15 +191,7 @@
     let era = state.store.era();
     let current = get(state, lease_key()).await?;
     if let Some(item) = current {
-        let reply = held_by(&item);
-        if let LeaseReply::Held { holder, .. } = &reply {
-            if holder.as_ref() == Some(state.duty.holder.borrow().holder()) {
-                log::info!(record_lease = item.lease.map_or(0, |lease| lease.0),
-                    renewed_lease = state.duty.lease.get().map_or(0, |lease| lease.0);
-                    "an earlier claim on the duty lease has taken effect");
-            }
-        }
-        return Some(reply);
+        return Some(held_by(state, &item, era));
     }
     let last = get(state, fencing_key()).await?;
     let fencing = last.as_ref().map_or(FencingNumber(0), read_fencing).next();
@@ -219,23 +224,30 @@
     if state.store.era() != era {
         return None;
     }
-    state.duty.era.set(era);
+    let claimed = RecordLease(lease.0);
+    state.duty.claim.borrow_mut().begin(claimed, era);
     match state.store.call(&StoreCall::Change(change)).await {
         Ok(StoreReply::Changed(_)) => {
-            log::info!(lease = lease.0, fencing = fencing.0; "duty lease claimed");
             state.sealer.borrow_mut().leave_before(first_window);
-            state.duty.lease.set(Some(lease));
+            state.duty.claim.borrow_mut().confirm(claimed);
+            log::info!(lease = lease.0, fencing = fencing.0; "duty lease claimed");
             Some(LeaseReply::Granted { fencing })
         }
-        Ok(_) => {
+        Ok(reply) => {
+            state.duty.claim.borrow_mut().settle(claimed);
             let ended = state.store.call(&StoreCall::Revoke(lease)).await;
-            log::debug!(ended = ended.is_ok(); "lease not acquired: another entry was faster");
-            None
+            log::debug!(lease = lease.0, ended = ended.is_ok();
+                "duty lease not claimed: another claim was faster");
+            // It may have been an earlier claim of this entry whose reply was lost.
+            let StoreReply::Conflict(items) = reply else {
+                return None;
+            };
+            let standing = items.iter().find(|item| item.key == lease_key());
+            standing.map(|item| held_by(state, item, era))
         }
         Err(error) => {
             log::info!(lease = lease.0, fencing = fencing.0, error = error.to_string();
                 "outcome of a claim on the duty lease is unknown");
-            state.duty.lease.set(Some(lease));
             None
         }
     }
@@ -261,20 +273,22 @@
         fencing,
         remaining: TimeSpan::ZERO,
     };
-    let Some(lease) = state.duty.lease.get() else {
+    let era = state.store.era();
+    let lease = state.duty.claim.borrow().lease(era);
+    let Some(lease) = lease else {
+        log::warn!(fencing = fencing.0, era = era.number();
+            "lease lost: the record is not this entry's in the current era of the store");
         return lost;
     };
-    if state.duty.era.get() != state.store.era() {
-        log::warn!(fencing = fencing.0, era = state.store.era().number();
-            "lease lost: the store is in a new era");
-        state.duty.lease.set(None);
-        return lost;
-    }
-    match state.store.call(&StoreCall::Renew(lease)).await {
+    match state
+        .store
+        .call(&StoreCall::Renew(StoreLease(lease.0)))
+        .await
+    {
         Ok(StoreReply::Leased(..)) => LeaseReply::Granted { fencing },
         Ok(_) => {
             log::info!(lease = lease.0, fencing = fencing.0; "lease lost: its store lease has ended");
-            state.duty.lease.set(None);
+            state.duty.claim.borrow_mut().expire();
             lost
         }
         Err(_) => LeaseReply::Failed,
@@ -289,18 +303,31 @@
     }
 }
 
-/// Returns the reply for a lease that the holder in `item` has.
-fn held_by(item: &StoreItem) -> LeaseReply {
+/// Returns the reply for a lease that the holder in `item` has. If that is this entry, by a claim whose
+/// reply was lost, it renews the store lease that the item is bound to from now on.
+fn held_by(state: &GatewayState, item: &StoreItem, era: StoreEra) -> LeaseReply {
     let record: Option<HolderRecord> = serde_json::from_slice(&item.value).ok();
-    if record.is_none() {
+    let Some(HolderRecord { holder, fencing }) = record else {
         log::warn!(key = item.key.as_str();
             "lease record cannot be decoded; the holder is unknown");
+        return LeaseReply::Held {
+            holder: None,
+            fencing: FencingNumber(0),
+            remaining: RECHECK_DELAY,
+        };
+    };
+    let record = StoredRecord {
+        holder,
+        fencing,
+        lease: item.lease.map(|lease| RecordLease(lease.0)),
+    };
+    let own = state.duty.claim.borrow_mut().adopt(&record, era);
+    if own {
+        log::info!(lease = record.lease.map_or(0, |lease| lease.0), fencing = fencing.0;
+            "an earlier claim on the duty lease has taken effect; renewing its store lease");
     }
-    let fencing = record
-        .as_ref()
-        .map_or(FencingNumber(0), |record| record.fencing);
     LeaseReply::Held {
-        holder: record.map(|record| record.holder),
+        holder: own.then_some(record.holder),
         fencing,
         remaining: RECHECK_DELAY,
     }
--- a/crates/daemon/src/gateway/phases.rs
+++ b/crates/daemon/src/gateway/phases.rs
@@ -73,7 +73,7 @@
                 .phases
                 .borrow_mut()
                 .record_refusal(&change.service, &change.backend);
-            super::duty::release(&state).await;
+            super::duty::step_down(&state).await;
         }
         Ok(OrderReply::Busy | OrderReply::Refused(_)) => {
             state
--- a/crates/daemon/src/gateway/usage.rs
+++ b/crates/daemon/src/gateway/usage.rs
@@ -259,7 +259,7 @@
         DutyReply::Outdated => {
             log::warn!(fencing = fencing.0;
                 "usage report rejected: higher fencing number seen; releasing the lease");
-            super::duty::release(state).await;
+            super::duty::step_down(state).await;
         }
         DutyReply::Refused(status) => {
             return Err(eyre!(
