Register an entry again if its registration hangs on another lease

An entry whose registration was written without a reply registers under a second lease. If the first write is executed late, the registration is bound to a lease that nobody renews, and the entry stays off the membership list while it renews the other lease with success.

An entry now compares the lease of its registration with its own whenever it reads the list.

--- a/crates/core/tests/lease_claims.rs
+++ b/crates/core/tests/lease_claims.rs
@@ -404,19 +404,17 @@
             LeaseAction::Acquire { call, .. } => {
                 self.begin(at, Call::ReadRecord, call, Default::default());
             }
-            LeaseAction::Renew { call, fencing, .. } => {
-                match self.claimants[at].renewed_lease() {
-                    Some(lease) => self.begin(at, Call::Renew(lease), call, (fencing, 0)),
-                    None => {
-                        let lost = LeaseReply::Held {
-                            holder: None,
-                            fencing,
-                            remaining: TimeSpan::ZERO,
-                        };
-                        self.complete(at, call, lost);
-                    }
+            LeaseAction::Renew { call, fencing, .. } => match self.claimants[at].renewed_lease() {
+                Some(lease) => self.begin(at, Call::Renew(lease), call, (fencing, 0)),
+                None => {
+                    let lost = LeaseReply::Held {
+                        holder: None,
+                        fencing,
+                        remaining: TimeSpan::ZERO,
+                    };
+                    self.complete(at, call, lost);
                 }
-            }
+            },
             LeaseAction::Release { .. } => {
                 for lease in self.claimants[at].claim.release() {
                     self.send(&Call::Revoke(lease));
--- a/crates/daemon/src/gateway/presence.rs
+++ b/crates/daemon/src/gateway/presence.rs
@@ -26,6 +26,10 @@
     format!("{OWN_PREFIX}entries/")
 }
 
+fn own_key(state: &GatewayState) -> String {
+    format!("{}{}", entries_prefix(), state.settings().instance)
+}
+
 /// Keeps this entry registered and reads the membership list, for as long as the process runs.
 pub(crate) async fn run(state: Rc<GatewayState>) {
     let mut lease = None;
@@ -39,7 +43,12 @@
             None => register(&state).await,
         };
         let era = state.store.era();
-        refresh_peers(&state).await;
+        let listed = refresh_peers(&state).await;
+        if let (Some(held), Some(listed)) = (lease, listed) {
+            if listed != Some(held) {
+                restore(&state, held).await;
+            }
+        }
         let alone = state.peers.borrow().is_empty();
         let period = if alone { ALONE_PERIOD } else { REFRESH_PERIOD };
         let next = state.now() + TimeSpan(period.as_micros() as u64);
@@ -51,18 +60,39 @@
 
 /// Registers this entry under a store lease; `None` if that failed.
 async fn register(state: &GatewayState) -> Option<StoreLease> {
-    let address = state.peer_address();
     let granted = state.store.call(&StoreCall::Grant(REGISTRATION_TTL)).await;
     let Ok(StoreReply::Leased(Some(lease), _)) = granted else {
         return None;
     };
-    let key = format!("{}{}", entries_prefix(), state.settings().instance);
+    write(state, lease).await.then_some(lease)
+}
+
+/// Writes the registration under a store lease; returns whether the store has confirmed it.
+async fn write(state: &GatewayState, lease: StoreLease) -> bool {
+    let address = state.peer_address().to_string().into_bytes();
     let change = StoreChange {
-        puts: vec![(key, address.to_string().into_bytes(), Some(lease))],
+        puts: vec![(own_key(state), address, Some(lease))],
         ..StoreChange::default()
     };
     let written = state.store.call(&StoreCall::Change(change)).await;
-    matches!(written, Ok(StoreReply::Changed(_))).then_some(lease)
+    matches!(written, Ok(StoreReply::Changed(_)))
+}
+
+/// Writes the registration again if it is not bound to the lease that this entry renews. An earlier
+/// write without a reply may have been executed late: the registration would expire with its lease.
+async fn restore(state: &GatewayState, held: StoreLease) {
+    // The list may be stale, so it is not enough to tell.
+    let read = state.store.call(&StoreCall::Get(own_key(state))).await;
+    let Ok(StoreReply::Item(item)) = read else {
+        return;
+    };
+    let bound = item.and_then(|item| item.lease);
+    if bound == Some(held) {
+        return;
+    }
+    let restored = write(state, held).await;
+    log::warn!(lease = held.0, bound = bound.map_or(0, |lease| lease.0), restored;
+        "registration of this entry was not bound to its lease; written again");
 }
 
 /// Renews the registration. Returns `None` if its lease is gone, so that the entry registers anew.
@@ -73,8 +103,9 @@
     }
 }
 
-/// Reads the membership list; keeps the known peers if the store does not reply.
-async fn refresh_peers(state: &GatewayState) {
+/// Reads the membership list; keeps the known peers if the store does not reply. Returns the lease that
+/// this entry's registration is bound to according to the list, which may be stale.
+async fn refresh_peers(state: &GatewayState) -> Option<Option<StoreLease>> {
     let prefix = entries_prefix();
     let call = StoreCall::Range {
         prefix: prefix.clone(),
@@ -82,8 +113,11 @@
         stale: true,
     };
     let Ok(StoreReply::Page(page)) = state.store.call(&call).await else {
-        return;
+        return None;
     };
+    let own_key = own_key(state);
+    let own = page.items.iter().find(|item| item.key == own_key);
+    let listed = own.and_then(|item| item.lease);
     let mut entries: BTreeMap<InstanceId, SocketAddr> = BTreeMap::new();
     for item in &page.items {
         let name = item
@@ -102,4 +136,5 @@
     state.set_entry_count(entries.len() as u64);
     entries.remove(&state.settings().instance);
     state.peers.borrow_mut().set_peers(entries);
+    Some(listed)
 }
