Settle suspicions of crashes by the list of backend servers

Cause: a broken connection counted as a crash unless the engine answered something that was sent within the next second.

A suspicion is now settled by the incarnation in the list: confirmed if it has a later start time or is gone, dropped if the same start time is registered 3.5 heartbeat intervals later with the store available all the while. Only settled crashes refuse for good; until then a request is refused for now (1026, 503). Attempts keep the incarnation that they were sent to.

The stand-ins' engines kept their registration when they crashed. They register with a new start time now, as each start of an engine does by the users' page; no test, bound or check was changed for it.

The tests of crashes and crashing parts pass.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -102,6 +102,7 @@
     OriginUnknown = 1023, 503, NotRun, "The version that began the stream is not known.";
     RequestStalled = 1024, 408, NotRun, "The request was sent too slowly.";
     InstanceFull = 1025, 503, NotRun, "The instance has no memory or connection left for the request.";
+    RequestSuspected = 1026, 503, NotRun, "Requests like this one may have crashed backend servers, which is being checked.";
     OutcomeUnknown = 2001, 504, Unknown, "Whether the request was run cannot be known.";
     AnswerBroken = 2002, 502, Ran, "The answer broke off and is not whole.";
     AlreadyRan = 2003, 409, Ran, "The request ran before and its answer is no longer kept.";
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -114,6 +114,8 @@
 pub struct Placement {
     /// The chosen backend server.
     pub backend: BackendId,
+    /// The incarnation that it is listed with: the start time of its process.
+    pub incarnation: u64,
     /// The software version that it is listed with.
     pub version: Option<SoftwareVersion>,
     /// The work that it gets.
@@ -192,6 +194,7 @@
         self.check_time(&best, request, now)?;
         Ok(Placement {
             backend: best.row.spec.id.clone(),
+            incarnation: best.row.spec.started_at_ms,
             version: best.row.spec.version.clone(),
             work: best.work,
             predicted: best.cost,
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -8,6 +8,7 @@
 //! See [docs/design/answers.md](../../../docs/design/answers.md#requests-that-crash-backend-servers), and
 //! [docs/design/quarantine.md](../../../docs/design/quarantine.md) for what is evidence and what is not.
 
+mod fate;
 mod life;
 mod part;
 mod recent;
@@ -23,10 +24,11 @@
 use crate::unit::{TimePoint, TimeSpan};
 
 use recent::RecentCrashes;
-use row::SuspectRow;
+use row::{CrashFilter, SuspectRow};
 use sound::SoundMemory;
 use turns::{DueReports, ReportTurns};
 
+pub use fate::{registration_life, ListProof, RunFate, RunListing};
 pub use life::{LifeReport, LifeSigns};
 pub use part::{ExplainedCrashes, PartTracker};
 
@@ -67,11 +69,25 @@
     }
 }
 
+/// A suspicion that has been settled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettledCrash {
+    /// The fingerprint of the request or prompt part.
+    pub fingerprint: RequestFingerprint,
+    /// The incarnation that was suspected of having crashed.
+    pub run: BackendRun,
+    /// What has become of it.
+    pub fate: RunFate,
+}
+
 /// The limits and times of a [`CrashTracker`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashOptions {
     /// The number of crashes at which a fingerprint is quarantined.
     pub crash_limit: usize,
+    /// Whether crashes are observed. Those that are inferred from a broken connection are suspicions
+    /// until [`CrashTracker::settle`] has settled them.
+    pub observed: bool,
     /// Whether each crash of one backend server counts. If not, a faulty machine alone cannot
     /// quarantine a request.
     pub count_each_run: bool,
@@ -104,6 +120,7 @@
     pub fn inferred() -> Self {
         Self {
             crash_limit: 3,
+            observed: false,
             count_each_run: true,
             gossip_delay: DISPROOF_WINDOW,
             gossip_ttl: TimeSpan::from_secs(10),
@@ -118,6 +135,7 @@
     fn default() -> Self {
         Self {
             crash_limit: 2,
+            observed: true,
             count_each_run: false,
             quarantine_ttl: TimeSpan::from_secs(600),
             suspicion_ttl: TimeSpan::from_secs(600),
@@ -223,6 +241,34 @@
         cleared.collect()
     }
 
+    /// Settles suspicions by what has become of the incarnations; returns those that are settled now.
+    pub fn settle<Fate>(&mut self, fate: Fate) -> Vec<SettledCrash>
+    where
+        Fate: Fn(&BackendRun, TimePoint) -> RunFate,
+    {
+        let mut settled = Vec::new();
+        for (fingerprint, row) in &mut self.rows {
+            let crashes = row.settle(&fate).into_iter();
+            settled.extend(crashes.map(|(run, fate)| SettledCrash {
+                fingerprint: *fingerprint,
+                run,
+                fate,
+            }));
+        }
+        self.rows.retain(|_, row| row.last_change().is_some());
+        settled
+    }
+
+    /// Returns whether enough crashes of a fingerprint are settled for a final refusal.
+    pub fn is_settled(&self, fingerprint: RequestFingerprint) -> bool {
+        let filter = match self.options.observed {
+            true => CrashFilter::Suspected,
+            false => CrashFilter::Ended,
+        };
+        let row = self.rows.get(&fingerprint);
+        row.is_some_and(|row| evidence(row, &self.options, filter) >= self.options.crash_limit)
+    }
+
     /// Merges a report of another process; returns whether it was new.
     pub fn merge_report(&mut self, now: TimePoint, report: SuspectReport) -> bool {
         let at = now - report.age;
@@ -333,7 +379,8 @@
     ///
     /// # Errors
     ///
-    /// Refuses with [`ResultCode::RequestQuarantined`] a quarantined request, and with
+    /// Refuses with [`ResultCode::RequestQuarantined`] a quarantined request, with
+    /// [`ResultCode::RequestSuspected`] one whose crashes are not settled yet, and with
     /// [`ResultCode::BackendBusy`] a suspect beside as many other suspects as allowed.
     pub fn admit(
         &self,
@@ -344,7 +391,10 @@
             return Ok(());
         };
         if self.is_quarantined(fingerprint) {
-            return Err(CallRefusal::permanent(ResultCode::RequestQuarantined));
+            return Err(match self.is_settled(fingerprint) {
+                true => CallRefusal::permanent(ResultCode::RequestQuarantined),
+                false => CallRefusal::retryable(ResultCode::RequestSuspected, RETRY_AFTER),
+            });
         }
         let suspects = running.iter().filter(|other| self.is_suspect(**other));
         let limits = row
@@ -367,7 +417,7 @@
         let retention = options.sound_ttl.max(COMPLETION_RETENTION);
         self.completions.tick(now, retention);
         for row in self.rows.values_mut() {
-            let ttl = match evidence(row, &options) >= options.crash_limit {
+            let ttl = match evidence(row, &options, CrashFilter::Suspected) >= options.crash_limit {
                 true => options.quarantine_ttl,
                 false => options.suspicion_ttl,
             };
@@ -382,7 +432,7 @@
     }
 
     fn evidence(&self, row: &SuspectRow) -> usize {
-        evidence(row, &self.options)
+        evidence(row, &self.options, CrashFilter::Suspected)
     }
 
     /// Takes a completion that is remembered into the row of a fingerprint that is suspected now.
@@ -431,7 +481,8 @@
         }
         let options = self.options;
         let oldest = self.rows.iter().min_by_key(|(_, row)| {
-            let quarantined = evidence(row, &options) >= options.crash_limit;
+            let quarantined =
+                evidence(row, &options, CrashFilter::Suspected) >= options.crash_limit;
             (quarantined, row.last_change())
         });
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
@@ -441,9 +492,9 @@
 }
 
 /// Returns how many crashes of a fingerprint count as evidence against it.
-fn evidence(row: &SuspectRow, options: &CrashOptions) -> usize {
+fn evidence(row: &SuspectRow, options: &CrashOptions, filter: CrashFilter) -> usize {
     match row.is_sound_before_crashes(options.sound_ttl) {
-        true => row.crashes_apart(OUTAGE_SPAN),
-        false => row.crashes.len(),
+        true => row.crashes_apart(OUTAGE_SPAN, filter),
+        false => row.crashes(filter),
     }
 }
--- a/crates/core/src/quarantine/part.rs
+++ b/crates/core/src/quarantine/part.rs
@@ -11,9 +11,12 @@
 
 use super::life::gap;
 use super::recent::RecentCrashes;
-use super::row::{CrashSpan, SuspectRow};
+use super::row::{CrashFilter, CrashSpan, SuspectRow};
 use super::turns::{DueReports, ReportTurns};
-use super::{BackendRun, SuspectReport, DISPROOF_WINDOW, OUTAGE_SPAN, SAME_EVENT_TOLERANCE};
+use super::{
+    BackendRun, RunFate, SettledCrash, SuspectReport, DISPROOF_WINDOW, OUTAGE_SPAN,
+    SAME_EVENT_TOLERANCE,
+};
 use crate::claim::RequestFingerprint;
 use crate::id::BackendId;
 use crate::unit::{TimePoint, TimeSpan};
@@ -88,12 +91,12 @@
 
     /// Returns the number of crashes, of which those in one burst count once. If the part is known to
     /// be sound, those in one outage do.
-    fn crash_count(&self) -> usize {
+    fn crash_count(&self, filter: CrashFilter) -> usize {
         let span = match self.suspect.is_sound_before_crashes(SOUND_TTL) {
             true => OUTAGE_SPAN,
             false => BURST_SPAN,
         };
-        self.suspect.crashes_apart(span)
+        self.suspect.crashes_apart(span, filter)
     }
 
     /// Returns whether enough of the crashes have no other explanation.
@@ -104,7 +107,11 @@
     }
 
     fn is_quarantined(&self) -> bool {
-        self.suspect.crashes.len() >= CRASH_LIMIT && self.crash_count() >= CRASH_LIMIT
+        self.has_crashes(CrashFilter::Suspected)
+    }
+
+    fn has_crashes(&self, filter: CrashFilter) -> bool {
+        self.suspect.crashes(filter) >= CRASH_LIMIT && self.crash_count(filter) >= CRASH_LIMIT
     }
 
     fn crashes(&self) -> impl Iterator<Item = (&BackendRun, &CrashSpan)> {
@@ -253,6 +260,29 @@
         disproved.into_iter().map(|(part, _)| part).collect()
     }
 
+    /// Settles suspicions by what has become of the incarnations; returns those that are settled now.
+    pub fn settle<Fate>(&mut self, fate: Fate) -> Vec<SettledCrash>
+    where
+        Fate: Fn(&BackendRun, TimePoint) -> RunFate,
+    {
+        let mut settled = Vec::new();
+        for (part, row) in &mut self.rows {
+            let crashes = row.suspect.settle(&fate).into_iter();
+            settled.extend(crashes.map(|(run, fate)| SettledCrash {
+                fingerprint: *part,
+                run,
+                fate,
+            }));
+        }
+        settled
+    }
+
+    /// Returns whether enough crashes of a part are settled for a final refusal.
+    pub fn is_settled(&self, part: RequestFingerprint) -> bool {
+        let row = self.rows.get(&part);
+        row.is_some_and(|row| row.has_crashes(CrashFilter::Ended))
+    }
+
     /// Merges a report of another process; returns whether it was new.
     pub fn merge_report(&mut self, now: TimePoint, report: SuspectReport) -> bool {
         let at = now - report.age;
@@ -308,7 +338,8 @@
 
     /// Returns how many crashes a part is suspected of.
     pub fn crash_count(&self, part: RequestFingerprint) -> usize {
-        self.rows.get(&part).map_or(0, PartRow::crash_count)
+        let row = self.rows.get(&part);
+        row.map_or(0, |row| row.crash_count(CrashFilter::Suspected))
     }
 
     /// Returns the time of the last crash that a part is suspected of.
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{BackendRun, SuspectReport, DISPROOF_WINDOW, SAME_EVENT_TOLERANCE};
+use super::{BackendRun, RunFate, SuspectReport, DISPROOF_WINDOW, SAME_EVENT_TOLERANCE};
 use crate::claim::RequestFingerprint;
 use crate::unit::{TimePoint, TimeSpan};
 
@@ -13,6 +13,23 @@
     pub(super) last: TimePoint,
     /// Whether this process saw it.
     seen_here: bool,
+    /// Whether the list has shown that the incarnation has ended.
+    pub(super) ended: bool,
+}
+
+/// Which crashes of a fingerprint count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CrashFilter {
+    /// All that are not disproved.
+    Suspected,
+    /// Those of incarnations that have ended.
+    Ended,
+}
+
+impl CrashFilter {
+    fn admits(self, crash: &CrashSpan) -> bool {
+        self == Self::Suspected || crash.ended
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -31,8 +48,9 @@
 
     /// Returns the number of crashes, of which those that begin within `span` of the first one of
     /// them count once.
-    pub(super) fn crashes_apart(&self, span: TimeSpan) -> usize {
-        let mut times: Vec<TimePoint> = self.crashes.values().map(|crash| crash.first).collect();
+    pub(super) fn crashes_apart(&self, span: TimeSpan, filter: CrashFilter) -> usize {
+        let crashes = self.crashes.values().filter(|crash| filter.admits(crash));
+        let mut times: Vec<TimePoint> = crashes.map(|crash| crash.first).collect();
         times.sort_unstable();
         let mut first = None;
         let mut count = 0;
@@ -45,6 +63,34 @@
         count
     }
 
+    /// Returns the number of crashes.
+    pub(super) fn crashes(&self, filter: CrashFilter) -> usize {
+        let crashes = self.crashes.values();
+        crashes.filter(|crash| filter.admits(crash)).count()
+    }
+
+    /// Settles crashes by what has become of their incarnations, and drops those that are disproved.
+    /// Returns the incarnations that have been settled now.
+    pub(super) fn settle<Fate>(&mut self, fate: Fate) -> Vec<(BackendRun, RunFate)>
+    where
+        Fate: Fn(&BackendRun, TimePoint) -> RunFate,
+    {
+        let mut settled = Vec::new();
+        self.crashes.retain(|run, crash| {
+            let fate = fate(run, crash.last);
+            let is_news = match fate {
+                RunFate::Running => true,
+                RunFate::Ended => !std::mem::replace(&mut crash.ended, true),
+                RunFate::Unknown => false,
+            };
+            if is_news {
+                settled.push((run.clone(), fate));
+            }
+            fate != RunFate::Running
+        });
+        settled
+    }
+
     /// Returns whether it completed less than `sound_ttl` before the first of its crashes.
     pub(super) fn is_sound_before_crashes(&self, sound_ttl: TimeSpan) -> bool {
         let first = self.crashes.values().map(|crash| crash.first).min();
@@ -95,6 +141,7 @@
             first: at,
             last: at,
             seen_here: false,
+            ended: false,
         };
         let crash = self.crashes.entry(crashed).or_insert(crash);
         crash.last = at.max(crash.last);
--- a/crates/core/tests/quarantine_fleet/mod.rs
+++ b/crates/core/tests/quarantine_fleet/mod.rs
@@ -1,11 +1,14 @@
 //! A fleet of entries and engines in virtual time, whose entries track crashes by request and by prompt
 //! part.
 
+use std::collections::BTreeMap;
+
 use applefold_core::claim::RequestFingerprint;
 use applefold_core::direct::AttemptEnd;
 use applefold_core::id::BackendId;
 use applefold_core::quarantine::{
-    BackendRun, CrashOptions, CrashTracker, LifeReport, LifeSigns, PartTracker, SuspectReport,
+    BackendRun, CrashOptions, CrashTracker, LifeReport, LifeSigns, ListProof, PartTracker, RunFate,
+    RunListing, SuspectReport,
 };
 use applefold_core::unit::{TimePoint, TimeSpan};
 use rand::{Rng, SeedableRng};
@@ -32,6 +35,13 @@
 const CRASHING_RATE: f64 = 3.0;
 /// How long a crashed engine is down.
 const DOWNTIME: TimeSpan = TimeSpan::from_millis(2_500);
+/// How often engines write their registrations, after how long without a write these expire, and how long
+/// after a change entries learn of it.
+const HEARTBEAT: TimeSpan = TimeSpan::from_millis(1_200);
+const REGISTRATION_TTL: TimeSpan = TimeSpan::from_millis(3_600);
+const LIST_DELAY: TimeSpan = TimeSpan::from_millis(400);
+/// The start time of an engine that has not crashed yet, in milliseconds.
+const FIRST_START_MS: u64 = 1_000_000;
 /// The most signs of life in a datagram.
 const SIGN_LIMIT: usize = 16;
 /// The share of datagrams that is lost.
@@ -187,14 +197,14 @@
         }
     }
 
-    fn receive(&mut self, now: TimePoint, round: &GossipRound) {
+    fn receive(&mut self, now: TimePoint, round: &GossipRound, list: &EngineList) {
         for report in &round.requests {
-            if !self.is_disproved(now, report) {
+            if !self.is_disproved(now, report, list) {
                 self.requests.merge_report(now, report.clone());
             }
         }
         for report in &round.suspects {
-            if !self.is_disproved(now, report) {
+            if !self.is_disproved(now, report, list) {
                 self.tracker.merge_report(now, report.clone());
             }
         }
@@ -205,22 +215,70 @@
         }
     }
 
-    fn is_disproved(&mut self, now: TimePoint, report: &SuspectReport) -> bool {
+    fn is_disproved(&mut self, now: TimePoint, report: &SuspectReport, list: &EngineList) -> bool {
         let crashed_at = now - report.age;
         report.crashed.as_ref().is_some_and(|run| {
             self.signs.note_suspicion(now, &run.backend, crashed_at);
             self.signs.is_disproved(&run.backend, crashed_at)
+                || list.fate(now, run, crashed_at) == RunFate::Running
         })
     }
 }
 
+/// The registration of one engine, and what it was before it changed last.
+struct Registration {
+    start_ms: u64,
+    /// Since when it writes nothing, if it is down.
+    silent_from: Option<TimePoint>,
+    /// When it registered with this start time, and the one before.
+    since: TimePoint,
+    former_ms: u64,
+}
+
+/// The list of engines, as entries know it a little later.
+struct EngineList(BTreeMap<BackendId, Registration>);
+
+impl EngineList {
+    fn fate(&self, now: TimePoint, run: &BackendRun, crashed_at: TimePoint) -> RunFate {
+        let registration = &self.0[&run.backend];
+        let confirmed_at = now - LIST_DELAY;
+        let is_expired = |from: TimePoint| confirmed_at.since(from) >= REGISTRATION_TTL;
+        let listing = match registration.silent_from {
+            _ if registration.since > confirmed_at => RunListing::Listed(registration.former_ms),
+            Some(from) if is_expired(from) => RunListing::Missing,
+            _ => RunListing::Listed(registration.start_ms),
+        };
+        let proof = ListProof::new(Some(confirmed_at), Some(TimePoint::START), HEARTBEAT);
+        proof.fate(run, listing, crashed_at)
+    }
+
+    /// Records that an engine writes nothing from now on.
+    fn silence(&mut self, backend: &BackendId, now: TimePoint) {
+        let registration = self.0.get_mut(backend).expect("a listed engine");
+        registration.silent_from.get_or_insert(now);
+    }
+
+    /// Records that an engine registers again, with a new start time if its process has ended.
+    fn register(&mut self, backend: &BackendId, start_ms: u64, now: TimePoint) {
+        let registration = self.0.get_mut(backend).expect("a listed engine");
+        registration.silent_from = None;
+        if registration.start_ms != start_ms {
+            registration.former_ms = registration.start_ms;
+            registration.start_ms = start_ms;
+            registration.since = now;
+        }
+    }
+}
+
 pub(crate) struct QuarantineFleet {
     size: FleetSize,
     rng: Pcg64,
     entries: Vec<EntryBelief>,
     backends: Vec<BackendId>,
-    incarnations: Vec<u64>,
+    list: EngineList,
     down_until: Vec<TimePoint>,
+    /// Whether an engine that is down has crashed.
+    crashed: Vec<bool>,
     waiting: Vec<WaitingRequest>,
     /// Whether engines that are down keep their connections.
     silent: bool,
@@ -234,15 +292,26 @@
     pub(crate) fn new(size: FleetSize, seed: u64) -> Self {
         let backends = (0..size.engines).map(|number| {
             let name = format!("engine-{number}");
-            name.parse().expect("a valid name")
+            name.parse::<BackendId>().expect("a valid name")
+        });
+        let backends: Vec<BackendId> = backends.collect();
+        let registrations = backends.iter().map(|backend| {
+            let registration = Registration {
+                start_ms: FIRST_START_MS,
+                silent_from: None,
+                since: TimePoint::START,
+                former_ms: FIRST_START_MS,
+            };
+            (backend.clone(), registration)
         });
         Self {
             size,
             rng: Pcg64::seed_from_u64(seed),
             entries: (0..size.entries).map(|_| EntryBelief::new()).collect(),
-            backends: backends.collect(),
-            incarnations: vec![1; size.engines],
+            list: EngineList(registrations.collect()),
+            backends,
             down_until: vec![TimePoint::START; size.engines],
+            crashed: vec![false; size.engines],
             waiting: Vec::new(),
             silent: false,
             last_request: 0,
@@ -259,6 +328,7 @@
         let gossip_ticks = 10 * self.size.entries.div_ceil(64) as u64;
         for tick in 0..PLAY_TICKS {
             let now = TimePoint::START + TimeSpan(TICK.0 * (tick + 1));
+            self.register_engines(now);
             self.send_requests(now);
             match trouble {
                 Trouble::CrashingPart if tick >= TROUBLE_TICKS.start => self.send_crashing(now),
@@ -405,6 +475,7 @@
     fn finish_requests(&mut self, now: TimePoint, resets: bool, failing: Vec<usize>) {
         for engine in &failing {
             self.down_until[*engine] = now + OUTAGE_TIME;
+            self.list.silence(&self.backends[*engine], now);
         }
         let mut crashed: Vec<usize> = (0..self.draw_count(ORDINARY_CRASHES))
             .map(|_| self.rng.gen_range(0..self.size.engines))
@@ -451,7 +522,7 @@
         for (request, end) in failed {
             let run = BackendRun {
                 backend: self.backends[request.engine].clone(),
-                incarnation: self.incarnations[request.engine],
+                incarnation: self.list.0[&self.backends[request.engine]].start_ms,
             };
             self.entries[request.entry].note_end(now, &run, &request, end);
             let attempts = match request.kind {
@@ -469,12 +540,31 @@
                 false => DOWNTIME,
             };
             self.down_until[engine] = self.down_until[engine].max(now + downtime);
-            self.incarnations[engine] += 1;
+            self.list.silence(&self.backends[engine], now);
+            self.crashed[engine] = true;
+        }
+    }
+
+    /// Registers the engines that are back.
+    fn register_engines(&mut self, now: TimePoint) {
+        for (engine, backend) in self.backends.iter().enumerate() {
+            let is_down = self.list.0[backend].silent_from.is_some();
+            if is_down && self.down_until[engine] <= now {
+                let start_ms = match std::mem::take(&mut self.crashed[engine]) {
+                    true => FIRST_START_MS + now.since(TimePoint::START).as_millis(),
+                    false => self.list.0[backend].start_ms,
+                };
+                self.list.register(backend, start_ms, now);
+            }
         }
     }
 
     fn expire(&mut self, now: TimePoint) {
+        let list = &self.list;
+        let fate = |run: &BackendRun, crashed_at| list.fate(now, run, crashed_at);
         for entry in &mut self.entries {
+            entry.requests.settle(fate);
+            entry.tracker.settle(fate);
             entry.requests.tick(now);
             entry.tracker.tick(now);
             entry.signs.tick(now);
@@ -486,7 +576,7 @@
             let round = self.entries[sender].next_round(now);
             for receiver in 0..self.size.entries {
                 if receiver != sender && !self.rng.gen_bool(LOSS) {
-                    self.entries[receiver].receive(now + TICK, &round);
+                    self.entries[receiver].receive(now + TICK, &round, &self.list);
                 }
             }
         }
--- a/crates/daemon/src/gateway/gossip.rs
+++ b/crates/daemon/src/gateway/gossip.rs
@@ -288,7 +288,7 @@
                 let crashed_at = source.received_at - report.age;
                 let disproved = report.crashed.as_ref().is_some_and(|run| {
                     state.note_suspicion(&run.backend, crashed_at);
-                    state.is_disproved(&run.backend, crashed_at)
+                    state.is_disproved(run, crashed_at)
                 });
                 if !disproved {
                     merge(report);
--- a/crates/daemon/src/gateway/life_signs.rs
+++ b/crates/daemon/src/gateway/life_signs.rs
@@ -3,7 +3,7 @@
 //! See [docs/design/answers.md](../../../../docs/design/answers.md#signs-of-life).
 
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::LifeReport;
+use applefold_core::quarantine::{BackendRun, LifeReport, RunFate};
 use applefold_core::unit::TimePoint;
 
 use super::state::GatewayState;
@@ -30,10 +30,12 @@
         signs.note_suspicion(self.now(), backend, crashed_at);
     }
 
-    /// Returns whether a known sign of life disproves a crash of a backend server at `crashed_at`.
-    pub(crate) fn is_disproved(&self, backend: &BackendId, crashed_at: TimePoint) -> bool {
+    /// Returns whether a sign of life, or a registration since, disproves that an incarnation crashed at
+    /// `crashed_at`.
+    pub(crate) fn is_disproved(&self, run: &BackendRun, crashed_at: TimePoint) -> bool {
         let signs = self.life_signs.borrow();
-        signs.is_disproved(backend, crashed_at)
+        signs.is_disproved(&run.backend, crashed_at)
+            || self.run_fate(run, crashed_at) == RunFate::Running
     }
 
     /// Returns the signs of life for the next round of gossip, at most `limit`.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod connection;
 mod discovery;
 mod duty;
+mod fates;
 mod gossip;
 mod handoff;
 mod hedges;
--- a/crates/daemon/src/gateway/quarantine_store.rs
+++ b/crates/daemon/src/gateway/quarantine_store.rs
@@ -278,7 +278,7 @@
             continue;
         };
         let crashed_at = now - report.age;
-        if !state.is_disproved(&run.backend, crashed_at) {
+        if !state.is_disproved(run, crashed_at) {
             crashes.push(crashed_at);
             kind.merge_report(state, report);
         }
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -308,9 +308,11 @@
         let now = self.state.now();
         let id = &self.prepared.caller.id;
         let suspects = &self.state.suspects;
-        suspects.check(id, self.prepared.fingerprint, now)?;
+        let settle_time = self.state.settle_time();
+        suspects.check(id, self.prepared.fingerprint, settle_time, now)?;
         let suspect_parts = &self.state.suspect_parts;
-        suspect_parts.check(id, &self.prepared.shared_parts, suspects, now)?;
+        let parts = &self.prepared.shared_parts;
+        suspect_parts.check(id, parts, suspects, settle_time, now)?;
         let time_left = self.prepared.deadline.since(now);
         let goal = self
             .prepared
@@ -456,13 +458,9 @@
             );
         }
         if end.is_crash_evidence() {
-            let table = self.state.table.borrow();
-            let start = table
-                .get(&placement.backend)
-                .map(|row| row.spec.started_at_ms);
             let crashed = BackendRun {
                 backend: placement.backend.clone(),
-                incarnation: start.unwrap_or_default(),
+                incarnation: placement.incarnation,
             };
             let (id, now) = (&self.prepared.caller.id, self.state.now());
             let prompt = self.prepared.caller.prompt.as_ref();
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -385,6 +385,7 @@
         for action in actions {
             self.act_on_health(Some(action));
         }
+        self.settle_suspicions();
         self.suspects.expire(self.now());
         self.suspect_parts.expire(self.now());
         self.life_signs.borrow_mut().tick(self.now());
--- a/crates/daemon/src/gateway/suspect_parts.rs
+++ b/crates/daemon/src/gateway/suspect_parts.rs
@@ -7,11 +7,11 @@
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::PromptPart;
 use applefold_core::id::BackendId;
-use applefold_core::quarantine::{BackendRun, PartTracker, SuspectReport};
+use applefold_core::quarantine::{BackendRun, PartTracker, RunFate, SuspectReport};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
 
-use super::suspects::{SuspectTracker, DISPROVE_TIME};
+use super::suspects::{unsettled_refusal, SuspectTracker, DISPROVE_TIME};
 use crate::metrics::MetricSet;
 
 /// Returns the fingerprints of prompt parts.
@@ -39,16 +39,18 @@
     }
 
     /// Refuses a request if a part of its prompt is quarantined for crashes that no quarantined
-    /// request explains.
+    /// request explains, for good only if the engines are known to have ended. What is suspected is
+    /// settled `settle_time` after a crash.
     ///
     /// # Errors
     ///
-    /// Refuses with [`ResultCode::RequestQuarantined`].
+    /// Refuses with [`ResultCode::RequestQuarantined`] or [`ResultCode::RequestSuspected`].
     pub(crate) fn check(
         &self,
         request: &str,
         parts: &[RequestFingerprint],
         requests: &SuspectTracker,
+        settle_time: TimeSpan,
         now: TimePoint,
     ) -> Result<(), CallRefusal> {
         let tracker = self.tracker.borrow();
@@ -58,14 +60,46 @@
         let Some(part) = tracker.blamed_part(parts, &requests.quarantined_crashes()) else {
             return Ok(());
         };
-        let age = tracker.last_crash(part).map(|at| now.since(at));
+        let last = tracker.last_crash(part);
+        let age_ms = last.map_or(0, |at| now.since(at).as_millis());
+        if !tracker.is_settled(part) {
+            self.count("held");
+            log::info!(request, part = part.to_string(), crashes = tracker.crash_count(part),
+                crash_age_ms = age_ms;
+                "request refused for now: whether a part of its prompt crashed engines is not known yet");
+            return Err(unsettled_refusal(last, settle_time, now));
+        }
         self.count("refused");
         log::info!(request, part = part.to_string(), crashes = tracker.crash_count(part),
-            crash_age_ms = age.map_or(0, TimeSpan::as_millis);
+            crash_age_ms = age_ms;
             "request refused: a part of its prompt is quarantined because it crashed engines");
         Err(CallRefusal::permanent(ResultCode::RequestQuarantined))
     }
 
+    /// Settles suspicions by what has become of the engines.
+    pub(crate) fn settle<Fate>(&self, fate: Fate)
+    where
+        Fate: Fn(&BackendRun, TimePoint) -> RunFate,
+    {
+        for settled in self.tracker.borrow_mut().settle(fate) {
+            let (part, backend) = (settled.fingerprint.to_string(), settled.run.backend);
+            match settled.fate {
+                RunFate::Running => {
+                    self.count("cleared");
+                    log::info!(part, backend = backend.as_str(),
+                        incarnation = settled.run.incarnation;
+                        "suspicion of a prompt part cleared: the engine has registered since");
+                }
+                RunFate::Ended | RunFate::Unknown => {
+                    self.count("confirmed");
+                    log::info!(part, backend = backend.as_str(),
+                        incarnation = settled.run.incarnation;
+                        "suspicion of a prompt part confirmed: the engine has ended");
+                }
+            }
+        }
+    }
+
     /// Records that a connection to an engine broke before it had begun to answer a prompt with
     /// these parts.
     pub(crate) fn note_crash(
--- a/crates/daemon/src/gateway/suspects.rs
+++ b/crates/daemon/src/gateway/suspects.rs
@@ -4,11 +4,11 @@
 use std::collections::BTreeSet;
 
 use applefold_core::claim::RequestFingerprint;
-use applefold_core::code::CallRefusal;
+use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{AttemptEnd, PlacementWork, PromptPart};
 use applefold_core::id::BackendId;
 use applefold_core::quarantine::{
-    BackendRun, CrashOptions, CrashTracker, ExplainedCrashes, SuspectReport,
+    BackendRun, CrashOptions, CrashTracker, ExplainedCrashes, RunFate, SuspectReport,
 };
 use applefold_core::unit::{TimePoint, TimeSpan};
 use opentelemetry::KeyValue;
@@ -30,6 +30,21 @@
     pub(crate) parts: &'a [PromptPart],
 }
 
+/// The least `Retry-After` of a request that is refused until its crashes are settled.
+const MIN_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
+
+/// Returns the refusal of what is suspected of crashes, the last of them at `last_crash`, that are settled
+/// `settle_time` after they happened.
+pub(super) fn unsettled_refusal(
+    last_crash: Option<TimePoint>,
+    settle_time: TimeSpan,
+    now: TimePoint,
+) -> CallRefusal {
+    let settled_at = last_crash.map_or(now, |at| at + settle_time);
+    let retry_after = settled_at.since(now).max(MIN_RETRY_AFTER);
+    CallRefusal::retryable(ResultCode::RequestSuspected, retry_after)
+}
+
 /// Returns the names of the parts for the log, up to [`MAX_LOGGED_PARTS`].
 fn part_names(parts: &[PromptPart]) -> String {
     let names = parts.iter().take(MAX_LOGGED_PARTS);
@@ -56,28 +71,63 @@
         }
     }
 
-    /// Refuses a request that is quarantined for crashing backend servers.
+    /// Refuses a request that is quarantined for crashing backend servers, for good only if these are
+    /// known to have ended. What is suspected is settled `settle_time` after a crash.
     ///
     /// # Errors
     ///
-    /// Refuses with [`applefold_core::code::ResultCode::RequestQuarantined`].
+    /// Refuses with [`ResultCode::RequestQuarantined`] or [`ResultCode::RequestSuspected`].
     pub(crate) fn check(
         &self,
         request: &str,
         fingerprint: RequestFingerprint,
+        settle_time: TimeSpan,
         now: TimePoint,
     ) -> Result<(), CallRefusal> {
         let tracker = self.tracker.borrow();
-        tracker.admit(fingerprint, &[]).inspect_err(|_| {
+        tracker.admit(fingerprint, &[]).map_err(|refusal| {
             let crashes = tracker.crash_count(fingerprint);
-            let age = tracker.last_crash(fingerprint).map(|at| now.since(at));
-            self.count("refused");
+            let last = tracker.last_crash(fingerprint);
+            let age_ms = last.map_or(0, |at| now.since(at).as_millis());
+            if refusal.code != ResultCode::RequestSuspected {
+                self.count("refused");
+                log::info!(request, fingerprint = fingerprint.to_string(), crashes,
+                    crash_age_ms = age_ms;
+                    "request refused: quarantined because it crashed backend servers");
+                return refusal;
+            }
+            self.count("held");
             log::info!(request, fingerprint = fingerprint.to_string(), crashes,
-                crash_age_ms = age.map_or(0, TimeSpan::as_millis);
-                "request refused: quarantined because it crashed backend servers");
+                crash_age_ms = age_ms;
+                "request refused for now: whether it crashed backend servers is not known yet");
+            unsettled_refusal(last, settle_time, now)
         })
     }
 
+    /// Settles suspicions by what has become of the backend servers.
+    pub(crate) fn settle<Fate>(&self, fate: Fate)
+    where
+        Fate: Fn(&BackendRun, TimePoint) -> RunFate,
+    {
+        for settled in self.tracker.borrow_mut().settle(fate) {
+            let (fingerprint, backend) = (settled.fingerprint.to_string(), settled.run.backend);
+            match settled.fate {
+                RunFate::Running => {
+                    self.count("cleared");
+                    log::info!(fingerprint, backend = backend.as_str(),
+                        incarnation = settled.run.incarnation;
+                        "suspicion cleared: the backend server has registered since");
+                }
+                RunFate::Ended | RunFate::Unknown => {
+                    self.count("confirmed");
+                    log::info!(fingerprint, backend = backend.as_str(),
+                        incarnation = settled.run.incarnation;
+                        "suspicion confirmed: the backend server has ended");
+                }
+            }
+        }
+    }
+
     /// Records that a connection to a backend server broke while it ran the request. `progress` is
     /// what the log says of the request besides.
     pub(crate) fn note_crash(
