Keep connections whose peers read late

A request that may run once only had run.

Cause: TCP_USER_TIMEOUT, which finds peers that are gone, also ends connections whose peer acknowledges and has a full window. Ruled out: a timeout of the entry (it logs none, and its limits are longer), and a cut on the way from the server (its answer is whole).

The limit is now extended while TCP_INFO shows that the peer acknowledges, up to the idle timeout that the operator sets; a dark peer is found as fast as before. Requests to backend servers that read late are kept in the same way.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod bucket;
 mod continuity;
 mod count;
+mod delivery;
 mod duration;
 mod estimate;
 mod hedge;
@@ -35,6 +36,7 @@
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
 pub use continuity::{ExpiredServers, RemovalCause, StoreContinuity, RETURN_TIME};
 pub use count::{RunCounter, WindowCounts};
+pub use delivery::{DeliveryReport, DeliveryStep, DeliveryWatch};
 pub use duration::DurationTable;
 pub use hedge::{
     has_queue, HedgeController, HedgeDenial, HedgeRequest, HedgeShare, HedgeShareError,
--- a/crates/core/tests/quarantine_settling.rs
+++ b/crates/core/tests/quarantine_settling.rs
@@ -330,7 +330,9 @@
         for millis in (0..PLAY_MS).step_by(TICK.as_millis() as usize) {
             self.now = at_ms(millis);
             self.step();
-            if millis >= FIRST_BREAK_MS && (millis - FIRST_BREAK_MS) % REQUEST_PERIOD_MS == 0 {
+            if millis >= FIRST_BREAK_MS
+                && (millis - FIRST_BREAK_MS).is_multiple_of(REQUEST_PERIOD_MS)
+            {
                 self.send(number, &mut outcome);
                 number += 1;
             }
--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts caller connections and reads HTTP requests from them.
 
+use std::io;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use applefold_platform::render_refusal;
 use bytes::BytesMut;
 use eyre::{Result, WrapErr};
+use smol_str::SmolStr;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -22,6 +24,7 @@
 use super::account::HolderGuard;
 use super::body::BodySegments;
 use super::connection::configure_socket;
+use super::delivery::{ConnectionWatch, CHECK_PERIOD};
 use super::request;
 use super::state::GatewayState;
 use super::stop;
@@ -148,20 +151,34 @@
 
 async fn serve_connection(state: Rc<GatewayState>, stream: TcpStream, holder: Rc<HolderGuard>) {
     configure_socket(&stream);
-    let max_backends = DescriptorShares::of(state.settings().max_descriptors).backends as usize;
     let (half, mut writer) = stream.into_split();
     let mut reader = CallerReader {
         half,
         input: BytesMut::new(),
         held: CONNECTION_BYTES,
         holder: Rc::clone(&holder),
+        watch: ConnectionWatch::new(CallerLimits::default().idle_timeout),
+        has_failed: false,
+        last_request: SmolStr::default(),
     };
-    let mut arrival = Some(ArrivalGuard::new(&state));
+    serve_requests(&state, &mut reader, &mut writer, &holder).await;
+    reader.report_undelivered(&state);
+}
+
+/// Serves the requests of a connection until it is to be closed.
+async fn serve_requests(
+    state: &Rc<GatewayState>,
+    reader: &mut CallerReader,
+    writer: &mut OwnedWriteHalf,
+    holder: &Rc<HolderGuard>,
+) {
+    let max_backends = DescriptorShares::of(state.settings().max_descriptors).backends as usize;
+    let mut arrival = Some(ArrivalGuard::new(state));
     loop {
         let next = tokio::select! {
             biased;
             cause = holder.closing() => Err(closing_error(cause)),
-            next = reader.next(&state, &mut writer, &mut arrival) => next,
+            next = reader.next(state, writer, &mut arrival) => next,
         };
         let busy = state.drain.borrow().running() >= max_backends;
         let request = match next {
@@ -175,14 +192,14 @@
                 log::info!(connection = holder.number(), code = refusal.code.number();
                     "refused a request before it was read: {}", refusal.code.meaning());
                 holder.count(refusal.code.name());
-                reader.refuse(&refusal, &mut writer).await;
+                reader.refuse(&refusal, writer).await;
                 return;
             }
         };
         holder.enter(HolderStage::Serving);
         let running = state.drain.borrow().running();
         state.pool.shrink(max_backends.saturating_sub(running + 1));
-        let action = request::serve(&state, &request, &mut reader, &mut writer).await;
+        let action = request::serve(state, &request, reader, writer).await;
         arrival = None;
         if action == ConnectionAction::Close {
             return;
@@ -215,6 +232,11 @@
     /// The bytes that are charged for the connection.
     held: usize,
     holder: Rc<HolderGuard>,
+    watch: ConnectionWatch,
+    /// Whether reading has failed, after which the system knows nothing of the connection.
+    has_failed: bool,
+    /// The identifier of the last request, for the log.
+    last_request: SmolStr,
 }
 
 impl CallerReader {
@@ -223,7 +245,9 @@
     pub(crate) async fn wait_closed(&mut self) {
         loop {
             if self.input.len() >= MAX_READ_AHEAD_BYTES {
-                return std::future::pending().await;
+                actix_rt::time::sleep(CHECK_PERIOD).await;
+                self.watch.check(self.half.as_ref());
+                continue;
             }
             // Without memory for what is sent ahead, a close is seen only later.
             let held = self.held + 2 * MAX_READ_AHEAD_BYTES;
@@ -232,13 +256,72 @@
                 continue;
             }
             self.input.reserve(READ_BUFFER_BYTES);
-            match self.half.read_buf(&mut self.input).await {
+            match self.read_watched().await {
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
             }
         }
     }
 
+    /// Reads what the caller sends, and checks meanwhile whether it reads what it was sent.
+    async fn read_watched(&mut self) -> io::Result<usize> {
+        loop {
+            self.wait_readable().await?;
+            match self.half.try_read_buf(&mut self.input) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => {
+                    self.has_failed |= read.is_err();
+                    return read;
+                }
+            }
+        }
+    }
+
+    /// Returns once there is something to read, or the connection has ended.
+    async fn wait_readable(&mut self) -> io::Result<()> {
+        loop {
+            let readable = tokio::time::timeout(CHECK_PERIOD, self.half.readable());
+            if let Ok(readable) = readable.await {
+                self.has_failed |= readable.is_err();
+                return readable;
+            }
+            self.watch.check(self.half.as_ref());
+        }
+    }
+
+    /// Like [`Self::wait_readable`], but checks only until the last response is delivered.
+    async fn wait_delivered(&mut self) -> io::Result<()> {
+        loop {
+            let readable = tokio::time::timeout(CHECK_PERIOD, self.half.readable());
+            if let Ok(readable) = readable.await {
+                self.has_failed |= readable.is_err();
+                return readable;
+            }
+            self.watch.check(self.half.as_ref());
+            if !self.watch.is_waiting() {
+                break;
+            }
+        }
+        self.half.readable().await
+    }
+
+    /// Names the request that is being served, for the log.
+    pub(super) fn begin_request(&mut self, id: &SmolStr) {
+        self.last_request = id.clone();
+    }
+
+    /// Logs and counts a response of which the caller has not received all, though all of it was written.
+    fn report_undelivered(&mut self, state: &GatewayState) {
+        if !self.has_failed && self.watch.is_waiting() {
+            self.watch.check(self.half.as_ref());
+        }
+        if self.watch.is_waiting() {
+            state.metrics.undelivered_responses.add(1, &[]);
+            log::info!(connection = self.holder.number(), request = self.last_request.as_str();
+                "response not delivered: its caller has not read it to the end of the connection");
+        }
+    }
+
     /// Reads the next request within the configured limits. `arrival` is `Some` for the first
     /// request of a connection and is set here for later ones.
     async fn next(
@@ -250,6 +333,7 @@
         let limits = state
             .rules()
             .map_or(CallerLimits::default(), |rules| rules.limits);
+        self.watch.set_max_wait(limits.idle_timeout);
         if self.input.is_empty() {
             self.wait_first_byte(state, &limits, arrival.is_some())
                 .await?;
@@ -311,7 +395,7 @@
         };
         let first_byte = async {
             // No buffer is allocated before there is something to read.
-            match self.half.readable().await {
+            match self.wait_delivered().await {
                 Ok(()) => self.fill_buffer().await,
                 Err(_) => Err(ReadError::Closed),
             }
--- a/crates/daemon/src/gateway/connection.rs
+++ b/crates/daemon/src/gateway/connection.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use applefold_core::unit::TimeSpan;
 use applefold_h1::{parse_response, BodyDecoder, BodyFraming, ParseError, ResponseHead};
 use bytes::BytesMut;
 use eyre::{Result, WrapErr};
@@ -14,15 +15,16 @@
 use tokio::net::TcpStream;
 
 use super::buffers::BufferGuard;
+use super::delivery::{ConnectionWatch, ACK_TIMEOUT, CHECK_PERIOD};
 
 /// The largest response head, twice the default limit for request heads of callers.
 const MAX_HEAD_BYTES: usize = 32_768;
 /// The most interim (1xx) responses before a final one.
 const MAX_INTERIM_RESPONSES: usize = 8;
-/// How long sent bytes or keepalive probes may stay unacknowledged (`TCP_USER_TIMEOUT`).
-const ACK_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// The idle time before the first TCP keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a request may wait for a server that reads late. Its attempt ends earlier in most cases.
+const MAX_REQUEST_WAIT: TimeSpan = TimeSpan::from_secs(15);
 const READ_BUFFER_BYTES: usize = 16_384;
 
 /// Why a connection gave no complete response.
@@ -79,6 +81,9 @@
     interim_responses: usize,
     /// Whether it has served a request before.
     reused: bool,
+    watch: ConnectionWatch,
+    /// Whether bytes of the request may not have been delivered yet.
+    may_wait: bool,
 }
 
 impl ClientConnection {
@@ -92,6 +97,8 @@
             early_response: false,
             interim_responses: 0,
             reused: false,
+            watch: ConnectionWatch::new(MAX_REQUEST_WAIT),
+            may_wait: false,
         })
     }
 
@@ -130,6 +137,7 @@
     pub(crate) async fn send(&mut self, bytes: &[u8]) -> Result<(), ConnectionError> {
         // These bytes cannot answer a request of which nothing has been sent.
         self.is_silent().map_err(ConnectionError::NotSent)?;
+        self.may_wait = true;
         let mut sent = 0;
         while sent < bytes.len() {
             let wrap = |error| match sent {
@@ -137,7 +145,12 @@
                 _ => ConnectionError::Broken(error),
             };
             let interest = Interest::READABLE | Interest::WRITABLE;
-            let ready = self.stream.ready(interest).await.map_err(wrap)?;
+            let ready = tokio::time::timeout(CHECK_PERIOD, self.stream.ready(interest));
+            let Ok(ready) = ready.await else {
+                self.watch.check(&self.stream);
+                continue;
+            };
+            let ready = ready.map_err(wrap)?;
             if ready.is_readable() {
                 self.input.reserve(READ_BUFFER_BYTES);
                 match self.stream.try_read_buf(&mut self.input) {
@@ -314,6 +327,17 @@
 
     async fn fill_buffer(&mut self) -> Result<usize, ConnectionError> {
         self.input.reserve(READ_BUFFER_BYTES);
+        while self.may_wait {
+            let readable = tokio::time::timeout(CHECK_PERIOD, self.stream.readable());
+            if let Ok(readable) = readable.await {
+                readable.map_err(ConnectionError::Broken)?;
+                // A server that responds has read the request, unless it said so early.
+                self.may_wait = self.early_response;
+                break;
+            }
+            self.watch.check(&self.stream);
+            self.may_wait = self.watch.is_waiting();
+        }
         let read = self.stream.read_buf(&mut self.input).await;
         read.map_err(ConnectionError::Broken)
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod body;
 mod buffers;
 mod connection;
+mod delivery;
 mod discovery;
 mod duty;
 mod fates;
--- a/crates/daemon/src/gateway/request.rs
+++ b/crates/daemon/src/gateway/request.rs
@@ -56,6 +56,7 @@
         Ok(prepared) => prepared,
         Err(refusal) => return refusal.respond(state, request, writer).await,
     };
+    reader.begin_request(&prepared.caller.id);
     let binding = match resume::bind(state, &mut prepared).await {
         Ok(binding) => binding,
         Err(refusal) => return refusal.respond(state, request, writer).await,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -98,6 +98,8 @@
     pub(crate) held_bytes: Gauge<u64>,
     /// Connections of callers that were refused or closed to protect the process, by cause.
     pub(crate) caller_refusals: Counter<u64>,
+    /// Responses that were written and that their callers have not received to the end.
+    pub(crate) undelivered_responses: Counter<u64>,
     /// Calls to the platform, by kind.
     pub(crate) platform_calls: Counter<u64>,
     /// The configuration revision in force.
@@ -138,6 +140,7 @@
             in_flight: meter.u64_gauge("applefold_in_flight").build(),
             held_bytes: meter.u64_gauge("applefold_held_bytes").build(),
             caller_refusals: meter.u64_counter("applefold_caller_refusals").build(),
+            undelivered_responses: meter.u64_counter("applefold_undelivered_responses").build(),
             platform_calls: meter.u64_counter("applefold_platform_calls").build(),
             revision: meter.u64_gauge("applefold_revision").build(),
             exporter,
