Leave unread responses of closed connections the time of a late reader

An entry that stops closes its connections with responses that callers have not read yet. The system goes on sending them after the process has ended, but ended the connection once they had waited for 2 s in all, though the caller was there.

A connection that is closed while its peer acknowledges gets the limit that it would have had in the entry. a_caller_that_pauses_gets_its_answer_from_a_stopped_entry failed on the code before.

--- a/crates/core/src/direct/delivery.rs
+++ b/crates/core/src/direct/delivery.rs
@@ -63,6 +63,11 @@
         self.max_wait = max_wait;
     }
 
+    /// Returns how long bytes may wait for a peer that is there.
+    pub fn max_wait(&self) -> TimeSpan {
+        self.max_wait
+    }
+
     /// Returns whether bytes were waiting at the last report.
     pub fn is_waiting(&self) -> bool {
         self.waiting.is_some()
--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -162,7 +162,7 @@
         last_request: SmolStr::default(),
     };
     serve_requests(&state, &mut reader, &mut writer, &holder).await;
-    reader.report_undelivered(&state);
+    reader.leave_undelivered(&state);
 }
 
 /// Serves the requests of a connection until it is to be closed.
@@ -310,15 +310,17 @@
         self.last_request = id.clone();
     }
 
-    /// Logs and counts a response of which the caller has not received all, though all of it was written.
-    fn report_undelivered(&mut self, state: &GatewayState) {
-        if !self.has_failed && self.watch.is_waiting() {
-            self.watch.check(self.half.as_ref());
+    /// Leaves a response that its caller has not read yet to the system, which goes on sending it after the
+    /// connection is closed. Logs and counts it, since this process learns no more of it.
+    fn leave_undelivered(&mut self, state: &GatewayState) {
+        if !self.has_failed {
+            self.watch.leave(self.half.as_ref());
         }
         if self.watch.is_waiting() {
             state.metrics.undelivered_responses.add(1, &[]);
-            log::info!(connection = self.holder.number(), request = self.last_request.as_str();
-                "response not delivered: its caller has not read it to the end of the connection");
+            log::info!(connection = self.holder.number(), request = self.last_request.as_str(),
+                failed = self.has_failed;
+                "response not delivered when its connection was closed");
         }
     }
 
--- a/crates/daemon/src/gateway/delivery.rs
+++ b/crates/daemon/src/gateway/delivery.rs
@@ -80,23 +80,34 @@
     }
 
     /// Checks a connection, and extends the time that its bytes may wait if its peer is there.
-    pub(super) fn check(&mut self, stream: &TcpStream) {
+    pub(super) fn check(&mut self, stream: &TcpStream) -> DeliveryStep {
         let report = match read_report(stream) {
             Ok(report) => report,
             Err(error) => {
                 log::debug!(error = error.to_string();
                     "could not determine whether a peer is there; its bytes wait no longer than usual");
-                return;
+                return DeliveryStep::Keep;
             }
         };
         let now = TimePoint(self.opened_at.elapsed().as_micros() as u64);
-        match self.watch.observe(report, now) {
+        let step = self.watch.observe(report, now);
+        match step {
             DeliveryStep::Delivered if self.is_extended => self.set_timeout(stream, ACK_TIMEOUT),
             DeliveryStep::Extend(timeout) => {
                 self.set_timeout(stream, Duration::from_micros(timeout.0));
             }
             DeliveryStep::Delivered | DeliveryStep::Keep => {}
         }
+        step
+    }
+
+    /// Checks a connection that is about to be closed. If its peer is there, the system goes on sending what
+    /// is left for as long as it would have waited here.
+    pub(super) fn leave(&mut self, stream: &TcpStream) {
+        if let DeliveryStep::Extend(_) = self.check(stream) {
+            let max_wait = Duration::from_micros(self.watch.max_wait().0);
+            self.set_timeout(stream, max_wait + ACK_TIMEOUT);
+        }
     }
 
     fn set_timeout(&mut self, stream: &TcpStream, timeout: Duration) {
