--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -225,6 +225,15 @@
     CallRefusal::retryable(ResultCode::InstanceFull, FULL_RETRY_AFTER)
 }
 
+/// For how long a connection is watched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WatchSpan {
+    /// While a request is served, since its response may begin at any time.
+    Always,
+    /// Between requests, until the last response is delivered.
+    UntilDelivered,
+}
+
 /// Reads the requests of one caller connection.
 pub(crate) struct CallerReader {
     half: OwnedReadHalf,
@@ -266,7 +275,7 @@
     /// Reads what the caller sends, and checks meanwhile whether it reads what it was sent.
     async fn read_watched(&mut self) -> io::Result<usize> {
         loop {
-            self.wait_readable().await?;
+            self.wait_readable(WatchSpan::Always).await?;
             match self.half.try_read_buf(&mut self.input) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 read => {
@@ -277,30 +286,18 @@
         }
     }
 
-    /// Returns once there is something to read, or the connection has ended.
-    async fn wait_readable(&mut self) -> io::Result<()> {
-        loop {
+    /// Returns once there is something to read, or the connection has ended. Checks meanwhile whether the
+    /// caller reads what it was sent, for as long as `span` says.
+    async fn wait_readable(&mut self, span: WatchSpan) -> io::Result<()> {
+        let mut watches = true;
+        while watches {
             let readable = tokio::time::timeout(CHECK_PERIOD, self.half.readable());
             if let Ok(readable) = readable.await {
                 self.has_failed |= readable.is_err();
                 return readable;
             }
             self.watch.check(self.half.as_ref());
-        }
-    }
-
-    /// Like [`Self::wait_readable`], but checks only until the last response is delivered.
-    async fn wait_delivered(&mut self) -> io::Result<()> {
-        loop {
-            let readable = tokio::time::timeout(CHECK_PERIOD, self.half.readable());
-            if let Ok(readable) = readable.await {
-                self.has_failed |= readable.is_err();
-                return readable;
-            }
-            self.watch.check(self.half.as_ref());
-            if !self.watch.is_waiting() {
-                break;
-            }
+            watches = span == WatchSpan::Always || self.watch.is_waiting();
         }
         self.half.readable().await
     }
@@ -397,7 +394,7 @@
         };
         let first_byte = async {
             // No buffer is allocated before there is something to read.
-            match self.wait_delivered().await {
+            match self.wait_readable(WatchSpan::UntilDelivered).await {
                 Ok(()) => self.fill_buffer().await,
                 Err(_) => Err(ReadError::Closed),
             }
--- a/crates/daemon/src/gateway/presence.rs
+++ b/crates/daemon/src/gateway/presence.rs
@@ -44,10 +44,11 @@
         };
         let era = state.store.era();
         let listed = refresh_peers(&state).await;
-        if let (Some(held), Some(listed)) = (lease, listed) {
-            if listed != Some(held) {
+        match (lease, listed) {
+            (Some(held), OwnListing::Read(bound)) if bound != Some(held) => {
                 restore(&state, held).await;
             }
+            _ => {}
         }
         let alone = state.peers.borrow().is_empty();
         let period = if alone { ALONE_PERIOD } else { REFRESH_PERIOD };
@@ -103,9 +104,16 @@
     }
 }
 
-/// Reads the membership list; keeps the known peers if the store does not reply. Returns the lease that
-/// this entry's registration is bound to according to the list, which may be stale.
-async fn refresh_peers(state: &GatewayState) -> Option<Option<StoreLease>> {
+/// What the membership list says of this entry. It may be stale.
+enum OwnListing {
+    /// The lease that its registration is bound to; `None` if there is no registration.
+    Read(Option<StoreLease>),
+    /// The list could not be read.
+    Unknown,
+}
+
+/// Reads the membership list; keeps the known peers if the store does not reply.
+async fn refresh_peers(state: &GatewayState) -> OwnListing {
     let prefix = entries_prefix();
     let call = StoreCall::Range {
         prefix: prefix.clone(),
@@ -113,7 +121,7 @@
         stale: true,
     };
     let Ok(StoreReply::Page(page)) = state.store.call(&call).await else {
-        return None;
+        return OwnListing::Unknown;
     };
     let own_key = own_key(state);
     let own = page.items.iter().find(|item| item.key == own_key);
@@ -136,5 +144,5 @@
     state.set_entry_count(entries.len() as u64);
     entries.remove(&state.settings().instance);
     state.peers.borrow_mut().set_peers(entries);
-    Some(listed)
+    OwnListing::Read(listed)
 }
