--- a/crates/core/tests/lease_claims.rs
+++ b/crates/core/tests/lease_claims.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use applefold_core::claim::store::CallNumber;
 use applefold_core::direct::StoreEra;
 use applefold_core::id::{FencingNumber, InstanceId};
 use applefold_core::lease::{
@@ -149,10 +150,10 @@
     }
 }
 
-/// What a claimant does next with a reply.
+/// A call of a claimant whose reply is on its way or lost.
 struct Pending {
     call: Call,
-    completion: applefold_core::claim::store::CallNumber,
+    completion: CallNumber,
     /// When the reply arrives; `None` for a failure.
     reply: Option<Reply>,
     due_at: TimePoint,
@@ -296,7 +297,7 @@
         &mut self,
         at: usize,
         call: Call,
-        completion: applefold_core::claim::store::CallNumber,
+        completion: CallNumber,
         fencing: (FencingNumber, u64),
     ) {
         if let Call::Claim { lease, .. } = &call {
@@ -313,12 +314,7 @@
         });
     }
 
-    fn complete(
-        &mut self,
-        at: usize,
-        call: applefold_core::claim::store::CallNumber,
-        reply: LeaseReply,
-    ) {
+    fn complete(&mut self, at: usize, call: CallNumber, reply: LeaseReply) {
         let claimant = &mut self.claimants[at];
         let completion = LeaseCompletion { call, reply };
         let actions = claimant.holder.handle(self.now, completion);
