Keep the cooldown that a new process requested before it is listed

Cause: what a response says is noted in the row of the incarnation that the list shows. A process that starts anew answers some hundred milliseconds before it is listed, and its cooldown went with the row of its predecessor.

Change: a cooldown in the response to a request that was sent after a connection broke is kept apart from the rows, given to the row of the next incarnation, and gossiped under it.

--- a/crates/core/src/direct/server.rs
+++ b/crates/core/src/direct/server.rs
@@ -1,6 +1,7 @@
 //! The table of backend servers that an entry sends requests to directly.
 
 mod row;
+mod successor;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +22,7 @@
 
 pub use crate::routing::FlightId;
 pub use row::ServerRow;
+use successor::SuccessorCooldown;
 
 /// The backoff of an engine that is changing its role, from the last report of the change.
 const UNAVAILABLE_BACKOFF: TimeSpan = TimeSpan::from_millis(1_000);
@@ -51,7 +53,8 @@
     /// Whether its registration states that it is draining.
     pub draining: bool,
     /// The start time in milliseconds since the Unix epoch, which identifies the incarnation. All
-    /// state is dropped when it changes, or the software version does.
+    /// state is dropped when it changes, or the software version does, but for a cooldown that the
+    /// new process requested.
     pub started_at_ms: u64,
     /// The version of its software; `None` if the registration states none, or no valid one.
     pub version: Option<SoftwareVersion>,
@@ -144,6 +147,8 @@
     /// The incarnations, by name and start time, that announced that they leave and are no longer
     /// listed.
     left_incarnations: BTreeSet<(BackendId, u64)>,
+    /// What a process may have requested that the list does not show yet, by backend server.
+    successors: BTreeMap<BackendId, SuccessorCooldown>,
     peers: BTreeMap<InstanceId, PeerColumn>,
 }
 
@@ -159,7 +164,7 @@
     /// Adds or updates a backend server from the list; returns `None` if nothing changed.
     pub fn upsert(&mut self, spec: ServerSpec, now: TimePoint) -> Option<ServerChange> {
         let Some(row) = self.rows.get_mut(&spec.id) else {
-            self.insert(spec);
+            self.insert(spec, now);
             return Some(ServerChange::Added);
         };
         let restarted = row.spec.started_at_ms != spec.started_at_ms
@@ -167,7 +172,7 @@
             || row.spec.version != spec.version;
         if restarted {
             self.remove(&spec.id.clone());
-            self.insert(spec);
+            self.insert(spec, now);
             return Some(ServerChange::Restarted);
         }
         row.expired = false;
@@ -261,6 +266,32 @@
         Some((before, row.send_state))
     }
 
+    /// Records that a connection to a backend server broke at `broken_at`, as when its process ends.
+    pub fn record_break(&mut self, id: &BackendId, broken_at: TimePoint) {
+        if !self.rows.contains_key(id) {
+            return;
+        }
+        let rows = &self.rows;
+        self.successors
+            .retain(|id, successor| rows.contains_key(id) || successor.until(broken_at).is_some());
+        let successor = self.successors.entry(id.clone()).or_default();
+        successor.note_break(broken_at);
+    }
+
+    /// Records that a backend server requested a cooldown in its response to a request that was sent
+    /// at `sent_at`, in case the list shows later that a new process did.
+    pub fn record_cooldown(
+        &mut self,
+        id: &BackendId,
+        sent_at: TimePoint,
+        until: TimePoint,
+        now: TimePoint,
+    ) {
+        if let Some(successor) = self.successors.get_mut(id) {
+            successor.note_cooldown(sent_at, until, now);
+        }
+    }
+
     /// Applies a statement of an incarnation of a backend server about its rate limit. A statement
     /// of an incarnation that is not listed is outdated.
     pub fn record_limit(
@@ -442,7 +473,7 @@
         }
     }
 
-    fn insert(&mut self, spec: ServerSpec) {
+    fn insert(&mut self, spec: ServerSpec, now: TimePoint) {
         let ids = self.services.entry(spec.service.clone()).or_default();
         ids.insert(spec.id.clone());
         let left = self
@@ -457,6 +488,12 @@
             },
             (false, false) => SendState::Available,
         };
+        let successor = self.successors.remove(&row.spec.id);
+        if let Some(until) = successor.and_then(|successor| successor.until(now)) {
+            row.send_state = row
+                .send_state
+                .after(SendEvent::CooldownRequested(until), now);
+        }
         self.hashes.insert(row.name_hash(), row.spec.id.clone());
         self.rows.insert(row.spec.id.clone(), row);
     }
--- a/crates/daemon/src/gateway/availability.rs
+++ b/crates/daemon/src/gateway/availability.rs
@@ -50,7 +50,11 @@
         }
         if let Some(cooldown) = notice.cooldown {
             self.count_notice("rest");
-            let until = self.now() + cooldown;
+            let now = self.now();
+            let until = now + cooldown;
+            let mut table = self.table.borrow_mut();
+            table.record_cooldown(backend, sent_at, until, now);
+            drop(table);
             self.apply_send_event(backend, SendEvent::CooldownRequested(until), source);
         }
     }
@@ -89,6 +93,25 @@
         self.apply_send_event(&backend, event, peer.as_str());
     }
 
+    /// Gossips the cooldown of a backend server under its new incarnation, if that is the one that
+    /// requested it.
+    pub(crate) fn renew_cooldown(&self, backend: &BackendId) {
+        let now = self.now();
+        let table = self.table.borrow();
+        let Some(row) = table.get(backend) else {
+            return;
+        };
+        let until = row.send_state().cooldown_until();
+        if until <= now {
+            return;
+        }
+        let incarnation = row.spec.started_at_ms;
+        log::info!(backend = backend.as_str(), incarnation, rest_ms = until.since(now).as_millis();
+            "cooldown kept: the new process of the backend server requested it");
+        let mut notices = self.notices.borrow_mut();
+        notices.note_cooldown(backend, incarnation, until);
+    }
+
     /// Counts a notice of a backend server.
     fn count_notice(&self, notice: &'static str) {
         let label = KeyValue::new("word", notice);
--- a/crates/daemon/src/gateway/backend_list.rs
+++ b/crates/daemon/src/gateway/backend_list.rs
@@ -130,6 +130,9 @@
             Some(ServerChange::Changed | ServerChange::Draining) => {}
             Some(ServerChange::Removed) | None => return,
         }
+        if matches!(change, Some(ServerChange::Added | ServerChange::Restarted)) {
+            state.renew_cooldown(&id);
+        }
         let rules = state.rules();
         let rule = rules
             .as_ref()
--- a/crates/daemon/src/gateway/life_signs.rs
+++ b/crates/daemon/src/gateway/life_signs.rs
@@ -28,6 +28,8 @@
     pub(crate) fn note_suspicion(&self, backend: &BackendId, crashed_at: TimePoint) {
         let mut signs = self.life_signs.borrow_mut();
         signs.note_suspicion(self.now(), backend, crashed_at);
+        let mut table = self.table.borrow_mut();
+        table.record_break(backend, crashed_at);
     }
 
     /// Returns whether a sign of life, or a registration since, disproves that an incarnation crashed at
--- a/crates/daemon/src/gateway/notices.rs
+++ b/crates/daemon/src/gateway/notices.rs
@@ -72,6 +72,21 @@
         self.notices.insert(backend.clone(), active);
     }
 
+    /// Records a cooldown that an incarnation of a backend server requested before the list showed it.
+    pub(crate) fn note_cooldown(
+        &mut self,
+        backend: &BackendId,
+        incarnation: u64,
+        expires_at: TimePoint,
+    ) {
+        let active = ActiveNotice {
+            incarnation,
+            draining: false,
+            expires_at,
+        };
+        self.notices.insert(backend.clone(), active);
+    }
+
     /// Returns the next notices in round-robin order, and removes the expired ones.
     pub(crate) fn next_batch(&mut self, now: TimePoint) -> Vec<NoticeReport> {
         self.notices.retain(|_, active| active.expires_at > now);
