Log what a transfer of the configuration had received, and its versions

What was seen: an entry was seconds behind, and its log said only that calls had timed out.

Cause: none of the hypotheses of the incident could be told from another, as neither the bytes nor the number of versions of a read were logged.

Change: a call that times out names the bytes of its response so far, a read the versions that it returned and how long it took, and a configuration its source, length and the time of parsing. No logic is changed.

--- a/crates/daemon/src/gateway/connection.rs
+++ b/crates/daemon/src/gateway/connection.rs
@@ -1,5 +1,6 @@
 //! An HTTP/1.1 client connection that knows whether any byte of a request has been sent.
 
+use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -70,6 +71,17 @@
     }
 }
 
+/// Counts the bytes of a response body while they arrive, so that they are known after a timeout too.
+#[derive(Debug, Default)]
+pub(crate) struct TransferMeter(Cell<usize>);
+
+impl TransferMeter {
+    /// Returns how many bytes have arrived.
+    pub(crate) fn received(&self) -> usize {
+        self.0.get()
+    }
+}
+
 /// A connection to a server, with one request at a time.
 #[derive(Debug)]
 pub(crate) struct ClientConnection {
@@ -279,13 +291,18 @@
         }
     }
 
-    /// Reads a complete body of up to `limit` bytes.
-    pub(crate) async fn read_full_body(
+    /// Reads a complete body of up to `limit` bytes, and counts them while they arrive.
+    pub(crate) async fn read_counted_body(
         &mut self,
         head: &ResponseHead,
         limit: usize,
+        meter: &TransferMeter,
     ) -> Result<Vec<u8>, ConnectionError> {
-        self.read_body_while(head, limit, |_| true).await
+        let count = |body: &Vec<u8>| {
+            meter.0.set(body.len());
+            true
+        };
+        self.read_body_while(head, limit, count).await
     }
 
     /// Reads a complete body of up to `limit` bytes, as long as `buffer` has room for it.
@@ -295,7 +312,7 @@
         limit: usize,
         buffer: &mut BufferGuard,
     ) -> Result<Vec<u8>, ConnectionError> {
-        self.read_body_while(head, limit, |bytes| buffer.grow_to(bytes))
+        self.read_body_while(head, limit, |body| buffer.grow_to(body.capacity()))
             .await
     }
 
@@ -306,7 +323,7 @@
         mut has_room: HasRoom,
     ) -> Result<Vec<u8>, ConnectionError>
     where
-        HasRoom: FnMut(usize) -> bool,
+        HasRoom: FnMut(&Vec<u8>) -> bool,
     {
         let too_large = ConnectionError::InvalidResponse(ParseError::TooLarge);
         if matches!(head.framing, BodyFraming::Length(length) if length > limit as u64) {
@@ -316,7 +333,7 @@
         let mut body = Vec::new();
         loop {
             let complete = self.read_body(&mut decoder, &mut body).await?;
-            if body.len() > limit || !has_room(body.capacity()) {
+            if body.len() > limit || !has_room(&body) {
                 return Err(too_large);
             }
             if complete {
--- a/crates/daemon/src/gateway/peer_sync.rs
+++ b/crates/daemon/src/gateway/peer_sync.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use eyre::{eyre, Result};
 
-use super::connection::ClientConnection;
+use super::connection::{ClientConnection, TransferMeter};
 use super::list_updates::UpdateRecord;
 use super::rules;
 use super::state::GatewayState;
@@ -138,13 +138,20 @@
             head.status
         ));
     }
-    let read = connection.read_full_body(&head, MAX_RESPONSE_BYTES);
-    Ok(tokio::time::timeout(CALL_TIMEOUT, read).await??)
+    let meter = TransferMeter::default();
+    let read = connection.read_counted_body(&head, MAX_RESPONSE_BYTES, &meter);
+    match tokio::time::timeout(CALL_TIMEOUT, read).await {
+        Ok(body) => Ok(body?),
+        Err(_) => Err(eyre!(
+            "the transfer timed out after {} bytes",
+            meter.received()
+        )),
+    }
 }
 
 async fn fetch_config(state: &GatewayState, address: SocketAddr) -> Result<()> {
     let body = get(address, CONFIG_PATH).await?;
     log::info!(from = address.to_string(), length = body.len();
         "configuration fetched from another entry");
-    rules::apply(state, &body)
+    rules::apply(state, &body, &address.to_string())
 }
--- a/crates/daemon/src/gateway/rules.rs
+++ b/crates/daemon/src/gateway/rules.rs
@@ -64,7 +64,9 @@
         match result {
             Ok(()) => compacted = false,
             Err(StoreError::Compacted) => compacted = true,
-            Err(_) => {
+            Err(error) => {
+                log::info!(own = state.revision().0, rank, error = error.to_string();
+                    "could not read the configuration from the store");
                 let span = policy.retry_delay(rank).min(MAX_RETRY_DELAY);
                 tracker.note_failure(span, state.now());
             }
@@ -118,6 +120,10 @@
     // If there is no change, the store has looked for the last time after the wait.
     let mut confirmed_at = (sent_at + wait).min(state.now());
     let mut changed = StorePosition::default();
+    if !events.is_empty() {
+        log::info!(versions = events.len(), took_ms = state.now().since(sent_at).as_millis(),
+            position = at.0; "configuration changed in the store");
+    }
     for event in events {
         confirmed_at = sent_at;
         match event {
@@ -138,7 +144,7 @@
 
 /// Applies a configuration from the store, or logs why it is rejected.
 fn apply_item(state: &GatewayState, item: &StoreItem) {
-    if let Err(error) = apply(state, &item.value) {
+    if let Err(error) = apply(state, &item.value, "store") {
         log::error!(revision = item.revision.0, error = error.to_string();
             "configuration rejected: it cannot be parsed; the one in force stays");
     }
@@ -149,18 +155,21 @@
 /// # Errors
 ///
 /// Fails if the configuration cannot be parsed. An invalid part alone is skipped and logged.
-pub(super) fn apply(state: &GatewayState, bytes: &[u8]) -> Result<()> {
+pub(super) fn apply(state: &GatewayState, bytes: &[u8], source: &str) -> Result<()> {
+    let started_at = state.now();
     let (rules, skipped) = read_rules(bytes)?;
+    log::info!(revision = rules.revision.0, source, length = bytes.len(),
+        took_ms = state.now().since(started_at).as_millis(); "configuration parsed");
     for part in skipped {
         log::warn!(revision = rules.revision.0, name = part.name.as_str(), reason = part.reason;
             "skipped an invalid part of the configuration");
     }
-    put_in_force(state, rules, bytes);
+    put_in_force(state, rules, bytes, source);
     Ok(())
 }
 
 /// Puts rules in force if they are newer, and keeps their bytes for other entries.
-fn put_in_force(state: &GatewayState, rules: RuleSet, bytes: &[u8]) {
+fn put_in_force(state: &GatewayState, rules: RuleSet, bytes: &[u8], source: &str) {
     let current = state.revision();
     if state.rules().is_some() && rules.revision <= current {
         return;
@@ -173,8 +182,8 @@
     }
     state.metrics.revision.record(rules.revision.0, &[]);
     log::info!(revision = rules.revision.0, before = current.0, routes = rules.routes.len(),
-        services = rules.services.len(), teams = rules.teams.len(), keys = rules.keys.len();
-        "configuration in force");
+        services = rules.services.len(), teams = rules.teams.len(), keys = rules.keys.len(),
+        source, length = bytes.len(); "configuration in force");
     *state.config.borrow_mut() = Some(Bytes::copy_from_slice(bytes));
     *state.rules.borrow_mut() = Some(Rc::new(rules));
 }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -9,7 +9,7 @@
 use applefold_platform::{read_store_era, StoreCall, StoreError, StoreReply};
 use opentelemetry::KeyValue;
 
-use super::connection::{ClientConnection, ConnectionError};
+use super::connection::{ClientConnection, ConnectionError, TransferMeter};
 use crate::clock::BoottimeClock;
 use crate::metrics::MetricSet;
 
@@ -99,15 +99,23 @@
             _ => TimeSpan::ZERO,
         };
         let limit = Duration::from_micros((wait + CALL_TIMEOUT).0);
-        let result = tokio::time::timeout(limit, self.exchange(call)).await;
-        let result =
-            result.unwrap_or_else(|_| Err(StoreError::NoResponse("the call timed out".into())));
+        let meter = TransferMeter::default();
+        let result = tokio::time::timeout(limit, self.exchange(call, &meter)).await;
+        let result = result.unwrap_or_else(|_| {
+            let received = meter.received();
+            let reason = format!("the call timed out after {received} bytes of its response");
+            Err(StoreError::NoResponse(reason))
+        });
         self.note_result(call, &result);
         result
     }
 
     /// Sends the call and reads its reply, without a time limit.
-    async fn exchange(&self, call: &StoreCall) -> Result<(StoreReply, StoreEra), StoreError> {
+    async fn exchange(
+        &self,
+        call: &StoreCall,
+        meter: &TransferMeter,
+    ) -> Result<(StoreReply, StoreEra), StoreError> {
         let lost = |error: ConnectionError| StoreError::NoResponse(error.to_string());
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
@@ -117,8 +125,8 @@
         };
         connection.send(&call.render()).await.map_err(lost)?;
         let head = connection.read_head().await.map_err(lost)?;
-        let body = connection.read_full_body(&head, MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(lost)?;
+        let body = connection.read_counted_body(&head, MAX_RESPONSE_BYTES, meter);
+        let body = body.await.map_err(lost)?;
         if head.keep_alive && self.idle.borrow().len() < MAX_IDLE {
             self.idle.borrow_mut().push(connection);
         }
