Put changes of large configurations in force over narrow links

Cause: transfers that grow with the configuration had limits that do not. Reads of the store and fetches from other entries were ended after 0.9 and 0.8 s in all, whatever had arrived, and began from nothing; a watch returned every version since its position, whole; all entries that were behind asked one entry; and both ways ran beside each other on one link. On a link of 10 Mbit/s a configuration of 1 MiB could never be read, not even at a start.

Change: transfers end for lack of progress; of several versions only the newest is read; entries send each other the parts that changed, named by digest and kept whatever happens to the rest; one source at a time is chosen by what it costs and what failed; requests for parts go to all entries that have them.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,6 +7,8 @@
 
 mod attempt;
 mod bucket;
+mod config_parts;
+mod config_source;
 mod continuity;
 mod count;
 mod delivery;
@@ -34,6 +36,8 @@
 mod wall_clock;
 
 pub use attempt::{AttemptEnd, AttemptLimits, NextStep, RequestProgress};
+pub use config_parts::{ConfigArchive, ConfigPart, PartId, PartIdError, PartList};
+pub use config_source::{batch_size, ConfigSource, HolderRotation, SourceInputs};
 pub use continuity::{ExpiredServers, RemovalCause, StoreContinuity, RETURN_TIME};
 pub use count::{RunCounter, WindowCounts};
 pub use delivery::{DeliveryReport, DeliveryStep, DeliveryWatch};
--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -42,6 +42,13 @@
     }
 }
 
+impl From<u64> for NameRank {
+    /// Creates the rank of a number, to combine it with that of a name.
+    fn from(number: u64) -> Self {
+        Self(number)
+    }
+}
+
 /// Returns the `count` highest ranked of `names` for `key`.
 pub fn highest<'a, N, I>(key: &str, names: I, count: usize) -> BTreeSet<&'a N>
 where
--- a/crates/daemon/src/gateway/connection.rs
+++ b/crates/daemon/src/gateway/connection.rs
@@ -14,6 +14,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use super::buffers::BufferGuard;
 use super::delivery::{ConnectionWatch, ACK_TIMEOUT, CHECK_PERIOD};
@@ -27,6 +28,8 @@
 /// How long a request may wait for a server that reads late. Its attempt ends earlier in most cases.
 const MAX_REQUEST_WAIT: TimeSpan = TimeSpan::from_secs(15);
 const READ_BUFFER_BYTES: usize = 16_384;
+/// The least that counts as progress of a transfer: 1% of what the narrowest links, of 10 Mbit/s, carry in 1 s.
+const PROGRESS_BYTES: usize = 16_384;
 
 /// Why a connection gave no complete response.
 #[derive(Debug)]
@@ -82,6 +85,27 @@
     }
 }
 
+/// The bounds on the transfer of a response body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TransferLimits {
+    /// The most bytes.
+    pub(crate) max_bytes: usize,
+    /// When a transfer without any progress ends.
+    pub(crate) deadline: Instant,
+    /// How long after its last progress it ends later than that.
+    pub(crate) stall: Duration,
+}
+
+/// Begins to read a body that may have up to `max_bytes`.
+fn begin_body(head: &ResponseHead, max_bytes: usize) -> Result<BodyDecoder, ConnectionError> {
+    match head.framing {
+        BodyFraming::Length(length) if length > max_bytes as u64 => {
+            Err(ConnectionError::InvalidResponse(ParseError::TooLarge))
+        }
+        framing => Ok(BodyDecoder::new(framing)),
+    }
+}
+
 /// A connection to a server, with one request at a time.
 #[derive(Debug)]
 pub(crate) struct ClientConnection {
@@ -291,18 +315,37 @@
         }
     }
 
-    /// Reads a complete body of up to `limit` bytes, and counts them while they arrive.
-    pub(crate) async fn read_counted_body(
+    /// Reads a complete body for as long as it makes progress, and counts its bytes while they arrive.
+    pub(crate) async fn read_moving_body(
         &mut self,
         head: &ResponseHead,
-        limit: usize,
+        limits: &TransferLimits,
         meter: &TransferMeter,
     ) -> Result<Vec<u8>, ConnectionError> {
-        let count = |body: &Vec<u8>| {
+        let mut decoder = begin_body(head, limits.max_bytes)?;
+        let mut body = Vec::new();
+        let mut deadline = limits.deadline;
+        let mut counted = 0;
+        loop {
+            let read = tokio::time::timeout_at(deadline, self.read_body(&mut decoder, &mut body));
+            let Ok(complete) = read.await else {
+                let reason = format!("no progress after {} bytes of the body", body.len());
+                let error = io::Error::new(io::ErrorKind::TimedOut, reason);
+                return Err(ConnectionError::Broken(error));
+            };
+            let complete = complete?;
             meter.0.set(body.len());
-            true
-        };
-        self.read_body_while(head, limit, count).await
+            if body.len() > limits.max_bytes {
+                return Err(ConnectionError::InvalidResponse(ParseError::TooLarge));
+            }
+            if complete {
+                return Ok(body);
+            }
+            if body.len() - counted >= PROGRESS_BYTES {
+                counted = body.len();
+                deadline = deadline.max(Instant::now() + limits.stall);
+            }
+        }
     }
 
     /// Reads a complete body of up to `limit` bytes, as long as `buffer` has room for it.
@@ -312,7 +355,7 @@
         limit: usize,
         buffer: &mut BufferGuard,
     ) -> Result<Vec<u8>, ConnectionError> {
-        self.read_body_while(head, limit, |body| buffer.grow_to(body.capacity()))
+        self.read_body_while(head, limit, |bytes| buffer.grow_to(bytes))
             .await
     }
 
@@ -323,18 +366,14 @@
         mut has_room: HasRoom,
     ) -> Result<Vec<u8>, ConnectionError>
     where
-        HasRoom: FnMut(&Vec<u8>) -> bool,
+        HasRoom: FnMut(usize) -> bool,
     {
-        let too_large = ConnectionError::InvalidResponse(ParseError::TooLarge);
-        if matches!(head.framing, BodyFraming::Length(length) if length > limit as u64) {
-            return Err(too_large);
-        }
-        let mut decoder = BodyDecoder::new(head.framing);
+        let mut decoder = begin_body(head, limit)?;
         let mut body = Vec::new();
         loop {
             let complete = self.read_body(&mut decoder, &mut body).await?;
-            if body.len() > limit || !has_room(&body) {
-                return Err(too_large);
+            if body.len() > limit || !has_room(body.capacity()) {
+                return Err(ConnectionError::InvalidResponse(ParseError::TooLarge));
             }
             if complete {
                 return Ok(body);
--- a/crates/daemon/src/gateway/discovery.rs
+++ b/crates/daemon/src/gateway/discovery.rs
@@ -40,7 +40,7 @@
         if replica.next_read_at(&policy, rank) <= state.now() {
             let result = reader.poll(&state).await;
             if let Err(error) = result {
-                if error == StoreError::Compacted {
+                if matches!(error, StoreError::Compacted | StoreError::TooLarge) {
                     reader.compacted = true;
                 } else {
                     replica.note_failure(policy.retry_delay(rank), state.now());
@@ -56,7 +56,7 @@
 /// Reads the backend list from the store.
 #[derive(Default)]
 struct ListReader {
-    /// Whether the store has compacted the history after the replica's position.
+    /// Whether the store has compacted the history after the replica's position, or there is more of it than is read.
     compacted: bool,
     /// Keys whose malformed value has been logged.
     malformed: BTreeSet<String>,
--- a/crates/daemon/src/gateway/peer_sync.rs
+++ b/crates/daemon/src/gateway/peer_sync.rs
@@ -1,10 +1,9 @@
-//! Synchronizes the configuration and the backend list between entries.
+//! Serves the configuration and the backend list to the other entries, and fetches them from there.
 //!
 //! The store may refuse some instances for any length of time while the operator
-//! goes on changing the configuration. An entry that learns by gossip of a newer
-//! revision than its own fetches it from the entry that has it. A fetched
-//! configuration is checked like one from the store, so an older one never comes
-//! into force. Changes of the backend list are gossiped to all entries; an entry
+//! goes on changing the configuration, and the links of many entries are narrow. So an
+//! entry fetches only the parts of a configuration that it lacks, and keeps those that have arrived
+//! whatever happens to the rest. Changes of the backend list are gossiped to all entries; an entry
 //! that has missed some fetches them.
 
 use std::net::SocketAddr;
@@ -13,36 +12,58 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
-use applefold_core::direct::StorePosition;
-use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_core::direct::{ConfigPart, PartId, PartList, ReplicaDigest, StorePosition};
+use applefold_core::unit::{ByteSize, TimePoint};
 use bytes::Bytes;
 use eyre::{eyre, Result};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
-use super::connection::{ClientConnection, TransferMeter};
+use super::connection::{ClientConnection, TransferLimits, TransferMeter};
 use super::list_updates::UpdateRecord;
-use super::rules;
+use super::replicas::DigestFields;
 use super::state::GatewayState;
 use super::store::MAX_RESPONSE_BYTES;
 use crate::http;
 
 const CONFIG_PATH: &str = "/configuration";
+const OFFER_PATH: &str = "/configuration/offer";
+const PARTS_PATH: &str = "/configuration/parts";
 const LIST_PATH: &str = "/list";
-/// How often the revisions of other entries are compared with the own one.
-const CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// How long a newer revision is known at another entry before it is fetched from there. The store
-/// normally delivers it to all entries within a fraction of this time.
-const STORE_GRACE: TimeSpan = TimeSpan::from_millis(300);
-/// How long the connection to another entry, the response head and the body may each take.
+/// How long the connection to another entry, the response head and each stall of the body may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The most parts in one request, so that its head stays short.
+const MAX_PARTS: usize = 32;
+
+/// What an entry tells one that is behind of its configuration.
+#[derive(Debug, Serialize, Deserialize)]
+struct OfferRecord {
+    /// What its replica of the store has reached with this configuration.
+    digest: Option<DigestFields>,
+    parts: PartList,
+}
+
+/// The configuration that another entry has in force.
+#[derive(Debug)]
+pub(crate) struct ConfigOffer {
+    pub(crate) parts: PartList,
+    /// What the replica of that entry has reached with it, and when that entry was asked.
+    pub(crate) digest: Option<ReplicaDigest>,
+    pub(crate) asked_at: TimePoint,
+}
 
 /// Serves the configuration and the backend list to the other entries for as long as the process
 /// runs.
 pub(crate) async fn serve(state: &Rc<GatewayState>) -> Result<()> {
     let state = Rc::clone(state);
     let server = http::serve(state.peer_address(), move |request| {
+        let query = request.uri().query();
         let body = match request.path() {
-            CONFIG_PATH => state.config.borrow().clone(),
-            LIST_PATH => list_body(&state, request.uri().query()),
+            // Entries of earlier builds fetch it whole.
+            CONFIG_PATH => whole_body(&state),
+            OFFER_PATH => offer_body(&state),
+            PARTS_PATH => parts_body(&state, query.unwrap_or_default()),
+            LIST_PATH => list_body(&state, query),
             _ => None,
         };
         let response = match body {
@@ -55,29 +76,30 @@
     Ok(())
 }
 
-/// Fetches newer configurations that the store has not delivered from other entries, for as long
-/// as the process runs.
-pub(crate) async fn run(state: Rc<GatewayState>) {
-    let mut behind_since: Option<TimePoint> = None;
-    loop {
-        actix_rt::time::sleep(CHECK_PERIOD).await;
-        let now = state.now();
-        let newer = state.peers.borrow().newer_config(state.revision(), now);
-        let Some((address, revision)) = newer else {
-            behind_since = None;
-            continue;
-        };
-        let since = *behind_since.get_or_insert(now);
-        if now.since(since) < STORE_GRACE {
-            continue;
-        }
-        if let Err(error) = fetch_config(&state, address).await {
-            log::warn!(from = address.to_string(), newer = revision.0,
-                own = state.revision().0, error = format!("{error:#}");
-                "could not fetch a newer configuration from another entry");
-            state.peers.borrow_mut().distrust_config(address);
-        }
-    }
+fn whole_body(state: &GatewayState) -> Option<Bytes> {
+    let archive = state.config.borrow();
+    let bytes = archive.bytes();
+    (!bytes.is_empty()).then(|| Bytes::copy_from_slice(bytes))
+}
+
+fn offer_body(state: &GatewayState) -> Option<Bytes> {
+    state.rules()?;
+    let digest = state.replicas.config.digest(state.now());
+    encode(&OfferRecord {
+        digest: digest.map(DigestFields::new),
+        parts: state.config.borrow().parts().clone(),
+    })
+}
+
+/// Returns the parts that the query names, each empty if it is not here.
+fn parts_body(state: &GatewayState, query: &str) -> Option<Bytes> {
+    let archive = state.config.borrow();
+    let ids = query.split(',').take(MAX_PARTS);
+    let parts = ids.map(|id| {
+        let id: Option<PartId> = id.parse().ok();
+        id.and_then(|id| archive.part(&id)).unwrap_or_default()
+    });
+    encode(&parts.collect::<Vec<&[u8]>>())
 }
 
 /// Returns the encoded changes of the backend list after the position in the query.
@@ -86,11 +108,17 @@
     let update = state
         .backend_list
         .delta_since(state, after.map(StorePosition))?;
-    match postcard::to_stdvec(&UpdateRecord::new(&update)) {
+    encode(&UpdateRecord::new(&update))
+}
+
+fn encode<T>(message: &T) -> Option<Bytes>
+where
+    T: Serialize,
+{
+    match postcard::to_stdvec(message) {
         Ok(body) => Some(Bytes::from(body)),
         Err(error) => {
-            log::error!(error = error.to_string();
-                "could not encode the changes of the backend list for another entry");
+            log::error!(error = error.to_string(); "could not encode a response to another entry");
             None
         }
     }
@@ -127,6 +155,44 @@
     }
 }
 
+/// Fetches what another entry has in force, without the parts themselves.
+pub(crate) async fn fetch_offer(state: &GatewayState, address: SocketAddr) -> Result<ConfigOffer> {
+    let asked_at = state.now();
+    let body = get(address, OFFER_PATH).await?;
+    let record: OfferRecord = postcard::from_bytes(&body)?;
+    Ok(ConfigOffer {
+        parts: record.parts,
+        digest: record.digest.map(DigestFields::digest),
+        asked_at,
+    })
+}
+
+/// Fetches the first of these parts from another entry, up to this size or one part, and keeps those that it
+/// has. Returns how many bytes these are.
+pub(crate) async fn fetch_parts(
+    state: &GatewayState,
+    address: SocketAddr,
+    missing: &[ConfigPart],
+    size: ByteSize,
+) -> Result<usize> {
+    let mut asked = ByteSize::ZERO;
+    let batch = missing.iter().take(MAX_PARTS).take_while(|part| {
+        let fits = asked == ByteSize::ZERO || asked < size;
+        asked += ByteSize(part.length.into());
+        fits
+    });
+    let ids: Vec<String> = batch.map(|part| part.id.to_string()).collect();
+    let body = get(address, &format!("{PARTS_PATH}?{}", ids.join(","))).await?;
+    let parts: Vec<&[u8]> = postcard::from_bytes(&body)?;
+    let mut archive = state.config.borrow_mut();
+    let mut received = 0;
+    for part in parts.into_iter().filter(|part| !part.is_empty()) {
+        received += part.len();
+        archive.insert(part.to_vec());
+    }
+    Ok(received)
+}
+
 /// Sends a GET request to another entry and returns the body of its response.
 async fn get(address: SocketAddr, path: &str) -> Result<Vec<u8>> {
     let mut connection = ClientConnection::open(address, CALL_TIMEOUT).await?;
@@ -138,20 +204,11 @@
             head.status
         ));
     }
+    let limits = TransferLimits {
+        max_bytes: MAX_RESPONSE_BYTES,
+        deadline: Instant::now() + CALL_TIMEOUT,
+        stall: CALL_TIMEOUT,
+    };
     let meter = TransferMeter::default();
-    let read = connection.read_counted_body(&head, MAX_RESPONSE_BYTES, &meter);
-    match tokio::time::timeout(CALL_TIMEOUT, read).await {
-        Ok(body) => Ok(body?),
-        Err(_) => Err(eyre!(
-            "the transfer timed out after {} bytes",
-            meter.received()
-        )),
-    }
-}
-
-async fn fetch_config(state: &GatewayState, address: SocketAddr) -> Result<()> {
-    let body = get(address, CONFIG_PATH).await?;
-    log::info!(from = address.to_string(), length = body.len();
-        "configuration fetched from another entry");
-    rules::apply(state, &body, &address.to_string())
+    Ok(connection.read_moving_body(&head, &limits, &meter).await?)
 }
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -92,6 +92,14 @@
     pub(crate) received_at: TimePoint,
 }
 
+/// The peers that have the newest configuration.
+#[derive(Clone, Debug)]
+pub(crate) struct ConfigHolders {
+    pub(crate) addresses: Vec<SocketAddr>,
+    /// The entries that do not have it, this one included.
+    pub(crate) lagging: usize,
+}
+
 /// The other entries, their latest state, and their usage counts.
 #[derive(Debug, Default)]
 pub(crate) struct PeerTable {
@@ -357,24 +365,20 @@
             .any(|state| state.holds_lease && fresh(state))
     }
 
-    /// Returns the address and the revision of the peer with the newest configuration, if that is
-    /// newer than `revision`.
-    pub(crate) fn newer_config(
+    /// Returns the peers with the newest configuration, if that is newer than `revision`.
+    pub(crate) fn config_holders(
         &self,
         revision: Revision,
         now: TimePoint,
-    ) -> Option<(SocketAddr, Revision)> {
-        let fresh = self.states.values();
-        let fresh = fresh.filter(|state| now.since(state.received_at) <= MAX_REVISION_AGE);
-        let newest = fresh.max_by_key(|state| state.revision)?;
-        (newest.revision > revision).then_some((newest.address, newest.revision))
-    }
-
-    /// Ignores the configuration of the peer at `address` until its next message.
-    pub(crate) fn distrust_config(&mut self, address: SocketAddr) {
-        let peers = self.states.values_mut();
-        for state in peers.filter(|state| state.address == address) {
-            state.revision = Revision(0);
-        }
+    ) -> Option<ConfigHolders> {
+        let fresh = |state: &&PeerState| now.since(state.received_at) <= MAX_REVISION_AGE;
+        let states = || self.states.values().filter(fresh);
+        let newest = states().map(|state| state.revision).max()?;
+        let holders = states().filter(|state| state.revision == newest);
+        let addresses: Vec<SocketAddr> = holders.map(|state| state.address).collect();
+        (newest > revision).then(|| ConfigHolders {
+            lagging: states().count() + 1 - addresses.len(),
+            addresses,
+        })
     }
 }
--- a/crates/daemon/src/gateway/replicas.rs
+++ b/crates/daemon/src/gateway/replicas.rs
@@ -44,7 +44,7 @@
 
 /// The encoding of a [`ReplicaDigest`].
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct DigestFields {
+pub(crate) struct DigestFields {
     position: u64,
     #[serde(rename = "changed")]
     last_change: u64,
@@ -52,7 +52,7 @@
 }
 
 impl DigestFields {
-    fn new(digest: ReplicaDigest) -> Self {
+    pub(crate) fn new(digest: ReplicaDigest) -> Self {
         Self {
             position: digest.position.0,
             last_change: digest.last_change.0,
@@ -60,7 +60,7 @@
         }
     }
 
-    fn digest(self) -> ReplicaDigest {
+    pub(crate) fn digest(self) -> ReplicaDigest {
         ReplicaDigest {
             position: StorePosition(self.position),
             last_change: StorePosition(self.last_change),
@@ -129,6 +129,11 @@
         self.replica.borrow().confirmed_at()
     }
 
+    /// Returns the digest of the replica as of `now`; `None` before its first read.
+    pub(crate) fn digest(&self, now: TimePoint) -> Option<ReplicaDigest> {
+        self.replica.borrow().digest(now)
+    }
+
     /// Records that the store held the state up to `position` at `at`, last changed at `last_change`.
     pub(crate) fn confirm(
         &self,
@@ -201,8 +206,7 @@
 
     /// Returns the digests of the replicas as of `now`.
     pub(crate) fn digests(&self, now: TimePoint) -> ReplicaDigests {
-        let digest =
-            |tracker: &ReplicaTracker| tracker.replica.borrow().digest(now).map(DigestFields::new);
+        let digest = |tracker: &ReplicaTracker| tracker.digest(now).map(DigestFields::new);
         ReplicaDigests {
             list: digest(&self.list),
             config: digest(&self.config),
--- a/crates/daemon/src/gateway/rules.rs
+++ b/crates/daemon/src/gateway/rules.rs
@@ -1,27 +1,21 @@
-//! Follows the operator's configuration in the store and puts new revisions in force.
+//! Reads the operator's configuration from the store, and puts new revisions in force.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use applefold_core::direct::{RuleSet, StorePosition};
 use applefold_core::unit::{TimeSpan, TokenCount};
 use applefold_platform::{
     read_rules, StoreCall, StoreError, StoreEvent, StoreItem, StoreReply, StoreRevision, CONFIG_KEY,
 };
-use bytes::Bytes;
 use eyre::Result;
 
-use super::gossip;
-use super::replicas::{config_policy, CONFIG_WAIT};
+use super::config_sync::MAX_RETRY_DELAY;
+use super::connection::TransferMeter;
+use super::replicas::CONFIG_WAIT;
 use super::state::GatewayState;
-use super::store::CALL_TIMEOUT;
+use super::store::{CALL_TIMEOUT, MAX_RESPONSE_BYTES};
 
-/// How long a watch call waits for a change if gossip has named one, or if this entry is not the
-/// first reader.
-const POLL_WAIT: TimeSpan = TimeSpan::from_millis(1);
-/// The longest delay after a failed call.
-const MAX_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(1_200);
-/// How long a working store takes to answer the watch call after that delay.
+/// How long a working store takes to answer the watch call after the longest delay of a retry.
 const RESPONSE_MARGIN: TimeSpan = TimeSpan::from_millis(300);
 /// How soon after a store outage the newest configuration is expected to be in force at all
 /// entries.
@@ -30,68 +24,32 @@
     CONFIG_WAIT.0 + CALL_TIMEOUT.0 + MAX_RETRY_DELAY.0 + RESPONSE_MARGIN.0 <= CATCH_UP_TIME.0,
     "a watch without a response is retried too late"
 );
-
-/// Keeps the rules at the newest revision for as long as the process runs. Where the watch
-/// position has been compacted in the store, the configuration is read afresh.
-pub(crate) async fn run(state: Rc<GatewayState>) {
-    let mut compacted = false;
-    loop {
-        let policy = config_policy(gossip::round_interval(&state));
-        let rank = state.read_rank();
-        let tracker = &state.replicas.config;
-        let wait = tracker.next_read_at(&policy, rank).since(state.now());
-        let notified = tokio::select! {
-            () = actix_rt::time::sleep(Duration::from_micros(wait.0)) => false,
-            () = tracker.behind.notified() => true,
-        };
-        let now = state.now();
-        if tracker.is_backing_off(now) || !(notified || tracker.next_read_at(&policy, rank) <= now)
-        {
-            continue;
-        }
-        let wait = match rank == 0 && !notified {
-            true => CONFIG_WAIT,
-            false => POLL_WAIT,
-        };
-        let era = state.store.era();
-        let known = tracker
-            .position()
-            .filter(|own| !compacted && own.era() == era);
-        let result = match known {
-            None => read(&state).await,
-            Some(after) => watch(&state, after, wait).await,
-        };
-        match result {
-            Ok(()) => compacted = false,
-            Err(StoreError::Compacted) => compacted = true,
-            Err(error) => {
-                log::info!(own = state.revision().0, rank, error = error.to_string();
-                    "could not read the configuration from the store");
-                let span = policy.retry_delay(rank).min(MAX_RETRY_DELAY);
-                tracker.note_failure(span, state.now());
-            }
-        }
-    }
-}
+/// The response to a watch that is always read: several versions of a small configuration.
+const MIN_WATCH_BYTES: usize = 128 << 10;
+/// The response to a watch that is read, in percent of the configuration in force. One version has 134%, in
+/// Base64, and two have 268%.
+const MAX_WATCH_PERCENT: usize = 200;
 
 /// Reads the current configuration. If there is none yet, that is recorded as confirmed, too.
-async fn read(state: &GatewayState) -> Result<(), StoreError> {
+pub(super) async fn read(state: &GatewayState, meter: &TransferMeter) -> Result<(), StoreError> {
     let sent_at = state.now();
     let call = StoreCall::Range {
         prefix: CONFIG_KEY.to_owned(),
         after: None,
         stale: false,
     };
-    let (reply, era) = state.store.call_in_era(&call).await?;
+    let read = state.store.call_within(&call, MAX_RESPONSE_BYTES, meter);
+    let (reply, era) = read.await?;
     let StoreReply::Page(page) = reply else {
         return Err(StoreError::Unreadable(
             "unexpected reply to a range read".into(),
         ));
     };
     let mut changed = StorePosition::default();
-    for item in page.items.iter().filter(|item| item.key == CONFIG_KEY) {
-        apply_item(state, item);
+    let items = page.items.into_iter();
+    for item in items.filter(|item| item.key == CONFIG_KEY) {
         changed = StorePosition::new(era, item.revision.0);
+        apply_item(state, item);
     }
     let position = StorePosition::new(era, page.at.0);
     state.replicas.config.confirm(position, changed, sent_at);
@@ -99,7 +57,12 @@
 }
 
 /// Waits up to `wait` for changes of the configuration after a position.
-async fn watch(
+///
+/// # Errors
+///
+/// Fails like a call to the store, and with [`StoreError::TooLarge`] if there are so many changes that reading
+/// the newest configuration alone takes less.
+pub(super) async fn watch(
     state: &GatewayState,
     after: StorePosition,
     wait: TimeSpan,
@@ -110,7 +73,11 @@
         after: StoreRevision(after.revision()),
         wait,
     };
-    let (reply, era) = state.store.call_in_era(&call).await?;
+    let max_bytes = state.config.borrow().bytes().len() / 100 * MAX_WATCH_PERCENT;
+    let max_bytes = max_bytes.max(MIN_WATCH_BYTES);
+    let meter = TransferMeter::default();
+    let read = state.store.call_within(&call, max_bytes, &meter);
+    let (reply, era) = read.await?;
     if era != after.era() {
         return Err(StoreError::Compacted);
     }
@@ -124,16 +91,18 @@
         log::info!(versions = events.len(), took_ms = state.now().since(sent_at).as_millis(),
             position = at.0; "configuration changed in the store");
     }
+    let mut newest = None;
     for event in events {
         confirmed_at = sent_at;
         match event {
-            StoreEvent::Written(item) if item.key == CONFIG_KEY => {
-                apply_item(state, &item);
-                changed = changed.max(StorePosition::new(era, item.revision.0));
-            }
+            StoreEvent::Written(item) if item.key == CONFIG_KEY => newest = Some(item),
             StoreEvent::Written(_) | StoreEvent::Removed(..) => {}
         }
     }
+    if let Some(item) = newest {
+        changed = StorePosition::new(era, item.revision.0);
+        apply_item(state, item);
+    }
     let position = StorePosition::new(era, at.0).max(after);
     state
         .replicas
@@ -143,9 +112,10 @@
 }
 
 /// Applies a configuration from the store, or logs why it is rejected.
-fn apply_item(state: &GatewayState, item: &StoreItem) {
-    if let Err(error) = apply(state, &item.value, "store") {
-        log::error!(revision = item.revision.0, error = error.to_string();
+fn apply_item(state: &GatewayState, item: StoreItem) {
+    let at = item.revision;
+    if let Err(error) = apply(state, item.value, "store") {
+        log::error!(revision = at.0, error = error.to_string();
             "configuration rejected: it cannot be parsed; the one in force stays");
     }
 }
@@ -155,21 +125,30 @@
 /// # Errors
 ///
 /// Fails if the configuration cannot be parsed. An invalid part alone is skipped and logged.
-pub(super) fn apply(state: &GatewayState, bytes: &[u8], source: &str) -> Result<()> {
+pub(super) fn apply(state: &GatewayState, bytes: Vec<u8>, source: &str) -> Result<()> {
+    if state.config.borrow().bytes() == bytes {
+        return Ok(());
+    }
     let started_at = state.now();
-    let (rules, skipped) = read_rules(bytes)?;
-    log::info!(revision = rules.revision.0, source, length = bytes.len(),
-        took_ms = state.now().since(started_at).as_millis(); "configuration parsed");
+    let (rules, skipped) = read_rules(&bytes)?;
+    let parse_time = state.now().since(started_at);
     for part in skipped {
         log::warn!(revision = rules.revision.0, name = part.name.as_str(), reason = part.reason;
             "skipped an invalid part of the configuration");
     }
-    put_in_force(state, rules, bytes, source);
+    let source = RulesSource { source, parse_time };
+    put_in_force(state, rules, bytes, &source);
     Ok(())
 }
 
+/// Where rules came from and how long parsing them took, for the log.
+struct RulesSource<'a> {
+    source: &'a str,
+    parse_time: TimeSpan,
+}
+
 /// Puts rules in force if they are newer, and keeps their bytes for other entries.
-fn put_in_force(state: &GatewayState, rules: RuleSet, bytes: &[u8], source: &str) {
+fn put_in_force(state: &GatewayState, rules: RuleSet, bytes: Vec<u8>, from: &RulesSource) {
     let current = state.revision();
     if state.rules().is_some() && rules.revision <= current {
         return;
@@ -183,7 +162,8 @@
     state.metrics.revision.record(rules.revision.0, &[]);
     log::info!(revision = rules.revision.0, before = current.0, routes = rules.routes.len(),
         services = rules.services.len(), teams = rules.teams.len(), keys = rules.keys.len(),
-        source, length = bytes.len(); "configuration in force");
-    *state.config.borrow_mut() = Some(Bytes::copy_from_slice(bytes));
+        source = from.source, length = bytes.len(), parse_ms = from.parse_time.as_millis();
+        "configuration in force");
+    state.config.borrow_mut().replace(bytes);
     *state.rules.borrow_mut() = Some(Rc::new(rules));
 }
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -7,8 +7,8 @@
 
 use applefold_core::code::ResultCode;
 use applefold_core::direct::{
-    DurationTable, HedgeShare, PhasePlanner, PlacementPolicy, RuleSet, RunCounter, SendEvent,
-    ServerTable, WallClock, WindowSealer,
+    ConfigArchive, DurationTable, HedgeShare, PhasePlanner, PlacementPolicy, RuleSet, RunCounter,
+    SendEvent, ServerTable, WallClock, WindowSealer,
 };
 use applefold_core::drain::{DrainOptions, DrainPhase, DrainState};
 use applefold_core::health::{HealthAction, HealthPolicy, HealthSample, HealthTracker};
@@ -18,7 +18,6 @@
 use applefold_core::retry::{RetryBudget, RetryPolicy};
 use applefold_core::unit::{TimePoint, TimeSpan};
 use applefold_platform::PlatformSettings;
-use bytes::Bytes;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
@@ -127,8 +126,8 @@
     pub(crate) prefills: RefCell<PrefillQueue>,
     /// Times to first tokens that this entry has observed, for gossip.
     pub(crate) speeds: RefCell<SpeedQueue>,
-    /// The encoded configuration in force, for peers that cannot read it from the store.
-    pub(crate) config: RefCell<Option<Bytes>>,
+    /// The encoded configuration in force, and the parts of a newer one.
+    pub(crate) config: RefCell<ConfigArchive>,
     wall_clock: RefCell<WallClock>,
     /// Whether the instance's clock differs from the cluster time by more than
     /// [`MAX_CLOCK_ERROR`].
@@ -313,7 +312,7 @@
         let now = self.now();
         let peers = self.peers.borrow();
         let heard = peers.has_live(now) || now.since(self.started_at) >= FIRST_GOSSIP_TIME;
-        let newer = peers.newer_config(self.revision(), now);
+        let newer = peers.config_holders(self.revision(), now);
         let current = self.rules.borrow().is_some() && heard && newer.is_none();
         self.config_current.set(current);
         current
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -6,16 +6,18 @@
 
 use applefold_core::direct::StoreEra;
 use applefold_core::unit::{TimePoint, TimeSpan};
+use applefold_h1::{ParseError, ResponseHead};
 use applefold_platform::{read_store_era, StoreCall, StoreError, StoreReply};
 use opentelemetry::KeyValue;
+use tokio::time::Instant;
 
-use super::connection::{ClientConnection, ConnectionError, TransferMeter};
+use super::connection::{ClientConnection, ConnectionError, TransferLimits, TransferMeter};
 use crate::clock::BoottimeClock;
 use crate::metrics::MetricSet;
 
 /// The time limit for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// The time limit for a response, besides the long-poll time of the call. A lease renewal whose
+/// The time limit for a response without progress, besides the long-poll time of the call. A lease renewal whose
 /// response is lost must be repeated before the holder of the 3 s lease stops acting.
 pub(crate) const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 /// The largest response. It leaves ample room for a value of 1 MiB, or a page of about that size,
@@ -91,6 +93,22 @@
     pub(crate) async fn call_in_era(
         &self,
         call: &StoreCall,
+    ) -> Result<(StoreReply, StoreEra), StoreError> {
+        self.call_within(call, MAX_RESPONSE_BYTES, &TransferMeter::default())
+            .await
+    }
+
+    /// Sends a call like [`Self::call_in_era`]. Counts the bytes of its response in `meter`.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::call`], and with [`StoreError::TooLarge`] if the response has more than
+    /// `max_bytes`.
+    pub(crate) async fn call_within(
+        &self,
+        call: &StoreCall,
+        max_bytes: usize,
+        meter: &TransferMeter,
     ) -> Result<(StoreReply, StoreEra), StoreError> {
         let kind = KeyValue::new("call", call.kind());
         self.metrics.platform_calls.add(1, &[kind]);
@@ -98,35 +116,36 @@
             StoreCall::Watch { wait, .. } => *wait,
             _ => TimeSpan::ZERO,
         };
-        let limit = Duration::from_micros((wait + CALL_TIMEOUT).0);
-        let meter = TransferMeter::default();
-        let result = tokio::time::timeout(limit, self.exchange(call, &meter)).await;
-        let result = result.unwrap_or_else(|_| {
-            let received = meter.received();
-            let reason = format!("the call timed out after {received} bytes of its response");
-            Err(StoreError::NoResponse(reason))
-        });
+        let limits = TransferLimits {
+            max_bytes,
+            deadline: Instant::now() + Duration::from_micros((wait + CALL_TIMEOUT).0),
+            stall: Duration::from_micros(CALL_TIMEOUT.0),
+        };
+        let result = self.exchange(call, &limits, meter).await;
         self.note_result(call, &result);
         result
     }
 
-    /// Sends the call and reads its reply, without a time limit.
+    /// Sends the call and reads its reply. A small one arrives within the time limit of the call, and a
+    /// large one takes as long as it makes progress.
     async fn exchange(
         &self,
         call: &StoreCall,
+        limits: &TransferLimits,
         meter: &TransferMeter,
     ) -> Result<(StoreReply, StoreEra), StoreError> {
-        let lost = |error: ConnectionError| StoreError::NoResponse(error.to_string());
-        let mut connection = match self.take_idle() {
-            Some(connection) => connection,
-            None => ClientConnection::open(self.address.get(), CONNECT_TIMEOUT)
-                .await
-                .map_err(|error| StoreError::NoResponse(error.to_string()))?,
+        let lost = |error: ConnectionError| match error {
+            ConnectionError::InvalidResponse(ParseError::TooLarge) => StoreError::TooLarge,
+            error => StoreError::NoResponse(error.to_string()),
         };
-        connection.send(&call.render()).await.map_err(lost)?;
-        let head = connection.read_head().await.map_err(lost)?;
-        let body = connection.read_counted_body(&head, MAX_RESPONSE_BYTES, meter);
-        let body = body.await.map_err(lost)?;
+        let sent = tokio::time::timeout_at(limits.deadline, self.send(call)).await;
+        let sent = sent.unwrap_or_else(|_| {
+            let reason = "no response head within the time limit";
+            Err(StoreError::NoResponse(reason.into()))
+        });
+        let (mut connection, head) = sent?;
+        let body = connection.read_moving_body(&head, limits, meter).await;
+        let body = body.map_err(lost)?;
         if head.keep_alive && self.idle.borrow().len() < MAX_IDLE {
             self.idle.borrow_mut().push(connection);
         }
@@ -140,6 +159,20 @@
         Ok((call.read(head.status, &body)?, era))
     }
 
+    /// Sends the call and reads the head of its reply, without a time limit.
+    async fn send(&self, call: &StoreCall) -> Result<(ClientConnection, ResponseHead), StoreError> {
+        let lost = |error: ConnectionError| StoreError::NoResponse(error.to_string());
+        let mut connection = match self.take_idle() {
+            Some(connection) => connection,
+            None => ClientConnection::open(self.address.get(), CONNECT_TIMEOUT)
+                .await
+                .map_err(|error| StoreError::NoResponse(error.to_string()))?,
+        };
+        connection.send(&call.render()).await.map_err(lost)?;
+        let head = connection.read_head().await.map_err(lost)?;
+        Ok((connection, head))
+    }
+
     /// Returns the latest era of the store that this entry knows of.
     pub(crate) fn era(&self) -> StoreEra {
         self.era.get()
@@ -189,7 +222,9 @@
     /// Updates the availability after a call; logs it if it has changed.
     fn note_result(&self, call: &StoreCall, result: &Result<(StoreReply, StoreEra), StoreError>) {
         let availability = match result {
-            Ok(_) | Err(StoreError::Compacted) => StoreAvailability::Available,
+            Ok(_) | Err(StoreError::Compacted | StoreError::TooLarge) => {
+                StoreAvailability::Available
+            }
             Err(_) => StoreAvailability::Unavailable,
         };
         if let Err(error) = result {
