--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -22,8 +22,15 @@
 impl DaemonProcess {
     /// Starts `applefoldd` and waits until it logs that it is ready.
     pub fn start(args: &[String]) -> Self {
+        Self::start_with(args, &[])
+    }
+
+    /// Starts `applefoldd` with these variables, and waits until it logs that it is ready.
+    pub fn start_with(args: &[String], variables: &[(&str, String)]) -> Self {
+        let variables = variables.iter().map(|(name, value)| (name, value));
         let mut child = Command::new(env!("CARGO_BIN_EXE_applefoldd"))
             .args(args)
+            .envs(variables)
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
@@ -78,6 +85,28 @@
         self.child.wait().expect("the process has exited");
     }
 
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let status = self.child.try_wait();
+        status.expect("the status can be read").is_some()
+    }
+
+    /// Returns the peak resident memory of the process, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("a running process");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes: u64 = kilobytes.expect("a figure").parse().expect("a number");
+        kilobytes * 1_024
+    }
+
+    /// Returns the number of file descriptors that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).expect("a running process").count()
+    }
+
     /// Returns whether the process has exited successfully.
     pub fn has_exited_successfully(&mut self) -> bool {
         let status = self
