Bound what a peer may send before it has authenticated

Cause: each connection could send a whole message of up to 16 MiB before it authenticated, on up to 64 connections; and while 64 were open, peers that know the secret were refused.

Change: the reader ends the connection after 16 KiB while its peer has not authenticated, and of 64 such connections the oldest gives way.

--- a/crates/daemon/src/link/handshake.rs
+++ b/crates/daemon/src/link/handshake.rs
@@ -1,8 +1,12 @@
 //! The server side of a connection: a peer authenticates and is given a session.
 
-use std::cell::RefCell;
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use applefold_core::code::ResultCode;
@@ -11,10 +15,11 @@
 use capnp_rpc::twoparty::VatNetwork;
 use capnp_rpc::RpcSystem;
 use eyre::WrapErr;
-use futures_util::io::BufReader;
+use futures_util::io::{AsyncRead, BufReader};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use tokio::sync::Notify;
+use tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::reader_options;
 use super::secret::{LinkNonce, ProofInput, ProofSide, SecretRing};
@@ -23,6 +28,9 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The maximum number of connections that have not yet authenticated.
 const MAX_UNAUTHENTICATED: usize = 64;
+/// The most bytes that a peer may send before it has authenticated. The calls of the handshake take less than 1 KiB,
+/// and a message that is not read completely is held in memory.
+const MAX_HANDSHAKE_BYTES: usize = 16 << 10;
 /// The delay after a failed accept, so that a lasting error does not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -37,9 +45,40 @@
     options: Rc<HandshakeOptions>,
     session: session::Client,
     nonce: LinkNonce,
-    /// The permit that a connection holds until the peer has authenticated. A connection that is
-    /// not authenticated within [`HANDSHAKE_TIMEOUT`] is closed.
-    unauthenticated: RefCell<Option<OwnedSemaphorePermit>>,
+    /// Whether the connection is open and the peer has not authenticated. It is closed if that takes longer than
+    /// [`HANDSHAKE_TIMEOUT`].
+    is_pending: Cell<bool>,
+    /// Notified when the connection has to give way to a newer one.
+    yielding: Notify,
+}
+
+/// The bytes of a peer, of which there may be few before it has authenticated.
+struct HandshakeReader {
+    stream: Compat<OwnedReadHalf>,
+    server: Rc<GateServer>,
+    left: usize,
+}
+
+impl AsyncRead for HandshakeReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if !self.server.is_pending.get() {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        }
+        if self.left == 0 {
+            let reason = "the peer sent too much before it authenticated";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        let most = buffer.len().min(self.left);
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..most]);
+        if let Poll::Ready(Ok(count)) = read {
+            self.left -= count;
+        }
+        read
+    }
 }
 
 impl gate::Server for GateServer {
@@ -73,37 +112,41 @@
             side: ProofSide::Server,
             ..input
         });
-        self.unauthenticated.borrow_mut().take();
+        self.is_pending.set(false);
         results.get().set_proof(&proof);
         results.get().set_session(self.session.clone());
         Ok(())
     }
 }
 
-/// Accepts peers for as long as the process runs. Connections beyond [`MAX_UNAUTHENTICATED`] are
-/// closed at once.
+/// Accepts peers for as long as the process runs. Of more than [`MAX_UNAUTHENTICATED`] connections whose peers have
+/// not authenticated the oldest is closed, since a peer that knows the secret needs little time.
 pub(crate) async fn serve(
     listener: TcpListener,
     options: HandshakeOptions,
     session: session::Client,
 ) {
     let options = Rc::new(options);
-    let unauthenticated = std::sync::Arc::new(Semaphore::new(MAX_UNAUTHENTICATED));
+    let mut pending: VecDeque<Rc<GateServer>> = VecDeque::new();
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let Ok(permit) = unauthenticated.clone().try_acquire_owned() else {
-            log::warn!(peer = peer.to_string(); "connection closed: too many unauthenticated peers");
-            continue;
-        };
+        pending.retain(|server| server.is_pending.get());
+        if pending.len() >= MAX_UNAUTHENTICATED {
+            if let Some(oldest) = pending.pop_front() {
+                oldest.yielding.notify_one();
+            }
+        }
         let server = Rc::new(GateServer {
             options: options.clone(),
             session: session.clone(),
             nonce: LinkNonce::generate(),
-            unauthenticated: RefCell::new(Some(permit)),
+            is_pending: Cell::new(true),
+            yielding: Notify::new(),
         });
+        pending.push_back(server.clone());
         actix_rt::spawn(serve_peer(stream, peer, server));
     }
 }
@@ -113,8 +156,13 @@
         return;
     };
     let (reader, writer) = stream.into_split();
+    let reader = HandshakeReader {
+        stream: reader.compat(),
+        server: server.clone(),
+        left: MAX_HANDSHAKE_BYTES,
+    };
     let network = VatNetwork::new(
-        BufReader::new(reader.compat()),
+        BufReader::new(reader),
         writer.compat_write(),
         Side::Server,
         reader_options(),
@@ -122,13 +170,16 @@
     let gate: gate::Client = capnp_rpc::new_client_from_rc(server.clone());
     let system = RpcSystem::new(Box::new(network), Some(gate.client));
     let mut system = std::pin::pin!(system);
-    let ended = actix_rt::time::timeout(HANDSHAKE_TIMEOUT, &mut system).await;
-    if ended.is_ok() {
+    let ended = tokio::select! {
+        ended = actix_rt::time::timeout(HANDSHAKE_TIMEOUT, &mut system) => ended.is_ok(),
+        () = server.yielding.notified() => false,
+    };
+    if server.is_pending.replace(false) {
+        log::warn!(peer = peer.to_string(), code = ResultCode::PeerRefused.number(), ended;
+            "connection closed: peer did not authenticate");
         return;
     }
-    if server.unauthenticated.borrow().is_some() {
-        log::warn!(peer = peer.to_string(), code = ResultCode::PeerRefused.number();
-            "connection closed: peer did not authenticate in time");
+    if ended {
         return;
     }
     if let Err(error) = system.await {
