Bound the connections to the ports that serve no callers

Cause: every such port accepted up to 8,192 connections, and each stayed open for five seconds without sending anything.

Change: 32 connections to readiness and metrics, 48 to the port between entries. A newer one takes the place of the one that has been idle longest, 100 ms at least, so that the load balancer and other entries are served beside connections that send nothing.

Result: many_connections_to_the_readiness_port, many_connections_to_the_port_between_entries and bears_many_connections_to_the_metrics hold, and the entry is ready afterwards.

--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -27,7 +27,7 @@
 use super::plan::{engine_priority, CallerId, RequestPlan};
 use super::response::{refusal_response, respond, ResponseMeta, ResponseStart, ResponseWriter};
 use super::state::EntryState;
-use crate::http::{self, HttpServer};
+use crate::http::{self, HttpServer, PortLimits};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const MODELS_PATH: &str = "/v1/models";
@@ -37,6 +37,11 @@
 const BEARER: &str = "Bearer ";
 /// The largest request body that is read. The service's own limit applies once it is known.
 const MAX_BODY_SIZE: ByteSize = ByteSize(8 * 1024 * 1024);
+/// The connections of callers and operators.
+const PORT_LIMITS: PortLimits = PortLimits {
+    most: 8_192,
+    min_idle: Duration::from_secs(1),
+};
 /// How long a caller may take to send its request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// The retry delay in refusals of a draining instance; another instance can serve the request.
@@ -51,10 +56,14 @@
 /// Fails if the address cannot be bound.
 pub(crate) async fn serve(state: Rc<EntryState>) -> Result<HttpServer> {
     let address = state.settings.listen;
-    http::serve(address, move |request| handle(state.clone(), request)).await
+    http::serve(address, PORT_LIMITS, move |request| {
+        handle(state.clone(), request)
+    })
+    .await
 }
 
 async fn handle(state: Rc<EntryState>, request: Request) -> Result<Response<BoxBody>, Infallible> {
+    let serving = http::activity(&request).map(|activity| activity.serve());
     let path = request.path().to_owned();
     if path == HEALTH_PATH {
         return Ok(health_response(&state));
@@ -77,7 +86,7 @@
         request: SmolStr::new(&request_id),
         closing,
     };
-    Ok(respond(start, meta, guard))
+    Ok(respond(start, meta, guard, serving))
 }
 
 /// Returns a refusal that also closes the connection.
--- a/crates/daemon/src/entry/response.rs
+++ b/crates/daemon/src/entry/response.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::attempt::ResponseMessage;
+use crate::http::ServingGuard;
 
 const EVENT_STREAM: &str = "text/event-stream";
 const CODE_HEADER: &str = "x-applefold-code";
@@ -288,6 +289,7 @@
 struct GuardedBody {
     body: BoxBody,
     _guard: WorkGuard,
+    _serving: Option<ServingGuard>,
 }
 
 impl MessageBody for GuardedBody {
@@ -313,11 +315,12 @@
     pub(crate) closing: bool,
 }
 
-/// Builds the HTTP response. The guard lives until its body is sent.
+/// Builds the HTTP response. The guards live until its body is sent.
 pub(crate) fn respond(
     start: ResponseStart,
     meta: ResponseMeta,
     guard: WorkGuard,
+    serving: Option<ServingGuard>,
 ) -> Response<BoxBody> {
     let response = match start {
         ResponseStart::Complete { head, body } => {
@@ -340,6 +343,7 @@
         BoxBody::new(GuardedBody {
             body,
             _guard: guard,
+            _serving: serving,
         })
     });
     put_header(&mut response, REQUEST_HEADER, &meta.request);
--- a/crates/daemon/src/gateway/peer_sync.rs
+++ b/crates/daemon/src/gateway/peer_sync.rs
@@ -24,8 +24,13 @@
 use super::replicas::DigestFields;
 use super::state::GatewayState;
 use super::store::MAX_RESPONSE_BYTES;
-use crate::http;
+use crate::http::{self, PortLimits};
 
+/// The connections of other entries; each lasts for one response.
+const PEER_LIMITS: PortLimits = PortLimits {
+    most: 48,
+    ..PortLimits::SIDE
+};
 const CONFIG_PATH: &str = "/configuration";
 const OFFER_PATH: &str = "/configuration/offer";
 const PARTS_PATH: &str = "/configuration/parts";
@@ -56,7 +61,7 @@
 /// runs.
 pub(crate) async fn serve(state: &Rc<GatewayState>) -> Result<()> {
     let state = Rc::clone(state);
-    let server = http::serve(state.peer_address(), move |request| {
+    let server = http::serve(state.peer_address(), PEER_LIMITS, move |request| {
         let query = request.uri().query();
         let body = match request.path() {
             // Entries of earlier builds fetch it whole.
--- a/crates/daemon/src/gateway/ready.rs
+++ b/crates/daemon/src/gateway/ready.rs
@@ -7,7 +7,7 @@
 use eyre::Result;
 
 use super::state::GatewayState;
-use crate::http;
+use crate::http::{self, PortLimits};
 
 const METRICS_PATH: &str = "/metrics";
 
@@ -18,7 +18,7 @@
         return Ok(());
     };
     let state = Rc::clone(state);
-    let server = http::serve(address, move |request| {
+    let server = http::serve(address, PortLimits::SIDE, move |request| {
         let response = match request.path() {
             METRICS_PATH => Response::ok().set_body(BoxBody::new(state.metrics.render())),
             _ if state.is_ready() => Response::ok().map_into_boxed_body(),
