Bound the memory and connections of callers of applefoldd entry

Cause: each request could have 8 MiB collected for 20 s, also one that was announced over the limit, with no bound on the sum and 8,192 connections.

A body of unknown length is charged with what the HTTP library may queue of it, or refused; one that is announced over the limit is refused before it is read.

--- a/crates/daemon/src/gateway/account.rs
+++ b/crates/daemon/src/account.rs
@@ -1,7 +1,7 @@
 //! The memory and file descriptors that the connections of callers may hold together.
 //!
 //! `applefold_core::direct::HoldingTable` decides which connection gives way. See
-//! [docs/design/memory-account.md](../../../../docs/design/memory-account.md).
+//! [docs/design/memory-account.md](../../../docs/design/memory-account.md).
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/daemon/src/cmd/args.rs
+++ b/crates/daemon/src/cmd/args.rs
@@ -79,6 +79,12 @@
     /// share of traces that are sampled, from 0 to 1 (APPLEFOLD_TRACE_SHARE, 1)
     #[argh(option)]
     pub(crate) trace_share: Option<String>,
+    /// memory of the process, in megabytes (APPLEFOLD_MEMORY_MB, 512)
+    #[argh(option)]
+    pub(crate) memory_mb: Option<String>,
+    /// file descriptors of the process (APPLEFOLD_MAX_FDS, 4096)
+    #[argh(option)]
+    pub(crate) max_fds: Option<String>,
     /// minimum log level (APPLEFOLD_LOG_LEVEL, info)
     #[argh(option)]
     pub(crate) log_level: Option<String>,
--- a/crates/daemon/src/cmd/entry.rs
+++ b/crates/daemon/src/cmd/entry.rs
@@ -17,6 +17,14 @@
 
 /// The minimum of `--confirm-bound`; below it, one lost heartbeat could stop service.
 const MIN_CONFIRM_BOUND: TimeSpan = TimeSpan::from_secs(2);
+/// The default of `--memory-mb`.
+const DEFAULT_MEMORY_MB: u64 = 512;
+/// The least of `--memory-mb`: less leaves no room for one body of the largest size.
+const MIN_MEMORY_MB: u64 = 100;
+/// The default of `--max-fds`.
+const DEFAULT_DESCRIPTORS: u64 = 4_096;
+/// The least of `--max-fds`.
+const MIN_DESCRIPTORS: u64 = 256;
 /// The error of a required setting whose absence was not reported, which is a bug.
 const MISSING: &str = "a required setting is missing";
 
@@ -125,6 +133,20 @@
         setting!(args.trace_share, "--trace-share", "APPLEFOLD_TRACE_SHARE"),
         1.0,
     );
+    let memory = setting!(args.memory_mb, "--memory-mb", "APPLEFOLD_MEMORY_MB");
+    let max_memory_mb = reader.with_default(memory, DEFAULT_MEMORY_MB);
+    reader.check(
+        max_memory_mb >= MIN_MEMORY_MB,
+        memory,
+        "at least 100, so that there is room for one large request",
+    );
+    let descriptors = setting!(args.max_fds, "--max-fds", "APPLEFOLD_MAX_FDS");
+    let max_descriptors = reader.with_default(descriptors, DEFAULT_DESCRIPTORS);
+    reader.check(
+        max_descriptors >= MIN_DESCRIPTORS,
+        descriptors,
+        "at least 256",
+    );
     let log_level = reader.with_default(
         setting!(args.log_level, "--log-level", "APPLEFOLD_LOG_LEVEL"),
         LevelFilter::Info,
@@ -173,6 +195,8 @@
         usage_window,
         restart_grace,
         trace_share,
+        max_memory_mb,
+        max_descriptors,
     };
     Ok(CheckedSettings {
         settings,
--- a/crates/daemon/src/entry/api.rs
+++ b/crates/daemon/src/entry/api.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderMap, AUTHORIZATION};
@@ -10,13 +9,13 @@
 use applefold_core::claim::{ClaimKey, ClaimRequest, RequestFingerprint};
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::config::{key_digest, ServiceConfig, ServiceRoute, ServingConfig};
+use applefold_core::direct::ScarceResource;
 use applefold_core::id::{IdempotencyKey, ModelId, RequestId, TeamId};
 use applefold_core::response::{ResponseAssembler, ResponseFormat};
 use applefold_core::routing::PrefixHashes;
-use applefold_core::unit::{ByteSize, TimeSpan, TokenCount};
+use applefold_core::unit::{TimeSpan, TokenCount};
 use applefold_wire::dispatch::HeaderPair;
 use eyre::Result;
-use futures_util::StreamExt;
 use serde_json::json;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -25,9 +24,11 @@
 use super::driver;
 use super::operator;
 use super::plan::{engine_priority, CallerId, RequestPlan};
+use super::receive::{self, ReceivedBody};
 use super::response::{refusal_response, respond, ResponseMeta, ResponseStart, ResponseWriter};
 use super::state::EntryState;
-use crate::http::{self, HttpServer, PortLimits};
+use crate::account::HolderGuard;
+use crate::http::{self, HttpServer};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const MODELS_PATH: &str = "/v1/models";
@@ -35,15 +36,6 @@
 const OPERATOR_PREFIX: &str = "/operator/";
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 const BEARER: &str = "Bearer ";
-/// The largest request body that is read. The service's own limit applies once it is known.
-const MAX_BODY_SIZE: ByteSize = ByteSize(8 * 1024 * 1024);
-/// The connections of callers and operators.
-const PORT_LIMITS: PortLimits = PortLimits {
-    most: 8_192,
-    min_idle: Duration::from_secs(1),
-};
-/// How long a caller may take to send its request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// The retry delay in refusals of a draining instance; another instance can serve the request.
 const RETRY_SOON: TimeSpan = TimeSpan::from_secs(1);
 /// The request headers that are forwarded to backend servers. None of them holds the caller key.
@@ -56,10 +48,13 @@
 /// Fails if the address cannot be bound.
 pub(crate) async fn serve(state: Rc<EntryState>) -> Result<HttpServer> {
     let address = state.settings.listen;
-    http::serve(address, PORT_LIMITS, move |request| {
-        handle(state.clone(), request)
-    })
-    .await
+    let limits = receive::port_limits(&state.settings);
+    let account = state.account.clone();
+    let make_room = move || {
+        account.make_room(ScarceResource::Descriptors);
+    };
+    let handle = move |request| handle(state.clone(), request);
+    http::serve_with_room(address, limits, make_room, handle).await
 }
 
 async fn handle(state: Rc<EntryState>, request: Request) -> Result<Response<BoxBody>, Infallible> {
@@ -72,7 +67,7 @@
         return Ok(operator::handle(&state, request).await);
     }
     let request_id = state.next_request_id();
-    let closing = state.gate.is_closing();
+    let mut closing = state.gate.is_closing();
     let guard = match state.gate.admit() {
         Ok(guard) => guard,
         Err(refusal) => return Ok(closing_response(refusal)),
@@ -80,7 +75,10 @@
     let start = match admit(&state, request, &request_id).await {
         Ok(AdmittedCall::Direct(response)) => return Ok(response),
         Ok(AdmittedCall::Planned(plan)) => run(&state, *plan).await,
-        Err(refusal) => ResponseStart::Refused(refusal),
+        Err(refusal) => {
+            closing |= receive::leaves_body(refusal.code);
+            ResponseStart::Refused(refusal)
+        }
     };
     let meta = ResponseMeta {
         request: SmolStr::new(&request_id),
@@ -108,6 +106,8 @@
 
 struct PlannedCall {
     plan: RequestPlan,
+    /// The memory that the request holds until it has ended.
+    holder: HolderGuard,
     traceparent: Option<SmolStr>,
 }
 
@@ -137,7 +137,12 @@
     };
     let assembler = ResponseAssembler::new(call.plan.id.clone(), format);
     let writer = ResponseWriter::new(sender, assembler, call.plan.idempotent);
-    actix_rt::spawn(driver::drive(state.clone(), call.plan, writer, span));
+    let drive = driver::drive(state.clone(), call.plan, writer, span);
+    let holder = call.holder;
+    actix_rt::spawn(async move {
+        drive.await;
+        drop(holder);
+    });
     let lost = CallRefusal::permanent(ResultCode::OutcomeUnknown);
     receiver.await.unwrap_or(ResponseStart::Refused(lost))
 }
@@ -153,7 +158,10 @@
         return models(state, bearer.as_deref()).map(AdmittedCall::Direct);
     }
     let traceparent = header_text(request.headers(), "traceparent");
-    let body = read_body(&mut request).await?;
+    let ReceivedBody {
+        bytes: body,
+        holder,
+    } = receive::read_body(state, &mut request).await?;
     let fields = match request.path() {
         CHAT_PATH => Some(parse_chat(&body)?),
         _ => None,
@@ -199,6 +207,7 @@
     })?;
     Ok(AdmittedCall::Planned(Box::new(PlannedCall {
         plan,
+        holder,
         traceparent,
     })))
 }
@@ -341,28 +350,3 @@
         .strip_prefix(BEARER)
         .map(|text| SmolStr::new(text.trim()))
 }
-
-/// Reads a request body, limited to [`MAX_BODY_SIZE`] and [`BODY_TIMEOUT`].
-///
-/// # Errors
-///
-/// Refuses with [`ResultCode::RequestTooLarge`] if the body is too large, and with
-/// [`ResultCode::RequestMalformed`] if it cannot be read or takes too long.
-pub(crate) async fn read_body(request: &mut Request) -> Result<Vec<u8>, CallRefusal> {
-    let mut payload = request.take_payload();
-    let read = async {
-        let mut body = Vec::new();
-        while let Some(chunk) = payload.next().await {
-            let malformed = CallRefusal::permanent(ResultCode::RequestMalformed);
-            let chunk = chunk.map_err(|_| malformed)?;
-            body.extend_from_slice(&chunk);
-            if body.len() as u64 > MAX_BODY_SIZE.0 {
-                return Err(CallRefusal::permanent(ResultCode::RequestTooLarge));
-            }
-        }
-        Ok(body)
-    };
-    let slow = CallRefusal::permanent(ResultCode::RequestMalformed);
-    let body = actix_rt::time::timeout(BODY_TIMEOUT, read).await;
-    body.unwrap_or(Err(slow))
-}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod periodic;
 mod plan;
+mod receive;
 mod report;
 mod response;
 mod state;
@@ -77,6 +78,10 @@
     pub(crate) restart_grace: TimeSpan,
     /// The share of traces that are exported, from 0 to 1.
     pub(crate) trace_share: f64,
+    /// The memory of the process, in megabytes.
+    pub(crate) max_memory_mb: u64,
+    /// The file descriptors of the process.
+    pub(crate) max_descriptors: u64,
 }
 
 /// The credential that authenticates operators. Debug output hides it.
--- a/crates/daemon/src/entry/operator.rs
+++ b/crates/daemon/src/entry/operator.rs
@@ -10,8 +10,9 @@
 use applefold_core::ticket::{log_key, ChangeTicket, StoreCall, StoreReply, TicketRefusal};
 use serde_json::{json, Value};
 
-use super::api::{bearer_token, read_body};
+use super::api::bearer_token;
 use super::filing::{self, FilingError};
+use super::receive;
 use super::report;
 use super::response::refusal_response;
 use super::state::EntryState;
@@ -25,10 +26,11 @@
     if !known {
         return refusal_response(CallRefusal::permanent(ResultCode::OperatorRefused));
     }
-    let body = match read_body(&mut request).await {
-        Ok(body) => String::from_utf8_lossy(&body).into_owned(),
+    let received = match receive::read_body(state, &mut request).await {
+        Ok(received) => received,
         Err(refusal) => return refusal_response(refusal),
     };
+    let body = String::from_utf8_lossy(&received.bytes).into_owned();
     let method = request.method().clone();
     match (&method, request.path()) {
         (&Method::POST, "/operator/tickets") => file(state, &body).await,
--- a/crates/daemon/src/entry/state.rs
+++ b/crates/daemon/src/entry/state.rs
@@ -29,7 +29,8 @@
 use super::report::ActivityLog;
 use super::usage::UsageManager;
 use super::EntrySettings;
-use crate::clock::MonotonicClock;
+use crate::account::MemoryAccount;
+use crate::clock::{BoottimeClock, MonotonicClock};
 use crate::drain::DrainGate;
 use crate::link::handshake::HandshakeOptions;
 use crate::metrics::MetricSet;
@@ -81,6 +82,8 @@
     pub(crate) platform: Rc<dyn PlatformApi>,
     /// The metrics of the process.
     pub(crate) metrics: MetricSet,
+    /// The memory that the requests of callers hold.
+    pub(crate) account: Rc<MemoryAccount>,
     /// Creates trace spans.
     pub(crate) spans: SpanFactory,
     /// The tables and rules that decide on requests.
@@ -143,6 +146,11 @@
             period: Cell::new(0),
             last_periods: RefCell::default(),
             platform: Rc::new(platform),
+            account: Rc::new(MemoryAccount::new(
+                settings.max_memory_mb,
+                BoottimeClock,
+                metrics.clone(),
+            )),
             metrics,
             spans: SpanFactory::new(settings.trace_share),
             incarnation,
--- a/crates/daemon/src/gateway/accept.rs
+++ b/crates/daemon/src/gateway/accept.rs
@@ -21,13 +21,13 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::account::HolderGuard;
-use super::body::BodySegments;
 use super::connection::configure_socket;
 use super::delivery::{ConnectionWatch, CHECK_PERIOD};
 use super::request;
 use super::state::GatewayState;
 use super::stop;
+use crate::account::HolderGuard;
+use crate::body::BodySegments;
 
 /// The pause after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,11 +7,9 @@
 //! [docs/design/platform.md](../../../../docs/design/platform.md).
 
 mod accept;
-mod account;
 mod attempt;
 mod availability;
 mod backend_list;
-mod body;
 mod buffers;
 mod config_sync;
 mod connection;
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -21,8 +21,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use crate::account::MemoryAccount;
 use crate::clock::BoottimeClock;
-use crate::gateway::account::MemoryAccount;
 use crate::gateway::backend_list::BackendList;
 use crate::gateway::buffers::BufferBudget;
 use crate::gateway::duty::DutyLease;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,8 @@
 //! users' platform, without sidecars. For the path of a request see
 //! [docs/DESIGN.md](../../../docs/DESIGN.md).
 
+mod account;
+mod body;
 mod clock;
 mod cmd;
 mod drain;
