Read a changed configuration once

Cause: gossip of the change goes on arriving while it is read, and the last notification stays pending. It was taken for another change.

Change: a notification counts only if a change has been announced that the replica lacks.

--- a/crates/daemon/src/gateway/config_sync.rs
+++ b/crates/daemon/src/gateway/config_sync.rs
@@ -53,7 +53,7 @@
             () = tracker.behind.notified() => true,
         };
         let now = state.now();
-        let result = if notified || sync.is_behind(&state, now) {
+        let result = if notified && tracker.is_behind() || sync.is_behind(&state, now) {
             sync.catch_up(&state).await
         } else if tracker.next_read_at(&policy, rank) <= now {
             let wait = if rank == 0 { CONFIG_WAIT } else { POLL_WAIT };
--- a/crates/daemon/src/gateway/replicas.rs
+++ b/crates/daemon/src/gateway/replicas.rs
@@ -73,8 +73,11 @@
 pub(crate) struct ReplicaTracker {
     replica: RefCell<StoreReplica>,
     continuity: Cell<StoreContinuity>,
-    /// Wakes the reader when a peer has announced changes that this replica lacks.
+    /// Wakes the reader when a peer has announced changes that this replica lacks. It may have them by then, see
+    /// [`Self::is_behind`].
     pub(crate) behind: Notify,
+    /// The last change that a peer has announced.
+    announced: Cell<StorePosition>,
     /// The address of the peer that announced such changes last.
     source: Cell<Option<SocketAddr>>,
     /// When the backoff after a failed read ends.
@@ -87,6 +90,7 @@
             replica: RefCell::default(),
             continuity: Cell::new(StoreContinuity::new(heartbeat_interval)),
             behind: Notify::new(),
+            announced: Cell::default(),
             source: Cell::default(),
             backoff_until: Cell::default(),
         }
@@ -161,6 +165,11 @@
         self.backoff_until.get() > now
     }
 
+    /// Returns whether a peer has announced a change that this replica lacks.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.announced.get() > self.position().unwrap_or_default()
+    }
+
     /// Takes the address of the peer that announced changes that this replica lacks.
     pub(crate) fn take_source(&self) -> Option<SocketAddr> {
         self.source.take()
@@ -176,12 +185,12 @@
         let Some(digest) = digest else {
             return;
         };
-        let action = self
-            .replica
-            .borrow_mut()
-            .receive(&digest.digest(), delay, now);
+        let digest = digest.digest();
+        let action = self.replica.borrow_mut().receive(&digest, delay, now);
         self.observe_confirmation();
         if action == ReplicaAction::Fetch {
+            let announced = self.announced.get().max(digest.last_change);
+            self.announced.set(announced);
             self.source.set(Some(from));
             self.behind.notify_one();
         }
