Read the rest of a refused body at applefoldd entry

Cause: since bodies are refused before they are read, the connection was closed while its caller was still sending, and the reset overtook the refusal. Before, 8 MiB were read first and the rest fitted in the buffers of the system.

Change: the rest is read and dropped for up to 5 s before the refusal, without being kept; under pressure such a connection is the first to close.

--- a/crates/daemon/src/entry/receive.rs
+++ b/crates/daemon/src/entry/receive.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{HttpMessage, Method, Request, Version};
+use actix_http::{HttpMessage, Method, Payload, Request, Version};
 use applefold_core::code::{CallRefusal, ResultCode};
 use applefold_core::direct::{DescriptorShares, HolderStage, ScarceResource, YieldCause};
 use applefold_core::unit::{ByteSize, TimeSpan};
@@ -21,6 +21,8 @@
 const MAX_BODY_SIZE: ByteSize = ByteSize(8 * 1024 * 1024);
 /// How long a caller may take to send its request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long the rest of a body that was refused is read, so that its caller receives the refusal.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// What a request is charged with besides its body: its head, its fields and its connection to a sidecar.
 const REQUEST_BYTES: usize = 32 << 10;
 /// What a request is charged with while a body of unknown length is received. The HTTP library queues up to 32 KiB of the
@@ -66,12 +68,36 @@
     state: &EntryState,
     request: &mut Request,
 ) -> Result<ReceivedBody, CallRefusal> {
-    let too_large = CallRefusal::permanent(ResultCode::RequestTooLarge);
-    if announced_length(request).is_some_and(|length| length > MAX_BODY_SIZE.0) {
-        return Err(too_large);
-    }
+    let mut payload = request.take_payload();
     let holder = state.account.begin(request.peer_addr());
     holder.enter(HolderStage::Receiving);
+    match receive_within_limits(state, request, &mut payload, &holder).await {
+        Ok(bytes) => {
+            holder.enter(HolderStage::Serving);
+            Ok(ReceivedBody { bytes, holder })
+        }
+        Err(refusal) => {
+            let is_known = has_known_length(request);
+            let is_full = refusal.code == ResultCode::InstanceFull;
+            // What the library has queued of a body of unknown length is freed by closing the connection.
+            if leaves_body(refusal.code) && (is_known || !is_full) {
+                holder.try_resize(if is_known { 0 } else { CHUNKED_BYTES });
+                discard(&mut payload, &holder).await;
+            }
+            Err(refusal)
+        }
+    }
+}
+
+async fn receive_within_limits(
+    state: &EntryState,
+    request: &Request,
+    payload: &mut Payload,
+    holder: &HolderGuard,
+) -> Result<Vec<u8>, CallRefusal> {
+    if announced_length(request).is_some_and(|length| length > MAX_BODY_SIZE.0) {
+        return Err(CallRefusal::permanent(ResultCode::RequestTooLarge));
+    }
     let overhead = match has_known_length(request) {
         true => REQUEST_BYTES,
         // The library fills its queue whether this waits for memory or not.
@@ -85,23 +111,43 @@
         tokio::select! {
             biased;
             cause = holder.closing() => Err(closing_refusal(cause)),
-            body = receive(request, &holder, overhead) => body,
+            body = receive(payload, holder, overhead) => body,
         }
     };
     let slow = CallRefusal::permanent(ResultCode::RequestMalformed);
     let body = actix_rt::time::timeout(BODY_TIMEOUT, read).await;
-    let bytes = body.unwrap_or(Err(slow))?;
-    holder.enter(HolderStage::Serving);
-    Ok(ReceivedBody { bytes, holder })
+    body.unwrap_or(Err(slow))
+}
+
+/// Reads the rest of a refused body without keeping it, unless the connection has to make room: a caller that is still
+/// sending when its connection is closed loses the refusal.
+async fn discard(payload: &mut Payload, holder: &HolderGuard) {
+    if holder.is_closing() {
+        return;
+    }
+    holder.enter(HolderStage::Lingering);
+    let rest = async { while let Some(Ok(_)) = payload.next().await {} };
+    let discarded = async {
+        tokio::select! {
+            biased;
+            _ = holder.closing() => {}
+            () = rest => {}
+        }
+    };
+    if actix_rt::time::timeout(DISCARD_TIMEOUT, discarded)
+        .await
+        .is_err()
+    {
+        log::debug!(connection = holder.number(); "rest of a refused body was not awaited");
+    }
 }
 
 /// Receives a body in segments that are charged before they are filled.
 async fn receive(
-    request: &mut Request,
+    payload: &mut Payload,
     holder: &HolderGuard,
     overhead: usize,
 ) -> Result<Vec<u8>, CallRefusal> {
-    let mut payload = request.take_payload();
     let limit = MAX_BODY_SIZE.0 as usize;
     let mut body = BodySegments::new(limit);
     holder.resize(overhead).await;
--- a/crates/daemon/src/gateway/config_sync.rs
+++ b/crates/daemon/src/gateway/config_sync.rs
@@ -190,7 +190,8 @@
                 }
                 if holders(state).is_some() {
                     if let Err(error) = self.fetch_from_peers(state, None).await {
-                        log::info!(error = format!("{error:#}"); "could not fetch the configuration from other entries");
+                        log::info!(error = format!("{error:#}");
+                            "could not fetch the configuration from other entries");
                     }
                 }
                 actix_rt::time::sleep(Duration::from_micros(CHECK_PERIOD.0)).await;
